--- /dev/null
+++ b/src/peer/peer.cpp
@@ -0,0 +1,316 @@
+// nng sockets, contexts and the hand-over to the event loop.
+#include "peer/peer.h"
+
+#include <QMetaObject>
+#include <QObject>
+#include <QPointer>
+#include <cstring>
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/rep.h>
+#include <nng/protocol/reqrep0/req.h>
+#include <vector>
+
+namespace lacewing::peer {
+
+namespace {
+
+    PeerCode toPeerCode(int nngError)
+    {
+        switch (nngError) {
+        case NNG_EADDRINVAL:
+            return PeerCode::BadAddress;
+        case NNG_EADDRINUSE:
+            return PeerCode::AddressInUse;
+        case NNG_ETIMEDOUT:
+            return PeerCode::Timeout;
+        case NNG_ECLOSED:
+        case NNG_ECANCELED:
+            return PeerCode::Closed;
+        case NNG_EMSGSIZE:
+            return PeerCode::TooLarge;
+        default:
+            return PeerCode::Transport;
+        }
+    }
+
+    PeerError toPeerError(int nngError) { return PeerError { toPeerCode(nngError), nng_strerror(nngError) }; }
+
+    // Copies a message body and frees the message.
+    QByteArray takeBody(nng_msg* message)
+    {
+        QByteArray body(static_cast<const char*>(nng_msg_body(message)), static_cast<qsizetype>(nng_msg_len(message)));
+        nng_msg_free(message);
+        return body;
+    }
+
+    // The returned message is owned by the caller until nng takes it; nullptr when memory is exhausted.
+    nng_msg* makeMessage(const QByteArray& body)
+    {
+        nng_msg* message = nullptr;
+        if (nng_msg_alloc(&message, static_cast<std::size_t>(body.size())) != 0)
+            return nullptr;
+        std::memcpy(nng_msg_body(message), body.constData(), static_cast<std::size_t>(body.size()));
+        return message;
+    }
+
+    std::string toUrl(const std::string& address) { return "tcp://" + address; }
+
+} // namespace
+
+// --- Server ---
+
+struct Server::State {
+    PeerLimits limits;
+    RequestHandler handler;
+    PeerTraffic traffic;
+    QObject loop; // receives queued calls on the creating thread
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    bool isOpen = false;
+
+    // One request at a time; receives the next one after the reply was handed to nng.
+    struct Context {
+        State* state = nullptr;
+        nng_ctx ctx = NNG_CTX_INITIALIZER;
+        nng_aio* aio = nullptr;
+        bool isSending = false; // touched by nng's callback and, between operations, by the event loop
+    };
+    std::vector<std::unique_ptr<Context>> contexts;
+
+    static void onCompleted(void* argument);
+    static void receive(Context* context);
+    static void handle(Context* context, const QByteArray& request);
+    static void send(Context* context, const QByteArray& reply);
+};
+
+void Server::State::receive(Context* context)
+{
+    context->isSending = false;
+    nng_ctx_recv(context->ctx, context->aio);
+}
+
+void Server::State::send(Context* context, const QByteArray& reply)
+{
+    nng_msg* message = makeMessage(reply);
+    if (message == nullptr) {
+        receive(context);
+        return;
+    }
+    context->state->traffic.messagesSent += 1;
+    context->state->traffic.bytesSent += static_cast<std::uint64_t>(reply.size());
+    context->isSending = true;
+    nng_aio_set_msg(context->aio, message);
+    nng_ctx_send(context->ctx, context->aio);
+}
+
+void Server::State::handle(Context* context, const QByteArray& request)
+{
+    State* state = context->state;
+    state->traffic.messagesReceived += 1;
+    state->traffic.bytesReceived += static_cast<std::uint64_t>(request.size());
+    // A late reply after the server was destroyed must not touch the context; the pointer to the loop tells.
+    const QPointer<QObject> alive(&state->loop);
+    state->handler(request, [alive, context](const QByteArray& reply) {
+        if (!alive.isNull())
+            send(context, reply);
+    });
+}
+
+// Runs on an nng thread.
+void Server::State::onCompleted(void* argument)
+{
+    auto* context = static_cast<Context*>(argument);
+    const int error = nng_aio_result(context->aio);
+    if (error == NNG_ECLOSED || error == NNG_ECANCELED)
+        return;
+    if (context->isSending) {
+        if (error != 0)
+            nng_msg_free(nng_aio_get_msg(context->aio));
+        receive(context);
+        return;
+    }
+    if (error != 0) {
+        receive(context);
+        return;
+    }
+    const QByteArray body = takeBody(nng_aio_get_msg(context->aio));
+    QMetaObject::invokeMethod(
+        &context->state->loop, [context, body] { handle(context, body); }, Qt::QueuedConnection);
+}
+
+base::Result<std::unique_ptr<Server>, PeerError> Server::listen(
+    const std::string& address, PeerLimits limits, RequestHandler handler)
+{
+    auto state = std::make_unique<State>();
+    state->limits = limits;
+    state->handler = std::move(handler);
+    if (const int error = nng_rep0_open(&state->socket); error != 0)
+        return toPeerError(error);
+    state->isOpen = true;
+    nng_socket_set_size(state->socket, NNG_OPT_RECVMAXSZ, limits.maxMessageBytes);
+    auto server = std::unique_ptr<Server>(new Server(std::move(state)));
+    State& open = *server->m_state;
+    for (int index = 0; index < limits.serverContexts; ++index) {
+        auto context = std::make_unique<State::Context>();
+        context->state = &open;
+        if (const int error = nng_ctx_open(&context->ctx, open.socket); error != 0)
+            return toPeerError(error);
+        if (const int error = nng_aio_alloc(&context->aio, State::onCompleted, context.get()); error != 0)
+            return toPeerError(error);
+        open.contexts.push_back(std::move(context));
+    }
+    if (const int error = nng_listen(open.socket, toUrl(address).c_str(), nullptr, 0); error != 0)
+        return toPeerError(error);
+    for (const auto& context : open.contexts)
+        State::receive(context.get());
+    return server;
+}
+
+Server::Server(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+Server::~Server()
+{
+    if (m_state->isOpen)
+        nng_close(m_state->socket);
+    for (const auto& context : m_state->contexts) {
+        nng_aio_stop(context->aio);
+        nng_aio_free(context->aio);
+    }
+}
+
+const PeerTraffic& Server::traffic() const { return m_state->traffic; }
+
+// --- Client ---
+
+struct Client::State {
+    PeerLimits limits;
+    PeerTraffic traffic;
+    QObject loop; // receives queued calls on the creating thread
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    bool isOpen = false;
+
+    struct Call {
+        State* state = nullptr;
+        nng_ctx ctx = NNG_CTX_INITIALIZER;
+        nng_aio* aio = nullptr;
+        bool isReceiving = false;
+        ReplyCallback callback;
+    };
+    std::vector<std::unique_ptr<Call>> calls; // in progress; each is removed on the event loop
+
+    static void onCompleted(void* argument);
+    static void finish(Call* call, base::Result<QByteArray, PeerError> result);
+};
+
+// Runs on the event loop. Frees the call before its callback, which may destroy the client.
+void Client::State::finish(Call* call, base::Result<QByteArray, PeerError> result)
+{
+    State* state = call->state;
+    if (result.has_value()) {
+        state->traffic.messagesReceived += 1;
+        state->traffic.bytesReceived += static_cast<std::uint64_t>(result.value().size());
+    }
+    const ReplyCallback callback = std::move(call->callback);
+    nng_aio_free(call->aio);
+    nng_ctx_close(call->ctx);
+    std::erase_if(state->calls, [call](const std::unique_ptr<Call>& entry) { return entry.get() == call; });
+    callback(std::move(result));
+}
+
+// Runs on an nng thread.
+void Client::State::onCompleted(void* argument)
+{
+    auto* call = static_cast<Call*>(argument);
+    const int error = nng_aio_result(call->aio);
+    if (error == 0 && !call->isReceiving) {
+        call->isReceiving = true;
+        nng_ctx_recv(call->ctx, call->aio);
+        return;
+    }
+    if (error != 0 && !call->isReceiving)
+        nng_msg_free(nng_aio_get_msg(call->aio));
+    base::Result<QByteArray, PeerError> result = toPeerError(error);
+    if (error == 0)
+        result = takeBody(nng_aio_get_msg(call->aio));
+    QMetaObject::invokeMethod(
+        &call->state->loop, [call, result] { finish(call, result); }, Qt::QueuedConnection);
+}
+
+base::Result<std::unique_ptr<Client>, PeerError> Client::dial(const std::string& address, PeerLimits limits)
+{
+    auto state = std::make_unique<State>();
+    state->limits = limits;
+    if (const int error = nng_req0_open(&state->socket); error != 0)
+        return toPeerError(error);
+    state->isOpen = true;
+    nng_socket_set_size(state->socket, NNG_OPT_RECVMAXSZ, limits.maxMessageBytes);
+    nng_socket_set_ms(state->socket, NNG_OPT_RECONNMINT, 100);
+    nng_socket_set_ms(state->socket, NNG_OPT_RECONNMAXT, 1000);
+    auto client = std::unique_ptr<Client>(new Client(std::move(state)));
+    if (const int error = nng_dial(client->m_state->socket, toUrl(address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+        error != 0)
+        return toPeerError(error);
+    return client;
+}
+
+void Client::request(const QByteArray& message, ReplyCallback callback)
+{
+    State& state = *m_state;
+    auto call = std::make_unique<State::Call>();
+    call->state = &state;
+    call->callback = std::move(callback);
+    const auto fail = [&state, &call](const PeerError& error) {
+        QMetaObject::invokeMethod(
+            &state.loop, [done = std::move(call->callback), error] { done(error); }, Qt::QueuedConnection);
+    };
+    if (state.calls.size() >= static_cast<std::size_t>(state.limits.clientRequests)) {
+        fail(PeerError { PeerCode::Busy, "too many requests in progress to this peer" });
+        return;
+    }
+    if (static_cast<std::size_t>(message.size()) > state.limits.maxMessageBytes) {
+        fail(PeerError { PeerCode::TooLarge, "message is longer than maxMessageBytes" });
+        return;
+    }
+    if (const int error = nng_ctx_open(&call->ctx, state.socket); error != 0) {
+        fail(toPeerError(error));
+        return;
+    }
+    nng_msg* body = makeMessage(message);
+    const int error = body == nullptr ? NNG_ENOMEM : nng_aio_alloc(&call->aio, State::onCompleted, call.get());
+    if (error != 0) {
+        nng_ctx_close(call->ctx);
+        if (body != nullptr)
+            nng_msg_free(body);
+        fail(toPeerError(error));
+        return;
+    }
+    state.traffic.messagesSent += 1;
+    state.traffic.bytesSent += static_cast<std::uint64_t>(message.size());
+    // The timeout applies to the send and to the receive each; half of the limit for each keeps the sum within it.
+    nng_aio_set_timeout(call->aio, state.limits.requestTimeoutMs / 2);
+    nng_aio_set_msg(call->aio, body);
+    State::Call* started = call.get();
+    state.calls.push_back(std::move(call));
+    nng_ctx_send(started->ctx, started->aio);
+}
+
+Client::Client(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+Client::~Client()
+{
+    if (m_state->isOpen)
+        nng_close(m_state->socket);
+    for (const auto& call : m_state->calls) {
+        nng_aio_stop(call->aio);
+        nng_aio_free(call->aio);
+    }
+}
+
+const PeerTraffic& Client::traffic() const { return m_state->traffic; }
+
+} // namespace lacewing::peer
