--- /dev/null
+++ b/src/base/burn.h
@@ -0,0 +1,119 @@
+// Burn rates of service-level objectives (multi-window, multi-burn-rate rule).
+//
+// The error budget of an objective with target share T is 1 - T. A burn rate of 1 uses up the budget exactly over the
+// budget period; a rate of B uses it up in 1/B of the period. A rule pages when the rate is above its threshold over a
+// long and a short window: the long one shows that the loss matters, the short one that it still goes on.
+#pragma once
+
+#include "base/metrics.h"
+#include "base/names.h"
+
+#include <QJsonObject>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lacewing::base {
+
+enum class ObjectiveKind { Latency, Availability };
+
+constexpr EnumNames<ObjectiveKind, 2> objectiveKindNames { {
+    { ObjectiveKind::Latency, "latency" },
+    { ObjectiveKind::Availability, "availability" },
+} };
+
+// Objective of one service. Latency: the share `target` of the answered requests ends within the threshold.
+// Availability: the share `target` of all requests is answered.
+struct Objective {
+    std::string service;
+    ObjectiveKind kind = ObjectiveKind::Availability;
+    double target = 0.999;             // in (0, 1)
+    std::optional<Duration> threshold; // Latency only
+};
+
+enum class Severity { None, Ticket, Page };
+
+constexpr EnumNames<Severity, 3> severityNames { {
+    { Severity::None, "none" },
+    { Severity::Ticket, "ticket" },
+    { Severity::Page, "page" },
+} };
+
+struct BurnRule {
+    Window longWindow;
+    Window shortWindow;
+    double threshold; // burn rate
+    Severity severity;
+};
+
+// For a budget period of 30 days: 14.4 over one hour uses 2% of the budget, 6 over six hours 5%, 1 over three days 10%.
+constexpr std::array<BurnRule, 3> burnRules { {
+    { Window::OneHour, Window::FiveMinutes, 14.4, Severity::Page },
+    { Window::SixHours, Window::FiveMinutes, 6.0, Severity::Page },
+    { Window::ThreeDays, Window::SixHours, 1.0, Severity::Ticket },
+} };
+
+// Requests below this number in a window give no alarm: one failure of three requests at night is not a trend.
+constexpr std::uint64_t minimumRequests = 20;
+
+// Share of bad requests over the allowed share; 0 without requests.
+double burnRate(const Objective& objective, const SloCounts& counts);
+
+struct WindowBurn {
+    Window window = Window::FiveMinutes;
+    SloCounts counts;
+    double rate = 0;
+};
+
+struct ObjectiveBurn {
+    Objective objective;
+    std::array<WindowBurn, windowCount> windows;
+    double budgetUsedShare = 0; // bad requests of the longest window over those allowed in it; above 1: overspent
+    Severity severity = Severity::None;
+    std::optional<BurnRule> firedRule;
+};
+
+// Sums of one series of one daemon, as in GET /v1/slo.
+struct SloSample {
+    std::string daemon;
+    std::string dataCentre; // of the daemon
+    SloKey key;
+    std::array<SloCounts, windowCount> windows;
+    std::array<std::vector<SloCounts>, windowCount> buckets; // oldest first, for plots
+    LatencyHistogram latency;
+};
+
+ObjectiveBurn evaluate(const Objective& objective, const std::array<SloCounts, windowCount>& windows);
+
+// What burns most: an endpoint or a data centre, ordered by the share of bad requests of the objective.
+struct Contributor {
+    std::string name;
+    SloCounts counts; // one hour
+    double rate = 0;
+    double shareOfBad = 0; // of all bad requests of the objective in that hour
+};
+
+enum class ContributorKind { Endpoint, DataCentre };
+
+std::vector<Contributor> worst(
+    const Objective& objective, const std::vector<SloSample>& samples, ContributorKind kind, std::size_t limit);
+
+// One answer of GET /v1/slo; the JSON shape is documented in docs/slo.md.
+struct SloAnswer {
+    std::string daemon;
+    std::string dataCentre;
+    std::int64_t timeMs = 0; // milliseconds since the Unix epoch
+    Duration upTime {};      // windows longer than this are not filled yet
+    std::vector<Objective> objectives;
+    std::vector<SloSample> samples;
+};
+
+QJsonObject toJson(const SloAnswer& answer);
+std::optional<SloAnswer> sloAnswerFromJson(const QJsonObject& json, std::string& error);
+
+// The answer of this process.
+SloAnswer sloAnswer(const Metrics& metrics, std::string daemon, std::string dataCentre,
+    std::vector<Objective> objectives, TimePoint started, TimePoint now, std::int64_t wallClockMs);
+
+} // namespace lacewing::base
