Align task states of batch with the worker interface

Cause: the worker adapter reports work in ms and acknowledges ended attempts by a call of its own. Change: progress and checkpoint in ms, AcknowledgeTask effect, processor share in ThrottleTask.

--- a/src/batch/dispatcher.h
+++ b/src/batch/dispatcher.h
@@ -60,7 +60,7 @@
     std::uint32_t attempt = 0;
     Resources resources;
     std::int64_t durationMs = 0;
-    std::string checkpoint;
+    std::int64_t checkpointMs = 0; // work saved earlier, where the attempt resumes
     std::int64_t leaseMs = 0;
     base::TimePoint notAfter;
     RequestId request = 0;
@@ -74,7 +74,7 @@
     base::TimePoint notAfter; // must not be sent later
     RequestId request = 0;
 };
-// POST /v1/worker/checkpoint. The task goes on; its new checkpoint is in the next worker state. Answer: onTaskReply.
+// POST /v1/worker/checkpoint. Answer: onTaskReply. The new checkpoint is in a later worker state.
 struct CheckpointTask {
     ShardKey key;
     base::WorkerId worker;
@@ -90,9 +90,10 @@
     base::Epoch epoch = 0;
     base::JobId task;
     std::uint32_t attempt = 0;
+    std::int64_t cpuMilli = 0; // processor share left to the task; 0 removes the throttle
     RequestId request = 0;
 };
-// POST /v1/worker/stop. For an ended attempt it acknowledges the end. Answer: onTaskReply.
+// POST /v1/worker/stop. Answer: onTaskReply.
 struct StopTask {
     ShardKey key;
     base::WorkerId worker;
@@ -101,6 +102,15 @@
     std::uint32_t attempt = 0;
     RequestId request = 0;
 };
+// The end of the attempt is durable: the worker may forget it. Answer: none needed, it is repeated while listed.
+struct AcknowledgeTask {
+    ShardKey key;
+    base::WorkerId worker;
+    base::Epoch epoch = 0;
+    base::JobId task;
+    std::uint32_t attempt = 0;
+    RequestId request = 0;
+};
 // GET /v1/worker (and its reports). Answer: onWorkerState or onWorkerUnreachable.
 struct PollWorker {
     ShardKey key;
@@ -164,7 +174,7 @@
 };
 
 using Effect = std::variant<WriteShard, ReadShard, FenceWorker, StartTask, RenewWorker, CheckpointTask, ThrottleTask,
-    StopTask, PollWorker, ReplySubmit, OfferTransfer, AcceptTransfer>;
+    StopTask, AcknowledgeTask, PollWorker, ReplySubmit, OfferTransfer, AcceptTransfer>;
 using Effects = std::vector<Effect>;
 
 // --- Inputs ---
--- a/src/batch/shard.h
+++ b/src/batch/shard.h
@@ -26,7 +26,6 @@
     std::size_t maxEventsPerJob = 32;      // newest events kept for a watch
     std::size_t maxEventBytes = 256;
     std::size_t maxIdBytes = 128;
-    std::size_t maxCheckpointBytes = 512;
     std::size_t maxReasonBytes = 200;
     std::uint32_t maxFailedWorkers = 3; // a job that fails on this many workers is failed
 };
@@ -42,8 +41,8 @@
     std::uint32_t attempt = 0;            // newest planned attempt; 0: never planned
     base::WorkerId worker;                // of the newest attempt
     Resources granted;                    // committed on the worker for this attempt
-    std::string checkpoint;               // the next attempt resumes from here
-    double progress = 0;                  // 0 to 1, at the last report
+    std::int64_t checkpointMs = 0;        // work saved; the next attempt resumes from here
+    std::int64_t progressMs = 0;          // work done at the last report
     bool isCancelRequested = false;       // stop the attempt, then state cancelled
     bool isConfirmed = false;             // a worker confirmed this attempt as started
     std::uint32_t evictions = 0;          // attempts that ended by eviction
@@ -129,13 +128,13 @@
     Shard& shard, const base::JobId& id, std::uint32_t attempt, std::string_view reason, const ShardLimits& limits);
 
 // The attempt has surely ended without a result: evicted, lost with its worker, or lease run out. Queued again from the
-// given checkpoint (empty: the last known one), or cancelled when a cancel was requested.
+// given checkpoint (never below the last known one), or cancelled when a cancel was requested.
 ShardResult<JobState> onEnded(
-    Shard& shard, const base::JobId& id, std::uint32_t attempt, std::string_view checkpoint, const ShardLimits& limits);
+    Shard& shard, const base::JobId& id, std::uint32_t attempt, std::int64_t checkpointMs, const ShardLimits& limits);
 
 // Keeps the newest checkpoint and progress of a running attempt.
-ShardResult<void> onProgress(Shard& shard, const base::JobId& id, std::uint32_t attempt, std::string_view checkpoint,
-    double progress, const ShardLimits& limits);
+ShardResult<void> onProgress(
+    Shard& shard, const base::JobId& id, std::uint32_t attempt, std::int64_t checkpointMs, std::int64_t progressMs);
 
 // Marks the placed jobs of a worker as unknown; returns how many changed.
 std::size_t onWorkerUnreachable(Shard& shard, const base::WorkerId& worker);
--- a/src/batch/types.h
+++ b/src/batch/types.h
@@ -99,24 +99,22 @@
     bool isLeaving = false; // no new starts; running tasks move away
 };
 
-enum class TaskStatus { Running, Throttled, Checkpointed, Finished, Failed, Stopped };
+enum class TaskStatus { Running, Checkpointing, Stopped, Finished, Failed, Expired };
 constexpr base::EnumNames<TaskStatus, 6> taskStatusNames { {
-    { TaskStatus::Running, "running" },
-    { TaskStatus::Throttled, "throttled" },
-    { TaskStatus::Checkpointed, "checkpointed" }, // still runs; `checkpoint` is new
-    { TaskStatus::Finished, "finished" },
-    { TaskStatus::Failed, "failed" },
-    { TaskStatus::Stopped, "stopped" },
+    { TaskStatus::Running, "running" }, { TaskStatus::Checkpointing, "checkpointing" }, // still runs
+    { TaskStatus::Stopped, "stopped" }, { TaskStatus::Finished, "finished" }, { TaskStatus::Failed, "failed" },
+    { TaskStatus::Expired, "expired" }, // its lease ran out
 } };
+constexpr bool hasEnded(TaskStatus status) { return status >= TaskStatus::Stopped; }
 
-// One task in the answer of GET /v1/worker. Ended attempts stay listed until they are acknowledged by StopTask.
+// One task in the answer of GET /v1/worker. Ended attempts stay listed until they are acknowledged.
 struct TaskReport {
     base::JobId task;
     std::uint32_t attempt = 0;
     TaskStatus status = TaskStatus::Running;
     Resources resources;
-    double progress = 0;    // share of the work done, 0 to 1
-    std::string checkpoint; // empty: none
+    std::int64_t progressMs = 0;   // work done, as declared duration
+    std::int64_t checkpointMs = 0; // work saved by the last checkpoint
 };
 
 // Answer of GET /v1/worker and of a successful fence.
@@ -132,14 +130,13 @@
     std::uint32_t attempt = 0;
     Resources used;
     double slowdown = 1; // observed time for a unit of work / time when alone; 1 when not known
-    double progress = 0; // 0 to 1
     std::string event;   // text for the event list of a watch; empty: none
 };
 
 // GET /v1/worker/reports.
 struct WorkerReport {
     base::WorkerId worker;
-    double cpuLoad = 0; // measured processor use / capacity
+    double cpuLoad = 0; // measured processor use / capacity; 0: the sum of the tasks counts
     std::vector<UsageReport> tasks;
 };
 
