--- a/src/routing/gateway.h
+++ b/src/routing/gateway.h
@@ -23,8 +23,10 @@
 #include "routing/slots.h"
 
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -101,8 +103,10 @@
     RequestState state;
     base::TimePoint arrivedAt;
     base::TimePoint deadline;
+    bool isRetry = false;                 // the next attempt follows a failed one
     bool isWaiting = false;               // in the queue
     bool isHedgeChecked = false;          // a hedge was sent or denied
+    base::TimePoint timerAt;              // deadline, or time to hedge when that is earlier
     std::vector<GatewayAttempt> attempts; // in flight
     std::vector<base::EndpointId> tried;
     std::vector<base::DaemonId> triedDaemons;
@@ -122,13 +126,18 @@
     Counters counters;
     // --- State ---
     std::unordered_map<RequestId, GatewayRequest> requests;
+    std::set<std::pair<base::TimePoint, RequestId>> timers; // one entry for each request, at GatewayRequest::timerAt
     std::vector<PeerInfo> peers;
     AttemptId nextAttempt = 1;
+    int localInFlight = 0; // attempts on own endpoints
     bool isDraining = false;
     bool isDataCentreOut = false;    // operators took the data centre out: forward new requests
     std::vector<double> latenciesUs; // ring of recent service times for the p95 estimate
     std::size_t latencyNext = 0;
-    double p95Us = 0; // 0: not known yet
+    std::optional<base::TimePoint> maintainedAt; // last maintenance by tick
+    std::optional<base::TimePoint> capacityAt;   // last computation of the queue's capacity
+    std::optional<base::TimePoint> proposedAt;   // last write of the slot record
+    double p95Us = 0;                            // 0: not known yet
 };
 
 // --- Construction ---
@@ -177,6 +186,6 @@
 // True when no request is known and no slot is in use, lent or borrowed.
 bool isIdle(const Gateway& gateway);
 // After isIdle: the record without this daemon, to be written before the goodbye.
-std::optional<SlotRecord> closeSlots(Gateway& gateway, base::TimePoint now);
+std::optional<SlotRecord> closeSlots(Gateway& gateway);
 
 } // namespace lacewing::routing
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -24,11 +24,12 @@
 struct SlotLimits {
     int slotsPerEndpoint = 8;              // used when the instance list gives none; at most 64
     std::int64_t isolationMs = 120000;     // without evidence for this time a member stops using its slots, ms
-    std::int64_t silenceMs = 5000;         // a member unheard for this time may be proposed for removal, ms
+    std::int64_t silenceMs = 10000;        // a member unheard for this time may be proposed for removal, ms
     std::int64_t longestRequestMs = 30000; // upper bound of one attempt on an endpoint, ms
     std::int64_t loanLeaseMs = 2000;       // lease of a lent slot, ms
     std::int64_t loanRetryMs = 20;         // pause between two loan requests of one daemon, ms
     int loanReserve = 1;                   // free slots of an endpoint that its owner keeps
+    std::int64_t proposalPauseMs = 1000;   // pause between two writes of the record by one daemon, ms
     int loanMaxSlots = 2;                  // slots lent by one reply
 };
 
@@ -47,6 +48,7 @@
     double hedgeShare = 0.05;             // hedges as a share of requests
     double budgetBurst = 20.0;            // unused retries or hedges that may be kept
     int hedgeSamplesMin = 100;            // latency samples needed before the p95 estimate is used
+    double hedgeLoadMax = 0.85;           // no hedges above this share of the usable slots in use
     int hopsMax = 1;                      // forwards between daemons
     std::int64_t forwardMarginMs = 2;     // time kept back from a forwarded request's deadline, ms
 };
--- a/src/routing/queue.h
+++ b/src/routing/queue.h
@@ -37,10 +37,11 @@
     std::array<std::deque<Waiting>, 2> waiting; // by RequestClass, oldest first
     int urgentInRow = 0;                        // urgent dispatches since the last slow one
     double serviceUs = 0;                       // estimate of the time of one request in a slot, us; 0: unknown
-    double capacity = 0;                        // slots that serve this queue; 0: unknown
+    double finishUs = 0; // time from dispatch to answer that most requests need, us; 0: serviceUs
+    double capacity = 0; // slots that serve this queue; 0: unknown
 };
 
-// Predicted time until a new request of the class would be dispatched.
+// Predicted time until a new request of the class would be dispatched, when no slot is free now. 0 when unknown.
 base::Duration predictedWait(const AdmissionQueue& queue, RequestClass requestClass);
 
 // Adds the request, or gives the reason for the refusal: QueueFull, DeadlineTooShort or DeadlineExpired.
@@ -52,6 +53,9 @@
 // Puts a request back to the front of its queue, ignoring the bound: for a retry, or when no slot was free after all.
 void putBack(AdmissionQueue& queue, RequestClass requestClass, const Waiting& item);
 
+// True when a waiting request with this deadline can no longer be answered in time.
+bool isLate(const AdmissionQueue& queue, base::TimePoint deadline, base::TimePoint now);
+
 // Removes the requests that can no longer be answered before their deadline.
 std::vector<RequestId> expire(AdmissionQueue& queue, base::TimePoint now);
 
--- a/src/routing/reasons.h
+++ b/src/routing/reasons.h
@@ -42,7 +42,8 @@
     { Reason::CallerGone, "callerGone" },
 } };
 
-// HTTP status of the reply for a reason: 503, or 504 for DeadlineExpired, 502 for failed attempts.
+// HTTP status of the reply for a reason: 504 DeadlineExpired, 502 failed attempts, 409 DuplicateRequest, 508
+// TooManyHops, otherwise 503.
 int httpStatusOf(Reason reason);
 
 // Counts since the start of the daemon. All values only rise.
--- a/src/routing/slots.h
+++ b/src/routing/slots.h
@@ -14,6 +14,8 @@
 // - Isolation: the use of slots stops when for isolationMs there was neither a store read of the record nor a reply
 //   from a recorded member that holds no later version than this one. Both count from the time of sending the request,
 //   so that messages buffered during a pause prove nothing.
+// - The only member of a record never stops by isolation. A member is therefore marked only by one that it knows: it
+//   has acknowledged a version that lists the proposer.
 // - A silent member is marked `removing` when all other recorded members agree, and is dropped from the record only
 //   isolationMs + longestRequestMs (with the clock rate bound) after all others acknowledged the mark.
 //
@@ -125,6 +127,7 @@
 };
 
 struct PeerEvidence {
+    Incarnation incarnation = 0;
     SlotAck ack; // latest acknowledgement
     bool hasAck = false;
     base::TimePoint heardAt; // last message from the peer
@@ -138,20 +141,30 @@
     std::uint64_t version = 0;
 };
 
+struct MarkEvidence {
+    std::uint64_t version = 0; // removingSince of the mark
+    base::TimePoint at;        // when all other members were known to have acknowledged the mark
+};
+
 struct SlotTable {
     SlotLimits limits;
     // --- Identity ---
     base::DaemonId self;
     Incarnation incarnation = 1;
     // --- Record ---
-    SlotRecord record; // version in force here
+    SlotRecord record;             // version in force here
+    bool isMember = false;         // this incarnation is in the record and not marked
+    std::uint64_t memberSince = 0; // first version in force here that lists this incarnation; 0: not listed
+    base::TimePoint memberSinceAt; // when that version came into force here
+    bool mayGain = false;          // owned slots that are not granted may have become free
     std::unordered_map<base::EndpointId, EndpointSlots> endpoints;
     std::map<base::DaemonId, PeerEvidence> peers; // by name; the entry is replaced by a newer incarnation
     // --- Isolation ---
-    std::optional<base::TimePoint> evidenceAt;             // sending time of the last request whose reply was evidence
-    std::map<base::DaemonId, base::TimePoint> markAckedAt; // members marked removing: since when all others know
+    std::optional<base::TimePoint> evidenceAt;          // sending time of the last request whose reply was evidence
+    std::map<base::DaemonId, MarkEvidence> markAckedAt; // members marked removing
     // --- Loans ---
     std::map<std::uint64_t, PendingLoan> pending; // loan requests without a reply
+    std::size_t loanCount = 0;                    // loans given that have not ended
     std::uint64_t nextLoan = 1;
     std::uint64_t nextRequest = 1;
     std::optional<base::TimePoint> loanAskedAt;
@@ -159,6 +172,12 @@
     Counters* counters = nullptr; // not owned, may be null
 };
 
+// Size of an endpoint in slots (0 to 64).
+struct EndpointSize {
+    base::EndpointId endpoint;
+    int slots = 8;
+};
+
 // One slot in use. Give it back with release().
 struct SlotHold {
     base::EndpointId endpoint;
@@ -177,26 +196,31 @@
 bool isStopped(const SlotTable& table, base::TimePoint now);
 
 // --- Inputs ---
-void setEndpoints(SlotTable& table, std::span<const EndpointMask> sizes); // slots: mask with one bit for each slot
+// Endpoints of the data centre. Slots of an endpoint that is missing from the list are not used until it is back.
+void setEndpoints(SlotTable& table, std::span<const EndpointSize> sizes);
 // Result of a store read of the record that was sent at sentAt. Older versions than the one in force change nothing.
-void onRecord(SlotTable& table, const SlotRecord& record, base::TimePoint sentAt);
+void onRecord(SlotTable& table, const SlotRecord& record, base::TimePoint sentAt, base::TimePoint now);
 // Record passed on by a peer. It counts as no evidence.
-void onRelayedRecord(SlotTable& table, const SlotRecord& record);
+void onRelayedRecord(SlotTable& table, const SlotRecord& record, base::TimePoint now);
 // Acknowledgement in a message of a peer. When it is the reply to a request of this daemon, sentAt is the time when the
 // request was sent; otherwise it is empty, and the message is no evidence against isolation.
 void onAck(SlotTable& table, const SlotAck& ack, std::optional<base::TimePoint> sentAt, base::TimePoint now);
 // Proof that an incarnation is gone: its goodbye, a newer incarnation at its address, or an operator's statement.
-void onGone(SlotTable& table, const base::DaemonId& daemon, Incarnation incarnation);
+void onGone(SlotTable& table, const base::DaemonId& daemon, Incarnation incarnation, base::TimePoint now);
 // Ends loans whose lease is over, and takes possession of gained slots. Called by every function that needs it.
 void update(SlotTable& table, base::TimePoint now);
 
 // --- Outputs ---
+// Recorded members that were not heard for silenceMs.
+std::vector<base::DaemonId> silentMembers(const SlotTable& table, base::TimePoint now);
 SlotAck currentAck(const SlotTable& table, base::TimePoint now);
 // Next record that this daemon should write (CAS on version - 1): join, return after a mark, replacement of its own
 // older incarnation, removal of a member that is gone, mark of a silent member, or drop of a marked one.
 std::optional<SlotRecord> proposeRecord(SlotTable& table, base::TimePoint now);
-// Planned stop: returns the record without this daemon. Only valid when nothing is in use or lent.
-std::optional<SlotRecord> closeTable(SlotTable& table, base::TimePoint now);
+// Planned stop: ends all use and gives the record without this daemon. Nothing while a slot is in use, lent or
+// borrowed, or when the daemon is not listed. When the CAS is refused, pass the current record to onRecord and call
+// this again.
+std::optional<SlotRecord> closeTable(SlotTable& table);
 
 // --- Loans ---
 struct LoanAsk {
@@ -209,6 +233,8 @@
 // Gives the return to send when the reply cannot be used.
 std::optional<LoanReturn> onLoanReply(SlotTable& table, const LoanReply& reply, base::TimePoint now);
 void onLoanReturn(SlotTable& table, const LoanReturn& loan);
+// Ends loans given whose lease is over.
+void endLoans(SlotTable& table, base::TimePoint now);
 // Idle borrowed slots to give back: all of them, or those whose lease is over.
 std::vector<LoanReturn> takeReturns(SlotTable& table, bool all, base::TimePoint now);
 
