--- /dev/null
+++ b/src/base/json.cpp
@@ -0,0 +1,312 @@
+// JSON text with positions.
+#include "base/json.h"
+
+#include "base/names.h"
+
+#include <QByteArray>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <algorithm>
+
+namespace lacewing::base {
+
+namespace {
+
+    constexpr EnumNames<InputError::Code, 10> codeNames { {
+        { InputError::Code::Syntax, "syntax" },
+        { InputError::Code::NotAnObject, "notAnObject" },
+        { InputError::Code::DuplicateKey, "duplicateKey" },
+        { InputError::Code::TooLarge, "tooLarge" },
+        { InputError::Code::TooDeep, "tooDeep" },
+        { InputError::Code::UnknownKey, "unknownKey" },
+        { InputError::Code::WrongType, "wrongType" },
+        { InputError::Code::OutOfRange, "outOfRange" },
+        { InputError::Code::Missing, "missing" },
+        { InputError::Code::Contradiction, "contradiction" },
+    } };
+
+    bool isPlainKey(std::string_view key)
+    {
+        const auto isPlain = [](char c) {
+            return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '_' || c == '-';
+        };
+        return !key.empty() && std::all_of(key.begin(), key.end(), isPlain);
+    }
+
+    struct Duplicate {
+        std::string path;
+        int firstLine = 0;
+        int line = 0;
+    };
+
+    // Walks over JSON text and records the line of each key. Text with syntax errors is walked as far as it makes
+    // sense; QJsonDocument reports those errors.
+    struct Scanner {
+        std::string_view text;
+        int maximumDepth = 0;
+        std::size_t at = 0;
+        int line = 1;
+        int tooDeepLine = 0; // line of the first value beyond maximumDepth; 0: none
+        KeyLines keys;
+        std::vector<Duplicate> duplicates;
+    };
+
+    void skipSpace(Scanner& scanner)
+    {
+        while (scanner.at < scanner.text.size()) {
+            const char c = scanner.text[scanner.at];
+            if (c != ' ' && c != '\t' && c != '\r' && c != '\n')
+                return;
+            if (c == '\n')
+                ++scanner.line;
+            ++scanner.at;
+        }
+    }
+
+    char peek(Scanner& scanner)
+    {
+        skipSpace(scanner);
+        return scanner.at < scanner.text.size() ? scanner.text[scanner.at] : '\0';
+    }
+
+    // Reads the string literal at the current position and returns its decoded content.
+    std::string readString(Scanner& scanner)
+    {
+        const std::size_t begin = scanner.at++;
+        bool hasEscape = false;
+        while (scanner.at < scanner.text.size() && scanner.text[scanner.at] != '"') {
+            if (scanner.text[scanner.at] == '\n')
+                ++scanner.line;
+            if (scanner.text[scanner.at] == '\\') {
+                hasEscape = true;
+                ++scanner.at;
+            }
+            ++scanner.at;
+        }
+        scanner.at = std::min(scanner.at + 1, scanner.text.size());
+        const std::string_view literal = scanner.text.substr(begin, scanner.at - begin);
+        if (!hasEscape)
+            return std::string(literal.substr(1, literal.size() >= 2 ? literal.size() - 2 : 0));
+        const QByteArray wrapped = "[" + QByteArray(literal.data(), static_cast<qsizetype>(literal.size())) + "]";
+        return QJsonDocument::fromJson(wrapped).array().at(0).toString().toStdString();
+    }
+
+    void scanValue(Scanner& scanner, const std::string& path, int depth);
+
+    void scanObject(Scanner& scanner, const std::string& path, int depth)
+    {
+        std::unordered_map<std::string, int> seen;
+        while (peek(scanner) == '"') {
+            const int line = scanner.line;
+            const std::string key = readString(scanner);
+            const std::string child = childPath(path, key);
+            const auto [entry, isNew] = seen.emplace(key, line);
+            if (!isNew)
+                scanner.duplicates.push_back({ child, entry->second, line });
+            scanner.keys.lines.insert_or_assign(child, line);
+            if (peek(scanner) != ':')
+                return;
+            ++scanner.at;
+            scanValue(scanner, child, depth);
+            if (peek(scanner) != ',')
+                break;
+            ++scanner.at;
+        }
+        if (peek(scanner) == '}')
+            ++scanner.at;
+    }
+
+    void scanArray(Scanner& scanner, const std::string& path, int depth)
+    {
+        for (std::size_t index = 0; peek(scanner) != ']' && peek(scanner) != '\0'; ++index) {
+            const std::string child = elementPath(path, index);
+            scanner.keys.lines.insert_or_assign(child, scanner.line);
+            scanValue(scanner, child, depth);
+            if (peek(scanner) != ',')
+                break;
+            ++scanner.at;
+        }
+        if (peek(scanner) == ']')
+            ++scanner.at;
+    }
+
+    void scanValue(Scanner& scanner, const std::string& path, int depth)
+    {
+        const char first = peek(scanner);
+        const bool isContainer = first == '{' || first == '[';
+        if (isContainer && depth >= scanner.maximumDepth) {
+            if (scanner.tooDeepLine == 0)
+                scanner.tooDeepLine = scanner.line;
+            scanner.at = scanner.text.size();
+            return;
+        }
+        if (first == '{') {
+            ++scanner.at;
+            scanObject(scanner, path, depth + 1);
+        } else if (first == '[') {
+            ++scanner.at;
+            scanArray(scanner, path, depth + 1);
+        } else if (first == '"') {
+            readString(scanner);
+        } else {
+            constexpr std::string_view ends = ",]}{[\":\n";
+            while (scanner.at < scanner.text.size() && ends.find(scanner.text[scanner.at]) == std::string_view::npos)
+                ++scanner.at;
+        }
+    }
+
+    Scanner scan(std::string_view text, int maximumDepth)
+    {
+        Scanner scanner;
+        scanner.text = text;
+        scanner.maximumDepth = maximumDepth;
+        scanValue(scanner, {}, 0);
+        return scanner;
+    }
+
+    // Line of a syntax error. QJsonDocument reports a bad literal and a trailing comma after the white space that
+    // follows them, which can be the next line.
+    int lineOfError(std::string_view text, const QJsonParseError& error)
+    {
+        std::string_view before = text.substr(0, std::min(static_cast<std::size_t>(error.offset), text.size()));
+        if (error.error == QJsonParseError::IllegalValue || error.error == QJsonParseError::MissingObject) {
+            const std::size_t last = before.find_last_not_of(" \t\r\n");
+            before = before.substr(0, last == std::string_view::npos ? 0 : last + 1);
+        }
+        return 1 + static_cast<int>(std::count(before.begin(), before.end(), '\n'));
+    }
+
+} // namespace
+
+std::string_view nameOf(InputError::Code code) { return nameOf(codeNames, code); }
+
+std::string describe(const InputError& error)
+{
+    std::string text = error.file;
+    if (error.line > 0)
+        text += (text.empty() ? "line " : ":") + std::to_string(error.line);
+    if (!text.empty())
+        text += ": ";
+    if (!error.key.empty())
+        text += error.key + ": ";
+    text += error.detail;
+    if (error.value.empty() && error.accepted.empty())
+        return text;
+    text += " (";
+    if (!error.value.empty())
+        text += "value " + error.value;
+    if (!error.accepted.empty())
+        text += (error.value.empty() ? "accepted " : ", accepted ") + error.accepted;
+    return text + ")";
+}
+
+Result<JsonText, InputErrors> parseJsonObject(std::string_view text, std::string_view file, const JsonLimits& limits)
+{
+    const auto failure = [&](InputError::Code code, int line, std::string accepted, std::string detail) {
+        return InputErrors { { code, std::string(file), line, {}, {}, std::move(accepted), std::move(detail) } };
+    };
+    if (text.size() > limits.bytes) {
+        return failure(InputError::Code::TooLarge, 0, "at most " + std::to_string(limits.bytes) + " bytes",
+            "text has " + std::to_string(text.size()) + " bytes");
+    }
+    Scanner scanner = scan(text, limits.depth);
+    if (scanner.tooDeepLine > 0) {
+        return failure(InputError::Code::TooDeep, scanner.tooDeepLine,
+            "at most " + std::to_string(limits.depth) + " levels", "objects and arrays are nested too deeply");
+    }
+    QJsonParseError parseError;
+    const QByteArray bytes = QByteArray::fromRawData(text.data(), static_cast<qsizetype>(text.size()));
+    const QJsonDocument document = QJsonDocument::fromJson(bytes, &parseError);
+    if (parseError.error != QJsonParseError::NoError) {
+        return failure(InputError::Code::Syntax, lineOfError(text, parseError), {},
+            "JSON syntax error: " + parseError.errorString().toStdString());
+    }
+    if (!document.isObject())
+        return failure(InputError::Code::NotAnObject, 1, "object", "the top level is not an object");
+    InputErrors errors;
+    for (const Duplicate& duplicate : scanner.duplicates) {
+        errors.push_back({ InputError::Code::DuplicateKey, std::string(file), duplicate.line, duplicate.path, {}, {},
+            "key appears twice in one object, first in line " + std::to_string(duplicate.firstLine) });
+    }
+    if (!errors.empty())
+        return errors;
+    return JsonText { document.object(), std::move(scanner.keys) };
+}
+
+int lineOfPath(const KeyLines& keys, std::string_view path)
+{
+    for (std::string current(path); !current.empty(); current = parentPath(current)) {
+        const auto entry = keys.lines.find(current);
+        if (entry != keys.lines.end())
+            return entry->second;
+    }
+    return 1;
+}
+
+int lineOfPath(std::string_view text, std::string_view path)
+{
+    return lineOfPath(scan(text, JsonLimits().depth).keys, path);
+}
+
+Locator locatorFor(std::string file, KeyLines keys)
+{
+    return [file = std::move(file), keys = std::move(keys)](const std::string& path) {
+        return Location { file, lineOfPath(keys, path) };
+    };
+}
+
+std::string childPath(std::string_view parent, std::string_view key)
+{
+    std::string path(parent);
+    if (isPlainKey(key)) {
+        if (!path.empty())
+            path += '.';
+        return path.append(key);
+    }
+    path += "[\"";
+    for (const char c : key) {
+        if (c == '"' || c == '\\')
+            path += '\\';
+        path += c;
+    }
+    return path + "\"]";
+}
+
+std::string elementPath(std::string_view parent, std::size_t index)
+{
+    return std::string(parent) + "[" + std::to_string(index) + "]";
+}
+
+std::string parentPath(std::string_view path)
+{
+    std::size_t lastStart = 0;
+    bool isQuoted = false;
+    for (std::size_t at = 0; at < path.size(); ++at) {
+        if (isQuoted) {
+            if (path[at] == '\\')
+                ++at;
+            else if (path[at] == '"')
+                isQuoted = false;
+        } else if (path[at] == '"') {
+            isQuoted = true;
+        } else if (path[at] == '.' || path[at] == '[') {
+            lastStart = at;
+        }
+    }
+    return std::string(path.substr(0, lastStart));
+}
+
+std::string jsonText(const QJsonValue& value, std::size_t bytes)
+{
+    // QJsonDocument writes only objects and arrays; the array brackets are removed.
+    const QByteArray array = QJsonDocument(QJsonArray { value }).toJson(QJsonDocument::Compact);
+    std::string text = array.mid(1, array.size() - 2).toStdString();
+    if (text.size() <= bytes || bytes < 4)
+        return text;
+    std::size_t end = bytes - 3;
+    while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0) == 0x80)
+        --end; // does not cut inside a UTF-8 sequence
+    return text.substr(0, end) + "...";
+}
+
+} // namespace lacewing::base
--- /dev/null
+++ b/src/config/diff.h
@@ -0,0 +1,33 @@
+// Difference between two merged configurations, by path and with the file that decided each value.
+#pragma once
+
+#include "config/merge.h"
+
+#include <QJsonObject>
+#include <string>
+#include <vector>
+
+namespace lacewing::config {
+
+struct Change {
+    enum class Kind { Added, Removed, Changed };
+
+    Kind kind = Kind::Changed;
+    std::string path;
+    std::string before;          // JSON text, at most 80 bytes; empty for Added
+    std::string after;           // JSON text, at most 80 bytes; empty for Removed
+    base::Location beforeOrigin; // file and line of the earlier value; empty for Added
+    base::Location afterOrigin;  // file and line of the later value; empty for Removed
+
+    bool operator==(const Change&) const = default;
+};
+
+std::string_view nameOf(Change::Kind kind);
+
+// Changes from `before` to `after`, sorted by path. Objects are compared by key, arrays as a whole.
+std::vector<Change> diff(const Merged& before, const Merged& after);
+
+// `added PATH AFTER (FILE:LINE)`, `removed PATH BEFORE`, `changed PATH BEFORE -> AFTER (FILE:LINE)`.
+std::string describe(const Change& change);
+
+} // namespace lacewing::config
