--- a/src/http/client.h
+++ b/src/http/client.h
@@ -82,7 +82,6 @@
 struct ClientLimits {
     qint64 responseHeaderBytes = 64 * 1024;
     qint64 responseBodyBytes = 8 * 1024 * 1024;
-    int connectTimeoutMs = 2000;       // of the connection; the request's timeoutMs also applies
     bool acceptCloseDelimited = false; // answers whose end is only the end of the connection: their truncation is
                                        // invisible, so they count as Incomplete unless this is set
 };
--- /dev/null
+++ b/src/http/framing.h
@@ -0,0 +1,60 @@
+// Framing of HTTP/1.x requests: where a request ends, and whether its head may be handed on.
+//
+// Pure functions over bytes. Anything on which two parsers could disagree (bare line feeds, folded lines, differing
+// lengths, length together with chunked encoding) is refused, because a request that two parties cut differently can
+// hide a second one.
+#pragma once
+
+#include "base/result.h"
+#include "http/message.h"
+#include "http/server.h"
+
+namespace lacewing::http {
+
+struct RequestHead {
+    // --- Request line ---
+    QByteArray method;
+    QByteArray target; // origin form: path and query
+    int minorVersion = 1;
+
+    // --- Headers ---
+    Headers headers;
+    qint64 contentLength = 0; // bytes; 0 when chunked
+    bool isChunked = false;
+    bool isClose = false;         // close the connection after the answer
+    bool expectsContinue = false; // `Expect: 100-continue`
+};
+
+struct Refused {
+    Refusal refusal = Refusal::BadRequest;
+    QByteArray detail;
+};
+
+// HTTP status of a refusal; 0 when the connection is closed without an answer.
+int refusalStatus(Refusal refusal);
+
+// Parses a head without the empty line at its end. Checks count of headers; the caller checks the size.
+base::Result<RequestHead, Refused> parseHead(const QByteArray& bytes, const ServerLimits& limits);
+
+// Body limit for a target in bytes.
+qint64 bodyLimit(const ServerLimits& limits, const QByteArray& target);
+
+// Decoder of chunked bodies, fed in any pieces.
+struct ChunkDecoder {
+    enum class State { Size, Data, DataEnd, Trailer, Done };
+
+    // --- Limits ---
+    qint64 bodyBytes = 0;    // of the decoded body
+    qint64 trailerBytes = 0; // of all trailer lines
+
+    // --- State ---
+    State state = State::Size;
+    qint64 remaining = 0; // bytes of the current chunk
+    qint64 trailerRead = 0;
+    QByteArray body;
+};
+
+// Takes complete pieces from the front of input; returns true when the body is complete.
+base::Result<bool, Refused> decodeChunks(ChunkDecoder& decoder, QByteArray& input);
+
+} // namespace lacewing::http
--- /dev/null
+++ b/src/http/guard.cpp
@@ -0,0 +1,466 @@
+// State machine of an accepted connection.
+#include "http/guard.h"
+
+#include "http/problem.h"
+
+#include <QHostAddress>
+#include <algorithm>
+#include <cstring>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace lacewing::http {
+
+namespace {
+
+    // Bytes that the system may hand over ahead of processing. Bounds what a pipelining caller can make us hold.
+    constexpr qint64 readAheadBytes = 64 * 1024;
+    // Connections over the limit that are still being told so; more are closed without an answer.
+    constexpr int maxRefusedConnections = 64;
+    // QTcpServer stops accepting for good after an error such as EMFILE; accepting resumes after this time.
+    constexpr int acceptRetryMs = 100;
+
+    bool isLineSafe(const QByteArray& text)
+    {
+        return !text.contains('\r') && !text.contains('\n') && !text.contains('\0');
+    }
+
+    bool hasNoBody(int status) { return status < 200 || status == 204 || status == 304; }
+
+    QByteArray encodeResponse(const Response& response, bool isHead, bool isClose, int minorVersion)
+    {
+        QByteArray bytes;
+        bytes.reserve(256 + (isHead ? 0 : response.body.size()));
+        bytes += "HTTP/1.1 " + QByteArray::number(response.status) + ' ' + reasonPhrase(response.status) + "\r\n";
+        QByteArray declaredLength;
+        for (const Header& header : response.headers) {
+            if (header.name.compare("Content-Length", Qt::CaseInsensitive) == 0) {
+                declaredLength = header.value;
+                continue;
+            }
+            // A line break in a foreign value would let it forge headers or a second answer.
+            if (isHopByHop(header.name) || !isLineSafe(header.name) || !isLineSafe(header.value))
+                continue;
+            bytes += header.name + ": " + header.value + "\r\n";
+        }
+        // An answer to HEAD declares the length that GET would have, when the handler gives it.
+        const bool isDeclared
+            = isHead && response.body.isEmpty() && !declaredLength.isEmpty() && isLineSafe(declaredLength);
+        if (isDeclared)
+            bytes += "Content-Length: " + declaredLength + "\r\n";
+        else if (!hasNoBody(response.status))
+            bytes += "Content-Length: " + QByteArray::number(response.body.size()) + "\r\n";
+        if (isClose)
+            bytes += "Connection: close\r\n";
+        else if (minorVersion == 0)
+            bytes += "Connection: keep-alive\r\n";
+        bytes += "\r\n";
+        if (!isHead && !hasNoBody(response.status))
+            bytes += response.body;
+        return bytes;
+    }
+
+    // The request as QHttpServer receives it: checked headers, one Content-Length, nothing about the connection.
+    QByteArray encodeForParser(const RequestHead& head, const QByteArray& body)
+    {
+        QByteArray bytes;
+        bytes.reserve(256 + body.size());
+        bytes += head.method + ' ' + head.target + " HTTP/1.1\r\n";
+        for (const Header& header : head.headers) {
+            if (!isHopByHop(header.name) && header.name.compare("Content-Length", Qt::CaseInsensitive) != 0)
+                bytes += header.name + ": " + header.value + "\r\n";
+        }
+        bytes += "Content-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+        return bytes;
+    }
+
+} // namespace
+
+// --- FeedSocket ---
+
+FeedSocket::FeedSocket(const QHostAddress& peer, std::uint16_t port)
+{
+    setOpenMode(QIODevice::ReadWrite | QIODevice::Unbuffered);
+    setSocketState(QAbstractSocket::ConnectedState);
+    setPeerAddress(peer);
+    setPeerPort(port);
+}
+
+void FeedSocket::setRequest(const QByteArray& bytes)
+{
+    m_bytes = bytes;
+    m_position = 0;
+}
+
+qint64 FeedSocket::bytesAvailable() const { return m_bytes.size() - m_position + QIODevice::bytesAvailable(); }
+
+bool FeedSocket::canReadLine() const { return m_bytes.indexOf('\n', m_position) >= 0 || QIODevice::canReadLine(); }
+
+qint64 FeedSocket::readData(char* data, qint64 maxSize)
+{
+    const qint64 count = std::min<qint64>(maxSize, m_bytes.size() - m_position);
+    std::memcpy(data, m_bytes.constData() + m_position, static_cast<std::size_t>(count));
+    m_position += count;
+    return count;
+}
+
+qint64 FeedSocket::readLineData(char* data, qint64 maxSize) { return QIODevice::readLineData(data, maxSize); }
+
+// Whatever QHttpServer would write by itself is dropped: answers come from the guard.
+qint64 FeedSocket::writeData(const char*, qint64 size) { return size; }
+
+// --- Listener ---
+
+Listener::Listener(ServerContext& context)
+    : m_context(context)
+{
+    setListenBacklogSize(512);
+    connect(this, &QTcpServer::acceptError, this,
+        [this] { QTimer::singleShot(acceptRetryMs, this, [this] { resumeAccepting(); }); });
+}
+
+void Listener::present(FeedSocket* socket) { addPendingConnection(socket); }
+
+void Listener::incomingConnection(qintptr descriptor)
+{
+    const auto open = static_cast<int>(m_context.connections.size()) - m_context.refusedConnections;
+    const bool isRefused = open >= m_context.limits.connections;
+    if (isRefused && m_context.refusedConnections >= maxRefusedConnections) {
+        ++m_context.counters->refusals[static_cast<std::size_t>(Refusal::TooManyConnections)];
+        ::close(static_cast<int>(descriptor));
+        return;
+    }
+    auto* socket = new QTcpSocket;
+    if (!socket->setSocketDescriptor(descriptor)) {
+        ::close(static_cast<int>(descriptor));
+        delete socket;
+        return;
+    }
+    ++m_context.counters->connectionsAccepted;
+    new Connection(m_context, socket, isRefused); // registers itself; deleted when the connection ends
+}
+
+// --- Connection ---
+
+Connection::Connection(ServerContext& context, QTcpSocket* socket, bool isRefused)
+    : m_context(context)
+    , m_socket(socket)
+    , m_counters(context.counters)
+    , m_isRefused(isRefused)
+{
+    m_context.connections.insert(this);
+    m_socket->setParent(this);
+    m_socket->setReadBufferSize(readAheadBytes);
+    m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    m_timer.setSingleShot(true);
+    connect(&m_timer, &QTimer::timeout, this, &Connection::onTimeout);
+    connect(m_socket, &QTcpSocket::readyRead, this, &Connection::readAvailable);
+    connect(m_socket, &QTcpSocket::disconnected, this, &Connection::onDisconnected);
+    connect(m_socket, &QTcpSocket::bytesWritten, this, [this](qint64 count) {
+        m_counters->bytesWritten += static_cast<std::uint64_t>(count);
+        if (m_state == State::Writing && m_socket->bytesToWrite() == 0)
+            responseWritten();
+        else if (m_state == State::Writing)
+            m_timer.start(m_context.limits.writeTimeoutMs);
+        else if (m_state == State::Lingering && m_socket->bytesToWrite() == 0)
+            ::shutdown(static_cast<int>(m_socket->socketDescriptor()), SHUT_WR);
+    });
+    if (m_isRefused) {
+        ++m_context.refusedConnections;
+        refuse(Refusal::TooManyConnections, "connection limit reached");
+    } else {
+        m_timer.start(m_context.limits.idleTimeoutMs);
+    }
+}
+
+Connection::~Connection()
+{
+    detach();
+    m_socket->disconnect(this);
+    delete m_feed;
+    // After onDisconnected() the server may be gone already.
+    if (!m_isGone && m_context.connections.erase(this) > 0 && m_isRefused)
+        --m_context.refusedConnections;
+}
+
+void Connection::detach()
+{
+    if (const std::shared_ptr<RequestState> request = m_request.lock()) {
+        request->connection = nullptr;
+        request->onDisconnect = nullptr;
+    }
+    m_request.reset();
+}
+
+void Connection::count(Refusal refusal) { ++m_counters->refusals[static_cast<std::size_t>(refusal)]; }
+
+void Connection::readAvailable()
+{
+    switch (m_state) {
+    case State::Handling:
+    case State::Writing:
+        return; // a pipelined request waits in the socket
+    case State::Lingering:
+        m_socket->readAll();
+        return;
+    case State::Idle:
+    case State::Head:
+    case State::Body:
+        break;
+    }
+    const QByteArray bytes = m_socket->readAll();
+    m_counters->bytesRead += static_cast<std::uint64_t>(bytes.size());
+    m_input += bytes;
+    process();
+}
+
+void Connection::process()
+{
+    if (m_isGone)
+        return;
+    if (m_state == State::Idle) {
+        // Empty lines before a request are allowed (RFC 9112, 2.2).
+        while (m_input.startsWith("\r\n"))
+            m_input.remove(0, 2);
+        if (m_input.isEmpty() || m_input == "\r")
+            return;
+        m_state = State::Head;
+        m_scanned = 0;
+        m_timer.start(m_context.limits.headerTimeoutMs);
+    }
+    if (m_state == State::Head && !processHead())
+        return;
+    if (m_state == State::Body && processBody())
+        feed();
+}
+
+bool Connection::processHead()
+{
+    // Bytes that cannot start a request, such as a TLS handshake, are refused before the timeout.
+    if (m_input[0] < 'A' || m_input[0] > 'Z') {
+        refuse(Refusal::BadRequest, "malformed request line");
+        return false;
+    }
+    const qsizetype end = m_input.indexOf("\r\n\r\n", m_scanned);
+    if (end > m_context.limits.headerBytes || (end < 0 && m_input.size() > m_context.limits.headerBytes)) {
+        refuse(Refusal::HeaderTooLarge, "headers larger than the limit");
+        return false;
+    }
+    if (end < 0) {
+        m_scanned = std::max<qsizetype>(0, m_input.size() - 3);
+        return false;
+    }
+    base::Result<RequestHead, Refused> head = parseHead(m_input.left(end), m_context.limits);
+    if (!head) {
+        refuse(head.error().refusal, head.error().detail);
+        return false;
+    }
+    m_head = std::move(head.value());
+    m_input.remove(0, end + 4);
+    m_state = State::Body;
+    m_decoder = {};
+    m_decoder.bodyBytes = bodyLimit(m_context.limits, m_head.target);
+    m_decoder.trailerBytes = m_context.limits.headerBytes;
+    m_timer.start(m_context.limits.bodyTimeoutMs);
+    const bool hasBody = m_head.isChunked || m_head.contentLength > 0;
+    if (m_head.expectsContinue && hasBody && m_input.isEmpty()) {
+        m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+        m_socket->flush();
+    }
+    return true;
+}
+
+// True when the body is complete.
+bool Connection::processBody()
+{
+    if (m_head.isChunked) {
+        const base::Result<bool, Refused> isComplete = decodeChunks(m_decoder, m_input);
+        if (!isComplete) {
+            refuse(isComplete.error().refusal, isComplete.error().detail);
+            return false;
+        }
+        m_body = isComplete.value() ? std::move(m_decoder.body) : QByteArray();
+        return isComplete.value();
+    }
+    if (m_input.size() < m_head.contentLength)
+        return false;
+    if (m_input.size() == m_head.contentLength) {
+        m_body = std::move(m_input);
+        m_input = QByteArray();
+    } else {
+        m_body = m_input.left(m_head.contentLength);
+        m_input.remove(0, m_head.contentLength);
+    }
+    return true;
+}
+
+// Hands the complete request to QHttpServer, which calls handle() before readyRead() returns.
+void Connection::feed()
+{
+    m_timer.stop();
+    m_state = State::Handling;
+    m_closeAfter = m_head.isClose;
+    m_wasHandled = false;
+    if (m_feed == nullptr) {
+        m_feed = new FeedSocket(m_socket->peerAddress(), m_socket->peerPort());
+        m_context.listener->present(m_feed);
+    }
+    m_feed->setRequest(encodeForParser(m_head, m_body));
+    m_body = QByteArray();
+    m_context.current = this;
+    Q_EMIT m_feed->readyRead();
+    m_context.current = nullptr;
+    // QHttpServer drops a request that it cannot parse without an answer and stops listening to the socket.
+    if (!m_wasHandled)
+        refuse(Refusal::BadRequest, "malformed request");
+}
+
+void Connection::handle(const QHttpServerRequest& parsed)
+{
+    m_wasHandled = true;
+    ++m_counters->requests;
+    Request request;
+    request.method = m_head.method;
+    const qsizetype mark = m_head.target.indexOf('?');
+    request.path = mark < 0 ? m_head.target : m_head.target.left(mark);
+    request.query = mark < 0 ? QByteArray() : m_head.target.mid(mark + 1);
+    const auto headers = parsed.headers();
+    request.headers.reserve(static_cast<std::size_t>(headers.size()));
+    for (const auto& [name, value] : headers) {
+        if (name.compare("Content-Length", Qt::CaseInsensitive) != 0)
+            request.headers.push_back({ name, value });
+    }
+    request.body = parsed.body();
+    request.peerAddress = m_socket->peerAddress().toString();
+    request.peerPort = m_socket->peerPort();
+
+    auto state = std::make_shared<RequestState>();
+    state->connection = this;
+    state->counters = m_counters;
+    m_request = state;
+    m_context.handler(request, Responder(std::move(state)));
+}
+
+bool Connection::write(const Response& response)
+{
+    if (m_isGone || m_state != State::Handling)
+        return false;
+    m_closeAfter = m_closeAfter || response.closeAfter || m_context.isDraining;
+    m_state = State::Writing;
+    m_request.reset();
+    m_timer.start(m_context.limits.writeTimeoutMs);
+    m_socket->write(encodeResponse(response, m_head.method == "HEAD", m_closeAfter, m_head.minorVersion));
+    m_socket->flush();
+    return true;
+}
+
+void Connection::responseWritten()
+{
+    ++m_counters->responses;
+    const bool hasMore = !m_input.isEmpty() || m_socket->bytesAvailable() > 0;
+    if (m_closeAfter || m_context.isDraining) {
+        if (hasMore)
+            startLingering();
+        else
+            m_socket->disconnectFromHost();
+        return;
+    }
+    m_state = State::Idle;
+    m_timer.start(m_context.limits.idleTimeoutMs);
+    if (hasMore) {
+        // Queued, because this function can run inside a handler.
+        ++m_counters->pipelined;
+        QMetaObject::invokeMethod(
+            this, [this] { readAvailable(); }, Qt::QueuedConnection);
+    }
+}
+
+// Answers a request that the handler has not seen and closes the connection.
+void Connection::refuse(Refusal refusal, const QByteArray& detail)
+{
+    count(refusal);
+    const std::string_view name = base::nameOf(refusalNames, refusal);
+    const int status = refusalStatus(refusal);
+    ProblemBuilder problem(status, QString::fromLatin1(name.data(), static_cast<qsizetype>(name.size())));
+    problem.detail(QString::fromLatin1(detail)).executedNo();
+    if (status == 503)
+        problem.retryAfter(1);
+    Response response = problem.response();
+    if (status == 405)
+        response.headers.push_back({ "Allow", "GET, HEAD, POST, PUT, DELETE, PATCH, OPTIONS" });
+    m_socket->write(encodeResponse(response, false, true, 1));
+    m_socket->flush();
+    startLingering();
+}
+
+// Closes the write side and reads on for a while: closing with unread input would reset the connection, and the reset
+// could destroy the answer before the caller has read it.
+void Connection::startLingering()
+{
+    m_state = State::Lingering;
+    m_input = QByteArray();
+    m_timer.start(m_context.limits.lingerMs);
+    m_socket->readAll();
+    if (m_socket->bytesToWrite() == 0)
+        ::shutdown(static_cast<int>(m_socket->socketDescriptor()), SHUT_WR);
+}
+
+void Connection::onDisconnected()
+{
+    if (m_isGone)
+        return;
+    m_isGone = true;
+    m_timer.stop();
+    if (m_state == State::Handling || m_state == State::Writing)
+        ++m_counters->callersLeft;
+    if (const std::shared_ptr<RequestState> request = m_request.lock()) {
+        m_request.reset();
+        request->connection = nullptr;
+        const std::function<void()> callback = std::move(request->onDisconnect);
+        request->onDisconnect = nullptr;
+        if (callback)
+            callback();
+    }
+    if (m_context.connections.erase(this) > 0 && m_isRefused)
+        --m_context.refusedConnections;
+    if (m_context.isDraining && m_context.connections.empty() && m_context.onDrained) {
+        const std::function<void()> callback = std::move(m_context.onDrained);
+        m_context.onDrained = nullptr;
+        QMetaObject::invokeMethod(m_context.listener, callback, Qt::QueuedConnection);
+    }
+    deleteLater();
+}
+
+void Connection::onTimeout()
+{
+    switch (m_state) {
+    case State::Idle:
+        if (!m_context.isDraining)
+            count(Refusal::IdleTimeout);
+        m_socket->disconnectFromHost();
+        break;
+    case State::Head:
+        refuse(Refusal::HeaderTimeout, "headers not complete in time");
+        break;
+    case State::Body:
+        refuse(Refusal::BodyTimeout, "body not complete in time");
+        break;
+    case State::Writing:
+        count(Refusal::WriteTimeout);
+        m_socket->abort();
+        break;
+    case State::Lingering:
+        m_socket->abort();
+        break;
+    case State::Handling:
+        break;
+    }
+}
+
+void Connection::drain()
+{
+    if (m_state == State::Idle)
+        m_timer.start(m_context.limits.drainIdleMs);
+}
+
+} // namespace lacewing::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -40,6 +40,8 @@
     int bodyTimeoutMs = 15000;  // from the end of the headers to the end of the body; 408
     int idleTimeoutMs = 30000;  // without a request on the connection; closed without an answer
     int writeTimeoutMs = 30000; // caller reads nothing of an answer; closed
+    int lingerMs = 1000;        // reading on after the last answer, so that the caller receives it before a reset
+    int drainIdleMs = 250;      // kept-alive connection without a request during a drain; closed
 
     // --- Counts ---
     int connections = 1000; // open at the same time; more: 503 and closed
@@ -61,7 +63,7 @@
     VersionUnsupported,
     ExpectationFailed,
     TooManyConnections,
-    Draining,
+    EncodingUnknown,
 };
 
 constexpr base::EnumNames<Refusal, 15> refusalNames { {
@@ -79,7 +81,7 @@
     { Refusal::VersionUnsupported, "versionUnsupported" },
     { Refusal::ExpectationFailed, "expectationFailed" },
     { Refusal::TooManyConnections, "tooManyConnections" },
-    { Refusal::Draining, "draining" },
+    { Refusal::EncodingUnknown, "encodingUnknown" },
 } };
 
 struct ServerCounters {
