Align slot messages of the codec with the slot table

Cause: routing::SlotTable needs loan requests by number, acknowledgements in each heartbeat and relayed records, which the first message types lacked. Change: slotLoan, slotReturn and slotRecordAck carry the fields of routing/slots.h; new slotRecordPush; heartbeats carry the acknowledgement.

--- a/src/codec/codec.h
+++ b/src/codec/codec.h
@@ -21,7 +21,7 @@
 
 struct CodecLimits {
     std::size_t maxBytes = 3'000'000; // config/current has at most 1 MB in JSON; also for NNG_OPT_RECVMAXSZ
-    std::size_t maxDepth = 8;         // nested arrays and maps; the deepest message uses 4
+    std::size_t maxDepth = 8;         // nested arrays and maps; the deepest message uses 5
     std::size_t maxItems = 100'000;   // values in one message, keys included
 };
 
--- a/src/codec/fields.h
+++ b/src/codec/fields.h
@@ -48,9 +48,17 @@
     visitor("slotsInUse", m.slotsInUse);
 }
 
-template <typename V, SameAs<Heartbeat> M> void visitFields(V& visitor, M& m) { visitor("report", m.report); }
+template <typename V, SameAs<Heartbeat> M> void visitFields(V& visitor, M& m)
+{
+    visitor("report", m.report);
+    visitor("slots", m.slots);
+}
 
-template <typename V, SameAs<HeartbeatReply> M> void visitFields(V& visitor, M& m) { visitor("report", m.report); }
+template <typename V, SameAs<HeartbeatReply> M> void visitFields(V& visitor, M& m)
+{
+    visitor("report", m.report);
+    visitor("slots", m.slots);
+}
 
 template <typename V, SameAs<DigestEntry> M> void visitFields(V& visitor, M& m)
 {
@@ -103,20 +111,50 @@
     visitor("configuration", m.configuration);
 }
 
+template <typename V, SameAs<EndpointSlots> M> void visitFields(V& visitor, M& m)
+{
+    visitor("endpoint", m.endpoint);
+    visitor("slots", m.slots);
+}
+
+template <typename V, SameAs<SlotRecordAck> M> void visitFields(V& visitor, M& m)
+{
+    visitor("daemon", m.daemon);
+    visitor("incarnation", m.incarnation);
+    visitor("recordVersion", m.recordVersion);
+    visitor("busy", m.busy);
+    visitor("silent", m.silent);
+}
+
+template <typename V, SameAs<SlotRecordMember> M> void visitFields(V& visitor, M& m)
+{
+    visitor("daemon", m.daemon);
+    visitor("incarnation", m.incarnation);
+    visitor("removingSince", m.removingSince);
+}
+
+template <typename V, SameAs<SlotRecordPush> M> void visitFields(V& visitor, M& m)
+{
+    visitor("sender", m.sender);
+    visitor("recordVersion", m.recordVersion);
+    visitor("members", m.members);
+}
+
 template <typename V, SameAs<SlotLoan> M> void visitFields(V& visitor, M& m)
 {
     visitor("borrower", m.borrower);
     visitor("incarnation", m.incarnation);
+    visitor("request", m.request);
     visitor("recordVersion", m.recordVersion);
-    visitor("loan", m.loan);
     visitor("endpoint", m.endpoint);
     visitor("count", m.count);
-    visitor("leaseMs", m.leaseMs);
 }
 
 template <typename V, SameAs<SlotLoanReply> M> void visitFields(V& visitor, M& m)
 {
     visitor("owner", m.owner);
+    visitor("ownerIncarnation", m.ownerIncarnation);
+    visitor("request", m.request);
     visitor("recordVersion", m.recordVersion);
     visitor("loan", m.loan);
     visitor("endpoint", m.endpoint);
@@ -126,25 +164,10 @@
 
 template <typename V, SameAs<SlotReturn> M> void visitFields(V& visitor, M& m)
 {
-    visitor("borrower", m.borrower);
-    visitor("incarnation", m.incarnation);
+    visitor("owner", m.owner);
+    visitor("ownerIncarnation", m.ownerIncarnation);
     visitor("loan", m.loan);
     visitor("endpoint", m.endpoint);
-    visitor("slots", m.slots);
-}
-
-template <typename V, SameAs<EndpointSlots> M> void visitFields(V& visitor, M& m)
-{
-    visitor("endpoint", m.endpoint);
-    visitor("slots", m.slots);
-}
-
-template <typename V, SameAs<SlotRecordAck> M> void visitFields(V& visitor, M& m)
-{
-    visitor("daemon", m.daemon);
-    visitor("incarnation", m.incarnation);
-    visitor("recordVersion", m.recordVersion);
-    visitor("stillBusy", m.stillBusy);
 }
 
 template <typename V, SameAs<Goodbye> M> void visitFields(V& visitor, M& m)
--- a/src/codec/message.h
+++ b/src/codec/message.h
@@ -46,16 +46,6 @@
     bool operator==(const DaemonReport&) const = default;
 };
 
-struct Heartbeat {
-    DaemonReport report;
-    bool operator==(const Heartbeat&) const = default;
-};
-
-struct HeartbeatReply {
-    DaemonReport report;
-    bool operator==(const HeartbeatReply&) const = default;
-};
-
 // State of one data centre as stated by its representative. (origin incarnation, sequence) orders entries of one data
 // centre; a lower pair never replaces a higher one.
 struct DigestEntry {
@@ -114,54 +104,84 @@
     bool operator==(const ConfigPullReply&) const = default;
 };
 
+// Slot numbers of one endpoint, from 0 to 63, in ascending order.
+struct EndpointSlots {
+    base::EndpointId endpoint;
+    std::vector<std::uint32_t> slots;
+    bool operator==(const EndpointSlots&) const = default;
+};
+
+// Acknowledgement of a version of slots/<dc> (routing::SlotAck): the sender gives no new request to the slots that it
+// does not own at this version. Those of them that are not in `busy` are idle. It is part of each heartbeat and of its
+// reply, and is sent alone when it changes.
+struct SlotRecordAck {
+    base::DaemonId daemon;
+    std::uint64_t incarnation = 0;
+    std::uint64_t recordVersion = 0;
+    std::vector<EndpointSlots> busy;
+    std::vector<base::DaemonId> silent; // members that the sender has not heard
+    bool operator==(const SlotRecordAck&) const = default;
+};
+
+struct Heartbeat {
+    DaemonReport report;
+    std::optional<SlotRecordAck> slots; // absent while the sender has no record
+    bool operator==(const Heartbeat&) const = default;
+};
+
+struct HeartbeatReply {
+    DaemonReport report;
+    std::optional<SlotRecordAck> slots; // absent while the sender has no record
+    bool operator==(const HeartbeatReply&) const = default;
+};
+
+struct SlotRecordMember {
+    base::DaemonId daemon;
+    std::uint64_t incarnation = 0;
+    std::uint64_t removingSince = 0; // record version that marked the member; 0: not marked
+    bool operator==(const SlotRecordMember&) const = default;
+};
+
+// The record slots/<dc>, relayed by a daemon that read or wrote it.
+struct SlotRecordPush {
+    base::DaemonId sender;
+    std::uint64_t recordVersion = 0;
+    std::vector<SlotRecordMember> members;
+    bool operator==(const SlotRecordPush&) const = default;
+};
+
 // Request to borrow slots of an endpoint from their owner.
 struct SlotLoan {
     base::DaemonId borrower;
     std::uint64_t incarnation = 0;
-    std::uint64_t recordVersion = 0; // version of slots/<dc> at the borrower
-    std::uint64_t loan = 0;          // identity of the request; a repeat gets the same answer
+    std::uint64_t request = 0;       // unique for borrower and incarnation
+    std::uint64_t recordVersion = 0; // version of slots/<dc> in force at the borrower
     base::EndpointId endpoint;
     std::uint32_t count = 0;
-    std::int64_t leaseMs = 0; // requested length
     bool operator==(const SlotLoan&) const = default;
 };
 
-// The slots lent (empty: none). The borrower counts the lease from the moment it sent the request.
+// The slots lent (empty: refused). The borrower counts the lease from the moment it sent the request.
 struct SlotLoanReply {
     base::DaemonId owner;
-    std::uint64_t recordVersion = 0;
-    std::uint64_t loan = 0;
+    std::uint64_t ownerIncarnation = 0;
+    std::uint64_t request = 0;
+    std::uint64_t recordVersion = 0; // in force at the owner
+    std::uint64_t loan = 0;          // unique for owner and incarnation
     base::EndpointId endpoint;
-    std::vector<std::uint32_t> slots; // slot numbers, from 0
+    std::vector<std::uint32_t> slots;
     std::int64_t leaseMs = 0;
     bool operator==(const SlotLoanReply&) const = default;
 };
 
 struct SlotReturn {
-    base::DaemonId borrower;
-    std::uint64_t incarnation = 0;
+    base::DaemonId owner;
+    std::uint64_t ownerIncarnation = 0;
     std::uint64_t loan = 0;
     base::EndpointId endpoint;
-    std::vector<std::uint32_t> slots;
     bool operator==(const SlotReturn&) const = default;
 };
 
-struct EndpointSlots {
-    base::EndpointId endpoint;
-    std::vector<std::uint32_t> slots;
-    bool operator==(const EndpointSlots&) const = default;
-};
-
-// States that the member stopped giving new requests to the slots that it lost with recordVersion. Lost slots that are
-// not in stillBusy are idle. A member repeats the acknowledgement until stillBusy is empty.
-struct SlotRecordAck {
-    base::DaemonId daemon;
-    std::uint64_t incarnation = 0;
-    std::uint64_t recordVersion = 0;
-    std::vector<EndpointSlots> stillBusy;
-    bool operator==(const SlotRecordAck&) const = default;
-};
-
 // Planned stop: the daemon uses none of its slots any more and starts nothing in its shards.
 struct Goodbye {
     base::DaemonId daemon;
@@ -211,7 +231,8 @@
 };
 
 using Message = std::variant<Heartbeat, HeartbeatReply, Digest, DigestReply, ConfigPush, ConfigPull, ConfigPullReply,
-    SlotLoan, SlotLoanReply, SlotReturn, SlotRecordAck, Goodbye, ShardForward, ShardForwardReply, Ack, Refusal>;
+    SlotLoan, SlotLoanReply, SlotReturn, SlotRecordAck, SlotRecordPush, Goodbye, ShardForward, ShardForwardReply, Ack,
+    Refusal>;
 
 // Name of the message on the wire and in metrics, e.g. "configPush".
 std::string_view typeName(const Message& message);
--- a/tests/codec_message_test.cpp
+++ b/tests/codec_message_test.cpp
@@ -226,7 +226,8 @@
         report.storeReadAgeMs = 1999;
         report.slotRecordReadAgeMs = 100'000;
         report.requestsInFlight = report.requestsQueued = report.slotsOwned = report.slotsInUse = 1000;
-        CPPUNIT_ASSERT(encode(Heartbeat { report }, Codec::Cbor).size() < 500);
+        CPPUNIT_ASSERT(
+            encode(Heartbeat { report, SlotRecordAck { report.daemon, 1, 1, {}, {} } }, Codec::Cbor).size() < 500);
     }
 
     // Guards against a configuration of the permitted size (1 MB) that cannot be relayed.
