--- a/src/batch/dispatcher.h
+++ b/src/batch/dispatcher.h
@@ -201,6 +201,7 @@
 struct BatchPolicy {
     std::map<base::DataCentreId, bool> dataCentreIn; // in service; a missing entry counts as out
     std::map<base::TeamId, TeamPolicy> teams;        // empty: every team is allowed with equal share
+    std::map<base::TeamId, TeamUse> useElsewhere;    // committed by other daemons, from their digests
     std::string placement = "interferenceAware";     // name from placementPolicyNames
 };
 
@@ -210,23 +211,28 @@
     base::Duration backoffMin = base::milliseconds(250);     // between store probes while it is down
     base::Duration backoffMax = base::seconds(10);
     base::Duration proofInterval = base::seconds(5); // read the shard when no write confirmed ownership for so long
-    base::Duration proofLimit = base::seconds(15);   // no renewal without ownership proof younger than this
+    base::Duration proofLimit = base::seconds(120);  // no start or renewal without younger proof of ownership
     std::size_t recoveryWritesPerSecond = 20;        // of this daemon, after the store was down
     std::size_t maxPendingSubmits = 1'000;           // for each shard, not yet durable
     // --- Workers ---
     base::Duration taskLease = base::seconds(30);
     base::Duration renewInterval = base::seconds(8);
     base::Duration startTimeout = base::seconds(1);
+    base::Duration callTimeout = base::seconds(2); // of other requests to a worker
+    base::Duration outageLag = base::seconds(3);   // onOutageAgreed(false) comes at most so long after the first call
     base::Duration pollInterval = base::seconds(2);
     base::Duration retryInterval = base::seconds(2); // repeat of a request to a worker without a reply
     std::size_t maxStartsInFlight = 8;               // for each worker
     // --- Work ---
-    base::Duration evictGrace = base::seconds(2);   // from checkpoint request to stop
-    base::Duration quarantine = base::seconds(300); // then a probe with one task
-    std::size_t quarantineJobs = 3;                 // different jobs failed on the worker
-    base::Duration returnStep = base::seconds(10);  // steps 10, 25, 50, 100% after a data centre returns
-    std::size_t plansPerTick = 64;                  // for each shard
-    std::size_t transfersPerTick = 16;              // for each shard
+    base::Duration evictGrace = base::seconds(2);     // from checkpoint request to stop
+    base::Duration quarantine = base::seconds(300);   // then a probe with one task
+    base::Duration neverAfter = base::seconds(60);    // until a job that fits no listed worker is failed
+    base::Duration waitBeforeMove = base::seconds(5); // until a waiting job moves to a shard with free workers
+    base::Duration lostReplyAfter = base::seconds(5); // until a submission with unknown outcome is answered so
+    std::size_t quarantineJobs = 3;                   // different jobs failed on the worker
+    base::Duration returnStep = base::seconds(10);    // steps 10, 25, 50, 100% after a data centre returns
+    std::size_t plansPerTick = 64;                    // for each shard
+    std::size_t transfersPerTick = 16;                // for each shard
     base::Duration transferRetry = base::seconds(2);
     ShardLimits shard;
     PressureLimits pressure;
@@ -239,6 +245,7 @@
     std::vector<base::RackId> racks;
     base::DaemonId owner;          // as far as known
     std::int64_t freeCpuMilli = 0; // of the shard's workers, from the digest
+    Resources largest;             // largest worker of the shard, from the digest; zero: not known
 };
 
 struct DispatcherCounters {
@@ -281,16 +288,20 @@
     base::TimePoint freshUntil; // starts only before this
     bool isOutageAgreed = false;
     bool isStoreDown = false;
-    bool isProbing = false; // one store call is in flight while the store is down
+    std::size_t storeFailures = 0; // in a row
+    bool isProbing = false;        // one store call is in flight while the store is down
     base::TimePoint nextProbe;
     base::Duration backoff { 0 };
-    base::TimePoint recoveredAt;
+    base::TimePoint lastTick;
+    bool hasTicked = false;
     bool isStopping = false;
     std::map<ShardKey, std::unique_ptr<ShardSlot>> shards;
     std::map<ShardKey, ShardSummary> directory;
     std::map<base::WorkerId, WorkerInfo> listed; // from the instance list
     Interference interference;
     UsageModel usage;
+    TeamLedger teams;
+    std::set<base::DaemonId> silent; // owners without heartbeats
     DispatcherCounters counters;
 };
 
@@ -373,6 +384,8 @@
 std::vector<ShardKey> ownedShards(const Dispatcher& d);
 // Job in any owned shard, else nullptr.
 const Job* findJob(const Dispatcher& d, const base::JobId& id);
+// Largest worker of an owned shard, for the digest.
+Resources largestCapacity(const Dispatcher& d, const ShardKey& key);
 // Free processors of the fenced workers of an owned shard, thousandths.
 std::int64_t freeCpuMilli(const Dispatcher& d, const ShardKey& key);
 
--- a/src/batch/interference.h
+++ b/src/batch/interference.h
@@ -32,7 +32,6 @@
     std::unordered_map<std::string, ClassIndex> indexOf;
     std::vector<PairEstimate> pairs; // victim * stride + aggressor
     std::vector<double> aggressors;  // mean coefficient of each aggressor over all victims; prior of new pairs
-    std::vector<double> aggressorWeights;
     std::size_t stride = 0;
 };
 
--- a/src/batch/quotas.h
+++ b/src/batch/quotas.h
@@ -22,7 +22,8 @@
 
 struct TeamLedger {
     std::map<base::TeamId, TeamPolicy> policies; // empty: every team has share 1 and no quota
-    std::map<base::TeamId, TeamUse> use;
+    std::map<base::TeamId, TeamUse> use;         // by the shards of this daemon
+    std::map<base::TeamId, TeamUse> elsewhere;   // by other daemons, from digests; late
 };
 
 // Whether the team may commit more. An unknown team has no right when policies exist.
--- a/src/batch/shard.h
+++ b/src/batch/shard.h
@@ -38,6 +38,7 @@
 struct Job {
     JobSpec spec;
     JobState state = JobState::Queued;
+    std::uint64_t order = 0;              // by arrival in the shard; the smallest goes first
     std::uint32_t attempt = 0;            // newest planned attempt; 0: never planned
     base::WorkerId worker;                // of the newest attempt
     Resources granted;                    // committed on the worker for this attempt
@@ -67,6 +68,7 @@
     base::DaemonId owner; // empty: none
     base::Epoch epoch = 0;
     std::uint64_t nextTransfer = 1;
+    std::uint64_t nextOrder = 1;
     std::map<base::JobId, Job> jobs;                  // all jobs, terminal ones included
     std::deque<base::JobId> finished;                 // terminal jobs, oldest first
     std::map<ShardKey, TransferWindow> transfersFrom; // by source shard
@@ -117,8 +119,10 @@
 ShardResult<std::uint32_t> plan(
     Shard& shard, const base::JobId& id, const base::WorkerId& worker, const Resources& granted);
 
-// The plan is withdrawn because the worker surely never ran the attempt (refused or never sent). State queued.
-ShardResult<void> withdrawPlan(Shard& shard, const base::JobId& id, std::uint32_t attempt);
+// The plan is withdrawn because the worker surely never ran the attempt (refused or never sent). Queued, or cancelled
+// when a cancel was requested.
+ShardResult<JobState> withdrawPlan(
+    Shard& shard, const base::JobId& id, std::uint32_t attempt, const ShardLimits& limits);
 
 ShardResult<void> onStarted(Shard& shard, const base::JobId& id, std::uint32_t attempt);
 ShardResult<void> onFinished(Shard& shard, const base::JobId& id, std::uint32_t attempt, const ShardLimits& limits);
@@ -132,6 +136,10 @@
 ShardResult<JobState> onEnded(
     Shard& shard, const base::JobId& id, std::uint32_t attempt, std::int64_t checkpointMs, const ShardLimits& limits);
 
+// The worker was fenced and does not know the attempt, and no start is on its way. A confirmed attempt has ended with
+// its worker's memory; an unconfirmed one never ran and is planned (again).
+ShardResult<JobState> onAbsent(Shard& shard, const base::JobId& id, std::uint32_t attempt, const ShardLimits& limits);
+
 // Keeps the newest checkpoint and progress of a running attempt.
 ShardResult<void> onProgress(
     Shard& shard, const base::JobId& id, std::uint32_t attempt, std::int64_t checkpointMs, std::int64_t progressMs);
--- a/src/batch/usage.h
+++ b/src/batch/usage.h
@@ -1,7 +1,8 @@
 // Learns real sizes and run times by service from late reports, because declared values are far from them.
 //
-// Each service keeps a bounded window of ratios used / declared; a request is sized by a quantile of them. The size is
-// never below the use measured for tasks of the service that run now.
+// Each service keeps a bounded window of ratios used / declared; a request is sized by a quantile of them. Use measured
+// now counts separately: a worker's free resources are counted with the larger of committed and measured
+// (FleetTask::measured).
 #pragma once
 
 #include "batch/types.h"
