Implement configuration: merge, policy, difference, revisions and holder

Cause: operators' files must become one policy with faults named by file and line, and concurrent changes must not overwrite each other. The stored value also keeps the last 64 operations with a hash of their files, so that a repeat is recognised after another operator's change and a reused identity is refused. Accepted revisions are read with unknown keys ignored, because a newer daemon may have accepted them; a revision that cannot be read ends the holder's confirmation.

--- a/src/base/json.h
+++ b/src/base/json.h
@@ -71,6 +71,8 @@
 struct Location {
     std::string file;
     int line = 0;
+
+    bool operator==(const Location&) const = default;
 };
 
 using Locator = std::function<Location(const std::string& path)>;
--- a/src/config/merge.h
+++ b/src/config/merge.h
@@ -19,8 +19,8 @@
 using Files = std::map<std::string, std::string>;
 
 struct MergeLimits {
-    std::size_t fileBytes = 256 * 1024;  // one file
-    std::size_t totalBytes = 900 * 1000; // all names and texts; the stored value is below 1 MB
+    std::size_t fileBytes = 262'144;  // one file
+    std::size_t totalBytes = 900'000; // all names and texts; the stored value is below 1 MB
     std::size_t files = 1000;
     std::size_t nameBytes = 100;
     int depth = 16; // nesting of objects and arrays
@@ -28,7 +28,8 @@
 
 struct Merged {
     QJsonObject object;
-    std::unordered_map<std::string, base::Location> origins; // by path: the file and line that decided the value
+    std::unordered_map<std::string, base::Location> origins;  // by path: the file and line that decided the value
+    std::unordered_map<std::string, base::Location> removals; // by path: the null that removed it, unless set again
 };
 
 // Merges all files. On failure every fault of every file is returned.
--- a/src/config/policy.h
+++ b/src/config/policy.h
@@ -144,12 +144,20 @@
 // Schema of the merged configuration.
 base::Schema policySchema();
 
+// Proposals are read strictly. An accepted revision is read with unknown keys ignored, because a daemon of a newer
+// version may have accepted keys that this version does not know.
+enum class UnknownKeys { Refuse, Ignore };
+
 // Checks the merged object against the schema and the rules between its parts, and returns every fault. `locate` gives
 // the file and line for error messages; without it only paths are known.
-base::Result<Policy, ConfigErrors> parsePolicy(const QJsonObject& merged, const base::Locator& locate = {});
+base::Result<Policy, ConfigErrors> parsePolicy(
+    const QJsonObject& merged, const base::Locator& locate = {}, UnknownKeys unknownKeys = UnknownKeys::Refuse);
 
 // mergeFiles followed by parsePolicy: what `config check` and the daemon run on a proposal.
-base::Result<Policy, ConfigErrors> parseFiles(const Files& files, const MergeLimits& limits = {});
+base::Result<Policy, ConfigErrors> parseFiles(const Files& files, UnknownKeys unknownKeys = UnknownKeys::Refuse);
+
+// Valid settings that an operator rarely intends: every data centre out, a service whose data centres are all out.
+std::vector<std::string> warnings(const Policy& policy);
 
 // Settings of one data centre, service or team. A name that the configuration does not list has the default settings.
 DataCentrePolicy dataCentrePolicy(const Policy& policy, const base::DataCentreId& id);
--- a/src/config/revision.h
+++ b/src/config/revision.h
@@ -33,6 +33,7 @@
 struct RecentOperation {
     std::string operation;
     base::Revision revision = 0;
+    std::uint64_t filesHash = 0; // distinguishes a repeat from an identity that was used for other files
 
     bool operator==(const RecentOperation&) const = default;
 };
@@ -88,6 +89,9 @@
 
 std::string_view nameOf(Accepted::Outcome outcome);
 
+// Hash of names and texts; equal sets have equal hashes.
+std::uint64_t filesHash(const Files& files);
+
 // Decides on a proposal against the current value. The caller writes `next` by compare-and-swap on the store version
 // that it read with `current`; when that fails it reads again and decides again.
 Decision accept(const Stored& current, const Proposal& proposal, std::int64_t nowMs);
@@ -95,6 +99,9 @@
 // `AUTHOR changed the configuration to revision N at TIME ("COMMENT"); you saw revision M`.
 std::string describe(const Conflict& conflict);
 
+// Checks a set of files as accept does, without a current value: merge, policy and encoded size.
+base::Result<Policy, ConfigErrors> checkProposal(const Files& files);
+
 // JSON text of the value; fails when it exceeds maximumStoredBytes.
 base::Result<std::string, ConfigError> encode(const Stored& stored);
 base::Result<Stored, ConfigError> decodeStored(std::string_view text);
@@ -121,7 +128,8 @@
 //
 // A daemon that starts while the store is unavailable takes the highest revision of its peers as provisional. It is
 // confirmed by the store, or by `confirm`. A confirmed daemon stays confirmed when a peer brings a higher revision,
-// because that revision is newer than the confirmed one.
+// because that revision is newer than the confirmed one. A higher revision that cannot be read ends the confirmation:
+// it may take a data centre out.
 class Holder {
 public:
     enum class Source { Store, Peer };
@@ -131,13 +139,13 @@
         Same,      // nothing changed
         Older,     // lower revision than the held one; ignored
         Mismatch,  // same revision with other content; ignored unless it replaces a provisional value by the store's
-        Invalid,   // content does not form a policy; ignored
+        Invalid,   // higher revision whose content forms no policy; the held one stays, without confirmation
     };
 
     // Offers a configuration. Revision 0 (empty store) is never adopted.
     Outcome offer(const Stored& stored, Source source);
 
-    // Evidence that `revision` is the current one. No effect for another revision.
+    // Evidence that `revision` is the current one. No effect for a revision other than the held one.
     void confirm(base::Revision revision);
 
     // False until the first configuration is adopted.
@@ -151,6 +159,7 @@
     Stored m_stored;
     std::shared_ptr<const Policy> m_policy; // shared: a request keeps the policy that it started with
     bool m_isConfirmed = false;             // false while the held revision comes from peers only, after start
+    base::Revision m_unreadable = 0;        // highest revision that was Invalid; above the held one it blocks confirm
 };
 
 std::string_view nameOf(Holder::Outcome outcome);
--- /dev/null
+++ b/tests/config_revision_test.cpp
@@ -0,0 +1,352 @@
+// Tests of the decisions on proposals, of the stored value and of the Holder.
+#include "config/revision.h"
+
+#include "base/rng.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+#include <string>
+
+namespace {
+
+using namespace lacewing::config; // NOLINT(google-build-using-namespace)
+using lacewing::base::Revision;
+
+Files filesWith(const std::string& team) { return { { "a.json", R"({"teams":{")" + team + R"(":{}}})" } }; }
+
+Proposal proposalOf(Revision expected, const std::string& operation, Files files)
+{
+    return { expected, "operator of " + operation, "comment", operation, std::move(files) };
+}
+
+Stored storedOf(Revision revision, const std::string& team)
+{
+    Stored stored;
+    stored.revision = revision;
+    stored.author = "first";
+    stored.files = filesWith(team);
+    return stored;
+}
+
+Accepted acceptedOf(const Decision& decision)
+{
+    CPPUNIT_ASSERT(std::holds_alternative<Accepted>(decision));
+    return std::get<Accepted>(decision);
+}
+
+// Stand-in for the store: one value with compare-and-swap on its version.
+struct Cell {
+    Stored value;
+    int version = 0;
+};
+
+// An operator who reads, proposes and repeats the same operation after a lost reply.
+struct Operator {
+    enum class Step { Propose, Write, Repeat, Done };
+
+    Step step = Step::Propose;
+    Proposal proposal;
+    Decision decision;
+    int readVersion = 0;   // version of the value that `decision` was made against
+    Revision accepted = 0; // revision reported to the operator; 0: none
+    bool hasConflict = false;
+};
+
+// Runs the next step of an operator. The daemon's read and the compare-and-swap are separate steps, so that other
+// operators act between them.
+void runStep(Operator& op, Cell& cell, std::vector<Stored>& log, bool isReplyLost)
+{
+    switch (op.step) {
+    case Operator::Step::Propose:
+    case Operator::Step::Repeat:
+        op.decision = accept(cell.value, op.proposal, 1000);
+        op.readVersion = cell.version;
+        if (const auto* accepted = std::get_if<Accepted>(&op.decision)) {
+            if (accepted->outcome == Accepted::Outcome::New) {
+                op.step = Operator::Step::Write;
+                return;
+            }
+            op.accepted = accepted->revision;
+        } else {
+            op.hasConflict = true;
+        }
+        op.step = Operator::Step::Done;
+        return;
+    case Operator::Step::Write:
+        if (cell.version != op.readVersion) {
+            op.step = Operator::Step::Repeat; // the swap failed: decide again on the new value
+            return;
+        }
+        cell.value = std::get<Accepted>(op.decision).next;
+        ++cell.version;
+        log.push_back(cell.value);
+        op.accepted = isReplyLost ? 0 : cell.value.revision;
+        op.step = isReplyLost ? Operator::Step::Repeat : Operator::Step::Done;
+        return;
+    case Operator::Step::Done:
+        return;
+    }
+}
+
+class RevisionTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RevisionTest);
+    CPPUNIT_TEST(secondOperatorGetsAConflictThatNamesTheWinner);
+    CPPUNIT_TEST(repeatedOperationIsASuccess);
+    CPPUNIT_TEST(repeatIsRecognisedAfterLaterRevisions);
+    CPPUNIT_TEST(reusedIdentityForOtherFilesIsRefused);
+    CPPUNIT_TEST(unchangedContentIsNoNewRevision);
+    CPPUNIT_TEST(badSetsAreRefused);
+    CPPUNIT_TEST(racingOperatorsLoseNothingSilently);
+    CPPUNIT_TEST(storedValueSurvivesARoundTrip);
+    CPPUNIT_TEST(storedValueIsBounded);
+    CPPUNIT_TEST(brokenStoredValuesAreRefused);
+    CPPUNIT_TEST(historyEntriesSurviveARoundTrip);
+    CPPUNIT_TEST(holderNeverGoesBack);
+    CPPUNIT_TEST(holderIsProvisionalUntilTheStoreConfirms);
+    CPPUNIT_TEST(unreadableRevisionEndsTheConfirmation);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a later operator who overwrites a change that he has not seen.
+    void secondOperatorGetsAConflictThatNamesTheWinner()
+    {
+        const Stored before = storedOf(4, "t");
+        const Accepted winner = acceptedOf(accept(before, proposalOf(4, "op1", filesWith("u")), 1'700'000'000'000));
+        CPPUNIT_ASSERT(winner.outcome == Accepted::Outcome::New);
+        CPPUNIT_ASSERT_EQUAL(Revision(5), winner.next.revision);
+        const Decision loser = accept(winner.next, proposalOf(4, "op2", filesWith("v")), 2);
+        CPPUNIT_ASSERT(std::holds_alternative<Conflict>(loser));
+        CPPUNIT_ASSERT_EQUAL(std::string("operator of op1 changed the configuration to revision 5 at "
+                                         "2023-11-14T22:13:20Z (\"comment\"); you saw revision 4"),
+            describe(std::get<Conflict>(loser)));
+        CPPUNIT_ASSERT(std::holds_alternative<Conflict>(accept(before, proposalOf(9, "op3", filesWith("v")), 2)));
+    }
+
+    // Guards against a lost reply that turns an accepted change into a conflict with oneself.
+    void repeatedOperationIsASuccess()
+    {
+        const Proposal proposal = proposalOf(4, "op1", filesWith("u"));
+        const Stored after = acceptedOf(accept(storedOf(4, "t"), proposal, 1)).next;
+        const Accepted repeat = acceptedOf(accept(after, proposal, 2));
+        CPPUNIT_ASSERT(repeat.outcome == Accepted::Outcome::Repeated);
+        CPPUNIT_ASSERT_EQUAL(Revision(5), repeat.revision);
+        CPPUNIT_ASSERT(repeat.next == after);
+    }
+
+    // Guards against a repeat that arrives after another operator's change and is called a conflict although it was
+    // accepted. The list of operations is bounded.
+    void repeatIsRecognisedAfterLaterRevisions()
+    {
+        const Proposal proposal = proposalOf(4, "op", filesWith("u"));
+        Stored value = acceptedOf(accept(storedOf(4, "t"), proposal, 1)).next;
+        for (std::size_t count = 1; count < maximumRecentOperations; ++count) {
+            const std::string name = "x" + std::to_string(count);
+            value = acceptedOf(accept(value, proposalOf(value.revision, name, filesWith(name)), 1)).next;
+        }
+        CPPUNIT_ASSERT_EQUAL(Revision(5), acceptedOf(accept(value, proposal, 2)).revision);
+        value = acceptedOf(accept(value, proposalOf(value.revision, "last", filesWith("last")), 1)).next;
+        CPPUNIT_ASSERT_EQUAL(maximumRecentOperations, value.recent.size());
+        CPPUNIT_ASSERT(std::holds_alternative<Conflict>(accept(value, proposal, 2)));
+    }
+
+    // Guards against a change that is reported as accepted because an earlier one used the same identity.
+    void reusedIdentityForOtherFilesIsRefused()
+    {
+        const Stored after = acceptedOf(accept(storedOf(4, "t"), proposalOf(4, "op", filesWith("u")), 1)).next;
+        CPPUNIT_ASSERT(std::holds_alternative<Refused>(accept(after, proposalOf(5, "op", filesWith("v")), 2)));
+    }
+
+    // Guards against revisions without a change, which every daemon would relay.
+    void unchangedContentIsNoNewRevision()
+    {
+        const Accepted same = acceptedOf(accept(storedOf(4, "t"), proposalOf(4, "op", filesWith("t")), 1));
+        CPPUNIT_ASSERT(same.outcome == Accepted::Outcome::Unchanged);
+        CPPUNIT_ASSERT_EQUAL(Revision(4), same.revision);
+        CPPUNIT_ASSERT(acceptedOf(accept(Stored(), proposalOf(0, "op", {}), 1)).outcome == Accepted::Outcome::New);
+    }
+
+    // Guards against a bad set that replaces the last accepted configuration.
+    void badSetsAreRefused()
+    {
+        const auto isRefused = [](const Proposal& proposal) {
+            return std::holds_alternative<Refused>(accept(storedOf(4, "t"), proposal, 1));
+        };
+        CPPUNIT_ASSERT(isRefused(proposalOf(4, "op", { { "a.json", "{\"x\":1}" } })));
+        CPPUNIT_ASSERT(isRefused(proposalOf(4, "op", { { "a.json", "{" } })));
+        CPPUNIT_ASSERT(isRefused(proposalOf(4, "", filesWith("u"))));
+        CPPUNIT_ASSERT(isRefused({ 4, "", "", "op", filesWith("u") }));
+        CPPUNIT_ASSERT(isRefused({ 4, "author", std::string(3000, 'c'), "op", filesWith("u") }));
+    }
+
+    // Guards against two winners of one revision, and against a change that is lost or kept contrary to the report. Any
+    // interleaving of reads, swaps and lost replies.
+    void racingOperatorsLoseNothingSilently()
+    {
+        CPPUNIT_ASSERT(rc::check("racing operators", [](std::uint64_t seed) {
+            lacewing::base::Rng rng(seed);
+            Cell cell { storedOf(7, "t"), 1 };
+            std::vector<Stored> log;
+            std::vector<Operator> operators(2 + lacewing::base::below(rng, 5));
+            for (std::size_t index = 0; index < operators.size(); ++index) {
+                const std::string name = "op" + std::to_string(index);
+                operators[index].proposal = proposalOf(7, name, filesWith(name));
+            }
+            for (std::size_t done = 0; done < operators.size();) {
+                Operator& op = operators[lacewing::base::below(rng, operators.size())];
+                const bool wasDone = op.step == Operator::Step::Done;
+                runStep(op, cell, log, lacewing::base::chance(rng, 0.4));
+                done += !wasDone && op.step == Operator::Step::Done ? 1 : 0;
+            }
+            // All saw revision 7, so exactly one change is accepted and every other operator is told.
+            RC_ASSERT(log.size() == 1U);
+            RC_ASSERT(cell.value.revision == 8U);
+            int winners = 0;
+            for (const Operator& op : operators) {
+                RC_ASSERT((op.accepted > 0) != op.hasConflict);
+                RC_ASSERT((op.accepted > 0) == (cell.value.operation == op.proposal.operation));
+                winners += op.accepted > 0 ? 1 : 0;
+                if (op.hasConflict)
+                    RC_ASSERT(std::get<Conflict>(op.decision).author == cell.value.author);
+            }
+            RC_ASSERT(winners == 1);
+        }));
+    }
+
+    // Guards against fields that the store loses.
+    void storedValueSurvivesARoundTrip()
+    {
+        Stored stored
+            = acceptedOf(accept(storedOf(4, "t"), proposalOf(4, "op", filesWith("u")), 1'764'000'000'123)).next;
+        stored.comment = "quote \" line\n \xC3\xA4";
+        const auto text = encode(stored);
+        CPPUNIT_ASSERT(text.has_value());
+        const auto decoded = decodeStored(text.value());
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT(decoded.value() == stored);
+        CPPUNIT_ASSERT_EQUAL(std::string("config/history/000000000042"), historyKey(42));
+    }
+
+    // Guards against a value above the store's limit: escaping makes a set within the file bounds too large.
+    void storedValueIsBounded()
+    {
+        Files files;
+        for (int index = 0; index < 8; ++index) {
+            std::string text = "{";
+            for (int key = 0; key < 10'000; ++key)
+                text += "\n";
+            files["f" + std::to_string(index) + ".json"] = text + std::string(100'000, '\n') + "}";
+        }
+        CPPUNIT_ASSERT(parseFiles(files).has_value());
+        const auto refused = checkProposal(files);
+        CPPUNIT_ASSERT(refused.has_error());
+        CPPUNIT_ASSERT(refused.error()[0].code == ConfigError::Code::TooLarge);
+        files.erase("f7.json");
+        files.erase("f6.json");
+        files.erase("f5.json");
+        files.erase("f4.json");
+        CPPUNIT_ASSERT(checkProposal(files).has_value());
+    }
+
+    // Guards against a daemon that takes a damaged value for an empty configuration.
+    void brokenStoredValuesAreRefused()
+    {
+        for (const std::string text :
+            { "", "[]", "{}", R"({"revision":-1,"time":1,"author":"","comment":"","operation":"","files":{}})",
+                R"({"revision":1.5,"time":1,"author":"","comment":"","operation":"","files":{}})",
+                R"({"revision":1,"time":1,"author":"","comment":"","operation":"","files":[]})",
+                R"({"revision":1,"time":1,"author":"","comment":"","operation":"","files":{"a":1}})",
+                R"({"revision":1,"time":1,"author":"","comment":"","operation":"","files":{},"recent":[1]})" })
+            CPPUNIT_ASSERT_MESSAGE(text, decodeStored(text).has_error());
+        CPPUNIT_ASSERT(
+            decodeStored(R"({"revision":1,"time":1,"author":"","comment":"","operation":"","files":{}})").has_value());
+    }
+
+    // Guards against history that cannot say who changed what.
+    void historyEntriesSurviveARoundTrip()
+    {
+        const Stored before = storedOf(4, "t");
+        const Stored after = acceptedOf(accept(before, proposalOf(4, "op", filesWith("u")), 99)).next;
+        const HistoryEntry entry = historyEntry(before, after);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.totalChanges);
+        CPPUNIT_ASSERT_EQUAL(std::string("operator of op"), entry.author);
+        const auto decoded = decodeHistoryEntry(encode(entry));
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT(decoded.value() == entry);
+    }
+
+    // Guards against a late or repeated push that brings an older configuration back.
+    void holderNeverGoesBack()
+    {
+        CPPUNIT_ASSERT(rc::check("Holder never goes back", [](std::uint64_t seed) {
+            lacewing::base::Rng rng(seed);
+            Holder holder;
+            Revision highest = 0;
+            for (int step = 0; step < 40; ++step) {
+                const Revision revision = lacewing::base::below(rng, 12);
+                const auto source = lacewing::base::chance(rng, 0.5) ? Holder::Source::Store : Holder::Source::Peer;
+                const Revision before = holder.revision();
+                const bool wasConfirmed = holder.isConfirmed();
+                holder.offer(storedOf(revision, "t" + std::to_string(revision)), source);
+                highest = std::max(highest, revision);
+                RC_ASSERT(holder.revision() >= before);
+                RC_ASSERT(holder.revision() == highest);
+                RC_ASSERT(holder.isReady() == (highest > 0));
+                RC_ASSERT(!wasConfirmed || holder.isConfirmed());
+                if (holder.isReady())
+                    RC_ASSERT(holder.policy()->teams.contains({ "t" + std::to_string(highest) }));
+            }
+        }));
+    }
+
+    // Guards against batch starts under a revision that only peers vouch for.
+    void holderIsProvisionalUntilTheStoreConfirms()
+    {
+        Holder holder;
+        CPPUNIT_ASSERT(!holder.isReady());
+        CPPUNIT_ASSERT(holder.offer(Stored(), Holder::Source::Store) == Holder::Outcome::Older);
+        CPPUNIT_ASSERT(!holder.isReady());
+        CPPUNIT_ASSERT(holder.offer(storedOf(3, "t"), Holder::Source::Peer) == Holder::Outcome::Adopted);
+        CPPUNIT_ASSERT(holder.isReady() && !holder.isConfirmed());
+        CPPUNIT_ASSERT(holder.offer(storedOf(4, "u"), Holder::Source::Peer) == Holder::Outcome::Adopted);
+        CPPUNIT_ASSERT(!holder.isConfirmed());
+        holder.confirm(3);
+        CPPUNIT_ASSERT(!holder.isConfirmed());
+        CPPUNIT_ASSERT(holder.offer(storedOf(3, "t"), Holder::Source::Store) == Holder::Outcome::Older);
+        CPPUNIT_ASSERT(!holder.isConfirmed());
+        CPPUNIT_ASSERT(holder.offer(storedOf(4, "u"), Holder::Source::Store) == Holder::Outcome::Confirmed);
+        CPPUNIT_ASSERT(holder.isConfirmed());
+        CPPUNIT_ASSERT(holder.offer(storedOf(4, "u"), Holder::Source::Store) == Holder::Outcome::Same);
+        CPPUNIT_ASSERT(holder.offer(storedOf(4, "other"), Holder::Source::Peer) == Holder::Outcome::Mismatch);
+        CPPUNIT_ASSERT(holder.policy()->teams.contains({ "u" }));
+        CPPUNIT_ASSERT(holder.offer(storedOf(5, "v"), Holder::Source::Peer) == Holder::Outcome::Adopted);
+        CPPUNIT_ASSERT(holder.isConfirmed());
+        Holder provisional;
+        provisional.offer(storedOf(4, "damaged"), Holder::Source::Peer);
+        CPPUNIT_ASSERT(provisional.offer(storedOf(4, "u"), Holder::Source::Store) == Holder::Outcome::Mismatch);
+        CPPUNIT_ASSERT(provisional.policy()->teams.contains({ "u" }));
+        CPPUNIT_ASSERT(provisional.isConfirmed());
+    }
+
+    // Guards against a daemon that keeps starting tasks although it cannot read a later decision.
+    void unreadableRevisionEndsTheConfirmation()
+    {
+        Holder holder;
+        holder.offer(storedOf(4, "u"), Holder::Source::Store);
+        Stored bad = storedOf(6, "v");
+        bad.files["b.json"] = "{\"batch\":{\"attempts\":-5}}";
+        CPPUNIT_ASSERT(holder.offer(bad, Holder::Source::Peer) == Holder::Outcome::Invalid);
+        CPPUNIT_ASSERT_EQUAL(Revision(4), holder.revision());
+        CPPUNIT_ASSERT(holder.isReady() && !holder.isConfirmed());
+        holder.confirm(4);
+        holder.offer(storedOf(4, "u"), Holder::Source::Store);
+        holder.offer(storedOf(5, "w"), Holder::Source::Store);
+        CPPUNIT_ASSERT_EQUAL(Revision(5), holder.revision());
+        CPPUNIT_ASSERT(!holder.isConfirmed());
+        holder.offer(storedOf(7, "x"), Holder::Source::Store);
+        CPPUNIT_ASSERT(holder.isConfirmed());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RevisionTest);
+
+} // namespace
