--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -24,8 +24,8 @@
     // In the order of the alternatives of Message.
     constexpr std::array<std::string_view, std::variant_size_v<Message>> typeNames { "heartbeat", "heartbeatReply",
         "digest", "digestReply", "configPush", "configPull", "configPullReply", "slotLoan", "slotLoanReply",
-        "slotReturn", "slotRecordAck", "slotRecordPush", "goodbye", "shardForward", "shardForwardReply", "ack",
-        "refusal" };
+        "slotReturn", "slotRecordAck", "slotRecordPush", "goodbye", "shardForward", "shardForwardReply",
+        "transferOffer", "transferAccept", "ack", "refusal" };
 
     QString toQString(std::string_view text)
     {
--- a/src/codec/fields.h
+++ b/src/codec/fields.h
@@ -79,6 +79,7 @@
 template <typename V, SameAs<Digest> M> void visitFields(V& visitor, M& m)
 {
     visitor("sender", m.sender);
+    visitor("isRelayed", m.isRelayed);
     visitor("entries", m.entries);
 }
 
@@ -197,6 +198,23 @@
     visitor("body", m.body);
 }
 
+template <typename V, SameAs<TransferOffer> M> void visitFields(V& visitor, M& m)
+{
+    visitor("source", m.source);
+    visitor("target", m.target);
+    visitor("job", m.job);
+    visitor("number", m.number);
+    visitor("settledBelow", m.settledBelow);
+}
+
+template <typename V, SameAs<TransferAccept> M> void visitFields(V& visitor, M& m)
+{
+    visitor("source", m.source);
+    visitor("target", m.target);
+    visitor("job", m.job);
+    visitor("number", m.number);
+}
+
 template <typename V, SameAs<Ack> M> void visitFields(V& visitor, M& m)
 {
     visitor("daemon", m.daemon);
--- a/src/codec/message.h
+++ b/src/codec/message.h
@@ -67,6 +67,7 @@
 
 struct Digest {
     base::DaemonId sender;
+    bool isRelayed = false;           // passed on within the receiver's data centre; not passed on again
     std::vector<DigestEntry> entries; // changes since the last digest that was answered
     bool operator==(const Digest&) const = default;
 };
@@ -215,6 +216,25 @@
     bool operator==(const ShardForwardReply&) const = default;
 };
 
+// Step 2 of a transfer of a job between shards, to the possible owners of the target shard. Repeated until accepted.
+struct TransferOffer {
+    std::string source; // key of the shard
+    std::string target;
+    std::string job; // JSON text of a shard value that holds only this job
+    std::uint64_t number = 0;
+    std::uint64_t settledBelow = 0; // lowest number that the source has not removed yet
+    bool operator==(const TransferOffer&) const = default;
+};
+
+// The target has made the transfer durable.
+struct TransferAccept {
+    std::string source;
+    std::string target;
+    base::JobId job;
+    std::uint64_t number = 0;
+    bool operator==(const TransferAccept&) const = default;
+};
+
 // Answer to a message that needs no content.
 struct Ack {
     base::DaemonId daemon;
@@ -231,8 +251,8 @@
 };
 
 using Message = std::variant<Heartbeat, HeartbeatReply, Digest, DigestReply, ConfigPush, ConfigPull, ConfigPullReply,
-    SlotLoan, SlotLoanReply, SlotReturn, SlotRecordAck, SlotRecordPush, Goodbye, ShardForward, ShardForwardReply, Ack,
-    Refusal>;
+    SlotLoan, SlotLoanReply, SlotReturn, SlotRecordAck, SlotRecordPush, Goodbye, ShardForward, ShardForwardReply,
+    TransferOffer, TransferAccept, Ack, Refusal>;
 
 // Name of the message on the wire and in metrics, e.g. "configPush".
 std::string_view typeName(const Message& message);
