Test routing and fix the removal of lost members from the slot record

Cause: the property test found that a member which joined and crashed before its first acknowledgement was never removed, because an acknowledgement was the only proof that it did not believe to be the only member. A router test found that sampling from two endpoints could miss the better one. Change: the record carries mayBeSole for a member that was alone; only the member itself clears it. Every other silent member can be marked. A newer incarnation seen in an acknowledgement proves the older one gone. latencyAware scans pools of up to twice its sample count.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -191,7 +191,10 @@
             return std::nullopt;
         }
         Best best;
-        if (router.policy != PolicyName::LeastOutstanding)
+        // Drawing with repetition from a small pool can miss the best endpoints at nearly the cost of a scan.
+        const bool isSmall = router.policy == PolicyName::LatencyAware
+            && router.endpoints.size() <= 2 * static_cast<std::size_t>(samplesOf(router));
+        if (router.policy != PolicyName::LeastOutstanding && !isSmall)
             best = sample(router, request, ignoreEjection, now, rng);
         if (best.equal == 0)
             best = scan(router, request, ignoreEjection, now, rng);
--- a/src/routing/slots.cpp
+++ b/src/routing/slots.cpp
@@ -53,12 +53,10 @@
         const RecordMember* own = findMember(record, table.self);
         const bool isListed = own && own->incarnation == table.incarnation;
         table.isMember = isListed && own->removingSince == 0;
-        if (!isListed) {
-            table.memberSince = 0;
-        } else if (table.memberSince == 0) {
-            table.memberSince = record.version;
-            table.memberSinceAt = now;
-        }
+        if (!isListed)
+            table.listedAt.reset();
+        else if (!table.listedAt)
+            table.listedAt = now;
         for (auto& [endpoint, state] : table.endpoints)
             assignOwnership(table, endpoint, state);
         table.mayGain = true;
@@ -142,7 +140,7 @@
     for (const RecordMember& member : record.members) {
         const std::uint64_t weight = base::rendezvousWeight(key, member.daemon.value);
         const bool isFirst = !best || weight > bestWeight;
-        if (isFirst || (weight == bestWeight && member.daemon < best->daemon)) {
+        if (isFirst || (weight == bestWeight && member.daemon.value < best->daemon.value)) {
             best = &member;
             bestWeight = weight;
         }
@@ -246,7 +244,14 @@
 void onAck(SlotTable& table, const SlotAck& ack, std::optional<base::TimePoint> sentAt, base::TimePoint now)
 {
     const RecordMember* member = findMember(table.record, ack.daemon);
-    if (!member || ack.daemon == table.self || ack.incarnation != member->incarnation)
+    if (!member || ack.daemon == table.self)
+        return;
+    if (ack.incarnation > member->incarnation) {
+        // A newer process answers at the address of this member.
+        onGone(table, ack.daemon, member->incarnation, now);
+        return;
+    }
+    if (ack.incarnation < member->incarnation)
         return;
     PeerEvidence& peer = table.peers[ack.daemon];
     if (peer.incarnation != ack.incarnation)
--- a/src/routing/slots.h
+++ b/src/routing/slots.h
@@ -14,8 +14,8 @@
 // - Isolation: the use of slots stops when for isolationMs there was neither a store read of the record nor a reply
 //   from a recorded member that holds no later version than this one. Both count from the time of sending the request,
 //   so that messages buffered during a pause prove nothing.
-// - The only member of a record never stops by isolation. A member is therefore marked only by one that it knows: it
-//   has acknowledged a version that lists the proposer.
+// - The only member of a record never stops by isolation, because nobody could take its slots. A member that may still
+//   believe to be the only one (mayBeSole) is therefore never marked; it needs another proof that it is gone.
 // - A silent member is marked `removing` when all other recorded members agree, and is dropped from the record only
 //   isolationMs + longestRequestMs (with the clock rate bound) after all others acknowledged the mark.
 //
@@ -44,6 +44,7 @@
     base::DaemonId daemon;
     Incarnation incarnation = 0;
     std::uint64_t removingSince = 0; // record version that marked the member as removing; 0: not marked
+    bool mayBeSole = false;          // was the only member; cleared by the member itself once it knows of another
 
     bool operator==(const RecordMember&) const = default;
 };
@@ -152,16 +153,15 @@
     base::DaemonId self;
     Incarnation incarnation = 1;
     // --- Record ---
-    SlotRecord record;             // version in force here
-    bool isMember = false;         // this incarnation is in the record and not marked
-    std::uint64_t memberSince = 0; // first version in force here that lists this incarnation; 0: not listed
-    base::TimePoint memberSinceAt; // when that version came into force here
-    bool mayGain = false;          // owned slots that are not granted may have become free
+    SlotRecord record;                       // version in force here
+    bool isMember = false;                   // this incarnation is in the record and not marked
+    std::optional<base::TimePoint> listedAt; // when the first version that lists this incarnation came into force here
+    bool mayGain = false;                    // owned slots that are not granted may have become free
     std::unordered_map<base::EndpointId, EndpointSlots> endpoints;
-    std::map<base::DaemonId, PeerEvidence> peers; // by name; the entry is replaced by a newer incarnation
+    std::unordered_map<base::DaemonId, PeerEvidence> peers; // by name; the entry is replaced by a newer incarnation
     // --- Isolation ---
-    std::optional<base::TimePoint> evidenceAt;          // sending time of the last request whose reply was evidence
-    std::map<base::DaemonId, MarkEvidence> markAckedAt; // members marked removing
+    std::optional<base::TimePoint> evidenceAt; // sending time of the last request whose reply was evidence
+    std::unordered_map<base::DaemonId, MarkEvidence> markAckedAt; // members marked removing
     // --- Loans ---
     std::map<std::uint64_t, PendingLoan> pending; // loan requests without a reply
     std::size_t loanCount = 0;                    // loans given that have not ended
--- a/src/routing/slots_loans.cpp
+++ b/src/routing/slots_loans.cpp
@@ -197,12 +197,13 @@
 std::vector<LoanReturn> takeReturns(SlotTable& table, bool all, base::TimePoint now)
 {
     std::vector<LoanReturn> returns;
-    for (auto& [endpoint, state] : table.endpoints) {
+    for (auto& item : table.endpoints) {
+        EndpointSlots& state = item.second;
         std::erase_if(state.borrowed, [&](const Borrowed& loan) {
             const bool isIdle = (state.inUse & loan.slots) == 0;
             const bool isDone = isIdle && (all || now >= loan.until);
             if (isDone)
-                returns.push_back({ loan.owner, loan.ownerIncarnation, loan.loan, endpoint });
+                returns.push_back({ loan.owner, loan.ownerIncarnation, loan.loan, item.first });
             return isDone;
         });
     }
--- a/src/routing/slots_record.cpp
+++ b/src/routing/slots_record.cpp
@@ -24,7 +24,7 @@
     bool isSilent(const SlotTable& table, const RecordMember& member, base::TimePoint now)
     {
         const PeerEvidence* peer = findPeer(table, member);
-        base::TimePoint heardAt = table.memberSinceAt;
+        base::TimePoint heardAt = table.listedAt.value_or(now);
         if (peer)
             heardAt = std::max(heardAt, peer->heardAt);
         return now >= heardAt + base::milliseconds(table.limits.silenceMs);
@@ -46,9 +46,7 @@
 
     bool mayMark(const SlotTable& table, const RecordMember& member, base::TimePoint now)
     {
-        // A member that does not know of this daemon may rightly believe to be the only one, and never stops.
-        const PeerEvidence* peer = findPeer(table, member);
-        if (!peer || !peer->hasAck || peer->ack.version < table.memberSince)
+        if (member.mayBeSole)
             return false;
         if (!isSilent(table, member, now))
             return false;
@@ -73,6 +71,12 @@
         return now >= mark->second.at + base::leaseExpiryBound(wait);
     }
 
+    void noteSoleMember(SlotRecord& record)
+    {
+        if (record.members.size() == 1)
+            record.members.front().mayBeSole = true;
+    }
+
     // First change that is due, applied to record. False when there is none.
     bool change(SlotTable& table, SlotRecord& record, base::TimePoint now)
     {
@@ -80,11 +84,19 @@
         if (own && own->incarnation > table.incarnation)
             return false; // a newer process has taken the name over
         if (!own) {
-            record.members.push_back({ table.self, table.incarnation, 0 });
+            record.members.push_back({ table.self, table.incarnation });
+            return true;
+        }
+        if (own->incarnation < table.incarnation) {
+            *own = { table.self, table.incarnation };
             return true;
         }
-        if (own->incarnation < table.incarnation || own->removingSince != 0) {
-            *own = { table.self, table.incarnation, 0 };
+        if (own->removingSince != 0) {
+            own->removingSince = 0;
+            return true;
+        }
+        if (own->mayBeSole && table.record.members.size() > 1) {
+            own->mayBeSole = false;
             return true;
         }
         for (RecordMember& member : record.members) {
@@ -125,6 +137,7 @@
     ++record.version;
     if (!change(table, record, now))
         return std::nullopt;
+    noteSoleMember(record);
     return record;
 }
 
@@ -140,12 +153,13 @@
     for (auto& [endpoint, state] : table.endpoints)
         state.granted = 0;
     table.pending.clear();
-    if (table.memberSince == 0)
-        return std::nullopt;
     SlotRecord record = table.record;
     ++record.version;
-    std::erase_if(record.members, [&](const RecordMember& member) { return member.daemon == table.self; });
-    return record;
+    const std::size_t removed = std::erase_if(record.members, [&](const RecordMember& member) {
+        return member.daemon == table.self && member.incarnation == table.incarnation;
+    });
+    noteSoleMember(record);
+    return removed > 0 ? std::optional(std::move(record)) : std::nullopt;
 }
 
 } // namespace lacewing::routing
