--- a/src/bench/scenario.h
+++ b/src/bench/scenario.h
@@ -13,6 +13,7 @@
 struct Options {
     std::uint64_t seed = 20261204; // seed of every random number
     double scale = 1.0;            // multiplies the length of a run; below 1 for quick trials
+    int jobs = 3;                  // threads for independent rows; results do not depend on it
     std::string filter;            // scenario specific: only rows whose name contains this text
 };
 
--- a/src/routing/gateway.cpp
+++ b/src/routing/gateway.cpp
@@ -75,6 +75,18 @@
         return isSuccess ? OutcomeKind::Success : OutcomeKind::Failure;
     }
 
+    // A forwarded request occupies one of the peer's free slots. After a refusal nothing more is sent before the next
+    // digest.
+    void onForwardResult(Gateway& gateway, const base::DaemonId& daemon, const AttemptOutcome& outcome)
+    {
+        const auto peer = std::find_if(
+            gateway.peers.begin(), gateway.peers.end(), [&](const PeerInfo& item) { return item.daemon == daemon; });
+        if (peer == gateway.peers.end())
+            return;
+        const bool isRefused = !outcome.complete || outcome.endpointSaidNotExecuted;
+        peer->freeSlots = isRefused ? 0 : peer->freeSlots + 1;
+    }
+
     // Reason not to retry after a failed attempt.
     std::optional<Reason> retryRefusal(Gateway& gateway, const GatewayRequest& request, base::TimePoint now)
     {
@@ -241,6 +253,8 @@
         if (kind == OutcomeKind::Success)
             recordLatency(gateway, now - attempt->sentAt);
     }
+    if (!attempt->hold)
+        onForwardResult(gateway, attempt->daemon, outcome);
     request.attempts.erase(attempt);
     if (request.state.isReplied) {
         ++gateway.counters.lateResults;
--- a/src/routing/gateway.h
+++ b/src/routing/gateway.h
@@ -86,7 +86,7 @@
 struct PeerInfo {
     base::DaemonId daemon;
     base::DataCentreId dataCentre;
-    int freeSlots = 0;             // from the digest, late
+    int freeSlots = 0;             // this daemon's share of the free slots in the digest, less forwards in flight
     base::Duration distance { 0 }; // round trip
 };
 
--- a/src/routing/gateway_attempts.cpp
+++ b/src/routing/gateway_attempts.cpp
@@ -147,7 +147,7 @@
             drawn -= static_cast<std::uint64_t>(peer.freeSlots);
             continue;
         }
-        --peer.freeSlots; // until the next digest
+        --peer.freeSlots; // until the result
         GatewayAttempt& attempt = addAttempt(gateway, request, false, now);
         attempt.daemon = peer.daemon;
         request.triedDaemons.push_back(peer.daemon);
