--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -150,6 +150,7 @@
 void onOwnerSilent(Dispatcher& d, const base::DaemonId& owner, base::TimePoint now, Effects&)
 {
     d.silent.insert(owner);
+    d.alive.erase(owner);
     for (auto& [key, slot] : d.shards) {
         const auto summary = d.directory.find(key);
         const bool isOwn = summary != d.directory.end() && summary->second.dataCentre == d.dataCentre;
@@ -161,6 +162,7 @@
 void onOwnerAlive(Dispatcher& d, const base::DaemonId& owner)
 {
     d.silent.erase(owner);
+    d.alive.insert(owner);
     for (auto& [key, slot] : d.shards) {
         const auto summary = d.directory.find(key);
         if (slot->isClaimDue && summary != d.directory.end() && summary->second.owner == owner)
--- a/src/batch/dispatcher.h
+++ b/src/batch/dispatcher.h
@@ -302,11 +302,13 @@
     UsageModel usage;
     TeamLedger teams;
     std::set<base::DaemonId> silent; // owners without heartbeats
+    std::set<base::DaemonId> alive;  // daemons whose heartbeats are heard
     DispatcherCounters counters;
 };
 
 // --- Set-up ---
-// Shards that exist. A shard of this data centre without an owner is taken over.
+// Shards that exist. A shard of this data centre is taken over when its summary has no owner (none is recorded, or the
+// recorded one is no member any more) or a silent one.
 void onDirectory(Dispatcher& d, const std::vector<ShardSummary>& shards, base::TimePoint now, Effects& out);
 // Workers of the instance list. It may be wrong in both directions: a worker that is missing keeps its tasks.
 void onWorkerList(Dispatcher& d, const std::vector<WorkerInfo>& workers, base::TimePoint now, Effects& out);
@@ -339,7 +341,7 @@
 // --- Ownership ---
 // No heartbeat from the owner for 5 s, its goodbye, or its shard has no owner. Starts takeovers.
 void onOwnerSilent(Dispatcher& d, const base::DaemonId& owner, base::TimePoint now, Effects& out);
-// Heartbeats from the daemon are back.
+// Heartbeats from the daemon are heard. Its shards are not taken over.
 void onOwnerAlive(Dispatcher& d, const base::DaemonId& owner);
 void takeOver(Dispatcher& d, const ShardKey& key, base::TimePoint now, Effects& out);
 // Planned stop: plans nothing more and gives the shards back. isIdle when all is durable.
--- a/src/batch/dispatcher_store.cpp
+++ b/src/batch/dispatcher_store.cpp
@@ -126,7 +126,6 @@
         const bool isFree = current.owner.empty() || current.owner == d.self || d.silent.contains(current.owner);
         const bool isOwn = summary.dataCentre == d.dataCentre;
         if (!isFree && isOwn) {
-            // Another daemon was faster.
             loseShard(d, slot, &current, version, out);
             return;
         }
--- /dev/null
+++ b/tests/batch_chaos_test.cpp
@@ -0,0 +1,131 @@
+// Random schedules of faults against the dispatcher: lost replies, outages, killed and paused daemons, lost and lying
+// workers, data centres out and in. Fixed seeds; a failure prints the seed, and LACEWING_SEED=N replays it alone.
+#include "batch_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <cstdlib>
+
+namespace {
+
+using namespace lacewing::batch;
+using namespace lacewing::batch::test;
+
+std::vector<std::uint64_t> seeds(std::uint64_t count)
+{
+    if (const char* only = std::getenv("LACEWING_SEED"))
+        return { std::strtoull(only, nullptr, 10) };
+    std::vector<std::uint64_t> all;
+    for (std::uint64_t seed = 1; seed <= count; ++seed)
+        all.push_back(seed);
+    return all;
+}
+
+void runChaos(World& world, int seconds)
+{
+    world.runFor(lacewing::base::seconds(3));
+    const TimePoint end = world.now + lacewing::base::seconds(seconds);
+    while (world.now < end) {
+        for (std::uint64_t count = lacewing::base::below(world.rng, 3); count > 0; --count)
+            world.submit(world.randomJob());
+        if (lacewing::base::chance(world.rng, 0.4))
+            world.randomFault();
+        world.runFor(milliseconds(500 + 50 * static_cast<int>(lacewing::base::below(world.rng, 20))));
+    }
+}
+
+void checkRefusals(World& world)
+{
+    for (const auto& [token, record] : world.submits) {
+        if (record.code && *record.code != SubmitCode::Accepted && record.executed == Executed::No
+            && world.lastAttempt.contains(record.spec.id))
+            world.violations.push_back("I6: refused job " + record.spec.id.value + " was started");
+    }
+}
+
+class BatchChaosTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(BatchChaosTest);
+    CPPUNIT_TEST(invariantsHoldUnderFaults);
+    CPPUNIT_TEST(ledgerAloneRespectsCapacity);
+    CPPUNIT_TEST(missingEpochCheckIsFound);
+    CPPUNIT_TEST(ignoredSendDeadlineIsFound);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against double runs, double resumption, overcommitment, starts in a removed data centre, false refusals
+    // and lost accepted jobs.
+    void invariantsHoldUnderFaults()
+    {
+        for (const std::uint64_t seed : seeds(60)) {
+            WorldOptions options;
+            options.seed = seed;
+            World world(options);
+            runChaos(world, 240);
+            world.heal();
+            for (int round = 0; round < 60 && (round < 2 || world.unfinished() > 0); ++round)
+                world.runFor(seconds(10));
+            checkRefusals(world);
+            CPPUNIT_ASSERT_MESSAGE(world.report(), world.violations.empty());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                world.report() + ", accepted jobs without an end", std::size_t(0), world.unfinished());
+        }
+    }
+
+    // Guards against a ledger that relies on the worker's own capacity check (I1).
+    void ledgerAloneRespectsCapacity()
+    {
+        for (const std::uint64_t seed : seeds(20)) {
+            WorldOptions options;
+            options.seed = 1000 + seed;
+            options.checksCapacity = false;
+            World world(options);
+            runChaos(world, 120);
+            CPPUNIT_ASSERT_MESSAGE(world.report(), world.violations.empty());
+        }
+    }
+
+    // Guards against checks that cannot fail: without the worker's epoch check a paused owner starts a task again.
+    void missingEpochCheckIsFound()
+    {
+        std::size_t violations = 0;
+        for (std::uint64_t seed = 1; seed <= 60 && violations == 0; ++seed) {
+            WorldOptions options;
+            options.seed = seed;
+            options.checksEpoch = false;
+            World world(options);
+            runChaos(world, 240);
+            violations += world.violations.size();
+        }
+        CPPUNIT_ASSERT(violations > 0);
+    }
+
+    // Guards against checks that cannot fail: a start that is sent after its deadline violates I4.
+    void ignoredSendDeadlineIsFound()
+    {
+        WorldOptions options;
+        options.dataCentres = 1;
+        options.checksNotAfter = false;
+        World world(options);
+        world.isCalm = true;
+        world.runFor(seconds(5));
+        // The pause falls between the decision to start and the sending.
+        bool isFound = false;
+        for (int round = 0; round < 40 && !isFound; ++round) {
+            world.submit(world.randomJob());
+            world.runFor(milliseconds(50));
+            for (std::size_t index = 0; index < world.daemons.size(); ++index)
+                world.after(milliseconds(lacewing::base::below(world.rng, 300)),
+                    [&world, index] { world.pause(index, seconds(8)); });
+            world.runFor(seconds(1));
+            world.setDataCentre(0, false);
+            world.runFor(seconds(10));
+            world.setDataCentre(0, true);
+            world.runFor(seconds(45));
+            isFound = !world.violations.empty();
+        }
+        CPPUNIT_ASSERT(isFound);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchChaosTest);
+
+} // namespace
