--- a/src/batch/dispatcher_plan.cpp
+++ b/src/batch/dispatcher_plan.cpp
@@ -12,19 +12,17 @@
         return spec.dataCentre.empty() || spec.dataCentre == dataCentre;
     }
 
-    bool beginMove(Dispatcher& d, ShardSlot& slot, const base::JobId& id, const ShardKey& target, base::TimePoint now)
-    {
-        if (!beginTransfer(slot.shard, id, target))
-            return false;
-        touch(slot);
-        slot.transfers[id] = { slot.change, now };
-        slot.waitingSince.erase(id);
-        slot.evictingFor.erase(id);
-        static_cast<void>(d);
-        return true;
-    }
+    void beginMove(ShardSlot& slot, const base::JobId& id, const ShardKey& target, base::TimePoint now)
+{
+    if (!beginTransfer(slot.shard, id, target))
+        return;
+    touch(slot);
+    slot.transfers[id] = { slot.change, now };
+    slot.waitingSince.erase(id);
+    slot.evictingFor.erase(id);
+}
 
-    // A shard that may take the job now, drawn by free processors. Empty: none.
+// A shard that may take the job now, drawn by free processors. Empty: none.
     ShardKey chooseTarget(Dispatcher& d, const ShardSlot& slot, const JobSpec& spec, bool needsRoom)
     {
         std::vector<std::pair<const ShardSummary*, std::int64_t>> candidates;
@@ -267,7 +265,6 @@
 void driveTransfers(Dispatcher& d, ShardSlot& slot, base::TimePoint now, Effects& out)
 {
     const bool isOut = d.hasPolicy && !isInService(d, slot.shard.dataCentre);
-    std::size_t begun = 0;
     if (d.hasPolicy && !d.isStoreDown && slot.phase == ShardPhase::Owned) {
         std::vector<std::pair<base::JobId, ShardKey>> moves;
         const auto consider = [&](const Job& job, bool needsRoom) {
@@ -292,8 +289,12 @@
             }
         }
         for (const auto& [id, target] : moves)
-            begun += beginMove(d, slot, id, target, now) ? 1 : 0;
+            beginMove(slot, id, target, now);
     }
+    std::erase_if(slot.transfers, [&](const auto& entry) {
+        const auto job = slot.shard.jobs.find(entry.first);
+        return job == slot.shard.jobs.end() || job->second.state != JobState::Transferring;
+    });
     if (slot.transfers.empty())
         return;
     const std::uint64_t lowest = lowestOpenTransfer(slot.shard);
--- a/src/batch/shard.cpp
+++ b/src/batch/shard.cpp
@@ -269,10 +269,14 @@
     window.accepted.insert(place, number);
     const auto found = target.jobs.find(job.spec.id);
     if (found != target.jobs.end()) {
-        // A job that returns replaces its own `moved` record. Any other entry with this id already stands for the job.
-        if (found->second.state != JobState::Moved)
+        // A job that returns replaces its own `moved` record, and also a transfer whose acceptance has not been heard:
+        // only the shard that accepted it can have passed it on. Any other entry already stands for the job.
+        if (found->second.state == JobState::Moved)
+            std::erase(target.finished, job.spec.id);
+        else if (found->second.state == JobState::Transferring)
+            --target.active;
+        else
             return true;
-        std::erase(target.finished, job.spec.id);
         target.jobs.erase(found);
     }
     Job moved = job;
--- a/tests/batch_world.h
+++ b/tests/batch_world.h
@@ -21,10 +21,11 @@
     int shardsPerDataCentre = 1; // one rack each
     int workersPerRack = 4;
     int daemonsPerDataCentre = 2;
-    bool checksEpoch = true;    // workers refuse other epochs (required guarantee of the worker interface)
-    bool checksCapacity = true; // workers refuse what does not fit
-    bool checksNotAfter = true; // daemons honour StartTask::notAfter
-    double lossRate = 0.02;     // of requests and replies to workers
+    bool checksEpoch = true;              // workers refuse other epochs (required guarantee of the worker interface)
+    bool checksCapacity = true;           // workers refuse what does not fit
+    bool checksNotAfter = true;           // daemons honour StartTask::notAfter
+    Duration sendDelay = milliseconds(5); // longest time between a decision and its sending
+    double lossRate = 0.02;               // of requests and replies to workers
     double lostWriteReplies = 0.02;
 };
 
