Reserve the room that batch tasks leave for an urgent job

Cause: two urgent jobs counted the same free processors, and the second one waited for a new decision (over 7.3 s); a worker that answered the fence kept the long lease bound of a takeover. Change: reservation in the fleet for each urgent job; the bound shrinks to one lease once the worker is fenced.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -188,7 +188,7 @@
     slot.runtime.clear();
     slot.transfers.clear();
     slot.waitingSince.clear();
-    slot.evictingFor.clear();
+    slot.reservations.clear();
     slot.fleet = Fleet();
     slot.fleet.policy
         = base::valueOf(placementPolicyNames, d.policy.placement).value_or(PlacementPolicy::InterferenceAware);
--- a/src/batch/dispatcher_plan.cpp
+++ b/src/batch/dispatcher_plan.cpp
@@ -13,16 +13,15 @@
     }
 
     void beginMove(ShardSlot& slot, const base::JobId& id, const ShardKey& target, base::TimePoint now)
-{
-    if (!beginTransfer(slot.shard, id, target))
-        return;
-    touch(slot);
-    slot.transfers[id] = { slot.change, now };
-    slot.waitingSince.erase(id);
-    slot.evictingFor.erase(id);
-}
+    {
+        if (!beginTransfer(slot.shard, id, target))
+            return;
+        touch(slot);
+        slot.transfers[id] = { slot.change, now };
+        slot.waitingSince.erase(id);
+    }
 
-// A shard that may take the job now, drawn by free processors. Empty: none.
+    // A shard that may take the job now, drawn by free processors. Empty: none.
     ShardKey chooseTarget(Dispatcher& d, const ShardSlot& slot, const JobSpec& spec, bool needsRoom)
     {
         std::vector<std::pair<const ShardSummary*, std::int64_t>> candidates;
@@ -82,8 +81,56 @@
         }
     }
 
+    base::JobId reservationId(const base::JobId& id) { return { "\x02" + id.value }; }
+
+    void dropReservation(ShardSlot& slot, const base::JobId& id)
+    {
+        const auto reservation = slot.reservations.find(id);
+        if (reservation == slot.reservations.end())
+            return;
+        const WorkerSlot& worker = workerOf(slot, reservation->second.worker);
+        if (worker.hasCapacity)
+            releaseTask(slot.fleet, worker.fleetIndex, reservationId(id));
+        slot.reservations.erase(reservation);
+    }
+
+    void planOn(Dispatcher& d, ShardSlot& slot, Job& job, std::size_t worker, const Resources& resources)
+    {
+        if (!plan(slot.shard, job.spec.id, slot.fleet.workers[worker].info.id, resources))
+            return;
+        touch(slot);
+        adoptJob(d, slot, job, false);
+        slot.waitingSince.erase(job.spec.id);
+    }
+
     enum class PlanOutcome { Planned, Waits, Gone };
 
+    // The job has a reservation: takes it when the batch tasks have left, and gives it up when that takes too long.
+    std::optional<PlanOutcome> useReservation(
+        Dispatcher& d, ShardSlot& slot, Job& job, const TaskRequest& request, base::TimePoint now)
+    {
+        const base::JobId id = job.spec.id;
+        const auto found = slot.reservations.find(id);
+        if (found == slot.reservations.end())
+            return std::nullopt;
+        const Reservation reservation = found->second;
+        const WorkerSlot& worker = workerOf(slot, reservation.worker);
+        dropReservation(slot, id);
+        if (!worker.hasCapacity)
+            return std::nullopt;
+        const FleetWorker& entry = slot.fleet.workers[worker.fleetIndex];
+        if (request.resources.fitsIn(freeFor(slot.fleet, entry, FreeKind::ForUrgent))) {
+            planOn(d, slot, job, worker.fleetIndex, request.resources);
+            return PlanOutcome::Planned;
+        }
+        if (!entry.isEligible || now >= reservation.until)
+            return std::nullopt;
+        adoptTask(slot.fleet, worker.fleetIndex,
+            { reservationId(id), JobClass::Urgent, request.service, request.resources, {}, false });
+        slot.reservations[id] = reservation;
+        return PlanOutcome::Waits;
+    }
+
     PlanOutcome planJob(Dispatcher& d, ShardSlot& slot, Job& job, base::TimePoint now, Effects& out)
     {
         const base::JobId id = job.spec.id;
@@ -93,6 +140,8 @@
             slot.waitingSince.try_emplace(id, now);
             return PlanOutcome::Waits;
         }
+        if (const std::optional<PlanOutcome> outcome = useReservation(d, slot, job, request, now))
+            return *outcome;
         Decision decision = place(slot.fleet, d.interference, request, d.rng);
         if (decision.kind == DecisionKind::Never && !(request.resources == job.spec.resources)) {
             // The learned size is an estimate; only the declared one can rule a job out.
@@ -100,27 +149,20 @@
             decision = place(slot.fleet, d.interference, request, d.rng);
         }
         switch (decision.kind) {
-        case DecisionKind::Placed: {
-            const base::WorkerId worker = slot.fleet.workers[decision.worker].info.id;
-            if (!plan(slot.shard, id, worker, request.resources))
-                return PlanOutcome::Gone;
-            touch(slot);
-            adoptJob(d, slot, job, false);
-            slot.waitingSince.erase(id);
-            slot.evictingFor.erase(id);
+        case DecisionKind::Placed:
+            planOn(d, slot, job, decision.worker, request.resources);
             return PlanOutcome::Planned;
-        }
         case DecisionKind::Evict: {
-            const auto evicting = slot.evictingFor.find(id);
-            if (evicting != slot.evictingFor.end() && now < evicting->second)
-                return PlanOutcome::Waits;
-            constexpr base::Duration stopTime = base::seconds(3); // for the stop to show in a poll
-            slot.evictingFor[id] = now + d.limits.evictGrace + stopTime;
             for (const base::JobId& victim : decision.evict) {
                 const auto runtime = slot.runtime.find(victim);
                 if (runtime != slot.runtime.end())
                     beginEviction(d, slot, slot.shard.jobs.at(victim), runtime->second, now, out);
             }
+            constexpr base::Duration stopTime = base::seconds(3); // for the stop to show in a poll
+            slot.reservations[id]
+                = { slot.fleet.workers[decision.worker].info.id, now + d.limits.evictGrace + stopTime };
+            adoptTask(slot.fleet, decision.worker,
+                { reservationId(id), JobClass::Urgent, request.service, request.resources, {}, false });
             slot.waitingSince.try_emplace(id, now);
             return PlanOutcome::Waits;
         }
@@ -166,6 +208,14 @@
         return;
     slot.isPlanDue = false;
     slot.nextPlan = now + base::seconds(1);
+    std::vector<base::JobId> unused;
+    for (const auto& [id, reservation] : slot.reservations) {
+        const auto job = slot.shard.jobs.find(id);
+        if (job == slot.shard.jobs.end() || job->second.state != JobState::Queued)
+            unused.push_back(id);
+    }
+    for (const base::JobId& id : unused)
+        dropReservation(slot, id);
     std::vector<Job*> urgent;
     std::map<base::TeamId, TeamQueue> teams;
     for (auto& [id, job] : slot.shard.jobs) {
--- a/src/batch/dispatcher_state.h
+++ b/src/batch/dispatcher_state.h
@@ -56,6 +56,7 @@
     base::TimePoint nextRequest; // fence or poll
     std::uint32_t misses = 0;    // requests without answer, in a row
     base::TimePoint nextRenew;
+    bool wasFenced = false;      // by this owner: renewals of earlier owners are refused
     base::TimePoint leaseGoneAt; // no task lease that any owner can have renewed is valid from then on
     std::size_t startsInFlight = 0;
     base::TimePoint noStartsBefore; // after a refusal for lack of capacity
@@ -84,6 +85,13 @@
     base::TimePoint at;
 };
 
+// Room on a worker for an urgent job while batch tasks leave it. It counts as a task in the fleet, so that two urgent
+// jobs do not wait for the same room.
+struct Reservation {
+    base::WorkerId worker;
+    base::TimePoint until; // then another place is searched
+};
+
 struct PendingAccept {
     AcceptTransfer accept;
     std::uint64_t change = 0;
@@ -120,7 +128,7 @@
     std::map<base::JobId, JobRuntime> runtime; // placed jobs
     std::map<base::JobId, OpenTransfer> transfers;
     std::map<base::JobId, base::TimePoint> waitingSince; // queued jobs that found no room
-    std::map<base::JobId, base::TimePoint> evictingFor;  // urgent jobs whose room is being made, until
+    std::map<base::JobId, Reservation> reservations;     // urgent jobs whose room is being made
     std::vector<PendingSubmit> submits;
     std::vector<PendingAccept> accepts;
     Fleet fleet;
--- a/src/batch/dispatcher_workers.cpp
+++ b/src/batch/dispatcher_workers.cpp
@@ -394,6 +394,10 @@
         return;
     }
     entry.phase = WorkerPhase::Fenced;
+    if (!entry.wasFenced) {
+        entry.wasFenced = true;
+        entry.leaseGoneAt = now + base::leaseExpiryBound(d.limits.taskLease);
+    }
     entry.nextRequest = now + d.limits.pollInterval;
     const bool isLeaving = entry.info.isLeaving;
     entry.info = state.info;
