--- a/src/daemon/platform_json.cpp
+++ b/src/daemon/platform_json.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr qsizetype largestAnswerBytes = 16'777'216; // a list of several values of 1 MB
+    constexpr qsizetype largestAnswerBytes = 16LL * 1024 * 1024; // a list of several values of 1 MB
     constexpr int deepestAnswer = 16;
 
     // Depth of nesting by a scan of the bytes; strings are skipped.
