Route around outliers without losing their capacity, and follow peers by their results

Cause: at start-up the median came from the first, short results, so up to 30% of the endpoints were ejected; slow endpoints did not serve although requests waited; forwards were limited by a digest that is seconds old. Change: the median needs half of the endpoints with enough samples; endpoints ejected for latency serve as a last resort when the predicted wait exceeds one median service time; a window for each peer follows the results of forwards.

--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -106,8 +106,8 @@
 
 int main(int argc, char** argv)
 {
-    cxxopts::Options options = describeOptions();
     try {
+        cxxopts::Options options = describeOptions();
         const cxxopts::ParseResult given = options.parse(argc, argv);
         if (given.count("help") > 0 || given.count("command") == 0) {
             std::cout << options.help();
@@ -122,7 +122,7 @@
         if (command != "run")
             names.insert(names.begin(), command);
         return run(allScenarios(), names, given);
-    } catch (const cxxopts::exceptions::exception& error) {
+    } catch (const std::exception& error) { // cxxopts reports usage errors by exceptions
         std::cerr << "lacewing-bench: " << error.what() << '\n';
         return 2;
     }
--- a/src/bench/output.cpp
+++ b/src/bench/output.cpp
@@ -39,11 +39,14 @@
     {
         Table table;
         table.title = object[key("title")].toString().toStdString();
-        for (const QJsonValue& column : object[key("columns")].toArray())
+        const QJsonArray columns = object[key("columns")].toArray();
+        for (const auto& column : columns)
             table.columns.push_back(column.toString().toStdString());
-        for (const QJsonValue& item : object[key("rows")].toArray()) {
-            Row row { item[key("name")].toString().toStdString(), {} };
-            for (const QJsonValue& value : item[key("values")].toArray())
+        const QJsonArray rows = object[key("rows")].toArray();
+        for (const auto& item : rows) {
+            Row row { item.toObject()[key("name")].toString().toStdString(), {} };
+            const QJsonArray values = item.toObject()[key("values")].toArray();
+            for (const auto& value : values)
                 row.values.push_back(value.toDouble());
             table.rows.push_back(std::move(row));
         }
@@ -106,7 +109,8 @@
     report.revision = document[key("revision")].toString().toStdString();
     report.seed = document[key("seed")].toString().toULongLong();
     report.scale = document[key("scale")].toDouble();
-    for (const QJsonValue& table : document[key("tables")].toArray())
+    const QJsonArray tables = document[key("tables")].toArray();
+    for (const auto& table : tables)
         report.tables.push_back(toTable(table.toObject()));
     return report;
 }
--- a/src/bench/routing_scenarios.cpp
+++ b/src/bench/routing_scenarios.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cmath>
 #include <thread>
 
 namespace lacewing::bench {
@@ -24,7 +25,7 @@
         ModelInput input;
     };
 
-    std::string percent(double share) { return std::to_string(static_cast<int>(share * 100 + 0.5)) + "%"; }
+    std::string percent(double share) { return std::to_string(std::lround(share * 100)) + "%"; }
 
     ModelInput makeInput(
         const Deployment& deployment, Situation situation, double load, PolicyName policy, const Options& options)
--- a/src/routing/gateway.cpp
+++ b/src/routing/gateway.cpp
@@ -8,7 +8,9 @@
 namespace {
 
     constexpr base::Duration maintenanceInterval = base::milliseconds(250); // record proposals, loan returns, capacity
-    constexpr base::Duration timeoutTolerance = base::milliseconds(1);      // time limits are handed out in whole ms
+    constexpr double windowRefusedFactor = 0.5;
+    constexpr double windowLateFactor = 0.9;
+    constexpr base::Duration timeoutTolerance = base::milliseconds(1); // time limits are handed out in whole ms
 
     base::TimePoint deadlineOf(const Gateway& gateway, const IncomingRequest& request, base::TimePoint now)
     {
@@ -75,16 +77,23 @@
         return isSuccess ? OutcomeKind::Success : OutcomeKind::Failure;
     }
 
-    // A forwarded request occupies one of the peer's free slots. After a refusal nothing more is sent before the next
-    // digest.
-    void onForwardResult(Gateway& gateway, const base::DaemonId& daemon, const AttemptOutcome& outcome)
+    // Additive increase on results in normal time, decrease on late ones, and stronger on refusals.
+    void onForwardResult(
+        Gateway& gateway, const GatewayAttempt& attempt, const AttemptOutcome& outcome, base::TimePoint now)
     {
-        const auto peer = std::find_if(
-            gateway.peers.begin(), gateway.peers.end(), [&](const PeerInfo& item) { return item.daemon == daemon; });
-        if (peer == gateway.peers.end())
-            return;
-        const bool isRefused = !outcome.complete || outcome.endpointSaidNotExecuted;
-        peer->freeSlots = isRefused ? 0 : peer->freeSlots + 1;
+        ForwardWindow& window = gateway.windows[attempt.daemon];
+        window.inFlight = std::max(0, window.inFlight - 1);
+        const auto peer = std::find_if(gateway.peers.begin(), gateway.peers.end(),
+            [&](const PeerInfo& item) { return item.daemon == attempt.daemon; });
+        const base::Duration distance = peer == gateway.peers.end() ? base::Duration(0) : peer->distance;
+        const auto elapsedUs = static_cast<double>((now - attempt.sentAt - distance).count());
+        if (!outcome.complete || outcome.endpointSaidNotExecuted)
+            window.size *= windowRefusedFactor;
+        else if (gateway.p95Us > 0 && elapsedUs > gateway.p95Us)
+            window.size *= windowLateFactor;
+        else
+            window.size += 1 / window.size;
+        window.size = std::clamp(window.size, 1.0, gateway.limits.request.forwardsMax);
     }
 
     // Reason not to retry after a failed attempt.
@@ -254,7 +263,7 @@
             recordLatency(gateway, now - attempt->sentAt);
     }
     if (!attempt->hold)
-        onForwardResult(gateway, attempt->daemon, outcome);
+        onForwardResult(gateway, *attempt, outcome, now);
     request.attempts.erase(attempt);
     if (request.state.isReplied) {
         ++gateway.counters.lateResults;
@@ -337,6 +346,16 @@
 {
     gateway.peers.assign(peers.begin(), peers.end());
     std::erase_if(gateway.peers, [&](const PeerInfo& peer) { return peer.daemon == gateway.slots.self; });
+    for (const PeerInfo& peer : gateway.peers) {
+        ForwardWindow& window = gateway.windows[peer.daemon];
+        window.size
+            = std::clamp(std::max<double>(peer.freeSlots, window.size), 1.0, gateway.limits.request.forwardsMax);
+    }
+    std::erase_if(gateway.windows, [&](const auto& item) {
+        return item.second.inFlight == 0
+            && std::none_of(gateway.peers.begin(), gateway.peers.end(),
+                [&](const PeerInfo& peer) { return peer.daemon == item.first; });
+    });
 }
 
 Effects setDataCentreOut(Gateway& gateway, bool isOut, base::TimePoint now)
--- a/src/routing/gateway.h
+++ b/src/routing/gateway.h
@@ -90,6 +90,12 @@
     base::Duration distance { 0 }; // round trip
 };
 
+// Forwards to one peer that may be in flight. The digest is up to seconds old, so the window also follows the results.
+struct ForwardWindow {
+    double size = 1; // at least 1, so that a peer that was full is tried again
+    int inFlight = 0;
+};
+
 struct GatewayAttempt {
     AttemptId id = 0;
     std::optional<SlotHold> hold; // empty for a forward
@@ -128,6 +134,7 @@
     std::unordered_map<RequestId, GatewayRequest> requests;
     std::set<std::pair<base::TimePoint, RequestId>> timers; // one entry for each request, at GatewayRequest::timerAt
     std::vector<PeerInfo> peers;
+    std::unordered_map<base::DaemonId, ForwardWindow> windows; // by peer
     AttemptId nextAttempt = 1;
     int localInFlight = 0; // attempts on own endpoints
     bool isDraining = false;
--- a/src/routing/gateway_attempts.cpp
+++ b/src/routing/gateway_attempts.cpp
@@ -87,6 +87,8 @@
     view.slots = &gateway.slots;
     view.timeLimit = request.deadline - now;
     view.excluded = request.tried;
+    const double waitUs = static_cast<double>(predictedWait(gateway.queue, request.incoming.requestClass).count());
+    view.mayUseSlow = !isHedge && waitUs > gateway.limits.router.lastResortWait * gateway.router.medianUs;
     const std::optional<base::EndpointId> endpoint = chooseEndpoint(gateway.router, view, now, gateway.rng);
     if (!endpoint)
         return false;
@@ -127,27 +129,28 @@
     if (!isForwardAllowed(gateway, request))
         return false;
     const base::Duration margin = base::milliseconds(gateway.limits.request.forwardMarginMs);
-    const auto mayTake = [&](const PeerInfo& peer) {
+    const auto room = [&](const PeerInfo& peer) -> std::uint64_t {
         const bool isTried = std::find(request.triedDaemons.begin(), request.triedDaemons.end(), peer.daemon)
             != request.triedDaemons.end();
-        return peer.freeSlots > 0 && peer.distance <= maxDistance && !isTried
-            && now + peer.distance + margin < request.deadline;
+        if (peer.distance > maxDistance || isTried || now + peer.distance + margin >= request.deadline)
+            return 0;
+        const ForwardWindow& window = gateway.windows[peer.daemon];
+        return static_cast<std::uint64_t>(std::max(0.0, window.size - window.inFlight));
     };
-    // Random choice weighted by free slots: the digest is late, and several daemons read the same one.
+    // Random choice weighted by the room in the windows: several daemons read the same digest.
     std::uint64_t total = 0;
     for (const PeerInfo& peer : gateway.peers)
-        total += mayTake(peer) ? static_cast<std::uint64_t>(peer.freeSlots) : 0;
+        total += room(peer);
     if (total == 0)
         return false;
     std::uint64_t drawn = base::below(gateway.rng, total);
-    for (PeerInfo& peer : gateway.peers) {
-        if (!mayTake(peer))
-            continue;
-        if (drawn >= static_cast<std::uint64_t>(peer.freeSlots)) {
-            drawn -= static_cast<std::uint64_t>(peer.freeSlots);
+    for (const PeerInfo& peer : gateway.peers) {
+        const std::uint64_t free = room(peer);
+        if (drawn >= free) {
+            drawn -= free;
             continue;
         }
-        --peer.freeSlots; // until the result
+        ++gateway.windows[peer.daemon].inFlight;
         GatewayAttempt& attempt = addAttempt(gateway, request, false, now);
         attempt.daemon = peer.daemon;
         request.triedDaemons.push_back(peer.daemon);
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -8,12 +8,13 @@
 struct RouterLimits {
     // --- Choice ---
     int sampleCount = 8;                   // endpoints compared for one choice by latencyAware
-    double estimateWeight = 0.2;           // weight of a new sample in the service time estimate, 0..1
+    double estimateWeight = 0.05;          // weight of a new sample in the service time estimate, 0..1
     std::int64_t initialEstimateUs = 5000; // service time assumed before the first sample, us
     // --- Ejection ---
-    int failuresToEject = 5;             // consecutive failures
-    double latencyFactorToEject = 3.0;   // estimate compared with the median of the pool
-    int samplesToEject = 5;              // samples needed before latency counts as evidence
+    int failuresToEject = 5;           // consecutive failures
+    double latencyFactorToEject = 3.0; // estimate compared with the median of the pool
+    int samplesToEject = 10;           // samples needed before latency counts as evidence
+    double lastResortWait = 1.0; // predicted wait, in median service times, above which slow ejected endpoints are used
     std::int64_t ejectionMs = 10000;     // first ejection, ms; each further one in a row lasts that much longer
     std::int64_t ejectionMaxMs = 300000; // longest ejection, ms
     double ejectedShareMax = 0.30;       // share of the pool that may be ejected
@@ -50,6 +51,7 @@
     int hedgeSamplesMin = 100;            // latency samples needed before the p95 estimate is used
     double hedgeLoadMax = 0.85;           // no hedges above this share of the usable slots in use
     int hopsMax = 1;                      // forwards between daemons
+    double forwardsMax = 64;              // forwards in flight to one peer
     std::int64_t forwardMarginMs = 2;     // time kept back from a forwarded request's deadline, ms
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -59,11 +59,12 @@
             return;
         std::vector<double> estimates;
         for (const EndpointState& state : router.endpoints) {
-            if (state.samples > 0 && state.info.status == EndpointStatus::Live)
+            if (state.samples >= router.limits.samplesToEject && state.info.status == EndpointStatus::Live)
                 estimates.push_back(state.serviceUs);
         }
         router.medianAt = now;
-        if (estimates.empty())
+        // The first results come from the shortest requests; a median of few endpoints would be too low.
+        if (2 * estimates.size() < router.eligibleCount || estimates.empty())
             return;
         const auto middle = estimates.begin() + static_cast<std::ptrdiff_t>((estimates.size() - 1) / 2);
         std::nth_element(estimates.begin(), middle, estimates.end());
@@ -72,7 +73,8 @@
 
     bool mayChoose(const EndpointState& state, const RequestView& request, bool ignoreEjection, base::TimePoint now)
     {
-        if (state.info.status != EndpointStatus::Live || (state.isEjected && !ignoreEjection))
+        const bool isAllowed = !state.isEjected || ignoreEjection || (state.isSlow && request.mayUseSlow);
+        if (state.info.status != EndpointStatus::Live || !isAllowed)
             return false;
         if (std::find(request.excluded.begin(), request.excluded.end(), state.info.id) != request.excluded.end())
             return false;
@@ -201,16 +203,19 @@
         return best.equal > 0 ? std::optional(best.index) : std::nullopt;
     }
 
-    void eject(Router& router, EndpointState& state, base::TimePoint now)
+    void eject(Router& router, EndpointState& state, bool isSlow, base::TimePoint now)
     {
-        if (state.isEjected)
+        if (state.isEjected) {
+            state.isSlow = state.isSlow && isSlow; // failures weigh more than latency
             return;
+        }
         const double allowed = router.limits.ejectedShareMax * static_cast<double>(router.endpoints.size());
         if (static_cast<double>(router.ejectedCount + 1) > allowed) {
             count(router, &Counters::ejectionsCapped);
             return;
         }
         state.isEjected = true;
+        state.isSlow = isSlow;
         ++state.ejectionsInRow;
         const std::int64_t length
             = std::min(router.limits.ejectionMaxMs, router.limits.ejectionMs * std::max(1, state.ejectionsInRow));
@@ -269,7 +274,11 @@
     if (router.endpoints.empty())
         return std::nullopt;
     const bool ignoreEjection = isPanic(router);
-    std::optional<std::size_t> index = choose(router, request, ignoreEjection, now, rng);
+    RequestView strict = request;
+    strict.mayUseSlow = false;
+    std::optional<std::size_t> index = choose(router, strict, ignoreEjection, now, rng);
+    if (!index && request.mayUseSlow && router.ejectedCount > 0)
+        index = choose(router, request, ignoreEjection, now, rng);
     if (!index && !request.excluded.empty()) {
         RequestView relaxed = request;
         relaxed.excluded = {};
@@ -318,7 +327,7 @@
         if (++state.failuresInRow == router.limits.failuresToEject)
             recount(router);
         if (isFailed(router, state))
-            eject(router, state, now);
+            eject(router, state, false, now);
     } else if (kind == OutcomeKind::Success) {
         const bool wasFailed = isFailed(router, state);
         state.failuresInRow = 0;
@@ -331,7 +340,7 @@
     const bool isOutlier = state.samples >= router.limits.samplesToEject && router.medianUs > 0
         && state.serviceUs > router.limits.latencyFactorToEject * router.medianUs;
     if (isOutlier)
-        eject(router, state, now);
+        eject(router, state, true, now);
 }
 
 void updateEjections(Router& router, base::TimePoint now)
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -61,6 +61,7 @@
     int failuresInRow = 0;
     int ejectionsInRow = 0;
     bool isEjected = false;
+    bool isSlow = false; // ejected for its latency only; it still serves as a last resort
     base::TimePoint ejectedUntil;
     base::TimePoint slowStartUntil; // end of slow start; the past when there is none
 };
@@ -81,6 +82,7 @@
 
 struct RequestView {
     const SlotTable* slots = nullptr;           // only endpoints with a usable slot; null: no limit
+    bool mayUseSlow = false;                    // an endpoint ejected for its latency is better than waiting
     base::Duration timeLimit { 0 };             // time limit of the attempt, compared with the lease of lent slots
     std::span<const base::EndpointId> excluded; // endpoints tried before; chosen again only when no other is left
 };
