--- a/src/batch/dispatcher_plan.cpp
+++ b/src/batch/dispatcher_plan.cpp
@@ -334,7 +334,10 @@
             });
             for (auto& [id, since] : slot.waitingSince) {
                 const Job& job = slot.shard.jobs.at(id);
-                if (now - since >= d.limits.waitBeforeMove && moves.size() < d.limits.transfersPerTick)
+                const base::Duration wait
+                    = job.spec.jobClass == JobClass::Urgent ? d.limits.urgentWaitBeforeMove : d.limits.waitBeforeMove;
+                const bool hasRoomSoon = slot.reservations.contains(id);
+                if (now - since >= wait && !hasRoomSoon && moves.size() < d.limits.transfersPerTick)
                     consider(job, true);
             }
         }
--- a/src/bench/scenario.h
+++ b/src/bench/scenario.h
@@ -34,5 +34,6 @@
 };
 
 std::vector<Scenario> routingScenarios();
+std::vector<Scenario> batchScenarios();
 
 } // namespace lacewing::bench
--- a/tests/batch_dispatcher_test.cpp
+++ b/tests/batch_dispatcher_test.cpp
@@ -131,6 +131,7 @@
         world.runFor(seconds(5));
         const std::uint64_t started = world.startsAccepted;
         std::vector<SubmitToken> tokens;
+        tokens.reserve(50);
         for (int count = 0; count < 50; ++count)
             tokens.push_back(world.submit(world.jobOf(JobClass::Batch, 1000, 1000)));
         world.runFor(seconds(80));
--- a/tests/batch_world.cpp
+++ b/tests/batch_world.cpp
@@ -400,7 +400,7 @@
 
 // Delivers a request within the time-out or not at all.
 void World::toWorker(std::size_t index, const base::WorkerId& id, Duration timeout,
-    std::function<Answer(FakeWorker&)> serve, Answer lost)
+    std::function<Answer(FakeWorker&)> serve, const Answer& lost)
 {
     const std::uint64_t incarnation = daemons[index].incarnation;
     const bool isSlow = !isCalm && base::chance(rng, 0.02);
--- a/tests/batch_world.h
+++ b/tests/batch_world.h
@@ -142,7 +142,7 @@
     void toStore(std::size_t index, const WriteShard& write);
     void toStore(std::size_t index, const ReadShard& read);
     void toWorker(std::size_t index, const base::WorkerId& id, Duration timeout,
-        std::function<Answer(FakeWorker&)> serve, Answer lost);
+        std::function<Answer(FakeWorker&)> serve, const Answer& lost);
     void serveStart(std::size_t index, const StartTask& start);
     void applyWrite(const WriteShard& write);
     void inform(std::size_t index);
