--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -16,7 +16,7 @@
 {
     // Each module appends its list here.
     std::vector<Scenario> scenarios;
-    for (const auto& list : { routingScenarios() })
+    for (const auto& list : { routingScenarios(), httpScenarios() })
         scenarios.insert(scenarios.end(), list.begin(), list.end());
     return scenarios;
 }
--- a/src/bench/scenario.h
+++ b/src/bench/scenario.h
@@ -35,5 +35,6 @@
 };
 
 std::vector<Scenario> routingScenarios();
+std::vector<Scenario> httpScenarios();
 
 } // namespace lacewing::bench
