--- a/src/bench/http_scenarios.cpp
+++ b/src/bench/http_scenarios.cpp
@@ -161,7 +161,7 @@
             return "http://127.0.0.1:" + QByteArray::number(port ? port.value() : 0) + "/svc/quotes/x";
         }
 
-        void forward(const http::Request& request, const http::Responder& responder)
+        void forward(const http::Request& request, const http::Responder& responder) const
         {
             http::ClientRequest onward;
             onward.method = request.method;
