--- a/src/bench/scenario.h
+++ b/src/bench/scenario.h
@@ -36,5 +36,6 @@
 
 std::vector<Scenario> routingScenarios();
 std::vector<Scenario> batchScenarios();
+std::vector<Scenario> httpScenarios();
 
 } // namespace lacewing::bench
