Ask for reports with short heartbeats and drop unused messages

Cause: with three daemons in a data centre, heartbeats took 3,418 bytes/s (sent and received) of the 2,000 that control may use, because both the question and the answer carried a full report. Change: a heartbeat only names the asking daemon; the reply carries the report without fields that nobody reads.

--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -109,7 +109,6 @@
     member.gatewayAddress = report.gatewayAddress;
     member.revision = report.revision;
     member.hasStoreAccess = report.hasStoreAccess;
-    member.slotRecordVersion = report.slotRecordVersion;
     member.saysLeaving = member.saysLeaving || report.isLeaving; // a daemon that drains does not come back
     member.lastHeard = now;
     membership.lastContact = now;
@@ -195,7 +194,6 @@
     own.incarnation = membership.selfIncarnation;
     own.revision = self.revision;
     own.hasStoreAccess = self.hasStoreAccess;
-    own.slotRecordVersion = self.slotRecordVersion;
     own.saysLeaving = self.isLeaving;
     own.state = self.isLeaving ? MemberState::Leaving : MemberState::Alive;
     const auto place = std::lower_bound(result.begin(), result.end(), own.daemon,
--- a/src/cluster/membership.h
+++ b/src/cluster/membership.h
@@ -36,7 +36,6 @@
     base::Revision revision = 0;
     bool hasStoreAccess = false;
     bool isLeaving = false;
-    std::uint64_t slotRecordVersion = 0;
 };
 
 // An instance of kind `entry`. The daemon's name in its settings is the id of its instance.
@@ -71,7 +70,6 @@
     std::uint64_t incarnation = 0; // highest seen; 0 while none was heard
     base::Revision revision = 0;
     bool hasStoreAccess = false;
-    std::uint64_t slotRecordVersion = 0;
     MemberState state = MemberState::Unverified;
 
     // --- Evidence ---
@@ -143,7 +141,6 @@
     base::Revision revision = 0;
     bool hasStoreAccess = false;
     bool isLeaving = false;
-    std::uint64_t slotRecordVersion = 0;
 };
 
 // All members and self, ordered by name.
--- a/src/codec/fields.h
+++ b/src/codec/fields.h
@@ -6,23 +6,6 @@
 
 namespace lacewing::codec {
 
-constexpr base::EnumNames<ShardOperation, 5> shardOperationNames { {
-    { ShardOperation::Submit, "submit" },
-    { ShardOperation::Cancel, "cancel" },
-    { ShardOperation::Status, "status" },
-    { ShardOperation::List, "list" },
-    { ShardOperation::Events, "events" },
-} };
-
-constexpr base::EnumNames<Executed, 3> executedNames { {
-    { Executed::No, "no" },
-    { Executed::Yes, "yes" },
-    { Executed::Unknown, "unknown" },
-} };
-
-constexpr const auto& namesOf(ShardOperation) { return shardOperationNames; }
-constexpr const auto& namesOf(Executed) { return executedNames; }
-
 // visitFields(visitor, message) calls visitor(name, member) for each field. The message is const for the writer.
 template <typename M, typename T>
 concept SameAs = std::is_same_v<std::remove_const_t<M>, T>;
@@ -39,19 +22,15 @@
     visitor("storeReadAgeMs", m.storeReadAgeMs);
     visitor("hasStoreAccess", m.hasStoreAccess);
     visitor("hasUnresolvedApply", m.hasUnresolvedApply);
-    visitor("slotRecordVersion", m.slotRecordVersion);
-    visitor("slotRecordReadAgeMs", m.slotRecordReadAgeMs);
     visitor("isLeaving", m.isLeaving);
-    visitor("requestsInFlight", m.requestsInFlight);
-    visitor("requestsQueued", m.requestsQueued);
-    visitor("slotsOwned", m.slotsOwned);
-    visitor("slotsInUse", m.slotsInUse);
 }
 
 template <typename V, SameAs<Heartbeat> M> void visitFields(V& visitor, M& m)
 {
-    visitor("report", m.report);
-    visitor("slots", m.slots);
+    visitor("daemon", m.daemon);
+    visitor("dataCentre", m.dataCentre);
+    visitor("incarnation", m.incarnation);
+    visitor("peerAddress", m.peerAddress);
 }
 
 template <typename V, SameAs<HeartbeatReply> M> void visitFields(V& visitor, M& m)
@@ -118,29 +97,13 @@
     visitor("slots", m.slots);
 }
 
-template <typename V, SameAs<SlotRecordAck> M> void visitFields(V& visitor, M& m)
+template <typename V, SameAs<SlotStatement> M> void visitFields(V& visitor, M& m)
 {
-    visitor("daemon", m.daemon);
-    visitor("incarnation", m.incarnation);
     visitor("recordVersion", m.recordVersion);
     visitor("busy", m.busy);
     visitor("silent", m.silent);
 }
 
-template <typename V, SameAs<SlotRecordMember> M> void visitFields(V& visitor, M& m)
-{
-    visitor("daemon", m.daemon);
-    visitor("incarnation", m.incarnation);
-    visitor("removingSince", m.removingSince);
-}
-
-template <typename V, SameAs<SlotRecordPush> M> void visitFields(V& visitor, M& m)
-{
-    visitor("sender", m.sender);
-    visitor("recordVersion", m.recordVersion);
-    visitor("members", m.members);
-}
-
 template <typename V, SameAs<SlotLoan> M> void visitFields(V& visitor, M& m)
 {
     visitor("borrower", m.borrower);
@@ -178,26 +141,6 @@
     visitor("shards", m.shards);
 }
 
-template <typename V, SameAs<ShardForward> M> void visitFields(V& visitor, M& m)
-{
-    visitor("shard", m.shard);
-    visitor("operation", m.operation);
-    visitor("job", m.job);
-    visitor("request", m.request);
-    visitor("body", m.body);
-    visitor("cursor", m.cursor);
-    visitor("waitMs", m.waitMs);
-    visitor("hops", m.hops);
-}
-
-template <typename V, SameAs<ShardForwardReply> M> void visitFields(V& visitor, M& m)
-{
-    visitor("status", m.status);
-    visitor("executed", m.executed);
-    visitor("owner", m.owner);
-    visitor("body", m.body);
-}
-
 template <typename V, SameAs<TransferOffer> M> void visitFields(V& visitor, M& m)
 {
     visitor("source", m.source);
--- a/src/codec/message.h
+++ b/src/codec/message.h
@@ -34,14 +34,8 @@
     bool hasStoreAccess = false;                // the last store call succeeded (circuit breaker closed)
     bool hasUnresolvedApply = false;            // a write of config/current was sent and its result is unknown
 
-    // --- Slots and load ---
-    std::uint64_t slotRecordVersion = 0;   // version of slots/<dc> in force at the daemon
-    std::int64_t slotRecordReadAgeMs = -1; // age of the last read of slots/<dc>; -1 means never
-    bool isLeaving = false;                // drains; accepts no new work
-    std::uint32_t requestsInFlight = 0;
-    std::uint32_t requestsQueued = 0;
-    std::uint32_t slotsOwned = 0;
-    std::uint32_t slotsInUse = 0;
+    // --- State ---
+    bool isLeaving = false; // drains; accepts no new work
 
     bool operator==(const DaemonReport&) const = default;
 };
@@ -112,45 +106,31 @@
     bool operator==(const EndpointSlots&) const = default;
 };
 
-// Acknowledgement of a version of slots/<dc> (routing::SlotAck): the sender gives no new request to the slots that it
-// does not own at this version. Those of them that are not in `busy` are idle. It is part of each heartbeat and of its
-// reply, and is sent alone when it changes.
-struct SlotRecordAck {
-    base::DaemonId daemon;
-    std::uint64_t incarnation = 0;
+// Acknowledgement of a version of slots/<dc> (routing::SlotAck) by the daemon whose report it accompanies: it gives no
+// new request to the slots that it does not own at this version. Those of them that are not in `busy` are idle.
+struct SlotStatement {
     std::uint64_t recordVersion = 0;
     std::vector<EndpointSlots> busy;
-    std::vector<base::DaemonId> silent; // members that the sender has not heard
-    bool operator==(const SlotRecordAck&) const = default;
+    std::vector<base::DaemonId> silent; // members that the daemon has not heard
+    bool operator==(const SlotStatement&) const = default;
 };
 
+// Asks for a report. It states only who asks, because a statement in a request is no evidence (see DaemonReport), and a
+// full report in both directions would not fit into the 2 KB/s that a daemon may spend on control.
 struct Heartbeat {
-    DaemonReport report;
-    std::optional<SlotRecordAck> slots; // absent while the sender has no record
+    base::DaemonId daemon;
+    base::DataCentreId dataCentre;
+    std::uint64_t incarnation = 0;
+    std::string peerAddress; // where the asking daemon can be asked in turn
     bool operator==(const Heartbeat&) const = default;
 };
 
 struct HeartbeatReply {
     DaemonReport report;
-    std::optional<SlotRecordAck> slots; // absent while the sender has no record
+    std::optional<SlotStatement> slots; // absent while the sender has no record
     bool operator==(const HeartbeatReply&) const = default;
 };
 
-struct SlotRecordMember {
-    base::DaemonId daemon;
-    std::uint64_t incarnation = 0;
-    std::uint64_t removingSince = 0; // record version that marked the member; 0: not marked
-    bool operator==(const SlotRecordMember&) const = default;
-};
-
-// The record slots/<dc>, relayed by a daemon that read or wrote it.
-struct SlotRecordPush {
-    base::DaemonId sender;
-    std::uint64_t recordVersion = 0;
-    std::vector<SlotRecordMember> members;
-    bool operator==(const SlotRecordPush&) const = default;
-};
-
 // Request to borrow slots of an endpoint from their owner.
 struct SlotLoan {
     base::DaemonId borrower;
@@ -191,31 +171,6 @@
     bool operator==(const Goodbye&) const = default;
 };
 
-enum class ShardOperation { Submit, Cancel, Status, List, Events };
-
-// A call for a shard, sent to its owner. body is the JSON body of the HTTP call, checked by the receiver.
-struct ShardForward {
-    std::string shard; // "<dc>/<n>"
-    ShardOperation operation = ShardOperation::Status;
-    std::string job;     // job id; empty for List
-    std::string request; // request id for logs
-    std::string body;    // JSON text, empty when the operation has none
-    std::uint64_t cursor = 0;
-    std::int64_t waitMs = 0;
-    std::uint32_t hops = 0; // at most 1
-    bool operator==(const ShardForward&) const = default;
-};
-
-enum class Executed { No, Yes, Unknown };
-
-struct ShardForwardReply {
-    std::uint32_t status = 0; // HTTP status for the caller
-    Executed executed = Executed::Unknown;
-    std::optional<base::DaemonId> owner; // known owner when the receiver does not own the shard
-    std::string body;                    // JSON text
-    bool operator==(const ShardForwardReply&) const = default;
-};
-
 // Step 2 of a transfer of a job between shards, to the possible owners of the target shard. Repeated until accepted.
 struct TransferOffer {
     std::string source; // key of the shard
@@ -251,8 +206,7 @@
 };
 
 using Message = std::variant<Heartbeat, HeartbeatReply, Digest, DigestReply, ConfigPush, ConfigPull, ConfigPullReply,
-    SlotLoan, SlotLoanReply, SlotReturn, SlotRecordAck, SlotRecordPush, Goodbye, ShardForward, ShardForwardReply,
-    TransferOffer, TransferAccept, Ack, Refusal>;
+    SlotLoan, SlotLoanReply, SlotReturn, Goodbye, TransferOffer, TransferAccept, Ack, Refusal>;
 
 // Name of the message on the wire and in metrics, e.g. "configPush".
 std::string_view typeName(const Message& message);
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -468,7 +468,6 @@
     m_store->list(slotsPrefix, [this, sentAt](const store::Result<store::Listing>& result) {
         if (result.has_error())
             return;
-        m_recordReadAt = sentAt;
         routing::SlotRecord own;
         std::vector<base::DaemonId> recorded;
         bool isComplete = true;
@@ -503,15 +502,16 @@
     }
 }
 
-codec::SlotRecordAck GatewayService::slotAck() const
+codec::SlotStatement GatewayService::slotStatement() const
 {
     return toMessage(routing::currentSlotAck(m_gateway, base::monotonicNow()));
 }
 
-void GatewayService::onSlotAck(const codec::SlotRecordAck& ack, std::optional<base::TimePoint> sentAt)
+void GatewayService::onSlotStatement(
+    const codec::DaemonReport& report, const codec::SlotStatement& statement, base::TimePoint sentAt)
 {
-    run(routing::onSlotAck(m_gateway, toSlotAck(ack), sentAt, base::monotonicNow()));
-    if (ack.recordVersion > m_gateway.slots.record.version)
+    run(routing::onSlotAck(m_gateway, toSlotAck(report, statement), sentAt, base::monotonicNow()));
+    if (statement.recordVersion > m_gateway.slots.record.version)
         readRecords();
 }
 
@@ -525,15 +525,6 @@
     run(routing::onLoanReturn(m_gateway, toLoanReturn(loan), base::monotonicNow()));
 }
 
-void GatewayService::fillReport(codec::DaemonReport& report) const
-{
-    const base::TimePoint now = base::monotonicNow();
-    report.slotRecordVersion = m_gateway.slots.record.version;
-    report.slotRecordReadAgeMs = m_recordReadAt ? base::toMilliseconds(now - *m_recordReadAt) + 1 : -1;
-    report.requestsInFlight = static_cast<std::uint32_t>(m_pending.size());
-    report.slotsOwned = static_cast<std::uint32_t>(routing::grantedSlots(m_gateway.slots));
-}
-
 std::uint32_t GatewayService::freeSlots() const
 {
     std::uint32_t free = 0;
--- a/src/daemon/gateway_service.h
+++ b/src/daemon/gateway_service.h
@@ -41,9 +41,10 @@
     void handle(const http::Request& request, const http::Responder& responder);
 
     // --- Messages of other daemons ---
-    void fillReport(codec::DaemonReport& report) const;
-    codec::SlotRecordAck slotAck() const;
-    void onSlotAck(const codec::SlotRecordAck& ack, std::optional<base::TimePoint> sentAt);
+    codec::SlotStatement slotStatement() const;
+    // The reply to a heartbeat that was sent at sentAt.
+    void onSlotStatement(
+        const codec::DaemonReport& report, const codec::SlotStatement& statement, base::TimePoint sentAt);
     codec::SlotLoanReply onLoanRequest(const codec::SlotLoan& loan);
     void onLoanReturn(const codec::SlotReturn& loan);
 
@@ -107,8 +108,7 @@
     routing::RequestId m_nextRequest = 1;
     std::uint64_t m_nextOperation = 1;
     bool m_isWritingRecord = false;
-    std::uint64_t m_joinedVersion = 0;             // first record version that names this incarnation; 0: none yet
-    std::optional<base::TimePoint> m_recordReadAt; // when the last answered read was sent
+    std::uint64_t m_joinedVersion = 0; // first record version that names this incarnation; 0: none yet
     bool m_isClosing = false;
     bool m_isClosed = false;
     QTimer m_tickTimer;
--- a/src/daemon/membership_service.cpp
+++ b/src/daemon/membership_service.cpp
@@ -34,7 +34,6 @@
         heartbeat.revision = report.revision;
         heartbeat.hasStoreAccess = report.hasStoreAccess;
         heartbeat.isLeaving = report.isLeaving;
-        heartbeat.slotRecordVersion = report.slotRecordVersion;
         return heartbeat;
     }
 
@@ -239,16 +238,13 @@
         report.hasStoreAccess = freshness.hasStoreAccess;
         report.hasUnresolvedApply = freshness.hasUnresolvedApply;
     }
-    if (const GatewayService* gateway = this->gateway())
-        gateway->fillReport(report);
     return report;
 }
 
 cluster::SelfReport MembershipService::selfReport() const
 {
     const codec::DaemonReport own = report();
-    return { own.peerAddress, own.gatewayAddress, own.revision, own.hasStoreAccess, own.isLeaving,
-        own.slotRecordVersion };
+    return { own.peerAddress, own.gatewayAddress, own.revision, own.hasStoreAccess, own.isLeaving };
 }
 
 // --- Sending ---
@@ -330,13 +326,13 @@
 {
     const codec::Ack acknowledgement { m_runtime.settings.daemon, m_runtime.incarnation, 0 };
     if (const auto* heartbeat = std::get_if<codec::Heartbeat>(&message)) {
-        onReport(heartbeat->report, std::nullopt);
-        if (heartbeat->slots)
-            onAck(*heartbeat->slots, std::nullopt);
+        // An unlisted daemon becomes known by its question; its own report follows as the answer to ours.
+        if (!m_contacts.contains(heartbeat->daemon) && heartbeat->daemon != m_runtime.settings.daemon)
+            m_contacts[heartbeat->daemon] = Contact { heartbeat->dataCentre, heartbeat->peerAddress, {}, false };
         codec::HeartbeatReply reply;
         reply.report = report();
         if (gateway() != nullptr)
-            reply.slots = gateway()->slotAck();
+            reply.slots = gateway()->slotStatement();
         return reply;
     }
     if (const auto* push = std::get_if<codec::ConfigPush>(&message)) {
@@ -391,21 +387,22 @@
 void MembershipService::sendHeartbeat(const base::DaemonId& daemon)
 {
     codec::Heartbeat heartbeat;
-    heartbeat.report = report();
-    if (const GatewayService* gateway = this->gateway())
-        heartbeat.slots = gateway->slotAck();
+    heartbeat.daemon = m_runtime.settings.daemon;
+    heartbeat.dataCentre = m_runtime.settings.dataCentre;
+    heartbeat.incarnation = m_runtime.incarnation;
+    heartbeat.peerAddress = hostAndPort(m_runtime.settings.peer.address, m_runtime.settings.peer.port);
     const base::TimePoint sentAt = base::monotonicNow();
     request(daemon, heartbeat, [this, sentAt](const PeerAnswer& answer) {
         const auto* reply = answer ? std::get_if<codec::HeartbeatReply>(&*answer) : nullptr;
         if (reply == nullptr)
             return;
         onReport(reply->report, sentAt);
-        if (reply->slots)
-            onAck(*reply->slots, sentAt);
+        if (reply->slots && gateway() != nullptr)
+            gateway()->onSlotStatement(reply->report, *reply->slots, sentAt);
     });
 }
 
-void MembershipService::onReport(const codec::DaemonReport& report, std::optional<base::TimePoint> sentAt)
+void MembershipService::onReport(const codec::DaemonReport& report, base::TimePoint sentAt)
 {
     if (report.daemon == m_runtime.settings.daemon)
         return;
@@ -418,17 +415,10 @@
     ConfigurationService* configuration = this->configuration();
     if (configuration == nullptr)
         return;
-    if (sentAt)
-        cluster::onPeerReport(configuration->freshness(), toPeerReport(report), *sentAt);
+    cluster::onPeerReport(configuration->freshness(), toPeerReport(report), sentAt);
     configuration->onPeerRevision(report.daemon, report.revision);
 }
 
-void MembershipService::onAck(const codec::SlotRecordAck& ack, std::optional<base::TimePoint> sentAt)
-{
-    if (GatewayService* gateway = this->gateway())
-        gateway->onSlotAck(ack, sentAt);
-}
-
 void MembershipService::publishEvents(const std::vector<cluster::MemberEvent>& events)
 {
     for (const cluster::MemberEvent& event : events) {
--- a/src/daemon/membership_service.h
+++ b/src/daemon/membership_service.h
@@ -89,8 +89,7 @@
     void takeInstances(std::vector<InstanceEntry> instances);
     void beat();
     void sendHeartbeat(const base::DaemonId& daemon);
-    void onReport(const codec::DaemonReport& report, std::optional<base::TimePoint> sentAt);
-    void onAck(const codec::SlotRecordAck& ack, std::optional<base::TimePoint> sentAt);
+    void onReport(const codec::DaemonReport& report, base::TimePoint sentAt);
     void sendDigests();
     codec::DigestReply takeDigest(const codec::Digest& digest);
     std::vector<base::DataCentreId> otherDataCentres() const;
--- a/src/daemon/slot_messages.cpp
+++ b/src/daemon/slot_messages.cpp
@@ -35,11 +35,9 @@
 
 } // namespace
 
-codec::SlotRecordAck toMessage(const routing::SlotAck& ack)
+codec::SlotStatement toMessage(const routing::SlotAck& ack)
 {
-    codec::SlotRecordAck message;
-    message.daemon = ack.daemon;
-    message.incarnation = ack.incarnation;
+    codec::SlotStatement message;
     message.recordVersion = ack.version;
     message.silent = ack.silent;
     for (const routing::EndpointMask& busy : ack.busy)
@@ -47,11 +45,11 @@
     return message;
 }
 
-routing::SlotAck toSlotAck(const codec::SlotRecordAck& message)
+routing::SlotAck toSlotAck(const codec::DaemonReport& report, const codec::SlotStatement& message)
 {
     routing::SlotAck ack;
-    ack.daemon = message.daemon;
-    ack.incarnation = message.incarnation;
+    ack.daemon = report.daemon;
+    ack.incarnation = report.incarnation;
     ack.version = message.recordVersion;
     ack.silent = message.silent;
     for (const codec::EndpointSlots& busy : message.busy)
--- a/src/daemon/slot_messages.h
+++ b/src/daemon/slot_messages.h
@@ -11,8 +11,9 @@
 
 namespace lacewing::daemon {
 
-codec::SlotRecordAck toMessage(const routing::SlotAck& ack);
-routing::SlotAck toSlotAck(const codec::SlotRecordAck& message);
+codec::SlotStatement toMessage(const routing::SlotAck& ack);
+// The statement of the daemon that sent `report`.
+routing::SlotAck toSlotAck(const codec::DaemonReport& report, const codec::SlotStatement& message);
 
 codec::SlotLoan toMessage(const routing::LoanRequest& request);
 routing::LoanRequest toLoanRequest(const codec::SlotLoan& message);
