--- a/src/http/answer.cpp
+++ b/src/http/answer.cpp
@@ -1,14 +1,27 @@
-// Parsing of answers.
+// Parsing of answers by Boost.Beast's parser, which works on bytes without a socket.
+//
+// Added here: interim answers are skipped, an answer that ends only with the connection is refused, and the parser's
+// errors become the client's failures.
 #include "http/answer.h"
 
-#include <QList>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <limits>
 #include <optional>
+#include <string>
 
 namespace lacewing::http {
 
 namespace {
 
+    namespace beast = boost::beast;
     using State = AnswerParser::State;
+    using ErrorCode = boost::system::error_code;
+
+    QByteArray toByteArray(beast::string_view text)
+    {
+        return QByteArray(text.data(), static_cast<qsizetype>(text.size()));
+    }
 
     State fail(AnswerParser& parser, Failure failure, const QByteArray& detail)
     {
@@ -19,100 +32,114 @@
         return parser.state;
     }
 
-    // Status of a status line, or nullopt.
-    std::optional<int> parseStatusLine(const QByteArray& line)
+    bool isTooLarge(const ErrorCode& error)
     {
-        const bool hasVersion = line.startsWith("HTTP/1.1 ") || line.startsWith("HTTP/1.0 ");
-        if (!hasVersion || line.size() < 12 || (line.size() > 12 && line[12] != ' '))
-            return std::nullopt;
-        int status = 0;
-        for (const char c : line.mid(9, 3)) {
-            if (c < '0' || c > '9')
-                return std::nullopt;
-            status = status * 10 + (c - '0');
-        }
-        return status >= 100 && status <= 599 ? std::optional<int>(status) : std::nullopt;
+        return error == beast::http::error::header_limit || error == beast::http::error::body_limit
+            || error == beast::http::error::buffer_overflow;
     }
 
-    bool parseHeaders(const QByteArray& lines, Headers& headers)
+    State failWith(AnswerParser& parser, const ErrorCode& error)
     {
-        qsizetype start = 0;
-        while (start < lines.size()) {
-            qsizetype end = lines.indexOf("\r\n", start);
-            if (end < 0)
-                end = lines.size();
-            const QByteArray line = lines.mid(start, end - start);
-            start = end + 2;
-            std::optional<Header> header = parseHeaderField(line);
-            if (!header)
-                return false;
-            headers.push_back(std::move(*header));
-        }
-        return true;
+        const QByteArray detail = QByteArray::fromStdString(error.message());
+        if (isTooLarge(error))
+            return fail(parser, Failure::TooLarge, detail);
+        return fail(parser, parser.state == State::Head ? Failure::ConnectionLost : Failure::Incomplete, detail);
     }
 
-    // Chooses how the body ends.
-    State startBody(AnswerParser& parser)
+} // namespace
+
+struct AnswerParser::Impl {
+    using Parser = beast::http::response_parser<beast::http::string_body>;
+
+    std::optional<Parser> parser; // replaced after each interim answer
+    std::string input;            // not yet parsed
+    qint64 headBytes = 0;         // of all heads parsed so far
+};
+
+namespace {
+
+    // Starts the parser of the next answer on the connection.
+    void restart(AnswerParser& parser)
     {
-        if (parser.isHead || parser.status == 204 || parser.status == 304)
-            return parser.state = State::Done;
-        const std::optional<BodyFraming> framing = findBodyFraming(parser.headers);
-        if (!framing)
-            return fail(parser, Failure::Incomplete, "bad or differing Content-Length or Transfer-Encoding");
-        if (framing->isChunked) {
-            parser.chunks.bodyBytes = parser.bodyBytes;
-            parser.chunks.trailerBytes = parser.headerBytes;
-            return parser.state = State::Chunked;
-        }
-        if (!framing->length)
+        auto& beastParser = parser.impl->parser.emplace();
+        const qint64 headerBytes = std::max<qint64>(parser.headerBytes - parser.impl->headBytes, 1);
+        constexpr qint64 mostHeaderBytes = std::numeric_limits<std::uint32_t>::max();
+        beastParser.header_limit(static_cast<std::uint32_t>(std::min(headerBytes, mostHeaderBytes)));
+        beastParser.body_limit(static_cast<std::uint64_t>(parser.bodyBytes));
+        beastParser.eager(true);
+        beastParser.skip(parser.isHead);
+    }
+
+    // The head is complete: takes it over, and decides how the body ends.
+    State takeHead(AnswerParser& parser)
+    {
+        const auto& message = parser.impl->parser->get();
+        const int status = static_cast<int>(message.result_int());
+        if (status < 100 || status == 101 || status > 599)
+            return fail(parser, Failure::ConnectionLost, "status of the answer out of range");
+        parser.status = status;
+        for (const auto& field : message)
+            parser.headers.push_back({ toByteArray(field.name_string()), toByteArray(field.value()) });
+        const bool hasBody = !parser.isHead && status != 204 && status != 304;
+        if (hasBody && parser.impl->parser->need_eof())
             return fail(parser, Failure::Incomplete, "the end of the answer cannot be verified");
-        if (*framing->length > parser.bodyBytes)
+        // Beast 1.74 in eager mode goes on with a body whose Content-Length exceeds body_limit.
+        const auto length = parser.impl->parser->content_length();
+        if (hasBody && length && *length > static_cast<std::uint64_t>(parser.bodyBytes))
             return fail(parser, Failure::TooLarge, "body larger than the limit");
-        parser.remaining = *framing->length;
-        return parser.state = parser.remaining == 0 ? State::Done : State::Length;
+        return parser.state = State::Body;
+    }
+
+    bool isInterim(const AnswerParser& parser)
+    {
+        const unsigned status = parser.impl->parser->get().result_int();
+        return status >= 100 && status < 200 && status != 101;
     }
 
-    // True when a final head has been parsed.
-    bool takeHead(AnswerParser& parser)
+    // Passes the buffered bytes to the parser. True when it can go on with what is left.
+    bool advance(AnswerParser& parser)
     {
-        while (parser.state == State::Head) {
-            const qsizetype end = parser.input.indexOf("\r\n\r\n", parser.scanned);
-            const qsizetype size = end < 0 ? parser.input.size() : end + 4;
-            if (parser.headBytes + size > parser.headerBytes) {
+        AnswerParser::Impl& impl = *parser.impl;
+        ErrorCode error;
+        const std::size_t used = impl.parser->put(boost::asio::buffer(impl.input), error);
+        impl.input.erase(0, used);
+        const bool needsMore = error == beast::http::error::need_more;
+        if (error && !needsMore) {
+            failWith(parser, error);
+            return false;
+        }
+        if (!impl.parser->is_header_done()) {
+            if (static_cast<qint64>(impl.input.size()) > parser.headerBytes)
                 fail(parser, Failure::TooLarge, "headers larger than the limit");
-                return false;
-            }
-            // Another protocol is recognised before the time limit.
-            if (!parser.input.startsWith(
-                    QByteArrayView("HTTP/1.").first(std::min<qsizetype>(7, parser.input.size())))) {
-                fail(parser, Failure::ConnectionLost, "the answer is not HTTP/1.x");
-                return false;
-            }
-            if (end < 0) {
-                parser.scanned = std::max<qsizetype>(0, size - 3);
-                return false;
+            return false;
+        }
+        if (parser.state == State::Head) {
+            if (isInterim(parser)) {
+                impl.headBytes += static_cast<qint64>(used);
+                if (impl.headBytes >= parser.headerBytes) {
+                    fail(parser, Failure::TooLarge, "headers larger than the limit");
+                    return false;
+                }
+                restart(parser);
+                return !impl.input.empty();
             }
-            const QByteArray head = parser.input.left(end);
-            parser.input.remove(0, size);
-            parser.scanned = 0;
-            parser.headBytes += size;
-            qsizetype lineEnd = head.indexOf("\r\n");
-            if (lineEnd < 0)
-                lineEnd = head.size();
-            const std::optional<int> status = parseStatusLine(head.left(lineEnd));
-            Headers headers;
-            if (!status || *status == 101 || !parseHeaders(head.mid(lineEnd + 2), headers)) {
-                fail(parser, Failure::ConnectionLost, "malformed head of the answer");
+            if (takeHead(parser) == State::Failed)
                 return false;
-            }
-            if (*status >= 200) {
-                parser.status = *status;
-                parser.headers = std::move(headers);
-                startBody(parser);
-                return parser.state != State::Failed;
-            }
         }
-        return false;
+        if (impl.parser->is_done()) {
+            parser.body = QByteArray::fromStdString(impl.parser->get().body());
+            parser.state = State::Done;
+            return false;
+        }
+        return used > 0 && !impl.input.empty();
+    }
+
+    // True while the bytes can still become an HTTP/1.x answer: another protocol is recognised before the time limit.
+    bool startsLikeHttp(const std::string& input)
+    {
+        constexpr std::string_view start = "HTTP/1.";
+        const std::size_t count = std::min(start.size(), input.size());
+        return input.compare(0, count, start.substr(0, count)) == 0;
     }
 
 } // namespace
@@ -123,6 +150,8 @@
     parser.headerBytes = limits.responseHeaderBytes;
     parser.bodyBytes = limits.responseBodyBytes;
     parser.isHead = method == "HEAD";
+    parser.impl = std::make_shared<AnswerParser::Impl>();
+    restart(parser);
     return parser;
 }
 
@@ -130,26 +159,13 @@
 {
     if (parser.state == State::Done || parser.state == State::Failed)
         return parser.state;
-    parser.input += bytes;
-    if (parser.state == State::Head && !parser.input.isEmpty() && !takeHead(parser))
-        return parser.state;
-    if (parser.state == State::Length) {
-        const qint64 count = std::min<qint64>(parser.remaining, parser.input.size());
-        parser.body += parser.input.left(count);
-        parser.input.clear();
-        parser.remaining -= count;
-        if (parser.remaining == 0)
-            parser.state = State::Done;
-    } else if (parser.state == State::Chunked) {
-        const base::Result<bool, Refused> isComplete = decodeChunks(parser.chunks, parser.input);
-        if (!isComplete) {
-            const bool isTooLarge = isComplete.error().refusal == Refusal::BodyTooLarge;
-            return fail(parser, isTooLarge ? Failure::TooLarge : Failure::Incomplete, isComplete.error().detail);
-        }
-        if (isComplete.value()) {
-            parser.body = std::move(parser.chunks.body);
-            parser.state = State::Done;
-        }
+    AnswerParser::Impl& impl = *parser.impl;
+    impl.input.append(bytes.constData(), static_cast<std::size_t>(bytes.size()));
+    while (!impl.input.empty()) {
+        if (parser.state == State::Head && !startsLikeHttp(impl.input))
+            return fail(parser, Failure::ConnectionLost, "the answer is not HTTP/1.x");
+        if (!advance(parser))
+            break;
     }
     return parser.state;
 }
@@ -158,7 +174,7 @@
 {
     if (parser.state == State::Head)
         fail(parser, Failure::ConnectionLost, "connection closed before the end of the headers");
-    else if (parser.state == State::Length || parser.state == State::Chunked)
+    else if (parser.state == State::Body)
         fail(parser, Failure::Incomplete, "connection closed before the end of the body");
 }
 
--- a/src/http/answer.h
+++ b/src/http/answer.h
@@ -5,12 +5,13 @@
 #pragma once
 
 #include "http/client.h"
-#include "http/framing.h"
+
+#include <memory>
 
 namespace lacewing::http {
 
 struct AnswerParser {
-    enum class State { Head, Length, Chunked, Done, Failed };
+    enum class State { Head, Body, Done, Failed };
 
     // --- Limits ---
     qint64 headerBytes = 0; // of all heads, interim answers included
@@ -18,12 +19,9 @@
     bool isHead = false; // answer to a HEAD request: no body
 
     // --- State ---
+    struct Impl; // Boost.Beast stays out of this header, because it is slow to compile
+    std::shared_ptr<Impl> impl;
     State state = State::Head;
-    QByteArray input;      // not yet parsed
-    qsizetype scanned = 0; // bytes of input without the end of a head
-    qint64 headBytes = 0;  // of heads parsed so far
-    qint64 remaining = 0;  // bytes of a body with a length
-    ChunkDecoder chunks;
 
     // --- Answer ---
     int status = 0; // 0 until the head is complete
