Return loans when idle, lend only below 85% load, and bound the cost of the median

Change: loans go back when no request waits; nothing is lent above 85% of the usable slots; the median is computed at most every 100 ms in all cases.

--- a/src/routing/gateway.cpp
+++ b/src/routing/gateway.cpp
@@ -152,7 +152,10 @@
 
     void returnLoans(Gateway& gateway, base::TimePoint now, Effects& effects)
     {
-        // Loans are kept while requests wait.
+        // Loans are kept while requests wait. Without waiting requests they go back at once, because the owner may need
+        // them.
+        if (gateway.slots.borrowedCount == 0)
+            return;
         const bool all = size(gateway.queue) == 0;
         for (LoanReturn& loan : takeReturns(gateway.slots, all, now))
             effects.emplace_back(GiveLoanBack { std::move(loan) });
@@ -275,6 +278,7 @@
     }
     updateCapacity(gateway, now);
     dispatch(gateway, now, effects);
+    returnLoans(gateway, now, effects);
     return effects;
 }
 
@@ -392,9 +396,11 @@
 
 LoanReply onLoanRequest(Gateway& gateway, const LoanRequest& request, base::TimePoint now)
 {
-    // Requests that wait here need the slots.
+    // Near full load this daemon needs its slots itself before the loan is back.
     LoanRequest limited = request;
-    if (size(gateway.queue) > 0)
+    updateCapacity(gateway, now);
+    const bool isLoaded = gateway.localInFlight > gateway.limits.slots.lendLoadMax * gateway.queue.capacity;
+    if (size(gateway.queue) > 0 || isLoaded)
         limited.count = 0;
     return lend(gateway.slots, limited, now);
 }
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -31,6 +31,7 @@
     std::int64_t loanRetryMs = 20;         // pause between two loan requests of one daemon, ms
     int loanReserve = 1;                   // free slots of an endpoint that its owner keeps
     std::int64_t proposalPauseMs = 1000;   // pause between two writes of the record by one daemon, ms
+    double lendLoadMax = 0.85;             // nothing is lent above this share of the usable slots in use
     int loanMaxSlots = 2;                  // slots lent by one reply
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -55,7 +55,7 @@
 
     void updateMedian(Router& router, base::TimePoint now)
     {
-        if (router.medianUs > 0 && now < router.medianAt + medianInterval)
+        if (router.medianAt && now < *router.medianAt + medianInterval)
             return;
         std::vector<double> estimates;
         for (const EndpointState& state : router.endpoints) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -72,12 +72,12 @@
     std::vector<EndpointState> endpoints;                      // in the order of first appearance in the list
     std::unordered_map<base::EndpointId, std::size_t> indexes; // id to position in endpoints
     std::size_t nextRoundRobin = 0;
-    std::size_t ejectedCount = 0;  // endpoints with isEjected
-    std::size_t eligibleCount = 0; // live endpoints that are neither ejected nor failed
-    base::TimePoint nextReturnAt;  // earliest end of an ejection, when ejectedCount > 0
-    double medianUs = 0;           // median of the service estimates; 0 before it is known
-    base::TimePoint medianAt;      // time of the last computation of medianUs
-    Counters* counters = nullptr;  // not owned, may be null
+    std::size_t ejectedCount = 0;            // endpoints with isEjected
+    std::size_t eligibleCount = 0;           // live endpoints that are neither ejected nor failed
+    base::TimePoint nextReturnAt;            // earliest end of an ejection, when ejectedCount > 0
+    double medianUs = 0;                     // median of the service estimates; 0 before it is known
+    std::optional<base::TimePoint> medianAt; // time of the last computation of medianUs
+    Counters* counters = nullptr;            // not owned, may be null
 };
 
 struct RequestView {
--- a/src/routing/slots.h
+++ b/src/routing/slots.h
@@ -165,6 +165,7 @@
     // --- Loans ---
     std::map<std::uint64_t, PendingLoan> pending; // loan requests without a reply
     std::size_t loanCount = 0;                    // loans given that have not ended
+    std::size_t borrowedCount = 0;                // loans received that have not been given back
     std::uint64_t nextLoan = 1;
     std::uint64_t nextRequest = 1;
     std::optional<base::TimePoint> loanAskedAt;
--- a/src/routing/slots_loans.cpp
+++ b/src/routing/slots_loans.cpp
@@ -177,6 +177,7 @@
         }
         return LoanReturn { reply.owner, reply.ownerIncarnation, reply.loan, reply.endpoint };
     }
+    ++table.borrowedCount;
     found->second.borrowed.push_back({ reply.owner, reply.ownerIncarnation, reply.loan, reply.slots, *until });
     count(table, &Counters::loansReceived, static_cast<std::uint64_t>(sizeOf(reply.slots)));
     return std::nullopt;
@@ -197,6 +198,8 @@
 std::vector<LoanReturn> takeReturns(SlotTable& table, bool all, base::TimePoint now)
 {
     std::vector<LoanReturn> returns;
+    if (table.borrowedCount == 0)
+        return returns;
     for (auto& item : table.endpoints) {
         EndpointSlots& state = item.second;
         std::erase_if(state.borrowed, [&](const Borrowed& loan) {
@@ -207,6 +210,7 @@
             return isDone;
         });
     }
+    table.borrowedCount -= returns.size();
     return returns;
 }
 
--- a/tests/routing_router_test.cpp
+++ b/tests/routing_router_test.cpp
@@ -116,6 +116,9 @@
         Fixture fixture(10);
         for (int index = 0; index < 10; ++index)
             fixture.succeed(index, 20, index == 4 ? 50 : 5, at(0));
+        // The median is computed at most every 100 ms.
+        for (int index = 0; index < 10; ++index)
+            fixture.succeed(index, 1, index == 4 ? 50 : 5, at(200));
         CPPUNIT_ASSERT(findEndpoint(fixture.router, name(4))->isEjected);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, fixture.counters.ejections);
     }
