Move urgent jobs by the room that eviction can make

Change: summaries carry the room for urgent work; moves take the room off the summary and include the queue behind a waiting job.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -345,7 +345,7 @@
     return largest;
 }
 
-std::int64_t freeCpuMilli(const Dispatcher& d, const ShardKey& key)
+std::int64_t freeCpuMilli(const Dispatcher& d, const ShardKey& key, FreeKind kind)
 {
     const auto slot = d.shards.find(key);
     if (slot == d.shards.end() || !isOwner(*slot->second))
@@ -353,7 +353,7 @@
     std::int64_t free = 0;
     const Fleet& fleet = slot->second->fleet;
     for (const FleetWorker& worker : fleet.workers)
-        free += std::max<std::int64_t>(0, freeFor(fleet, worker, FreeKind::ForBatch).cpuMilli);
+        free += std::max<std::int64_t>(0, freeFor(fleet, worker, kind).cpuMilli);
     return free;
 }
 
--- a/src/batch/dispatcher.h
+++ b/src/batch/dispatcher.h
@@ -224,16 +224,16 @@
     base::Duration retryInterval = base::seconds(2); // repeat of a request to a worker without a reply
     std::size_t maxStartsInFlight = 8;               // for each worker
     // --- Work ---
-    base::Duration evictGrace = base::seconds(2);           // from checkpoint request to stop
-    base::Duration quarantine = base::seconds(300);         // then a probe with one task
-    base::Duration neverAfter = base::seconds(60);          // until a job that fits no listed worker is failed
-    base::Duration waitBeforeMove = base::seconds(5);       // until a waiting job moves to a shard with free workers
-    base::Duration urgentWaitBeforeMove = base::seconds(1); // the same for urgent jobs: they start within 7.3 s
-    base::Duration lostReplyAfter = base::seconds(5);       // until a submission with unknown outcome is answered so
-    std::size_t quarantineJobs = 3;                         // different jobs failed on the worker
-    base::Duration returnStep = base::seconds(10);          // steps 10, 25, 50, 100% after a data centre returns
-    std::size_t plansPerTick = 64;                          // for each shard
-    std::size_t transfersPerTick = 16;                      // for each shard
+    base::Duration evictGrace = base::seconds(2);     // from checkpoint request to stop
+    base::Duration quarantine = base::seconds(300);   // then a probe with one task
+    base::Duration neverAfter = base::seconds(60);    // until a job that fits no listed worker is failed
+    base::Duration waitBeforeMove = base::seconds(5); // until a waiting job moves to a shard with free workers
+    base::Duration urgentWaitBeforeMove = base::milliseconds(500); // the same for urgent jobs: they start within 7.3 s
+    base::Duration lostReplyAfter = base::seconds(5); // until a submission with unknown outcome is answered so
+    std::size_t quarantineJobs = 3;                   // different jobs failed on the worker
+    base::Duration returnStep = base::seconds(10);    // steps 10, 25, 50, 100% after a data centre returns
+    std::size_t plansPerTick = 64;                    // for each shard
+    std::size_t transfersPerTick = 16;                // for each shard
     base::Duration transferRetry = base::seconds(2);
     ShardLimits shard;
     PressureLimits pressure;
@@ -244,9 +244,10 @@
     ShardKey key;
     base::DataCentreId dataCentre;
     std::vector<base::RackId> racks;
-    base::DaemonId owner;          // as far as known
-    std::int64_t freeCpuMilli = 0; // of the shard's workers, from the digest
-    Resources largest;             // largest worker of the shard, from the digest; zero: not known
+    base::DaemonId owner;            // as far as known
+    std::int64_t freeCpuMilli = 0;   // of the shard's workers, from the digest
+    std::int64_t urgentCpuMilli = 0; // the same for urgent work, with what it may evict
+    Resources largest;               // largest worker of the shard, from the digest; zero: not known
 };
 
 struct DispatcherCounters {
@@ -389,7 +390,7 @@
 const Job* findJob(const Dispatcher& d, const base::JobId& id);
 // Largest worker of an owned shard, for the digest.
 Resources largestCapacity(const Dispatcher& d, const ShardKey& key);
-// Free processors of the fenced workers of an owned shard, thousandths.
-std::int64_t freeCpuMilli(const Dispatcher& d, const ShardKey& key);
+// Free processors of the usable workers of an owned shard, thousandths, for the digest.
+std::int64_t freeCpuMilli(const Dispatcher& d, const ShardKey& key, FreeKind kind = FreeKind::ForBatch);
 
 } // namespace lacewing::batch
--- a/src/batch/dispatcher_plan.cpp
+++ b/src/batch/dispatcher_plan.cpp
@@ -21,32 +21,74 @@
         slot.waitingSince.erase(id);
     }
 
-    // A shard that may take the job now, drawn by free processors. Empty: none.
+    std::int64_t roomOf(const ShardSummary& summary, JobClass jobClass)
+    {
+        return jobClass == JobClass::Urgent ? std::max(summary.urgentCpuMilli, summary.freeCpuMilli)
+                                            : summary.freeCpuMilli;
+    }
+
+    // A shard that may take the job now, drawn by free processors. Empty: none. The room is taken off the summary, so
+    // that moves before the next digest do not count it twice.
     ShardKey chooseTarget(Dispatcher& d, const ShardSlot& slot, const JobSpec& spec, bool needsRoom)
     {
-        std::vector<std::pair<const ShardSummary*, std::int64_t>> candidates;
+        std::vector<std::pair<ShardSummary*, std::int64_t>> candidates;
         std::int64_t total = 0;
-        for (const auto& [key, summary] : d.directory) {
+        for (auto& [key, summary] : d.directory) {
             const bool isPossible = key != slot.key && isInService(d, summary.dataCentre)
                 && mayRunIn(spec, summary.dataCentre) && !summary.owner.empty()
                 && (summary.largest.cpuMilli == 0 || spec.resources.fitsIn(summary.largest));
             if (!isPossible)
                 continue;
-            const std::int64_t weight = std::max<std::int64_t>(0, summary.freeCpuMilli);
-            if (needsRoom && weight < 4 * spec.resources.cpuMilli)
+            const std::int64_t room = std::max<std::int64_t>(0, roomOf(summary, spec.jobClass));
+            if (needsRoom && room < 4 * spec.resources.cpuMilli)
                 continue;
-            candidates.emplace_back(&summary, weight + 1);
-            total += weight + 1;
+            candidates.emplace_back(&summary, room + 1);
+            total += room + 1;
         }
         if (candidates.empty())
             return {};
         auto drawn = static_cast<std::int64_t>(base::below(d.rng, static_cast<std::uint64_t>(total)));
-        for (const auto& [summary, weight] : candidates) {
-            drawn -= weight;
-            if (drawn < 0)
-                return summary->key;
+        std::size_t chosen = 0;
+        while (drawn >= candidates[chosen].second)
+            drawn -= candidates[chosen++].second;
+        ShardSummary& summary = *candidates[chosen].first;
+        summary.freeCpuMilli -= spec.resources.cpuMilli;
+        summary.urgentCpuMilli -= spec.resources.cpuMilli;
+        return summary.key;
+    }
+
+    // Jobs that should move: all queued ones of a data centre out of service; else urgent jobs without room here, and
+    // batch jobs behind one that has waited long, as far as other shards have room.
+    std::vector<std::pair<base::JobId, ShardKey>> chooseMoves(Dispatcher& d, ShardSlot& slot, base::TimePoint now)
+    {
+        std::erase_if(slot.waitingSince, [&](const auto& entry) {
+            const auto job = slot.shard.jobs.find(entry.first);
+            return job == slot.shard.jobs.end() || job->second.state != JobState::Queued;
+        });
+        const bool isOut = !isInService(d, slot.shard.dataCentre);
+        const bool isFull = std::any_of(slot.waitingSince.begin(), slot.waitingSince.end(),
+            [&](const auto& entry) { return now - entry.second >= d.limits.waitBeforeMove; });
+        std::vector<std::pair<base::JobId, ShardKey>> moves;
+        if (!isOut && slot.waitingSince.empty())
+            return moves;
+        for (const auto& [id, job] : slot.shard.jobs) {
+            if (moves.size() == d.limits.transfersPerTick)
+                break;
+            if (job.state != JobState::Queued)
+                continue;
+            bool shouldMove = isOut || isFull;
+            if (!isOut && job.spec.jobClass == JobClass::Urgent) {
+                const auto since = slot.waitingSince.find(id);
+                shouldMove = since != slot.waitingSince.end() && now - since->second >= d.limits.urgentWaitBeforeMove
+                    && !slot.reservations.contains(id);
+            }
+            if (!shouldMove)
+                continue;
+            ShardKey target = chooseTarget(d, slot, job.spec, !isOut);
+            if (!target.empty())
+                moves.emplace_back(id, std::move(target));
         }
-        return candidates.back().first->key;
+        return moves;
     }
 
     enum class Elsewhere { Possible, Impossible, NotKnown };
@@ -174,7 +216,7 @@
         }
         slot.waitingSince.try_emplace(id, now);
         const bool failedEverywhere = !job.failedOn.empty() && job.failedOn.size() >= slot.fleet.workers.size()
-            && chooseTarget(d, slot, job.spec, false).empty();
+            && fitsElsewhere(d, slot, job.spec) == Elsewhere::Impossible;
         if (failedEverywhere && failJob(slot.shard, id, "failedOnEveryWorker", d.limits.shard)) {
             slot.waitingSince.erase(id);
             touch(slot);
@@ -314,34 +356,8 @@
 
 void driveTransfers(Dispatcher& d, ShardSlot& slot, base::TimePoint now, Effects& out)
 {
-    const bool isOut = d.hasPolicy && !isInService(d, slot.shard.dataCentre);
-    if (d.hasPolicy && !d.isStoreDown && slot.phase == ShardPhase::Owned) {
-        std::vector<std::pair<base::JobId, ShardKey>> moves;
-        const auto consider = [&](const Job& job, bool needsRoom) {
-            ShardKey target = chooseTarget(d, slot, job.spec, needsRoom);
-            if (!target.empty())
-                moves.emplace_back(job.spec.id, std::move(target));
-        };
-        if (isOut) {
-            for (const auto& [id, job] : slot.shard.jobs) {
-                if (job.state == JobState::Queued && moves.size() < d.limits.transfersPerTick)
-                    consider(job, false);
-            }
-        } else {
-            std::erase_if(slot.waitingSince, [&](const auto& entry) {
-                const auto job = slot.shard.jobs.find(entry.first);
-                return job == slot.shard.jobs.end() || job->second.state != JobState::Queued;
-            });
-            for (auto& [id, since] : slot.waitingSince) {
-                const Job& job = slot.shard.jobs.at(id);
-                const base::Duration wait
-                    = job.spec.jobClass == JobClass::Urgent ? d.limits.urgentWaitBeforeMove : d.limits.waitBeforeMove;
-                const bool hasRoomSoon = slot.reservations.contains(id);
-                if (now - since >= wait && !hasRoomSoon && moves.size() < d.limits.transfersPerTick)
-                    consider(job, true);
-            }
-        }
-        for (const auto& [id, target] : moves)
+    if (d.hasPolicy && !d.isStoreDown && slot.phase == ShardPhase::Owned && !slot.isReleasing) {
+        for (const auto& [id, target] : chooseMoves(d, slot, now))
             beginMove(slot, id, target, now);
     }
     std::erase_if(slot.transfers, [&](const auto& entry) {
