Reduce the cost of checking large configurations

Cause: a set at the file limits (999 files, 763 KB) is checked on the event loop of every daemon. Change: a path on the line of its parent is no longer recorded, the schema parses each default once, and paths of list entries are built only for errors. Lookups fall back to the parent, so that reported lines are the same.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -91,9 +91,16 @@
         return QJsonDocument::fromJson(wrapped).array().at(0).toString().toStdString();
     }
 
-    void scanValue(Scanner& scanner, const std::string& path, int depth);
+    // `parentLine` is the line that lineOfPath gives for the parent of the scanned value.
+    void scanValue(Scanner& scanner, const std::string& path, int depth, int parentLine);
 
-    void scanObject(Scanner& scanner, const std::string& path, int depth)
+    void record(Scanner& scanner, const std::string& path, int line, int parentLine)
+    {
+        if (line != parentLine)
+            scanner.keys.lines.insert_or_assign(path, line);
+    }
+
+    void scanObject(Scanner& scanner, const std::string& path, int depth, int parentLine)
     {
         std::unordered_map<std::string, int> seen;
         while (peek(scanner) == '"') {
@@ -103,11 +110,11 @@
             const auto [entry, isNew] = seen.emplace(key, line);
             if (!isNew)
                 scanner.duplicates.push_back({ child, entry->second, line });
-            scanner.keys.lines.insert_or_assign(child, line);
+            record(scanner, child, line, parentLine);
             if (peek(scanner) != ':')
                 return;
             ++scanner.at;
-            scanValue(scanner, child, depth);
+            scanValue(scanner, child, depth, line);
             if (peek(scanner) != ',')
                 break;
             ++scanner.at;
@@ -116,12 +123,13 @@
             ++scanner.at;
     }
 
-    void scanArray(Scanner& scanner, const std::string& path, int depth)
+    void scanArray(Scanner& scanner, const std::string& path, int depth, int parentLine)
     {
         for (std::size_t index = 0; peek(scanner) != ']' && peek(scanner) != '\0'; ++index) {
             const std::string child = elementPath(path, index);
-            scanner.keys.lines.insert_or_assign(child, scanner.line);
-            scanValue(scanner, child, depth);
+            const int line = scanner.line;
+            record(scanner, child, line, parentLine);
+            scanValue(scanner, child, depth, line);
             if (peek(scanner) != ',')
                 break;
             ++scanner.at;
@@ -130,7 +138,7 @@
             ++scanner.at;
     }
 
-    void scanValue(Scanner& scanner, const std::string& path, int depth)
+    void scanValue(Scanner& scanner, const std::string& path, int depth, int parentLine)
     {
         const char first = peek(scanner);
         const bool isContainer = first == '{' || first == '[';
@@ -142,10 +150,10 @@
         }
         if (first == '{') {
             ++scanner.at;
-            scanObject(scanner, path, depth + 1);
+            scanObject(scanner, path, depth + 1, parentLine);
         } else if (first == '[') {
             ++scanner.at;
-            scanArray(scanner, path, depth + 1);
+            scanArray(scanner, path, depth + 1, parentLine);
         } else if (first == '"') {
             readString(scanner);
         } else {
@@ -160,7 +168,7 @@
         Scanner scanner;
         scanner.text = text;
         scanner.maximumDepth = maximumDepth;
-        scanValue(scanner, {}, 0);
+        scanValue(scanner, {}, 0, 1);
         return scanner;
     }
 
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -57,7 +57,7 @@
     int depth = 32;                // deepest nesting of objects and arrays
 };
 
-// Lines of the keys of one text, by path.
+// Lines of the keys of one text, by path. A path that begins on the line of its parent is left out.
 struct KeyLines {
     std::unordered_map<std::string, int> lines;
 };
--- a/src/base/schema.cpp
+++ b/src/base/schema.cpp
@@ -3,21 +3,67 @@
 
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <QSet>
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <numeric>
-#include <set>
+#include <unordered_map>
 
 namespace lacewing::base {
 
 namespace {
 
+    // Parsed defaults. One table describes each of many objects, and parsing a default takes as long as the check.
+    using Defaults = std::unordered_map<const Field*, QJsonValue>;
+
     struct Context {
         const Locator& locate;
         InputErrors errors;
+        Defaults defaults;
     };
 
+    QString keyOf(std::string_view key) { return QString::fromUtf8(key.data(), static_cast<qsizetype>(key.size())); }
+
+    QJsonValue defaultOf(const Field& field, Defaults& defaults)
+    {
+        if (field.defaultJson.empty())
+            return QJsonValue(QJsonValue::Undefined);
+        const auto known = defaults.find(&field);
+        if (known != defaults.end())
+            return known->second;
+        const QByteArray text(field.defaultJson.data(), static_cast<qsizetype>(field.defaultJson.size()));
+        return defaults.emplace(&field, QJsonDocument::fromJson("[" + text + "]").array().at(0)).first->second;
+    }
+
+    QJsonObject complete(const QJsonObject& object, const Schema& schema, Defaults& defaults)
+    {
+        QJsonObject completed = object;
+        for (const Field& field : schema.fields) {
+            const QString key = keyOf(field.key);
+            const Schema inner { field.fields, field.rules };
+            QJsonValue value = object.value(key);
+            if (value.isUndefined())
+                value = defaultOf(field, defaults);
+            if (field.type == FieldType::Object) {
+                value = complete(value.toObject(), inner, defaults);
+            } else if (field.type == FieldType::ObjectMap) {
+                QJsonObject entries = value.toObject();
+                for (auto entry = entries.begin(); entry != entries.end(); ++entry)
+                    entry.value() = complete(entry.value().toObject(), inner, defaults);
+                value = entries;
+            } else if (field.type == FieldType::ObjectList) {
+                QJsonArray elements;
+                for (const auto& element : value.toArray())
+                    elements.append(complete(element.toObject(), inner, defaults));
+                value = elements;
+            }
+            if (!value.isUndefined())
+                completed.insert(key, value);
+        }
+        return completed;
+    }
+
     std::string numberText(double value)
     {
         if (value == std::floor(value) && std::abs(value) < 1e15)
@@ -112,14 +158,19 @@
     {
         if (!isWithin(field, static_cast<double>(array.size())))
             reportRange(context, field, path, array);
-        std::set<QString> seen;
+        QSet<QString> seen;
         for (qsizetype index = 0; index < array.size(); ++index) {
             const QJsonValue element = array.at(index);
+            const bool isText = element.isString();
+            if (isText && !seen.contains(element.toString())) {
+                seen.insert(element.toString());
+                continue;
+            }
             const std::string elementAt = elementPath(path, static_cast<std::size_t>(index));
-            if (!element.isString())
-                reportType(context, field, elementAt, element);
-            else if (!seen.insert(element.toString()).second)
+            if (isText)
                 report(context, InputError::Code::Contradiction, elementAt, element, {}, "entry appears twice");
+            else
+                reportType(context, field, elementAt, element);
         }
     }
 
@@ -222,7 +273,7 @@
                 closest.empty() ? "unknown key" : "unknown key, did you mean \"" + closest + "\"?");
         }
         for (const Field& field : schema.fields) {
-            const QString key = QString::fromUtf8(field.key.data(), static_cast<qsizetype>(field.key.size()));
+            const QString key = keyOf(field.key);
             if (field.isRequired && !object.contains(key)) {
                 report(context, InputError::Code::Missing, childPath(path, field.key),
                     QJsonValue(QJsonValue::Undefined), acceptedText(field), "required key is missing");
@@ -231,25 +282,17 @@
         // A rule reads several keys; with an invalid one among them its verdict would be meaningless.
         if (context.errors.size() != errorsBefore || schema.rules.empty())
             return;
-        const QJsonObject complete = withDefaults(object, schema);
+        const QJsonObject completed = complete(object, schema, context.defaults);
         for (const Rule& rule : schema.rules) {
-            if (rule.holds(complete))
+            if (rule.holds(completed))
                 continue;
             const std::string at = rule.key.empty() ? path : childPath(path, rule.key);
-            const QString key = QString::fromUtf8(rule.key.data(), static_cast<qsizetype>(rule.key.size()));
-            report(context, InputError::Code::Contradiction, at, complete.value(key), {},
+            const QString key = keyOf(rule.key);
+            report(context, InputError::Code::Contradiction, at, completed.value(key), {},
                 "violates the rule: " + std::string(rule.doc));
         }
     }
 
-    QJsonValue defaultOf(const Field& field)
-    {
-        if (field.defaultJson.empty())
-            return QJsonValue(QJsonValue::Undefined);
-        const QByteArray text(field.defaultJson.data(), static_cast<qsizetype>(field.defaultJson.size()));
-        return QJsonDocument::fromJson("[" + text + "]").array().at(0);
-    }
-
     std::string typeName(FieldType type)
     {
         switch (type) {
@@ -318,37 +361,15 @@
 
 InputErrors checkSchema(const QJsonObject& object, const Schema& schema, const Locator& locate, const std::string& path)
 {
-    Context context { locate, {} };
+    Context context { locate, {}, {} };
     checkObject(context, object, schema, path);
     return std::move(context.errors);
 }
 
 QJsonObject withDefaults(const QJsonObject& object, const Schema& schema)
 {
-    QJsonObject complete = object;
-    for (const Field& field : schema.fields) {
-        const QString key = QString::fromUtf8(field.key.data(), static_cast<qsizetype>(field.key.size()));
-        const Schema inner { field.fields, field.rules };
-        QJsonValue value = complete.value(key);
-        if (value.isUndefined())
-            value = defaultOf(field);
-        if (field.type == FieldType::Object) {
-            value = withDefaults(value.toObject(), inner);
-        } else if (field.type == FieldType::ObjectMap) {
-            QJsonObject entries = value.toObject();
-            for (auto entry = entries.begin(); entry != entries.end(); ++entry)
-                entry.value() = withDefaults(entry.value().toObject(), inner);
-            value = entries;
-        } else if (field.type == FieldType::ObjectList) {
-            QJsonArray elements;
-            for (const auto& element : value.toArray())
-                elements.append(withDefaults(element.toObject(), inner));
-            value = elements;
-        }
-        if (!value.isUndefined())
-            complete.insert(key, value);
-    }
-    return complete;
+    Defaults defaults;
+    return complete(object, schema, defaults);
 }
 
 std::vector<SchemaRow> schemaRows(const Schema& schema, const std::string& path)
--- a/src/config/merge.cpp
+++ b/src/config/merge.cpp
@@ -48,22 +48,29 @@
         }
     }
 
-    // Records where the elements of an array and their keys were written.
+    // Records where the elements of an array and their keys were written, as far as they are not on the line of their
+    // parent. `locate` falls back to the parent, so that long arrays on one line cost nothing.
     void recordElements(
         FileMerge& context, const QJsonValue& value, const std::string& filePath, const std::string& path)
     {
-        context.merged.origins.insert_or_assign(path, locationOf(context, filePath));
+        const auto recordChild = [&](const QJsonValue& child, const std::string& childFilePath, const std::string& at) {
+            const auto entry = context.keys.lines.find(childFilePath);
+            if (entry != context.keys.lines.end())
+                context.merged.origins.insert_or_assign(at, base::Location { context.file, entry->second });
+            if (child.isObject() || child.isArray())
+                recordElements(context, child, childFilePath, at);
+        };
         if (value.isObject()) {
             const QJsonObject object = value.toObject();
             for (auto entry = object.begin(); entry != object.end(); ++entry) {
                 const std::string key = entry.key().toStdString();
-                recordElements(context, entry.value(), base::childPath(filePath, key), base::childPath(path, key));
+                recordChild(entry.value(), base::childPath(filePath, key), base::childPath(path, key));
             }
         } else if (value.isArray()) {
             const QJsonArray array = value.toArray();
             for (qsizetype index = 0; index < array.size(); ++index) {
                 const auto at = static_cast<std::size_t>(index);
-                recordElements(context, array.at(index), base::elementPath(filePath, at), base::elementPath(path, at));
+                recordChild(array.at(index), base::elementPath(filePath, at), base::elementPath(path, at));
             }
         }
     }
@@ -76,11 +83,11 @@
         FileMerge& context, const QJsonValue& value, const std::string& filePath, const std::string& path)
     {
         context.merged.removals.erase(path);
+        context.merged.origins.insert_or_assign(path, locationOf(context, filePath));
         if (!value.isObject()) {
             recordElements(context, value, filePath, path);
             return value;
         }
-        context.merged.origins.insert_or_assign(path, locationOf(context, filePath));
         QJsonObject object;
         mergeObject(context, object, value.toObject(), filePath, path);
         return object;
