--- a/model/configuration.pml
+++ b/model/configuration.pml
@@ -30,10 +30,14 @@
 #endif
 #define STARTER 1 /* the daemon that starts tasks */
 #ifndef MAY_ACCEPT
-#define MAY_ACCEPT(d) ((d) != STARTER && (d) >= RECORDED - 2 * (DAEMONS == 2)) /* with 3 daemons: the one that joins */
+#define MAY_ACCEPT(d) (ALL_ACCEPT || ((d) != STARTER && (d) >= RECORDED - 2 * (DAEMONS == 2))) /* with 3 daemons: the one that joins */
 #endif
+#ifndef MAX_AGE
 #define MAX_AGE 1 /* 2 s in the design; one step is enough to tell fresh from old */
+#endif
+#ifndef START_LIMIT
 #define START_LIMIT 1
+#endif
 #ifndef NO_FAULTS
 #define NO_FAULTS 0
 #endif
@@ -73,6 +77,9 @@
 #ifndef NO_RESOLVING_READ
 #define NO_RESOLVING_READ 0
 #endif
+#ifndef ALL_ACCEPT
+#define ALL_ACCEPT 0
+#endif
 #ifndef NO_RELAY
 #define NO_RELAY 0
 #endif
--- a/src/base/burn.cpp
+++ b/src/base/burn.cpp
@@ -1,27 +1,22 @@
-// Burn rates, contributors and the JSON form of GET /v1/slo.
+// Evaluation of burn rates and the JSON form of GET /v1/slo.
 #include "base/burn.h"
 
 #include <QJsonArray>
 #include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
 
 namespace lacewing::base {
 
 namespace {
 
-    std::uint64_t badOf(const Objective& objective, const SloCounts& counts)
+    QString toQString(std::string_view text)
     {
-        return objective.kind == ObjectiveKind::Latency ? counts.slow : counts.failed;
+        return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
     }
 
-    // Latency is judged over answered requests only; a refusal counts against availability.
-    std::uint64_t totalOf(const Objective& objective, const SloCounts& counts)
-    {
-        if (objective.kind == ObjectiveKind::Latency)
-            return counts.total - std::min(counts.failed, counts.total);
-        return counts.total;
-    }
-
-    void add(SloCounts& sum, const SloCounts& counts)
+    void addTo(SloCounts& sum, const SloCounts& counts)
     {
         sum.total += counts.total;
         sum.failed += counts.failed;
@@ -33,117 +28,126 @@
         return burn.windows[static_cast<std::size_t>(window)];
     }
 
+    bool isFired(const ObjectiveBurn& burn, const BurnRule& rule)
+    {
+        const WindowBurn& longer = windowOf(burn, rule.longWindow);
+        const WindowBurn& shorter = windowOf(burn, rule.shortWindow);
+        return goodBad(burn.objective, longer.counts).counted >= minimumRequests && longer.rate >= rule.threshold
+            && shorter.rate >= rule.threshold;
+    }
+
+    // --- JSON ---
+
     QJsonArray toJson(const SloCounts& counts)
     {
         return { static_cast<qint64>(counts.total), static_cast<qint64>(counts.failed),
             static_cast<qint64>(counts.slow) };
     }
 
-    std::optional<SloCounts> countsFromJson(const QJsonValue& value)
+    bool read(const QJsonValue& json, SloCounts& counts)
     {
-        const QJsonArray array = value.toArray();
-        if (array.size() != 3)
-            return std::nullopt;
-        for (const QJsonValue entry : array) {
-            if (!entry.isDouble() || entry.toInteger(-1) < 0)
-                return std::nullopt;
+        const QJsonArray numbers = json.toArray();
+        if (numbers.size() != 3)
+            return false;
+        std::array<std::uint64_t, 3> values {};
+        for (int index = 0; index < 3; ++index) {
+            // 2^40 requests in a window; bounds the sum over all daemons and endpoints.
+            const qint64 value = numbers[index].toInteger(-1);
+            if (value < 0 || value > (qint64 { 1 } << 40))
+                return false;
+            values[static_cast<std::size_t>(index)] = static_cast<std::uint64_t>(value);
         }
-        return SloCounts { static_cast<std::uint64_t>(array[0].toInteger()),
-            static_cast<std::uint64_t>(array[1].toInteger()), static_cast<std::uint64_t>(array[2].toInteger()) };
+        counts = { values[0], values[1], values[2] };
+        return counts.failed <= counts.total && counts.slow <= counts.total - counts.failed;
     }
 
-    QJsonObject toJson(const Objective& objective)
+    bool read(const QJsonValue& json, std::string& text)
     {
-        QJsonObject object { { "service", QString::fromStdString(objective.service) },
-            { "kind", QString::fromUtf8(nameOf(objectiveKindNames, objective.kind).data()) },
-            { "target", objective.target } };
-        if (objective.threshold)
-            object["thresholdMs"] = static_cast<qint64>(toMilliseconds(*objective.threshold));
-        return object;
+        if (!json.isString())
+            return false;
+        text = json.toString().toStdString();
+        return true;
     }
 
-    std::optional<Objective> objectiveFromJson(const QJsonValue& value)
+    bool readObjective(const QJsonObject& json, Objective& objective)
     {
-        const auto kind = valueOf(objectiveKindNames, value["kind"].toString().toStdString());
-        const double target = value["target"].toDouble(-1);
-        if (!kind || !value["service"].isString() || !(target > 0) || !(target < 1))
-            return std::nullopt;
-        Objective objective;
-        objective.service = value["service"].toString().toStdString();
-        objective.kind = *kind;
-        objective.target = target;
-        if (value["thresholdMs"].isDouble())
-            objective.threshold = milliseconds(value["thresholdMs"].toInteger());
-        return objective;
-    }
-
-    QJsonObject toJson(const SloSample& sample)
+        std::string kind;
+        if (!read(json[QStringLiteral("service")], objective.service) || !read(json[QStringLiteral("kind")], kind))
+            return false;
+        const std::optional<ObjectiveKind> known = valueOf(objectiveKindNames, kind);
+        objective.target = json[QStringLiteral("target")].toDouble(-1);
+        if (!known || !(objective.target > 0 && objective.target < 1))
+            return false;
+        objective.kind = *known;
+        if (objective.kind == ObjectiveKind::Availability)
+            return true;
+        const qint64 threshold = json[QStringLiteral("thresholdMs")].toInteger(-1);
+        if (threshold <= 0 || threshold > 86'400'000)
+            return false;
+        objective.threshold = milliseconds(threshold);
+        return true;
+    }
+
+    bool readSample(const QJsonObject& json, SloSample& sample)
     {
-        QJsonObject windows;
-        for (std::size_t window = 0; window < windowCount; ++window) {
-            QJsonArray buckets;
-            for (const SloCounts& counts : sample.buckets[window])
-                buckets.append(toJson(counts));
-            windows[windowShapes[window].name]
-                = QJsonObject { { "sum", toJson(sample.windows[window]) }, { "buckets", buckets } };
+        if (!read(json[QStringLiteral("service")], sample.key.service)
+            || !read(json[QStringLiteral("endpoint")], sample.key.endpoint))
+            return false;
+        const QJsonObject windows = json[QStringLiteral("windows")].toObject();
+        for (const WindowShape& shape : windowShapes) {
+            if (!read(windows[QLatin1String(shape.name)], sample.windows[static_cast<std::size_t>(shape.window)]))
+                return false;
         }
-        return { { "service", QString::fromStdString(sample.key.service) },
-            { "endpoint", QString::fromStdString(sample.key.endpoint) }, { "windows", windows },
-            { "latency", sample.latency.toJson() } };
+        auto latency = LatencyHistogram::fromJson(json[QStringLiteral("latency")].toObject());
+        if (!latency)
+            return false;
+        sample.latency = std::move(*latency);
+        return true;
     }
 
-    std::optional<SloSample> sampleFromJson(const QJsonValue& value)
+    bool readBuckets(const QJsonObject& json, std::array<std::vector<SloCounts>, windowCount>& buckets)
     {
-        if (!value["service"].isString() || !value["endpoint"].isString())
-            return std::nullopt;
-        SloSample sample;
-        sample.key = { value["service"].toString().toStdString(), value["endpoint"].toString().toStdString() };
-        for (std::size_t window = 0; window < windowCount; ++window) {
-            const QJsonValue entry = value["windows"][QLatin1String(windowShapes[window].name)];
-            const auto sum = countsFromJson(entry["sum"]);
-            constexpr qsizetype mostBuckets = 61;
-            const QJsonArray buckets = entry["buckets"].toArray();
-            if (!sum || buckets.size() > mostBuckets)
-                return std::nullopt;
-            sample.windows[window] = *sum;
-            for (const QJsonValue bucket : buckets) {
-                const auto counts = countsFromJson(bucket);
-                if (!counts)
-                    return std::nullopt;
-                sample.buckets[window].push_back(*counts);
+        for (const WindowShape& shape : windowShapes) {
+            const QJsonArray items = json[QLatin1String(shape.name)].toArray();
+            if (items.size() != SlidingCounts::bucketCount)
+                return false;
+            auto& counts = buckets[static_cast<std::size_t>(shape.window)];
+            for (const QJsonValue item : items) {
+                if (!read(item, counts.emplace_back()))
+                    return false;
             }
         }
-        auto latency = LatencyHistogram::fromJson(value["latency"].toObject());
-        if (!latency)
-            return std::nullopt;
-        sample.latency = std::move(*latency);
-        return sample;
+        return true;
     }
 
 } // namespace
 
+GoodBad goodBad(const Objective& objective, const SloCounts& counts)
+{
+    if (objective.kind == ObjectiveKind::Availability)
+        return { counts.total, counts.failed };
+    return { counts.total - counts.failed, counts.slow };
+}
+
 double burnRate(const Objective& objective, const SloCounts& counts)
 {
-    const std::uint64_t total = totalOf(objective, counts);
-    if (total == 0)
+    const GoodBad result = goodBad(objective, counts);
+    if (result.counted == 0)
         return 0;
-    const double badShare = static_cast<double>(badOf(objective, counts)) / static_cast<double>(total);
-    return badShare / (1.0 - objective.target);
+    return static_cast<double>(result.bad) / static_cast<double>(result.counted) / (1 - objective.target);
 }
 
 ObjectiveBurn evaluate(const Objective& objective, const std::array<SloCounts, windowCount>& windows)
 {
     ObjectiveBurn burn;
     burn.objective = objective;
-    for (std::size_t window = 0; window < windowCount; ++window)
-        burn.windows[window] = { windowShapes[window].window, windows[window], burnRate(objective, windows[window]) };
-    burn.budgetUsedShare = burn.windows.back().rate;
+    for (const WindowShape& shape : windowShapes) {
+        const auto index = static_cast<std::size_t>(shape.window);
+        burn.windows[index] = { shape.window, windows[index], burnRate(objective, windows[index]) };
+    }
+    burn.budgetUsedShare = windowOf(burn, Window::ThreeDays).rate;
     for (const BurnRule& rule : burnRules) {
-        const WindowBurn& longWindow = windowOf(burn, rule.longWindow);
-        const WindowBurn& shortWindow = windowOf(burn, rule.shortWindow);
-        const bool isCounted = totalOf(objective, longWindow.counts) >= minimumRequests;
-        const bool isFired = longWindow.rate > rule.threshold && shortWindow.rate > rule.threshold;
-        if (isCounted && isFired && rule.severity > burn.severity) {
+        if (rule.severity > burn.severity && isFired(burn, rule)) {
             burn.severity = rule.severity;
             burn.firedRule = rule;
         }
@@ -154,25 +158,25 @@
 std::vector<Contributor> worst(
     const Objective& objective, const std::vector<SloSample>& samples, ContributorKind kind, std::size_t limit)
 {
-    const auto hour = static_cast<std::size_t>(Window::OneHour);
     std::map<std::string, SloCounts> sums;
     std::uint64_t allBad = 0;
     for (const SloSample& sample : samples) {
         if (sample.key.service != objective.service)
             continue;
-        const std::string& name = kind == ContributorKind::Endpoint ? sample.key.endpoint : sample.dataCentre;
-        add(sums[name], sample.windows[hour]);
-        allBad += badOf(objective, sample.windows[hour]);
+        const SloCounts& counts = sample.windows[static_cast<std::size_t>(Window::OneHour)];
+        const std::string endpoint = sample.key.endpoint.empty() ? "(no endpoint)" : sample.key.endpoint;
+        addTo(sums[kind == ContributorKind::Endpoint ? endpoint : sample.dataCentre], counts);
+        allBad += goodBad(objective, counts).bad;
     }
     std::vector<Contributor> result;
     for (const auto& [name, counts] : sums) {
-        const std::uint64_t bad = badOf(objective, counts);
+        const std::uint64_t bad = goodBad(objective, counts).bad;
         if (bad > 0)
             result.push_back(
                 { name, counts, burnRate(objective, counts), static_cast<double>(bad) / static_cast<double>(allBad) });
     }
     std::stable_sort(result.begin(), result.end(),
-        [](const Contributor& a, const Contributor& b) { return a.shareOfBad > b.shareOfBad; });
+        [](const Contributor& left, const Contributor& right) { return left.shareOfBad > right.shareOfBad; });
     if (result.size() > limit)
         result.resize(limit);
     return result;
@@ -181,48 +185,77 @@
 QJsonObject toJson(const SloAnswer& answer)
 {
     QJsonArray objectives;
-    for (const Objective& objective : answer.objectives)
-        objectives.append(toJson(objective));
-    QJsonArray samples;
-    for (const SloSample& sample : answer.samples)
-        samples.append(toJson(sample));
-    return { { "daemon", QString::fromStdString(answer.daemon) },
-        { "dataCentre", QString::fromStdString(answer.dataCentre) }, { "timeMs", static_cast<qint64>(answer.timeMs) },
-        { "upTimeMs", static_cast<qint64>(toMilliseconds(answer.upTime)) }, { "objectives", objectives },
-        { "samples", samples } };
+    for (const Objective& objective : answer.objectives) {
+        QJsonObject json { { QStringLiteral("service"), toQString(objective.service) },
+            { QStringLiteral("kind"), toQString(nameOf(objectiveKindNames, objective.kind)) },
+            { QStringLiteral("target"), objective.target } };
+        if (objective.threshold)
+            json[QStringLiteral("thresholdMs")] = static_cast<qint64>(toMilliseconds(*objective.threshold));
+        objectives.append(json);
+    }
+    QJsonArray series;
+    for (const SloSample& sample : answer.samples) {
+        QJsonObject windows;
+        for (const WindowShape& shape : windowShapes)
+            windows[QLatin1String(shape.name)] = toJson(sample.windows[static_cast<std::size_t>(shape.window)]);
+        series.append(QJsonObject { { QStringLiteral("service"), toQString(sample.key.service) },
+            { QStringLiteral("endpoint"), toQString(sample.key.endpoint) }, { QStringLiteral("windows"), windows },
+            { QStringLiteral("latency"), sample.latency.toJson() } });
+    }
+    QJsonObject buckets;
+    for (const auto& [service, windows] : answer.buckets) {
+        QJsonObject byWindow;
+        for (const WindowShape& shape : windowShapes) {
+            QJsonArray items;
+            for (const SloCounts& counts : windows[static_cast<std::size_t>(shape.window)])
+                items.append(toJson(counts));
+            byWindow[QLatin1String(shape.name)] = items;
+        }
+        buckets[toQString(service)] = byWindow;
+    }
+    return { { QStringLiteral("daemon"), toQString(answer.daemon) },
+        { QStringLiteral("dataCentre"), toQString(answer.dataCentre) },
+        { QStringLiteral("timeMs"), static_cast<qint64>(answer.timeMs) },
+        { QStringLiteral("upTimeMs"), static_cast<qint64>(toMilliseconds(answer.upTime)) },
+        { QStringLiteral("objectives"), objectives }, { QStringLiteral("series"), series },
+        { QStringLiteral("buckets"), buckets } };
 }
 
 std::optional<SloAnswer> sloAnswerFromJson(const QJsonObject& json, std::string& error)
 {
     SloAnswer answer;
-    if (!json["daemon"].isString() || !json["dataCentre"].isString() || !json["objectives"].isArray()
-        || !json["samples"].isArray()) {
-        error = "daemon, dataCentre, objectives or samples is missing or has another type";
+    const auto fail = [&error](std::string reason) {
+        error = std::move(reason);
         return std::nullopt;
+    };
+    if (!read(json[QStringLiteral("daemon")], answer.daemon))
+        return fail("daemon: expected a string");
+    if (!read(json[QStringLiteral("dataCentre")], answer.dataCentre))
+        return fail("dataCentre: expected a string");
+    answer.timeMs = json[QStringLiteral("timeMs")].toInteger(-1);
+    const qint64 upTimeMs = json[QStringLiteral("upTimeMs")].toInteger(-1);
+    if (answer.timeMs < 0 || upTimeMs < 0 || upTimeMs > qint64 { 1 } << 50)
+        return fail("timeMs, upTimeMs: expected integers from 0");
+    answer.upTime = milliseconds(upTimeMs);
+    if (!json[QStringLiteral("objectives")].isArray() || !json[QStringLiteral("series")].isArray()
+        || !json[QStringLiteral("buckets")].isObject())
+        return fail("objectives, series, buckets: missing or of the wrong type");
+    for (const QJsonValue item : json[QStringLiteral("objectives")].toArray()) {
+        if (!readObjective(item.toObject(), answer.objectives.emplace_back()))
+            return fail("objectives[" + std::to_string(answer.objectives.size() - 1) + "]: not valid");
     }
-    answer.daemon = json["daemon"].toString().toStdString();
-    answer.dataCentre = json["dataCentre"].toString().toStdString();
-    answer.timeMs = json["timeMs"].toInteger();
-    answer.upTime = milliseconds(json["upTimeMs"].toInteger());
-    const QJsonArray objectives = json["objectives"].toArray();
-    for (const QJsonValue value : objectives) {
-        const auto objective = objectiveFromJson(value);
-        if (!objective) {
-            error = "an objective has a missing or wrong field";
-            return std::nullopt;
-        }
-        answer.objectives.push_back(*objective);
-    }
-    const QJsonArray samples = json["samples"].toArray();
-    for (const QJsonValue value : samples) {
-        auto sample = sampleFromJson(value);
-        if (!sample) {
-            error = "a sample has a missing or wrong field";
-            return std::nullopt;
-        }
-        sample->daemon = answer.daemon;
-        sample->dataCentre = answer.dataCentre;
-        answer.samples.push_back(std::move(*sample));
+    for (const QJsonValue item : json[QStringLiteral("series")].toArray()) {
+        SloSample& sample = answer.samples.emplace_back();
+        sample.daemon = answer.daemon;
+        sample.dataCentre = answer.dataCentre;
+        if (!readSample(item.toObject(), sample))
+            return fail("series[" + std::to_string(answer.samples.size() - 1) + "]: not valid");
+    }
+    const QJsonObject buckets = json[QStringLiteral("buckets")].toObject();
+    for (auto entry = buckets.begin(); entry != buckets.end(); ++entry) {
+        const std::string service = entry.key().toStdString();
+        if (!readBuckets(entry.value().toObject(), answer.buckets[service]))
+            return fail("buckets." + service + ": not valid");
     }
     return answer;
 }
@@ -230,22 +263,19 @@
 SloAnswer sloAnswer(const Metrics& metrics, std::string daemon, std::string dataCentre,
     std::vector<Objective> objectives, TimePoint started, TimePoint now, std::int64_t wallClockMs)
 {
-    SloAnswer answer;
-    answer.daemon = std::move(daemon);
-    answer.dataCentre = std::move(dataCentre);
-    answer.timeMs = wallClockMs;
-    answer.upTime = now - started;
-    answer.objectives = std::move(objectives);
+    SloAnswer answer { std::move(daemon), std::move(dataCentre), wallClockMs, now - started, std::move(objectives), {},
+        {} };
     for (const auto& [key, series] : metrics.sloSeries()) {
-        SloSample sample;
-        sample.daemon = answer.daemon;
-        sample.dataCentre = answer.dataCentre;
-        sample.key = key;
-        for (std::size_t window = 0; window < windowCount; ++window) {
-            sample.windows[window] = series.counts.sum(windowShapes[window].window, now);
-            sample.buckets[window] = series.counts.buckets(windowShapes[window].window, now);
+        SloSample sample { answer.daemon, answer.dataCentre, key, {}, series.latency };
+        auto& sums = answer.buckets[key.service];
+        for (const WindowShape& shape : windowShapes) {
+            const auto index = static_cast<std::size_t>(shape.window);
+            sample.windows[index] = series.counts.sum(shape.window, now);
+            const std::vector<SloCounts> buckets = series.counts.buckets(shape.window, now);
+            sums[index].resize(buckets.size());
+            for (std::size_t bucket = 0; bucket < buckets.size(); ++bucket)
+                addTo(sums[index][bucket], buckets[bucket]);
         }
-        sample.latency = series.latency;
         answer.samples.push_back(std::move(sample));
     }
     return answer;
--- a/src/base/burn.h
+++ b/src/base/burn.h
@@ -80,12 +80,18 @@
     std::string dataCentre; // of the daemon
     SloKey key;
     std::array<SloCounts, windowCount> windows;
-    std::array<std::vector<SloCounts>, windowCount> buckets; // oldest first, for plots
     LatencyHistogram latency;
 };
 
 ObjectiveBurn evaluate(const Objective& objective, const std::array<SloCounts, windowCount>& windows);
 
+// Requests that an objective counts, and those of them that miss it.
+struct GoodBad {
+    std::uint64_t counted = 0;
+    std::uint64_t bad = 0;
+};
+GoodBad goodBad(const Objective& objective, const SloCounts& counts);
+
 // What burns most: an endpoint or a data centre, ordered by the share of bad requests of the objective.
 struct Contributor {
     std::string name;
@@ -107,6 +113,8 @@
     Duration upTime {};      // windows longer than this are not filled yet
     std::vector<Objective> objectives;
     std::vector<SloSample> samples;
+    std::map<std::string, std::array<std::vector<SloCounts>, windowCount>>
+        buckets; // by service, oldest first, for plots
 };
 
 QJsonObject toJson(const SloAnswer& answer);
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -102,8 +102,9 @@
     // Counts of each bucket, oldest first, for plots. Always 61 entries.
     std::vector<SloCounts> buckets(Window window, TimePoint now) const;
 
-private:
     static constexpr std::size_t bucketCount = 61;
+
+private:
     struct Ring {
         std::array<SloCounts, bucketCount> counts;
         std::array<std::int64_t, bucketCount> index; // number of the bucket since time 0; -1 is empty
