--- a/tests/config_merge_test.cpp
+++ b/tests/config_merge_test.cpp
@@ -302,6 +302,11 @@
         const std::vector<Change> back = diff(merge(after), merge(before));
         CPPUNIT_ASSERT_EQUAL(std::string("changed a.x 5 -> 1 (1.json:1)"), describe(back[0]));
         CPPUNIT_ASSERT_EQUAL(std::string("removed a.z.n true (2.json:2)"), describe(back[2]));
+        // A null that a later file has overruled did not remove the value.
+        const Files replaced { { "0.json", R"({"a":{"x":null}})" }, { "1.json", R"({"a":{"x":2}})" },
+            { "2.json", R"({"a":{"$replace":{"y":2}},"l":[1],"k":{"m":1}})" } };
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("removed a.x 1 (1.json:1)"), describe(diff(merge(before), merge(replaced)).at(0)));
     }
 
     // Guards against a change that `config apply` does not show.
--- a/tests/ctl_program_test.cpp
+++ b/tests/ctl_program_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(completionAndManualNameEveryCommandAndOption);
     CPPUNIT_TEST(nextDaemonIsAskedWhenOneIsUnreachable);
     CPPUNIT_TEST(unavailableDaemonsAreAskedAgainOnlyForResults);
+    CPPUNIT_TEST(unrepeatableCallsAreSentAtMostOnce);
     CPPUNIT_TEST(httpTransportTellsSentFromNotReached);
     CPPUNIT_TEST(repeatedSubmissionsCarryOneIdentity);
     CPPUNIT_TEST(submitWaitFollowsTheJob);
@@ -152,6 +153,27 @@
         CPPUNIT_ASSERT_EQUAL(0, daemons.unavailable);
     }
 
+    // Guards against a call without identity that is executed by two daemons after a lost answer. Only a call of which
+    // no byte was sent goes to the next daemon.
+    void unrepeatableCallsAreSentAtMostOnce()
+    {
+        std::vector<Reply::Kind> script;
+        std::size_t calls = 0;
+        const ctl::Client client { { "a:1", "b:2" },
+            [&](const std::string&, const ctl::Call&, int) {
+                return Reply { script[calls++], 200, {}, "" };
+            },
+            [](int) {}, [] { return std::int64_t(0); } };
+        const ctl::Call once { "POST", "/v1/drain", {}, false };
+        script = { Reply::Kind::Unknown, Reply::Kind::Answered };
+        CPPUNIT_ASSERT(ctl::call(client, once).kind == ctl::Answer::Kind::Unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), calls);
+        calls = 0;
+        script = { Reply::Kind::NotReached, Reply::Kind::Answered };
+        CPPUNIT_ASSERT(ctl::call(client, once).kind == ctl::Answer::Kind::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), calls);
+    }
+
     // Guards against a wrong claim that nothing was sent. Real sockets on loopback.
     void httpTransportTellsSentFromNotReached()
     {
