--- a/tests/batch_chaos_test.cpp
+++ b/tests/batch_chaos_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(ledgerAloneRespectsCapacity);
     CPPUNIT_TEST(missingEpochCheckIsFound);
     CPPUNIT_TEST(ignoredSendDeadlineIsFound);
+    CPPUNIT_TEST(heldStartMeetsUnreachableWorker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +102,41 @@
         CPPUNIT_ASSERT(violationsWithLateStarts(false) > 0);
     }
 
+    // Guards against a second run when a paused owner still holds a start for a worker that its successor cannot reach:
+    // no lease bounds a task that has not started yet.
+    void heldStartMeetsUnreachableWorker()
+    {
+        std::size_t held = 0;
+        for (std::uint64_t round = 0; round < 20; ++round) {
+            WorldOptions options;
+            options.seed = 100 + round;
+            options.dataCentres = 1;
+            options.checksNotAfter = false;
+            options.sendDelay = milliseconds(400);
+            World world(options);
+            world.isCalm = true;
+            world.runFor(seconds(5));
+            JobSpec spec = world.randomJob();
+            spec.durationMs = 300'000;
+            world.submit(spec);
+            world.runFor(milliseconds(400 + 50 * static_cast<int>(round)));
+            const Dispatcher* owner = world.ownerOf(world.shards[0].key);
+            const std::size_t paused = world.daemons[0].dispatcher.get() == owner ? 0 : 1;
+            const Job* job = world.job(spec.id);
+            for (FakeWorker& worker : world.workers) {
+                const bool isPlanned = job && job->worker == worker.info.id;
+                worker.cutDaemon = isPlanned ? 1 - paused : worker.cutDaemon;
+                worker.cutUntil = isPlanned ? world.now + seconds(200) : worker.cutUntil;
+            }
+            world.pause(paused, seconds(80));
+            const std::uint64_t before = world.startsAccepted;
+            world.runFor(seconds(120));
+            held += before == 0 && world.startsAccepted > 0 ? 1 : 0;
+            CPPUNIT_ASSERT_MESSAGE(world.report(), world.violations.empty());
+        }
+        CPPUNIT_ASSERT(held > 0);
+    }
+
 private:
     static std::size_t violationsWithPausedOwners(bool checksEpoch)
     {
--- a/tests/batch_world.h
+++ b/tests/batch_world.h
@@ -15,6 +15,12 @@
 using base::seconds;
 using base::TimePoint;
 
+inline Duration randomDuration(base::Rng& rng, Duration shortest, Duration longest)
+{
+    const auto range = static_cast<std::uint64_t>((longest - shortest).count());
+    return shortest + Duration(static_cast<Duration::rep>(base::below(rng, range + 1)));
+}
+
 struct WorldOptions {
     std::uint64_t seed = 1;
     int dataCentres = 2;
