Declare no length in an answer to HEAD that has none

Cause: a forwarded answer to HEAD was given Content-Length: 0 when the handler had dropped the length. Change: without a body and without a declared length the header is left out.

--- a/src/http/guard.cpp
+++ b/src/http/guard.cpp
@@ -43,12 +43,13 @@
                 continue;
             bytes += header.name + ": " + header.value + "\r\n";
         }
-        // An answer to HEAD declares the length that GET would have, when the handler gives it.
+        // An answer to HEAD declares the length that GET would have, when the handler gives it, and none otherwise: a
+        // length of 0 would be wrong for a forwarded answer.
         const bool isDeclared
             = isHead && response.body.isEmpty() && !declaredLength.isEmpty() && isLineSafe(declaredLength);
         if (isDeclared)
             bytes += "Content-Length: " + declaredLength + "\r\n";
-        else if (!hasNoBody(response.status))
+        else if (!hasNoBody(response.status) && !(isHead && response.body.isEmpty()))
             bytes += "Content-Length: " + QByteArray::number(response.body.size()) + "\r\n";
         if (isClose)
             bytes += "Connection: close\r\n";
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(drainKeepsARequestBehindTheListener);
     CPPUNIT_TEST(foreignHeaderValuesCannotForgeAnAnswer);
     CPPUNIT_TEST(headAnswerHasNoBody);
+    CPPUNIT_TEST(forwardedHeadAnswerDeclaresNoWrongLength);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -526,6 +527,24 @@
         CPPUNIT_ASSERT(caller.received.contains("Content-Length: 8\r\n"));
         CPPUNIT_ASSERT(!caller.received.contains("HEAD /h"));
     }
+
+    // Guards against `Content-Length: 0` for a forwarded HEAD answer whose length the handler has dropped.
+    void forwardedHeadAnswerDeclaresNoWrongLength()
+    {
+        HeldServer held;
+        RawCaller caller(held.port);
+        caller.send("HEAD /h HTTP/1.1\r\nHost: x\r\n\r\n" + plainGet);
+        CPPUNIT_ASSERT(held.waitForRequests(1));
+        CPPUNIT_ASSERT(held.responders[0].respond(textResponse(200, "")));
+        CPPUNIT_ASSERT(held.waitForRequests(2));
+        CPPUNIT_ASSERT(caller.receive("\r\n\r\n"));
+        CPPUNIT_ASSERT(!caller.received.contains("Content-Length"));
+        Response declared = textResponse(200, "");
+        declared.headers.push_back({ "Content-Length", "7" });
+        caller.received.clear();
+        CPPUNIT_ASSERT(held.responders[1].respond(declared)); // GET: the body decides
+        CPPUNIT_ASSERT(caller.receive("Content-Length: 0\r\n"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
