--- a/model/configuration.pml
+++ b/model/configuration.pml
@@ -209,7 +209,7 @@
 
     /* A daemon that joins writes the record. */
     :: atomic { hasAccess[d] && !(storeMembers & bit(d)) ->
-        storeMembers = storeMembers | bit(d); printf("d%d joins\n", d) }
+        storeMembers = storeMembers | bit(d); knownMembers[d] = storeMembers; printf("d%d joins\n", d) }
 
     /* isFresh, then the start request; its effect comes later, within its deadline on the clock of the worker. */
     :: atomic { !NO_FAULTS && d == STARTER && startSent[d] == 0 && revision[d] == 1 && !isProvisional[d] && isFresh(d) ->
