--- a/packaging/lacewingctl.bash
+++ b/packaging/lacewingctl.bash
@@ -43,7 +43,7 @@
         case ${words[0]} in
         config) COMPREPLY=($(compgen -W "check diff apply show history schema --help" -- "$current")) && return ;;
         job) COMPREPLY=($(compgen -W "submit status list cancel --help" -- "$current")) && return ;;
-        report) COMPREPLY=($(compgen -W "batch --help" -- "$current")) && return ;;
+        report) COMPREPLY=($(compgen -W "batch burn --help" -- "$current")) && return ;;
         esac
         ;;
     esac
@@ -71,6 +71,7 @@
     "status") options="--all" ;;
     "drain") options="--yes --wait --wait-timeout-s" ;;
     "report batch") ;;
+    "report burn") options="--html" ;;
     esac
     if [[ $current == -* ]]; then
         COMPREPLY=($(compgen -W "$options $global" -- "$current"))
--- a/src/bench/batch_cluster.cpp
+++ b/src/bench/batch_cluster.cpp
@@ -367,7 +367,7 @@
     });
 }
 
-void Cluster::perform(std::size_t daemon, Effects effects)
+void Cluster::perform(std::size_t daemon, const Effects& effects)
 {
     for (const Effect& effect : effects)
         perform(daemon, effect);
--- a/src/bench/batch_cluster.h
+++ b/src/bench/batch_cluster.h
@@ -113,7 +113,7 @@
 
     void after(base::Duration delay, std::function<void()> run);
     void answer(std::size_t daemon, base::Duration delay, Answer call);
-    void perform(std::size_t daemon, batch::Effects effects);
+    void perform(std::size_t daemon, const batch::Effects& effects);
     void perform(std::size_t daemon, const batch::Effect& effect);
     void serveStart(std::size_t daemon, const batch::StartTask& start);
     void inform(std::size_t daemon);
--- a/src/bench/batch_scenarios.cpp
+++ b/src/bench/batch_scenarios.cpp
@@ -227,7 +227,9 @@
                 fleet.policy = policy;
                 Interference interference;
                 std::vector<ClassIndex> classes;
-                for (int index = 0; index < 20; ++index)
+                constexpr int classCount = 20;
+                classes.reserve(classCount);
+                for (int index = 0; index < classCount; ++index)
                     classes.push_back(classOf(interference, { "service" + std::to_string(index) }));
                 base::Rng rng(options.seed);
                 for (std::size_t index = 0; index < count; ++index)
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -23,5 +23,6 @@
 extern const Command statusCommand;
 extern const Command drainCommand;
 extern const Command reportBatchCommand;
+extern const Command reportBurnCommand;
 
 } // namespace lacewing::ctl
--- a/src/ctl/operation_commands.cpp
+++ b/src/ctl/operation_commands.cpp
@@ -1,7 +1,9 @@
 // Commands status, drain and report batch.
 #include "ctl/commands.h"
+#include "ctl/report_burn.h"
 
 #include <QJsonArray>
+#include <QJsonDocument>
 #include <cstdio>
 #include <map>
 #include <ostream>
@@ -284,6 +286,34 @@
         return ExitCode::Ok;
     }
 
+    // --- report burn ---
+
+    void addBurnOptions(cxxopts::Options& options)
+    {
+        options.add_options()(
+            "html", "also write the report with plots into this file", cxxopts::value<std::string>(), "FILE");
+    }
+
+    ExitCode runReportBurn(Context& context)
+    {
+        std::vector<DaemonSlo> daemons;
+        for (const std::string& address : context.client.addresses) {
+            Client one = context.client;
+            one.addresses = { address };
+            const Answer answer = call(one, { "GET", "/v1/slo" });
+            if (isSuccess(answer))
+                daemons.push_back(parseSlo(address, QJsonDocument(answer.body).toJson(QJsonDocument::Compact)));
+            else
+                daemons.push_back(
+                    { address, std::nullopt, answer.detail.empty() ? "no usable answer" : answer.detail });
+        }
+        BurnOptions options;
+        options.isJson = context.isJson;
+        if (context.options.count("html") > 0)
+            options.htmlFile = context.options["html"].as<std::string>();
+        return static_cast<ExitCode>(runBurnReport(daemons, options, context.environment.out, context.environment.err));
+    }
+
 } // namespace
 
 const Command statusCommand {
@@ -315,4 +345,15 @@
     .run = runReportBatch,
 };
 
+const Command reportBurnCommand {
+    .group = "report",
+    .name = "burn",
+    .summary = "service-level burn: error budgets, burn rates, worst endpoints and data centres",
+    .examples = "lacewingctl --daemon 10.0.0.1:8080 --daemon 10.0.1.1:8080 report burn\n"
+                "lacewingctl report burn --html burn.html\nlacewingctl report burn --json",
+    .needsDaemon = true,
+    .addOptions = addBurnOptions,
+    .run = runReportBurn,
+};
+
 } // namespace lacewing::ctl
--- a/src/ctl/program.cpp
+++ b/src/ctl/program.cpp
@@ -25,6 +25,7 @@
         &statusCommand,
         &drainCommand,
         &reportBatchCommand,
+        &reportBurnCommand,
     };
 
     std::string wordsOf(const Command& command)
