Fix linter findings in the bench and a test

Cause: clang-tidy reports moves into const references and adjacent string literals. Change: effects are passed by reference; the texts of the test are raw strings.

--- a/src/bench/batch_cluster.cpp
+++ b/src/bench/batch_cluster.cpp
@@ -76,7 +76,7 @@
             return;
         Effects effects;
         call(*daemons[daemon].dispatcher, effects);
-        perform(daemon, std::move(effects));
+        perform(daemon, effects);
     });
 }
 
@@ -105,7 +105,7 @@
             Effects effects;
             onFreshness(*daemons[index].dispatcher, true, now, now, effects);
             tick(*daemons[index].dispatcher, now, effects);
-            perform(index, std::move(effects));
+            perform(index, effects);
         }
     }
 }
@@ -140,7 +140,7 @@
         }
     }
     onDirectory(d, directory, now, effects);
-    perform(daemon, std::move(effects));
+    perform(daemon, effects);
 }
 
 // Slowdown of each task from its neighbours, and its progress.
@@ -221,7 +221,7 @@
                 return;
             Effects effects;
             onReports(*daemons[owner].dispatcher, key, sent, now, effects);
-            perform(owner, std::move(effects));
+            perform(owner, effects);
         });
     }
 }
@@ -258,7 +258,7 @@
         }
         Effects effects;
         submitJob(*daemons[owner].dispatcher, m_nextJob, spec, home, now, effects);
-        perform(owner, std::move(effects));
+        perform(owner, effects);
         return;
     }
 }
--- a/tests/daemon_messages_test.cpp
+++ b/tests/daemon_messages_test.cpp
@@ -33,11 +33,11 @@
     // Guards against a damaged record that is taken as an empty one, which would let this daemon own every slot.
     void invalidSlotRecordsAreRefused()
     {
-        for (const char* text : { "", "{}", "[]", "{\"version\":0,\"members\":[]}", "{\"version\":3}",
-                 "{\"version\":3,\"members\":[{\"daemon\":\"\"}]}",
-                 "{\"version\":3,\"members\":[{\"daemon\":\"a\",\"incarnation\":-1,\"removingSince\":0,\"mayBeSole\":"
-                 "false}]}",
-                 "{\"version\":3,\"members\":[{\"daemon\":\"a\",\"incarnation\":1,\"removingSince\":0}]}" })
+        const std::vector<std::string> texts { "", "{}", "[]", R"({"version":0,"members":[]})", R"({"version":3})",
+            R"({"version":3,"members":[{"daemon":""}]})",
+            R"({"version":3,"members":[{"daemon":"a","incarnation":-1,"removingSince":0,"mayBeSole":false}]})",
+            R"({"version":3,"members":[{"daemon":"a","incarnation":1,"removingSince":0}]})" };
+        for (const std::string& text : texts)
             CPPUNIT_ASSERT_MESSAGE(text, !daemon::decodeSlotRecord(text).has_value());
     }
 
