--- a/src/daemon/job_search.cpp
+++ b/src/daemon/job_search.cpp
@@ -14,7 +14,7 @@
 
     constexpr int questionTimeoutMs = 2000;
     constexpr int callTimeoutMs = 40000; // longer than the longest poll for events
-    constexpr int mostHops = 2;
+    const QString noOwnerCode = "noOwner";
 
     int hopsOf(const http::Request& request) { return http::headerValue(request.headers, "Lacewing-Hops").toInt(); }
 
@@ -147,34 +147,52 @@
 void JobSearch::passToOwner(const http::Request& request, const http::Responder& responder, const base::DaemonId& owner,
     const base::DataCentreId& dataCentre)
 {
-    const auto addresses = m_membership.gatewayAddresses();
-    auto target = addresses.find(owner);
-    if (target == addresses.end()) {
+    std::vector<std::string> candidates;
+    if (hopsOf(request) == 0) {
+        // The known owner may be out of date, so the other daemons of the data centre are asked after it.
+        const auto addresses = m_membership.gatewayAddresses();
+        if (const auto known = addresses.find(owner); known != addresses.end())
+            candidates.push_back(known->second);
         for (const base::DaemonId& daemon : m_membership.daemonsOf(dataCentre)) {
-            target = addresses.find(daemon);
-            if (target != addresses.end())
-                break;
+            const auto address = addresses.find(daemon);
+            if (daemon != owner && address != addresses.end())
+                candidates.push_back(address->second);
         }
     }
-    if (target == addresses.end() || hopsOf(request) >= mostHops) {
-        responder.respond(http::ProblemBuilder(503, "noOwner")
+    tryNext(request, responder, std::move(candidates));
+}
+
+// A submission is idempotent by its job id, so it may go to several daemons in turn.
+void JobSearch::tryNext(
+    const http::Request& request, const http::Responder& responder, std::vector<std::string> candidates)
+{
+    if (candidates.empty()) {
+        responder.respond(http::ProblemBuilder(503, noOwnerCode)
                               .detail("the shard of this job has no reachable owner now")
                               .executedNo()
                               .retryAfter(2)
                               .response());
         return;
     }
-    send(target->second, request, pathWithQuery(request), hopsOf(request) + 1,
-        [responder](const http::ClientResult& result) {
+    const std::string address = candidates.front();
+    candidates.erase(candidates.begin());
+    send(address, request, pathWithQuery(request), 1,
+        [this, request, responder, candidates = std::move(candidates)](const http::ClientResult& result) {
+            const bool isWithoutOwner = result.ok() && result.status == 503
+                && QJsonDocument::fromJson(result.body)["code"].toString() == noOwnerCode;
+            const bool isNotSent = !result.ok() && result.bytesSent == http::BytesSent::None;
+            if (isWithoutOwner || isNotSent) {
+                tryNext(request, responder, candidates);
+                return;
+            }
             if (result.ok()) {
                 responder.respond(toResponse(result));
                 return;
             }
-            http::ProblemBuilder problem(503, "ownerUnreachable");
-            problem.detail("the daemon that owns the shard did not answer; repeat with the same id").retryAfter(2);
-            if (result.bytesSent == http::BytesSent::None)
-                problem.executedNo();
-            responder.respond(problem.response());
+            responder.respond(http::ProblemBuilder(503, "ownerUnreachable")
+                                  .detail("the daemon that owns the shard did not answer; repeat with the same id")
+                                  .retryAfter(2)
+                                  .response());
         });
 }
 
