--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -47,7 +47,7 @@
                     address, {} };
                 round.isUnavailable = reply.status == serviceUnavailable;
                 // A 503 that does not say "executed: no" may belong to a call that is still carried out.
-                const bool isExecuted = round.answer.body["executed"].toString() != "no";
+                const bool isExecuted = round.answer.body.value("executed").toString() != "no";
                 round.isUnknown = round.isUnknown || (round.isUnavailable && isExecuted);
                 if (!round.isUnavailable || !request.isRepeatable)
                     return round;
@@ -106,7 +106,7 @@
         if (isUnknown && request.needsResult) {
             round.answer.kind = Answer::Kind::Unknown;
             if (round.answer.detail.empty())
-                round.answer.detail = round.answer.body["detail"].toString().toStdString();
+                round.answer.detail = round.answer.body.value("detail").toString().toStdString();
         }
         return round.answer;
     }
--- a/tests/ctl_program_test.cpp
+++ b/tests/ctl_program_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(completionAndManualNameEveryCommandAndOption);
     CPPUNIT_TEST(nextDaemonIsAskedWhenOneIsUnreachable);
     CPPUNIT_TEST(unavailableDaemonsAreAskedAgainOnlyForResults);
+    CPPUNIT_TEST(answersArePassedOnUnchanged);
     CPPUNIT_TEST(unrepeatableCallsAreSentAtMostOnce);
     CPPUNIT_TEST(httpTransportTellsSentFromNotReached);
     CPPUNIT_TEST(repeatedSubmissionsCarryOneIdentity);
@@ -153,6 +154,20 @@
         CPPUNIT_ASSERT_EQUAL(0, daemons.unavailable);
     }
 
+    // Guards against fields that the client adds to an answer by looking them up: a list was printed with
+    // "executed": null.
+    void answersArePassedOnUnchanged()
+    {
+        const QByteArray body = R"({"jobs":[]})";
+        const ctl::Client client { { "a:1" },
+            [&](const std::string&, const ctl::Call&, int) {
+                return Reply { Reply::Kind::Answered, 200, body, "" };
+            },
+            [](int) {}, [] { return std::int64_t { 0 }; } };
+        const ctl::Answer answer = ctl::call(client, { "GET", "/v1/jobs" });
+        CPPUNIT_ASSERT(answer.body.keys() == QStringList { "jobs" });
+    }
+
     // Guards against a call without identity that is executed by two daemons after a lost answer. Only a call of which
     // no byte was sent goes to the next daemon.
     void unrepeatableCallsAreSentAtMostOnce()
