--- a/src/base/time.cpp
+++ b/src/base/time.cpp
@@ -1,11 +1,25 @@
 // Clock readings for services; decision code receives them as arguments.
 #include "base/time.h"
 
+#include <ctime>
+
 namespace lacewing::base {
 
+namespace {
+
+    // CLOCK_BOOTTIME counts the time of a suspended machine, during which leases go on running out.
+    std::chrono::nanoseconds readBootClock()
+    {
+        timespec now {};
+        ::clock_gettime(CLOCK_BOOTTIME, &now);
+        return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+    }
+
+} // namespace
+
 TimePoint monotonicNow()
 {
-    const auto sinceBoot = std::chrono::steady_clock::now().time_since_epoch();
+    const auto sinceBoot = readBootClock();
     return TimePoint(std::chrono::duration_cast<Duration>(sinceBoot));
 }
 
--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -1,12 +1,10 @@
-// Routes and operators' views.
+// Views of the state for the load balancer, operators and monitoring.
 #include "daemon/admin_service.h"
 
-#include "base/burn.h"
 #include "daemon/configuration_service.h"
 #include "daemon/dispatcher_service.h"
-#include "daemon/gateway_service.h"
-#include "daemon/membership_service.h"
-#include "daemon/store_service.h"
+#include "daemon/job_table.h"
+#include "daemon/term_service.h"
 #include "http/problem.h"
 #include "kernel/log.h"
 
@@ -21,31 +19,19 @@
 namespace {
 
     const QByteArray jobsPath = "/v1/jobs";
+    constexpr int listedJobs = 1000; // jobs in one answer
 
     QString toQString(std::string_view text)
     {
         return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
     }
 
-    http::Response json(int status, const QJsonObject& object)
+    http::Response json(const QJsonObject& object)
     {
-        return http::jsonResponse(status, QJsonDocument(object).toJson(QJsonDocument::Compact));
+        return http::jsonResponse(200, QJsonDocument(object).toJson(QJsonDocument::Compact));
     }
 
-    http::ServerLimits toServerLimits(const HttpSettings& settings)
-    {
-        http::ServerLimits limits;
-        limits.headerBytes = settings.headerBytes;
-        limits.bodyBytes = settings.bodyBytes;
-        limits.pathBodies = { { "/svc/", settings.serviceBodyBytes } };
-        limits.connections = settings.connections;
-        limits.headerTimeoutMs = settings.headerTimeoutMs;
-        limits.bodyTimeoutMs = settings.bodyTimeoutMs;
-        limits.idleTimeoutMs = settings.idleTimeoutMs;
-        return limits;
-    }
-
-    // Resident memory of this process in bytes, from /proc/self/statm; 0 when it cannot be read.
+    // Resident memory of this process in bytes; 0 when it cannot be read.
     double residentBytes()
     {
         QFile file("/proc/self/statm");
@@ -56,298 +42,216 @@
         return fields.size() < 2 ? 0 : fields[1].toDouble() * pageBytes;
     }
 
-    // Processor time of this process in seconds, user and system, over all threads.
+    // Processor time of this process in seconds, over all threads.
     double processorSeconds() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }
 
-    QJsonObject toJson(const cluster::Member& member)
+    base::Result<std::uint16_t, http::ServerError> listen(http::Server& server, const std::string& address)
     {
-        return { { "name", toQString(member.daemon.value) }, { "dataCentre", toQString(member.dataCentre.value) },
-            { "state", toQString(base::nameOf(cluster::memberStateNames, member.state)) },
-            { "revision", static_cast<qint64>(member.revision) },
-            { "incarnation", static_cast<qint64>(member.incarnation) }, { "storeAccess", member.hasStoreAccess },
-            { "gateway", toQString(member.gatewayAddress) } };
+        const QString text = QString::fromStdString(address);
+        return server.listen(QHostAddress(text.section(':', 0, -2)), text.section(':', -1).toUShort());
+    }
+
+    const char* phaseName(scheduler::TaskPhase phase)
+    {
+        switch (phase) {
+        case scheduler::TaskPhase::Waiting:
+            return "waiting";
+        case scheduler::TaskPhase::Unknown:
+            return "unknown";
+        case scheduler::TaskPhase::Starting:
+            return "starting";
+        case scheduler::TaskPhase::Running:
+            return "running";
+        case scheduler::TaskPhase::Stopping:
+            return "stopping";
+        case scheduler::TaskPhase::Done:
+            return "done";
+        case scheduler::TaskPhase::Failed:
+            break;
+        }
+        return "failed";
     }
 
 } // namespace
 
-AdminService::AdminService(Runtime& runtime, std::function<void()> requestStop)
+AdminService::AdminService(Runtime& runtime, std::function<void()> beginDrain)
     : m_runtime(runtime)
-    , m_requestStop(std::move(requestStop))
+    , m_beginDrain(std::move(beginDrain))
 {
 }
 
 std::string AdminService::start()
 {
-    m_gateway = kernel::find<GatewayService>(m_runtime.kernel, serviceNames::gateway);
-    m_dispatcher = kernel::find<DispatcherService>(m_runtime.kernel, serviceNames::dispatcher);
     m_configuration = kernel::find<ConfigurationService>(m_runtime.kernel, serviceNames::configuration);
-    m_membership = kernel::find<MembershipService>(m_runtime.kernel, serviceNames::membership);
-    m_store = kernel::find<StoreService>(m_runtime.kernel, serviceNames::store);
-    const HttpSettings& settings = m_runtime.settings.http;
-    m_server = std::make_unique<http::Server>(toServerLimits(settings),
-        [this](const http::Request& request, const http::Responder& responder) { route(request, responder); });
-    const auto port
-        = m_server->listen(QHostAddress(QString::fromStdString(settings.listen.address)), settings.listen.port);
-    if (port.has_error())
-        return "cannot listen on " + settings.listen.address + ":" + std::to_string(settings.listen.port) + ": "
-            + port.error().detail;
-    return {};
-}
-
-void AdminService::beginStop()
-{
-    m_isStopping = true;
-    m_server->beginDrain();
+    m_dispatcher = kernel::find<DispatcherService>(m_runtime.kernel, serviceNames::dispatcher);
+    m_term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
+    m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
+    m_readiness = std::make_unique<http::Server>(
+        http::ServerLimits {}, [this](const http::Request&, const http::Responder& responder) {
+            const bool ready = isReady();
+            if (ready != m_wasReady)
+                kernel::logEvent(kernel::LogLevel::Info, "admin", "readiness",
+                    { { "isReady", ready }, { "hasConfiguration", m_configuration->isLoaded() },
+                        { "isStoreReachable", isStoreReachable(m_runtime) },
+                        { "isStopping", m_runtime.isStopping } });
+            m_wasReady = ready;
+            responder.respond(http::jsonResponse(ready ? 200 : 503, "{}"));
+        });
+    if (const auto port = listen(*m_readiness, m_runtime.settings.readinessAddress); port.has_error())
+        return port.error().detail;
+    if (m_runtime.settings.adminAddress.empty())
+        return {};
+    m_admin = std::make_unique<http::Server>(http::ServerLimits {},
+        [this](const http::Request& request, const http::Responder& responder) { handle(request, responder); });
+    const auto port = listen(*m_admin, m_runtime.settings.adminAddress);
+    return port.has_error() ? port.error().detail : std::string();
 }
 
-bool AdminService::isIdle() const { return m_server->openRequests() == 0; }
-
-void AdminService::stop() { m_server.reset(); }
-
-// --- Routes ---
-
-void AdminService::route(const http::Request& request, const http::Responder& responder)
+void AdminService::stop()
 {
-    const QByteArray& path = request.path;
-    const bool isGet = request.method == "GET";
-    const bool isPost = request.method == "POST";
-    if (path.startsWith("/svc/"))
-        m_gateway->handle(request, responder);
-    else if (path == jobsPath || path.startsWith(jobsPath + "/")) {
-        if (!routeJobs(request, responder))
-            responder.respond(http::ProblemBuilder(405, "methodNotAllowed")
-                                  .detail("this path does not accept the method")
-                                  .executedNo()
-                                  .response());
-    } else if (path == "/v1/config" && isGet)
-        m_configuration->handleShow(responder);
-    else if (path == "/v1/config" && isPost)
-        m_configuration->handleApply(request, responder);
-    else if (path == "/v1/config/history" && isGet)
-        m_configuration->handleHistory(responder);
-    else if (path == "/v1/status" && isGet)
-        handleStatus(responder);
-    else if (path == "/v1/drain" && isPost)
-        handleDrain(responder);
-    else if (path == "/v1/loglevel" && request.method == "PUT")
-        handleLogLevel(request, responder);
-    else if (path == "/v1/slo" && isGet)
-        handleSlo(responder);
-    else if (path == "/metrics" && isGet)
-        handleMetrics(responder);
-    else if (path == "/healthz" && isGet)
-        responder.respond(json(200, { { "status", "ok" } }));
-    else if (path == "/readyz" && isGet)
-        handleReady(responder);
-    else
-        responder.respond(http::ProblemBuilder(404, "unknownPath")
-                              .detail("see docs/http.md for the paths and their methods")
-                              .executedNo()
-                              .response());
+    m_readiness.reset();
+    m_admin.reset();
 }
 
-bool AdminService::routeJobs(const http::Request& request, const http::Responder& responder)
+// A daemon that cannot reach the store cannot accept jobs: callers are better served by another one.
+bool AdminService::isReady() const
 {
-    if (request.path == jobsPath) {
-        if (request.method == "POST")
-            m_dispatcher->handleSubmit(request, responder);
-        else if (request.method == "GET")
-            m_dispatcher->handleList(request, responder);
-        else
-            return false;
-        return true;
-    }
-    QByteArray job = request.path.mid(jobsPath.size() + 1);
-    const bool isEvents = job.endsWith("/events");
-    if (isEvents)
-        job.chop(static_cast<qsizetype>(std::string_view("/events").size()));
-    if (request.method == "GET" && isEvents)
-        m_dispatcher->handleEvents(request, job.toStdString(), responder);
-    else if (request.method == "GET")
-        m_dispatcher->handleStatus(request, job.toStdString(), responder);
-    else if (request.method == "DELETE" && !isEvents)
-        m_dispatcher->handleCancel(request, job.toStdString(), responder);
-    else
-        return false;
-    return true;
+    return !m_runtime.isStopping && m_configuration->isLoaded() && isStoreReachable(m_runtime);
 }
 
-// --- Views ---
-
-void AdminService::handleStatus(const http::Responder& responder) const
+void AdminService::handle(const http::Request& request, const http::Responder& responder)
 {
-    const base::TimePoint now = base::monotonicNow();
-    QJsonArray members;
-    for (const cluster::Member& member : m_membership->view())
-        members.append(toJson(member));
-    QJsonArray endpoints;
-    for (const routing::EndpointState& endpoint : m_gateway->gateway().router.endpoints) {
-        endpoints.append(QJsonObject { { "id", toQString(endpoint.info.id.value) },
-            { "state", toQString(base::nameOf(routing::endpointStatusNames, endpoint.info.status)) },
-            { "ejected", endpoint.isEjected }, { "inFlight", endpoint.inFlight },
-            { "serviceMs", endpoint.serviceUs / 1000.0 },
-            { "usableSlots",
-                routing::usable(m_gateway->gateway().slots, endpoint.info.id, base::milliseconds(1), now) } });
-    }
-    QJsonArray dataCentres;
-    for (const auto& [name, record] : m_membership->digests().records) {
-        dataCentres.append(QJsonObject { { "name", toQString(name.value) },
-            { "membersAlive", static_cast<int>(record.state.membersAlive) },
-            { "lowestRevision", static_cast<qint64>(record.state.lowestRevision) },
-            { "reachable",
-                name == m_runtime.settings.dataCentre || cluster::isReachable(m_membership->digests(), name, now) } });
+    if (request.method == "GET" && request.path == "/metrics") {
+        responder.respond(metrics());
+    } else if (request.method == "GET" && request.path == "/v1/status") {
+        responder.respond(status());
+    } else if (request.method == "GET" && request.path == jobsPath) {
+        responder.respond(jobList(request));
+    } else if (request.method == "GET" && request.path.startsWith(jobsPath + '/')) {
+        responder.respond(jobDetails(request.path.mid(jobsPath.size() + 1).toStdString()));
+    } else if (request.method == "POST" && request.path == "/v1/drain") {
+        responder.respond(http::jsonResponse(202, "{}"));
+        m_beginDrain();
+    } else {
+        responder.respond(http::ProblemBuilder(404, "notFound").detail("no such resource").executedNo().response());
     }
-    const cluster::Evidence evidence = cluster::evidence(m_configuration->freshness(), now);
-    const store::CallBudget& budget = m_store->budget();
-    responder.respond(json(200,
-        { { "daemon", toQString(m_runtime.settings.daemon.value) },
-            { "dataCentre", toQString(m_runtime.settings.dataCentre.value) },
-            { "incarnation", static_cast<qint64>(m_runtime.incarnation) },
-            { "upSeconds", base::toSeconds(now - m_runtime.startedAt) },
-            { "state",
-                m_isStopping                     ? "draining"
-                    : m_configuration->isReady() ? "ready"
-                                                 : "notReady" },
-            { "revision", static_cast<qint64>(m_configuration->holder().revision()) },
-            { "confirmed", m_configuration->holder().isConfirmed() },
-            { "evidence", toQString(base::nameOf(cluster::evidenceKindNames, evidence.kind)) },
-            { "store",
-                QJsonObject { { "access", m_store->hasAccess() },
-                    { "writes", static_cast<qint64>(budget.writes.taken) },
-                    { "reads", static_cast<qint64>(budget.reads.taken) } } },
-            { "slots",
-                QJsonObject { { "recordVersion", static_cast<qint64>(m_gateway->gateway().slots.record.version) },
-                    { "granted", routing::grantedSlots(m_gateway->gateway().slots) },
-                    { "stopped", routing::isStopped(m_gateway->gateway().slots, now) } } },
-            { "members", members }, { "dataCentres", dataCentres }, { "endpoints", endpoints },
-            { "batch", m_dispatcher->statusJson() } }));
 }
 
-void AdminService::handleReady(const http::Responder& responder) const
+http::Response AdminService::status() const
 {
-    if (m_isStopping) {
-        responder.respond(
-            http::ProblemBuilder(503, "draining").detail("this daemon is stopping").executedNo().response());
-        return;
+    const election::Election& state = m_term->state();
+    const scheduler::Millis now = nowMs();
+    QJsonObject object { { "daemon", toQString(m_runtime.settings.daemon) },
+        { "dataCentre", toQString(m_runtime.settings.dataCentre) }, { "version", LACEWING_VERSION },
+        { "incarnation", static_cast<qint64>(m_runtime.incarnation) }, { "isReady", isReady() },
+        { "role", toQString(base::nameOf(election::roleNames, state.role)) },
+        { "schedulingDaemon", state.record ? toQString(state.record->leader) : QString() },
+        { "token", static_cast<qint64>(state.token) }, { "isStoreReachable", isStoreReachable(m_runtime) },
+        { "configurationVersion",
+            m_configuration->isLoaded() ? static_cast<qint64>(m_configuration->current().version) : -1 },
+        { "feedAgeMs", m_table->freshAt > 0 ? static_cast<qint64>(now - m_table->freshAt) : -1 },
+        { "knownJobs", static_cast<qint64>(m_table->jobs.size()) },
+        { "cpuSeconds", processorSeconds() }, { "residentBytes", residentBytes() } };
+    QJsonArray withdrawn;
+    for (const std::string& dataCentre : m_configuration->withdrawn())
+        withdrawn.append(toQString(dataCentre));
+    object["withdrawn"] = withdrawn;
+    if (const scheduler::Scheduler* scheduler = m_dispatcher->scheduler()) {
+        QJsonArray workers;
+        for (const auto& [id, worker] : scheduler->workers)
+            workers.append(QJsonObject { { "id", toQString(id) }, { "service", toQString(worker.entry.service) },
+                { "dataCentre", toQString(worker.entry.dataCentre) },
+                { "contact", toQString(base::nameOf(scheduler::contactNames, worker.contact)) },
+                { "isDraining", worker.entry.isDraining }, { "tasks", static_cast<qint64>(worker.tasks.size()) },
+                { "cpuUsed", worker.cpuUsed }, { "cpuMillicores", worker.entry.capacity.cpuMillicores },
+                { "fillCpu", worker.fillCpu }, { "pressure", worker.pressure },
+                { "reportAgeMs", static_cast<qint64>(now - worker.reportedAt) } });
+        object["workers"] = workers;
+        object["openJobs"] = static_cast<qint64>(scheduler->active.size());
+        object["isAccounted"] = scheduler->isAccounted;
     }
-    if (!m_configuration->isReady()) {
-        responder.respond(http::ProblemBuilder(503, "notReady")
-                              .detail("no accepted configuration has been seen")
-                              .executedNo()
-                              .response());
-        return;
-    }
-    responder.respond(json(200,
-        { { "status", "ready" }, { "revision", static_cast<qint64>(m_configuration->holder().revision()) },
-            { "confirmed", m_configuration->holder().isConfirmed() } }));
+    return json(object);
 }
 
-void AdminService::updateGauges()
+http::Response AdminService::jobList(const http::Request& request) const
 {
-    base::Metrics& metrics = m_runtime.metrics;
-    const routing::Counters& routed = m_gateway->gateway().counters;
-    const auto setCounter = [&metrics](const char* name, const char* help, std::uint64_t value) {
-        metrics.counter(name, help).value = value;
-    };
-    setCounter("lacewing_requests_total", "Requests of callers.", routed.offered);
-    setCounter("lacewing_attempts_total", "Attempts sent to endpoints.", routed.attempts);
-    setCounter("lacewing_retries_total", "Attempts after the first, without hedges.", routed.retries);
-    setCounter("lacewing_hedges_total", "Attempts in parallel to a slow one.", routed.hedges);
-    setCounter("lacewing_forwards_total", "Attempts sent to other daemons.", routed.forwarded);
-    setCounter("lacewing_ejections_total", "Endpoints ejected.", routed.ejections);
-    setCounter("lacewing_slot_refusals_total", "Choices without a usable slot.", routed.slotRefusals);
-    setCounter("lacewing_loans_given_total", "Slots lent to other daemons.", routed.loansGiven);
-    setCounter("lacewing_loans_received_total", "Slots borrowed from other daemons.", routed.loansReceived);
-    const batch::DispatcherCounters& batched = m_dispatcher->dispatcher().counters;
-    setCounter("lacewing_task_starts_total", "Start requests to workers.", batched.starts);
-    setCounter("lacewing_tasks_finished_total", "Tasks finished.", batched.finished);
-    setCounter("lacewing_evictions_total", "Attempts ended by eviction.", batched.evictions);
-    setCounter("lacewing_task_failures_total", "Attempts that failed.", batched.failures);
-    setCounter("lacewing_takeovers_total", "Shards taken over.", batched.takeovers);
-    setCounter("lacewing_quarantines_total", "Workers quarantined.", batched.quarantines);
-    const peer::PeerTraffic traffic = m_membership->traffic();
-    setCounter("lacewing_peer_bytes_sent_total", "Bytes of messages to other daemons.", traffic.bytesSent);
-    setCounter("lacewing_peer_bytes_received_total", "Bytes of messages from other daemons.", traffic.bytesReceived);
-    metrics.gauge("lacewing_config_revision", "Configuration revision in force.").value
-        = static_cast<double>(m_configuration->holder().revision());
-    metrics.gauge("lacewing_store_access", "1 when the latest store call was answered.").value
-        = m_store->hasAccess() ? 1 : 0;
-    metrics.gauge("lacewing_slots_granted", "Slots that this daemon may use.").value
-        = routing::grantedSlots(m_gateway->gateway().slots);
-    metrics.gauge("lacewing_resident_bytes", "Resident memory of the process.").value = residentBytes();
-    metrics.gauge("lacewing_processor_seconds", "Processor time of the process.").value = processorSeconds();
-    for (std::size_t index = 0; index < http::refusalNames.size(); ++index) {
-        metrics
-            .counter("lacewing_http_refusals_total", "Requests refused by the HTTP server, by reason.",
-                { { "reason", std::string(http::refusalNames[index].second) } })
-            .value
-            = m_server->counters().refusals[index];
+    const QString wanted = http::queryValue(request, "state");
+    QJsonArray jobs;
+    for (const auto& [id, known] : m_table->jobs) {
+        const QString state = toQString(base::nameOf(scheduler::jobStateNames, known.state));
+        if ((wanted.isEmpty() || wanted == state) && jobs.size() < listedJobs)
+            jobs.append(QJsonObject { { "id", toQString(id) }, { "state", state } });
     }
+    return json({ { "jobs", jobs } });
 }
 
-void AdminService::handleMetrics(const http::Responder& responder)
-{
-    updateGauges();
-    http::Response response = http::textResponse(200, QByteArray::fromStdString(m_runtime.metrics.prometheusText()));
-    http::setHeader(response.headers, "Content-Type", "text/plain; version=0.0.4");
-    responder.respond(response);
-}
-
-void AdminService::handleSlo(const http::Responder& responder) const
+http::Response AdminService::jobDetails(const std::string& id) const
 {
-    std::vector<base::Objective> objectives;
-    if (const auto policy = m_configuration->holder().policy()) {
-        for (const auto& [name, service] : policy->services) {
-            const config::ServiceObjectives& goals = service.objectives;
-            objectives.push_back(
-                { name.value, base::ObjectiveKind::Latency, goals.latencyTarget, goals.latencyThreshold });
-            objectives.push_back(
-                { name.value, base::ObjectiveKind::Availability, goals.availabilityTarget, std::nullopt });
+    const auto known = m_table->jobs.find(id);
+    if (known == m_table->jobs.end())
+        return http::ProblemBuilder(404, "unknownJob").detail("this daemon does not know the job").executedNo().response();
+    QJsonObject object { { "id", toQString(id) },
+        { "state", toQString(base::nameOf(scheduler::jobStateNames, known->second.state)) } };
+    const scheduler::Scheduler* scheduler = m_dispatcher->scheduler();
+    const auto found = scheduler ? scheduler->jobs.find(id) : decltype(scheduler->jobs.find(id)) {};
+    if (scheduler && found != scheduler->jobs.end()) {
+        QJsonArray tasks;
+        for (const auto& [number, occurrence] : found->second->occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& list = occurrence.steps[step].tasks;
+                for (std::size_t index = 0; index < list.size(); ++index)
+                    tasks.append(QJsonObject { { "task",
+                                                   toQString(scheduler::taskName(id, number, static_cast<int>(step),
+                                                       static_cast<int>(index))) },
+                        { "phase", phaseName(list[index].phase) }, { "run", list[index].run },
+                        { "failures", list[index].failures }, { "worker", toQString(list[index].worker) },
+                        { "percent", list[index].percent }, { "pace", list[index].pace } });
+            }
         }
+        object["queue"] = toQString(found->second->policy.name);
+        object["tasks"] = tasks;
     }
-    const base::SloAnswer answer
-        = base::sloAnswer(m_runtime.metrics, m_runtime.settings.daemon.value, m_runtime.settings.dataCentre.value,
-            std::move(objectives), m_runtime.startedAt, base::monotonicNow(), base::wallClockMs());
-    responder.respond(json(200, base::toJson(answer)));
+    return json(object);
 }
 
-void AdminService::handleLogLevel(const http::Request& request, const http::Responder& responder) const
+http::Response AdminService::metrics() const
 {
-    const std::string name = QJsonDocument::fromJson(request.body)["level"].toString().toStdString();
-    const auto level = base::valueOf(kernel::logLevelNames, name);
-    if (!level) {
-        responder.respond(http::ProblemBuilder(400, "invalidField")
-                              .field("level")
-                              .detail("accepted: debug, info, warning, error")
-                              .executedNo()
-                              .response());
-        return;
+    base::Metrics& registry = m_runtime.metrics;
+    const auto gauge = [&registry](const char* name, const char* help, double value) {
+        registry.gauge(name, help).value = value;
+    };
+    const platform::StoreCounters& store = m_runtime.store->counters();
+    gauge("lacewing_store_reads", "Reads of one key since the start.", static_cast<double>(store.reads));
+    gauge("lacewing_store_lists", "Pages of lists read since the start.", static_cast<double>(store.lists));
+    gauge("lacewing_store_watches", "Watch calls since the start.", static_cast<double>(store.watches));
+    gauge("lacewing_store_writes", "Transactions since the start.", static_cast<double>(store.writes));
+    gauge("lacewing_store_failures", "Calls to the store that failed.", static_cast<double>(store.failures));
+    gauge("lacewing_log_lines_written", "Log lines written.", static_cast<double>(kernel::logCounters().written));
+    gauge("lacewing_log_lines_dropped", "Log lines dropped over a bound.",
+        static_cast<double>(kernel::logCounters().dropped));
+    gauge("lacewing_processor_seconds", "Processor time of this process.", processorSeconds());
+    gauge("lacewing_resident_bytes", "Resident memory of this process.", residentBytes());
+    gauge("lacewing_is_leader", "1 when this daemon schedules.", m_term->isLeader() ? 1 : 0);
+    if (const scheduler::Scheduler* scheduler = m_dispatcher->scheduler()) {
+        gauge("lacewing_open_jobs", "Jobs that have not ended.", static_cast<double>(scheduler->active.size()));
+        gauge("lacewing_starts", "Starts ordered in this term.", static_cast<double>(scheduler->starts));
+        gauge("lacewing_rejected_starts", "Starts refused for want of room.",
+            static_cast<double>(scheduler->rejectedStarts));
     }
-    kernel::setLogLevel(*level);
-    responder.respond(json(200, { { "level", toQString(name) } }));
+    http::Response response = http::textResponse(200, QByteArray::fromStdString(registry.prometheusText()));
+    return response;
 }
 
-void AdminService::handleDrain(const http::Responder& responder)
+void registerAdminService(Runtime& runtime, std::function<void()> beginDrain)
 {
-    responder.respond(json(202, { { "state", "draining" } }));
-    m_requestStop();
-}
-
-void registerAdminService(Runtime& runtime, std::function<void()> requestStop)
-{
-    auto service = std::make_shared<std::unique_ptr<AdminService>>();
+    auto service = std::make_shared<AdminService>(runtime, std::move(beginDrain));
     kernel::Service entry;
     entry.name = serviceNames::admin;
-    entry.dependsOn = { serviceNames::store, serviceNames::membership, serviceNames::configuration,
-        serviceNames::gateway, serviceNames::dispatcher };
-    entry.start = [&runtime, service, requestStop = std::move(requestStop)] {
-        *service = std::make_unique<AdminService>(runtime, requestStop);
-        return (*service)->start();
-    };
-    entry.beginStop = [service] { (*service)->beginStop(); };
-    entry.isIdle = [service] { return (*service)->isIdle(); };
-    entry.stop = [service] { (*service)->stop(); };
-    static_cast<void>(kernel::registerService(runtime.kernel, std::move(entry)));
+    entry.dependsOn
+        = { serviceNames::configuration, serviceNames::dispatcher, serviceNames::term, serviceNames::jobTable };
+    entry.start = [service] { return service->start(); };
+    entry.stop = [service] { service->stop(); };
+    kernel::registerService(runtime.kernel, std::move(entry)).assume_value();
 }
 
 } // namespace lacewing::daemon
--- a/src/daemon/admin_service.h
+++ b/src/daemon/admin_service.h
@@ -1,54 +1,48 @@
-// Service `admin`: the HTTP server of the daemon. It routes requests to the other services and serves status, metrics,
-// service-level data, health and readiness. Paths and fields are documented in docs/http.md.
+// Readiness for the load balancer, and the operators' interface: status, jobs, metrics (docs/http.md).
 #pragma once
 
 #include "daemon/runtime.h"
 #include "http/server.h"
 
+#include <QObject>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace lacewing::daemon {
 
 class ConfigurationService;
 class DispatcherService;
-class GatewayService;
-class MembershipService;
-class StoreService;
+class SyncService;
+class TermService;
+struct JobTable;
 
-class AdminService {
+class AdminService : public QObject {
 public:
-    // `requestStop` begins the planned stop of the whole daemon.
-    AdminService(Runtime& runtime, std::function<void()> requestStop);
+    AdminService(Runtime& runtime, std::function<void()> beginDrain);
 
-    // Returns the cause of a failure, or an empty string.
     std::string start();
-    void beginStop();
-    bool isIdle() const;
     void stop();
 
 private:
-    void route(const http::Request& request, const http::Responder& responder);
-    bool routeJobs(const http::Request& request, const http::Responder& responder);
-    void handleStatus(const http::Responder& responder) const;
-    void handleReady(const http::Responder& responder) const;
-    void handleMetrics(const http::Responder& responder);
-    void handleSlo(const http::Responder& responder) const;
-    void handleLogLevel(const http::Request& request, const http::Responder& responder) const;
-    void handleDrain(const http::Responder& responder);
-    void updateGauges();
+    bool isReady() const;
+    void handle(const http::Request& request, const http::Responder& responder);
+    http::Response status() const;
+    http::Response jobList(const http::Request& request) const;
+    http::Response jobDetails(const std::string& id) const;
+    http::Response metrics() const;
 
     Runtime& m_runtime;
-    std::function<void()> m_requestStop;
-    std::unique_ptr<http::Server> m_server;
-    GatewayService* m_gateway = nullptr;
-    DispatcherService* m_dispatcher = nullptr;
+    std::function<void()> m_beginDrain;
     ConfigurationService* m_configuration = nullptr;
-    MembershipService* m_membership = nullptr;
-    StoreService* m_store = nullptr;
-    bool m_isStopping = false;
+    DispatcherService* m_dispatcher = nullptr;
+    TermService* m_term = nullptr;
+    JobTable* m_table = nullptr;
+    std::unique_ptr<http::Server> m_readiness;
+    std::unique_ptr<http::Server> m_admin;
+    bool m_wasReady = false;
 };
 
-void registerAdminService(Runtime& runtime, std::function<void()> requestStop);
+void registerAdminService(Runtime& runtime, std::function<void()> beginDrain);
 
 } // namespace lacewing::daemon
--- a/src/daemon/configuration_service.h
+++ b/src/daemon/configuration_service.h
@@ -1,91 +1,48 @@
-// Service `configuration`: holds the accepted configuration, keeps it current, accepts changes of operators.
+// The operator's configuration and withdrawn data centres, followed from the store.
 //
-// - The representative of the data centre watches `config/current`; the others receive it by configPush and read the
-//   store only when their evidence of freshness is about to run out.
-// - A received revision is relayed to the other daemons of the data centre before it is put in force here.
-// - A change is accepted by compare-and-swap only. After a lost reply the value is read back; until the result is
-//   known, this daemon reports an unresolved apply, which denies the agreement of docs/design.md, Q8, to the others.
+// Every daemon follows them itself, so that an accepted version is in force everywhere without another daemon's help.
+// A version never goes back within a process. Without the store the last version stays in force.
 #pragma once
 
-#include "cluster/freshness.h"
-#include "codec/message.h"
-#include "config/policy.h"
-#include "config/revision.h"
 #include "daemon/runtime.h"
-#include "http/server.h"
-#include "store/client.h"
+#include "scheduler/types.h"
 
-#include <QTimer>
+#include <QObject>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace lacewing::daemon {
 
-class MembershipService;
-class StoreService;
-
-class ConfigurationService {
+class ConfigurationService : public QObject {
 public:
     explicit ConfigurationService(Runtime& runtime);
 
     void start();
-    void stop();
-
-    // --- State ---
-    const config::Holder& holder() const { return m_holder; }
-    bool isReady() const { return m_holder.isReady(); }
-    cluster::Freshness& freshness() { return m_freshness; }
-    const cluster::Freshness& freshness() const { return m_freshness; }
-    // Called after each change of the configuration in force.
-    void onChanged(std::function<void()> listener) { m_listeners.push_back(std::move(listener)); }
-
-    // --- Messages of other daemons ---
-    void onPush(const codec::ConfigPush& push);
-    codec::ConfigPullReply onPull(const codec::ConfigPull& pull) const;
-    // Another daemon stated that it holds this revision; a higher one than held is pulled from it.
-    void onPeerRevision(const base::DaemonId& daemon, base::Revision revision);
-
-    // --- HTTP ---
-    void handleShow(const http::Responder& responder) const;
-    void handleHistory(const http::Responder& responder);
-    void handleApply(const http::Request& request, const http::Responder& responder);
+    bool isLoaded() const { return m_current.has_value(); }
+    // Valid after isLoaded().
+    const scheduler::Configuration& current() const { return *m_current; }
+    const std::set<std::string>& withdrawn() const { return m_withdrawn; }
+    // Queue of a request by host and longest matching prefix; nullptr when there is none.
+    const scheduler::Queue* findQueue(const std::string& host, const std::string& path) const;
+    // Called after each change, for as long as the service lives.
+    void onChange(std::function<void()> callback) { m_listeners.push_back(std::move(callback)); }
 
 private:
-    struct Apply;
-
-    void readNow();
-    void watchNow();
-    void scheduleNext(base::Duration delay);
-    void step();
-    void onStored(const std::string& value, base::TimePoint sentAt);
-    void offer(const config::Stored& stored, config::Holder::Source source);
-    void putInForce(const config::Stored& stored, config::Holder::Source source);
-    void pullFrom(const base::DaemonId& daemon);
-
-    void readForApply(const std::shared_ptr<Apply>& apply);
-    void decideApply(const std::shared_ptr<Apply>& apply, const config::Stored& current, std::uint64_t version);
-    void writeForApply(const std::shared_ptr<Apply>& apply, std::uint64_t version);
-    void repeatWrite(const std::shared_ptr<Apply>& apply);
-    void onApplyWritten(const std::shared_ptr<Apply>& apply, const store::Result<store::Version>& result);
-    void settleApply();
-    void resolveApply(const std::shared_ptr<Apply>& apply);
-    void finishApply(const std::shared_ptr<Apply>& apply, const http::Response& response);
-    void writeHistory(const config::HistoryEntry& entry);
+    void list();
+    void watch();
+    void retry(bool fromList);
+    void apply(const platform::Item& item);
+    void notify();
 
     Runtime& m_runtime;
-    StoreService* m_store = nullptr;
-    MembershipService* m_membership = nullptr;
-    config::Holder m_holder;
-    cluster::Freshness m_freshness;
+    std::optional<scheduler::Configuration> m_current;
+    std::int64_t m_revision = 0; // of the store, up to which changes were applied
+    std::set<std::string> m_withdrawn;
     std::vector<std::function<void()>> m_listeners;
-    QTimer m_timer;
-    bool m_isReading = false;                  // one read or watch at a time
-    std::optional<std::uint64_t> m_watchAfter; // store revision for the next watch
-    std::optional<base::TimePoint> m_lastRead; // when the last answered read was sent
-    int m_unresolvedApplies = 0;
-    std::uint64_t m_nextOperation = 1;
 };
 
 void registerConfigurationService(Runtime& runtime);
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -1,755 +1,401 @@
-// Effects of the batch module on the store and the workers, and the HTTP interface for jobs.
+// Term of the scheduling daemon: loading, following jobs, storing progress. The calls to workers are in
+// dispatcher_workers.cpp.
 #include "daemon/dispatcher_service.h"
 
-#include "base/hash.h"
 #include "daemon/configuration_service.h"
-#include "daemon/job_messages.h"
-#include "daemon/job_search.h"
-#include "daemon/membership_service.h"
-#include "daemon/store_service.h"
-#include "http/problem.h"
+#include "daemon/job_table.h"
 #include "kernel/log.h"
-
-#include <QJsonArray>
-#include <QJsonDocument>
-#include <algorithm>
-#include <set>
+#include "platform/documents.h"
+#include "scheduler/record.h"
 
 namespace lacewing::daemon {
 
 namespace {
 
-    constexpr int tickIntervalMs = 50;
+    constexpr int tickMs = 50;            // ms; resolution of the periods of this service
+    constexpr int retryMs = 250;          // ms after a failed call to the store
+    constexpr int watchWaitMs = 2000;     // ms; a silent connection is noticed within this and the store's margin
+    constexpr int watchGapMs = 40;        // ms between watch calls, which gathers jobs that arrive together
+    constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction, the term's own entries off
 
-    QString toQString(std::string_view text)
+    bool endsWith(const std::string& text, const std::string& suffix)
     {
-        return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+        return text.size() >= suffix.size() && text.compare(text.size() - suffix.size(), suffix.size(), suffix) == 0;
     }
 
-    http::Response json(int status, const QJsonObject& object)
+    scheduler::Limits toLimits(const Settings& settings, const election::Limits& election)
     {
-        return http::jsonResponse(status, QJsonDocument(object).toJson(QJsonDocument::Compact));
-    }
-
-    batch::DispatcherLimits toDispatcherLimits(const Settings& settings)
-    {
-        batch::DispatcherLimits limits;
-        limits.commitInterval = base::milliseconds(settings.batch.commitIntervalMs);
-        limits.taskLease = base::milliseconds(settings.batch.taskLeaseMs);
-        limits.renewInterval = limits.taskLease / 4;
-        limits.proofLimit = limits.taskLease / 2;
-        limits.proofInterval = limits.taskLease / 6;
+        scheduler::Limits limits;
+        limits.maxHoldMs = settings.bounds.maxHoldMs;
+        limits.stopTimeoutMs = settings.bounds.stopTimeoutMs;
+        limits.restoreMs = settings.bounds.restoreMs;
+        limits.gangTimeoutMs = settings.bounds.gangTimeoutMs;
+        limits.earlyMs = settings.bounds.earlyMs;
+        limits.visibleMs = settings.bounds.visibleMs;
+        limits.remoteFactor = settings.bounds.remoteFactor;
+        limits.termValidityMs = election.validityMs;
         return limits;
     }
 
-    batch::TeamPolicy toTeamPolicy(const config::TeamPolicy& settings)
-    {
-        batch::TeamPolicy team;
-        team.quotaCpuMilli = std::max<std::int64_t>(settings.cpuMilli, 0); // -1 means no bound there, 0 means it here
-        team.share = settings.share;
-        return team;
-    }
-
-    batch::BatchPolicy toBatchPolicy(const config::Policy& policy, const std::set<base::DataCentreId>& known)
-    {
-        batch::BatchPolicy batchPolicy;
-        // A data centre that the configuration does not list is in service.
-        for (const base::DataCentreId& dataCentre : known)
-            batchPolicy.dataCentreIn[dataCentre] = !config::isOut(policy, dataCentre);
-        for (const auto& [team, settings] : policy.teams)
-            batchPolicy.teams[team] = toTeamPolicy(settings);
-        return batchPolicy;
-    }
-
-    int httpStatusOf(batch::SubmitCode code)
-    {
-        switch (code) {
-        case batch::SubmitCode::Accepted:
-            return 202;
-        case batch::SubmitCode::ContentDiffers:
-            return 409;
-        case batch::SubmitCode::Invalid:
-        case batch::SubmitCode::UnknownTeam:
-            return 422;
-        case batch::SubmitCode::UnknownJob:
-            return 404;
-        case batch::SubmitCode::NotOwner:
-        case batch::SubmitCode::StoreDown:
-        case batch::SubmitCode::Busy:
-        case batch::SubmitCode::Full:
-        case batch::SubmitCode::Moving:
-        case batch::SubmitCode::Lost:
-            break;
-        }
-        return 503;
-    }
-
-    http::Response refusal(const batch::ReplySubmit& reply)
-    {
-        http::ProblemBuilder problem(
-            httpStatusOf(reply.code), toQString(base::nameOf(batch::submitCodeNames, reply.code)));
-        problem.detail("the call for job " + toQString(reply.job.value) + " was not accepted");
-        if (reply.executed == batch::Executed::No)
-            problem.executedNo();
-        return problem.response();
-    }
-
 } // namespace
 
 DispatcherService::DispatcherService(Runtime& runtime)
     : m_runtime(runtime)
-    , m_dispatcher(runtime.settings.daemon, runtime.settings.dataCentre, toDispatcherLimits(runtime.settings),
-          runtime.rng.engine())
-    , m_client(std::make_unique<http::Client>())
-    , m_worker(std::make_unique<PlatformWorker>(*m_client))
 {
-    QObject::connect(&m_tickTimer, &QTimer::timeout, &m_tickTimer, [this] { tick(); });
 }
 
-DispatcherService::~DispatcherService() = default;
-
 void DispatcherService::start()
 {
-    m_store = kernel::find<StoreService>(m_runtime.kernel, serviceNames::store);
-    m_membership = kernel::find<MembershipService>(m_runtime.kernel, serviceNames::membership);
+    m_term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
     m_configuration = kernel::find<ConfigurationService>(m_runtime.kernel, serviceNames::configuration);
-    m_search = std::make_unique<JobSearch>(*m_client, *m_membership);
-    m_membership->onInstances([this](const std::vector<InstanceEntry>&) { onInstances(); });
-    m_membership->onMemberEvent([this](const cluster::MemberEvent& event) { onMemberEvent(event); });
-    m_configuration->onChanged([this] { onPolicy(); });
-    m_tickTimer.start(tickIntervalMs);
-}
-
-void DispatcherService::stop()
-{
-    m_tickTimer.stop();
-    m_search.reset();
-    m_worker.reset();
-    m_client.reset();
-}
-
-void DispatcherService::beginStop()
-{
-    m_isStopping = true;
-    answerPolls(true);
-    batch::Effects effects;
-    batch::beginStop(m_dispatcher, base::monotonicNow(), effects);
-    run(std::move(effects));
+    m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
+    m_term->onElected([this] { beginTerm(); });
+    m_term->onLost([this] { endTerm(); });
+    m_configuration->onChange([this] {
+        if (!m_scheduler)
+            return;
+        if (m_configuration->isLoaded())
+            scheduler::setConfiguration(*m_scheduler, m_configuration->current());
+        scheduler::setWithdrawn(*m_scheduler, m_configuration->withdrawn());
+        planSoon();
+    });
+    QObject::connect(&m_tick, &QTimer::timeout, this, [this] {
+        if (!m_isLoaded)
+            return;
+        renewDue();
+        if (!m_isListingWorkers && nowMs() - m_workersListedAt >= m_runtime.settings.workerListMs)
+            listWorkers();
+        runPlan();
+    });
 }
 
-bool DispatcherService::isIdle() const { return m_waiting.empty() && m_polls.empty() && batch::isIdle(m_dispatcher); }
-
-// --- Inputs ---
+// --- Term ---
 
-void DispatcherService::tick()
+void DispatcherService::beginTerm()
 {
-    const base::TimePoint now = base::monotonicNow();
-    batch::Effects effects;
-    const cluster::Freshness& freshness = m_configuration->freshness();
-    const cluster::Evidence evidence = cluster::evidence(freshness, now);
-    const bool isFresh = evidence.kind != cluster::EvidenceKind::None && m_configuration->isReady();
-    batch::onFreshness(m_dispatcher, isFresh, evidence.validUntil - freshness.limits.maxAge, now, effects);
-    batch::onOutageAgreed(m_dispatcher, evidence.kind == cluster::EvidenceKind::Agreement, now);
-    batch::onCommitInterval(m_dispatcher, m_store->commitInterval(now));
-    reportSilentOwners(now, effects);
-    batch::tick(m_dispatcher, now, effects);
-    run(std::move(effects));
-    answerPolls(false);
+    m_scheduler = std::make_unique<scheduler::Scheduler>();
+    m_scheduler->limits = toLimits(m_runtime.settings, m_term->state().limits);
+    m_scheduler->token = m_term->token();
+    m_generation = std::make_shared<int>(0);
+    m_isLoaded = false;
+    if (m_configuration->isLoaded())
+        scheduler::setConfiguration(*m_scheduler, m_configuration->current());
+    scheduler::setWithdrawn(*m_scheduler, m_configuration->withdrawn());
+    scheduler::takeOver(*m_scheduler, m_term->token(), nowMs());
+    load();
 }
 
-// A suspected member has been silent for 3 heartbeats; its shards are taken over after ownerSilenceMs.
-void DispatcherService::reportSilentOwners(base::TimePoint now, batch::Effects& effects)
+void DispatcherService::endTerm()
 {
-    const base::Duration wait = base::milliseconds(m_runtime.settings.batch.ownerSilenceMs) - base::seconds(3);
-    for (const auto& [daemon, since] : m_suspectedAt) {
-        if (now - since >= wait)
-            batch::onOwnerSilent(m_dispatcher, daemon, now, effects);
-    }
+    m_tick.stop();
+    m_generation.reset();
+    m_isLoaded = false;
+    m_isStoring = false;
+    m_isListingWorkers = false;
+    m_links.clear();
+    m_feed.clear();
+    m_storedWorkers.clear();
+    m_scheduler.reset();
 }
 
-void DispatcherService::onMemberEvent(const cluster::MemberEvent& event)
+// Reads the jobs before their progress: a job that is accepted in between has none.
+void DispatcherService::load()
 {
-    const base::TimePoint now = base::monotonicNow();
-    batch::Effects effects;
-    switch (event.change) {
-    case cluster::MemberChange::Suspected:
-    case cluster::MemberChange::Removed:
-        m_suspectedAt.emplace(event.daemon, now);
-        break;
-    case cluster::MemberChange::Stopped:
-        m_suspectedAt.erase(event.daemon);
-        batch::onOwnerSilent(m_dispatcher, event.daemon, now, effects);
-        break;
-    case cluster::MemberChange::Joined:
-    case cluster::MemberChange::Restarted:
-    case cluster::MemberChange::Recovered:
-        m_suspectedAt.erase(event.daemon);
-        batch::onOwnerAlive(m_dispatcher, event.daemon);
-        break;
-    case cluster::MemberChange::Leaving:
-        break;
-    }
-    run(std::move(effects));
-    onInstances();
+    const std::weak_ptr<int> generation = m_generation;
+    const auto retryLater = [this, generation] {
+        QTimer::singleShot(retryMs, this, [this, generation] {
+            if (!generation.expired())
+                load();
+        });
+    };
+    m_runtime.store->read(storeKeys::workers,
+        [this, generation, retryLater](const base::Result<platform::Item, platform::StoreError>& result) {
+            if (generation.expired())
+                return;
+            if (result.has_error() && result.error().code != platform::StoreCode::Missing) {
+                retryLater();
+                return;
+            }
+            if (result.has_value()) {
+                const auto workers = scheduler::decodeWorkers(result.value().value);
+                if (workers)
+                    scheduler::rememberWorkers(*m_scheduler, *workers, nowMs());
+                else
+                    kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "workersRecordRefused", {});
+            }
+            m_runtime.store->list(storeKeys::acceptedPrefix, platform::Freshness::Linearizable,
+                [this, generation, retryLater](const base::Result<platform::ItemList, platform::StoreError>& accepted) {
+                    if (generation.expired())
+                        return;
+                    if (accepted.has_error()) {
+                        retryLater();
+                        return;
+                    }
+                    m_accepted = accepted.value();
+                    m_runtime.store->list(storeKeys::progressPrefix, platform::Freshness::Linearizable,
+                        [this, generation, retryLater](
+                            const base::Result<platform::ItemList, platform::StoreError>& progress) {
+                            if (generation.expired())
+                                return;
+                            if (progress.has_error()) {
+                                retryLater();
+                                return;
+                            }
+                            m_progress = progress.value();
+                            finishLoading();
+                        });
+                });
+        });
 }
 
-// Shards and workers from the instance list. One shard is one rack.
-void DispatcherService::onInstances()
+void DispatcherService::finishLoading()
 {
-    const base::TimePoint now = base::monotonicNow();
-    std::vector<std::string> usable;
-    for (const cluster::Member& member : m_membership->view()) {
-        if (cluster::isUsable(member))
-            usable.push_back(member.daemon.value);
+    const scheduler::Millis now = nowMs();
+    // Jobs that were accepted before this term may have runs of an earlier one.
+    for (const platform::Item& item : m_accepted.items) {
+        if (item.createdRevision < m_term->token())
+            applyAccepted(item, false);
     }
-    std::map<batch::ShardKey, batch::ShardSummary> shards;
-    std::vector<batch::WorkerInfo> workers;
-    for (const InstanceEntry& instance : m_membership->instances()) {
-        if (instance.kind != InstanceKind::Worker)
+    for (const platform::Item& item : m_progress.items) {
+        const auto found = m_scheduler->jobs.find(item.key.substr(storeKeys::progressPrefix.size()));
+        if (found == m_scheduler->jobs.end())
             continue;
-        const batch::ShardKey key = "shards/" + instance.dataCentre.value + "/" + instance.rack;
-        batch::ShardSummary& summary = shards[key];
-        summary.key = key;
-        summary.dataCentre = instance.dataCentre;
-        summary.racks = { { instance.rack } };
-        m_dataCentres.insert(instance.dataCentre);
-        const base::WorkerId id { instance.id.value };
-        m_addresses[id] = { instance.address, instance.port };
-        batch::WorkerInfo info;
-        info.id = id;
-        info.dataCentre = instance.dataCentre;
-        info.rack = { instance.rack };
-        info.isLeaving = instance.state == InstanceState::Leaving;
-        workers.push_back(std::move(info));
+        if (!scheduler::restoreProgress(*found->second, item.value))
+            kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "progressRefused", { { "job", found->first } });
+        if (scheduler::isFinal(found->second->state))
+            m_scheduler->active.erase(found->first);
+        m_feed.push_back({ found->first, found->second->committedState });
+        applyState(*m_table, found->first, found->second->committedState, now);
     }
-    std::vector<batch::ShardSummary> directory;
-    for (auto& [key, summary] : shards) {
-        // A shard without a known owner is expected at its preferred daemon, so that a group that starts together
-        // shares the shards out instead of racing for each.
-        if (summary.dataCentre == m_runtime.settings.dataCentre && !usable.empty()) {
-            const std::string& preferred = usable[base::rendezvousOwner(key, usable)];
-            if (preferred != m_runtime.settings.daemon.value)
-                summary.owner = { preferred };
-        }
-        directory.push_back(std::move(summary));
+    scheduler::takeOver(*m_scheduler, m_term->token(), now);
+    for (const platform::Item& item : m_accepted.items)
+        applyAccepted(item, true);
+    m_jobsRevision = m_accepted.revision;
+    kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "termLoaded",
+        { { "token", m_term->token() }, { "jobs", static_cast<std::int64_t>(m_scheduler->jobs.size()) },
+            { "open", static_cast<std::int64_t>(m_scheduler->active.size()) },
+            { "rememberedWorkers", static_cast<std::int64_t>(m_scheduler->workers.size()) },
+            { "revision", m_jobsRevision } });
+    m_accepted = {};
+    m_progress = {};
+    m_isLoaded = true;
+    m_workersListedAt = 0;
+    watchJobs();
+    listWorkers();
+    m_tick.start(tickMs);
+}
+
+// --- Jobs ---
+
+void DispatcherService::applyAccepted(const platform::Item& item, bool isNewInTerm)
+{
+    if (item.isDeleted)
+        return;
+    std::string id = item.key.substr(storeKeys::acceptedPrefix.size());
+    if (endsWith(id, storeKeys::cancelSuffix)) {
+        id.resize(id.size() - storeKeys::cancelSuffix.size());
+        if (!isNewInTerm) // applied once the jobs are there
+            return;
+        kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "cancelSeen",
+            { { "job", id }, { "revision", item.revision } });
+        scheduler::cancelJob(*m_scheduler, id, nowMs());
+        return;
     }
-    batch::Effects effects;
-    batch::onWorkerList(m_dispatcher, workers, now, effects);
-    if (m_configuration->isReady())
-        onPolicy();
-    batch::onDirectory(m_dispatcher, directory, now, effects);
-    run(std::move(effects));
-}
-
-void DispatcherService::onPolicy()
-{
-    const auto policy = m_configuration->holder().policy();
-    const batch::BatchPolicy batchPolicy = toBatchPolicy(*policy, m_dataCentres);
-    batch::Effects effects;
-    batch::onPolicy(m_dispatcher, batchPolicy, base::monotonicNow(), effects);
-    run(std::move(effects));
-}
-
-void DispatcherService::onTransferOffer(const codec::TransferOffer& message)
-{
-    const auto offer = toOffer(message);
-    if (!offer)
+    if (m_scheduler->jobs.count(id) > 0)
         return;
-    batch::Effects effects;
-    batch::onTransferOffered(m_dispatcher, *offer, base::monotonicNow(), effects);
-    run(std::move(effects));
-}
-
-void DispatcherService::onTransferAccept(const codec::TransferAccept& message)
-{
-    batch::Effects effects;
-    batch::onTransferAccepted(
-        m_dispatcher, { message.source, message.target, message.job, message.number }, base::monotonicNow(), effects);
-    run(std::move(effects));
-}
-
-// --- Effects ---
-
-void DispatcherService::run(batch::Effects effects)
-{
-    if (!effects.empty())
-        m_queue.push_back(std::move(effects));
-    if (m_isRunning)
+    std::optional<scheduler::AcceptedJob> job = scheduler::decodeAccepted(item.value);
+    if (!job || job->request.id != id) {
+        kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "acceptedRefused", { { "job", id } });
         return;
-    m_isRunning = true;
-    while (!m_queue.empty()) {
-        const batch::Effects current = std::move(m_queue.front());
-        m_queue.pop_front();
-        for (const batch::Effect& effect : current)
-            std::visit([this](const auto& typed) { carryOut(typed); }, effect);
     }
-    m_isRunning = false;
-}
-
-void DispatcherService::carryOut(const batch::WriteShard& effect)
-{
-    const base::TimePoint issuedAt = base::monotonicNow();
-    m_store->put(effect.key, effect.value, effect.expectedVersion, effect.operation,
-        [this, effect, issuedAt](const store::Result<store::Version>& result) {
-            const base::TimePoint now = base::monotonicNow();
-            batch::Effects effects;
-            if (result.has_value()) {
-                batch::onShardWritten(
-                    m_dispatcher, effect.key, effect.operation, result.value(), issuedAt, now, effects);
-            } else if (result.error().code == store::Error::Code::Conflict) {
-                batch::onShardWriteConflict(m_dispatcher, effect.key, effect.operation, result.error().version,
-                    result.error().operation, now, effects);
-            } else if (result.error().code == store::Error::Code::Unavailable) {
-                batch::onShardWriteUnknown(m_dispatcher, effect.key, effect.operation, now, effects);
-            } else {
-                batch::onShardWriteNotSent(m_dispatcher, effect.key, effect.operation, now, effects);
+    applyState(*m_table, id, scheduler::JobState::Queued, nowMs());
+    scheduler::addJob(*m_scheduler, std::move(job->request), std::move(job->policy), job->acceptedUnixMs, nowMs());
+    if (isNewInTerm)
+        kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "jobSeen",
+            { { "job", id }, { "revision", item.revision },
+                { "ageMs", base::wallClockMs() - m_scheduler->jobs.at(id)->acceptedUnixMs } });
+}
+
+void DispatcherService::watchJobs()
+{
+    const std::weak_ptr<int> generation = m_generation;
+    m_runtime.store->watch("jobs", storeKeys::acceptedPrefix, m_jobsRevision, watchWaitMs,
+        [this, generation](const base::Result<platform::ItemList, platform::StoreError>& result) {
+            if (generation.expired())
+                return;
+            if (result.has_error()) {
+                const bool isGone = result.error().code == platform::StoreCode::HistoryGone;
+                QTimer::singleShot(retryMs, this, [this, generation, isGone] {
+                    if (generation.expired())
+                        return;
+                    if (isGone)
+                        relistJobs();
+                    else
+                        watchJobs();
+                });
+                return;
             }
-            run(std::move(effects));
+            for (const platform::Item& item : result.value().items)
+                applyAccepted(item, true);
+            m_jobsRevision = std::max(m_jobsRevision, result.value().revision);
+            if (!result.value().items.empty())
+                planSoon();
+            QTimer::singleShot(result.value().items.empty() ? 0 : watchGapMs, this, [this, generation] {
+                if (!generation.expired())
+                    watchJobs();
+            });
         });
 }
 
-void DispatcherService::carryOut(const batch::ReadShard& effect)
-{
-    const base::TimePoint issuedAt = base::monotonicNow();
-    m_store->get(effect.key, [this, effect, issuedAt](const store::Result<store::Entry>& result) {
-        const base::TimePoint now = base::monotonicNow();
-        batch::Effects effects;
-        if (result.has_value()) {
-            const store::Entry& entry = result.value();
-            batch::onShardRead(
-                m_dispatcher, effect.key, entry.version, entry.operation, entry.value, issuedAt, now, effects);
-        } else if (result.error().code == store::Error::Code::NotFound) {
-            batch::onShardRead(m_dispatcher, effect.key, 0, {}, {}, issuedAt, now, effects);
-        } else {
-            batch::onShardReadFailed(m_dispatcher, effect.key, now, effects);
-        }
-        run(std::move(effects));
-    });
-}
-
-const WorkerAddress* DispatcherService::addressOf(const base::WorkerId& worker) const
-{
-    const auto address = m_addresses.find(worker);
-    return address == m_addresses.end() ? nullptr : &address->second;
-}
-
-void DispatcherService::carryOut(const batch::FenceWorker& effect)
-{
-    const WorkerAddress* address = addressOf(effect.worker);
-    if (address == nullptr) {
-        reportUnreachable(effect.key, effect.worker, effect.request);
-        return;
-    }
-    m_worker->fence(*address, effect.epoch, m_runtime.settings.daemon.value,
-        [this, effect](const base::Result<WorkerContent, WorkerError>& result) {
-            const base::TimePoint now = base::monotonicNow();
-            batch::Effects effects;
-            if (result.has_value()) {
-                const batch::WorkerState state = toWorkerState(result.value());
-                batch::onFenceReply(m_dispatcher, effect.key, effect.worker, effect.request, true, state, now, effects);
-            } else if (result.error().code == WorkerErrorCode::StaleEpoch) {
-                batch::WorkerState state;
-                state.epoch = result.error().epoch;
-                batch::onFenceReply(
-                    m_dispatcher, effect.key, effect.worker, effect.request, false, state, now, effects);
-            } else {
-                batch::onWorkerUnreachable(m_dispatcher, effect.key, effect.worker, effect.request, now, effects);
+void DispatcherService::relistJobs()
+{
+    const std::weak_ptr<int> generation = m_generation;
+    kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "historyGone", { { "revision", m_jobsRevision } });
+    m_runtime.store->list(storeKeys::acceptedPrefix, platform::Freshness::Linearizable,
+        [this, generation](const base::Result<platform::ItemList, platform::StoreError>& result) {
+            if (generation.expired())
+                return;
+            if (result.has_error()) {
+                QTimer::singleShot(retryMs, this, [this, generation] {
+                    if (!generation.expired())
+                        relistJobs();
+                });
+                return;
             }
-            run(std::move(effects));
+            for (const platform::Item& item : result.value().items)
+                applyAccepted(item, true);
+            m_jobsRevision = std::max(m_jobsRevision, result.value().revision);
+            planSoon();
+            watchJobs();
         });
 }
 
-void DispatcherService::reportUnreachable(
-    const batch::ShardKey& key, const base::WorkerId& worker, batch::RequestId request)
-{
-    QTimer::singleShot(0, &m_tickTimer, [this, key, worker, request] {
-        batch::Effects effects;
-        batch::onWorkerUnreachable(m_dispatcher, key, worker, request, base::monotonicNow(), effects);
-        run(std::move(effects));
-    });
-}
+// --- Storing ---
 
-void DispatcherService::carryOut(const batch::StartTask& effect)
+void DispatcherService::storeProgress()
 {
-    const auto report = [this, effect](batch::StartResult result) {
-        batch::Effects effects;
-        batch::onStartReply(m_dispatcher, effect.key, effect.worker, effect.request, effect.task, effect.attempt,
-            result, base::monotonicNow(), effects);
-        run(std::move(effects));
-    };
-    const WorkerAddress* address = addressOf(effect.worker);
-    if (address == nullptr || base::monotonicNow() > effect.notAfter) {
-        QTimer::singleShot(0, &m_tickTimer, [report] { report(batch::StartResult::NotSent); });
+    if (m_isStoring || m_scheduler->dirty.empty())
         return;
-    }
-    WorkerStart start;
-    start.task = effect.task.value;
-    start.attempt = effect.attempt;
-    start.epoch = effect.epoch;
-    start.resources = toWorkerResources(effect.resources);
-    start.durationMs = effect.durationMs;
-    start.checkpointMs = effect.checkpointMs;
-    start.leaseMs = effect.leaseMs;
-    kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "taskStart",
-        { { "job", toQString(effect.task.value) }, { "attempt", static_cast<int>(effect.attempt) },
-            { "worker", toQString(effect.worker.value) }, { "shard", toQString(effect.key) },
-            { "epoch", static_cast<qint64>(effect.epoch) } });
-    m_worker->start(*address, start, [report](const base::Result<WorkerStarted, WorkerError>& result) {
-        if (result.has_error()) {
-            report(toStartResult(result.error()));
-            return;
-        }
-        report(result.value().already ? batch::StartResult::Already : batch::StartResult::Accepted);
-    });
-}
-
-void DispatcherService::carryOut(const batch::RenewWorker& effect)
-{
-    const auto report = [this, effect](bool isRenewed) {
-        batch::Effects effects;
-        batch::onRenewReply(
-            m_dispatcher, effect.key, effect.worker, effect.request, isRenewed, base::monotonicNow(), effects);
-        run(std::move(effects));
+    struct Stored {
+        std::string id;
+        std::uint64_t version = 0;
+        scheduler::JobState state = scheduler::JobState::Queued;
     };
-    const WorkerAddress* address = addressOf(effect.worker);
-    if (address == nullptr || base::monotonicNow() > effect.notAfter) {
-        QTimer::singleShot(0, &m_tickTimer, [report] { report(false); });
-        return;
+    std::vector<platform::Write> writes;
+    std::vector<Stored> stored;
+    for (const std::string& id : scheduler::takeCommit(*m_scheduler, recordsPerCommit)) {
+        const scheduler::Job& job = *m_scheduler->jobs.at(id);
+        writes.push_back({ storeKeys::progressPrefix + id, scheduler::encodeProgress(job) });
+        stored.push_back({ id, job.version, job.state });
     }
-    m_worker->renew(*address, effect.epoch, effect.leaseMs,
-        [report](const base::Result<WorkerDone, WorkerError>& result) { report(result.has_value()); });
-}
-
-template <typename Effect> WorkerCallback<WorkerDone> DispatcherService::taskCallback(const Effect& effect)
-{
-    return [this, effect](const base::Result<WorkerDone, WorkerError>& result) {
-        batch::Effects effects;
-        batch::onTaskReply(m_dispatcher, effect.key, effect.worker, effect.request, effect.task, effect.attempt,
-            result.has_value(), base::monotonicNow(), effects);
-        run(std::move(effects));
-    };
-}
-
-template <typename Effect> const WorkerAddress* DispatcherService::addressOrFail(const Effect& effect)
-{
-    const WorkerAddress* address = addressOf(effect.worker);
-    if (address == nullptr)
-        QTimer::singleShot(0, &m_tickTimer, [callback = taskCallback(effect)] {
-            callback(WorkerError { WorkerErrorCode::NotSent, "no address", 0 });
-        });
-    return address;
-}
-
-void DispatcherService::carryOut(const batch::CheckpointTask& effect)
-{
-    if (const WorkerAddress* address = addressOrFail(effect))
-        m_worker->checkpoint(*address, effect.task.value, effect.attempt, effect.epoch, taskCallback(effect));
-}
-
-void DispatcherService::carryOut(const batch::ThrottleTask& effect)
-{
-    if (const WorkerAddress* address = addressOrFail(effect))
-        m_worker->throttle(
-            *address, effect.task.value, effect.attempt, effect.epoch, effect.cpuMilli, taskCallback(effect));
-}
-
-void DispatcherService::carryOut(const batch::StopTask& effect)
-{
-    if (const WorkerAddress* address = addressOrFail(effect))
-        m_worker->stop(*address, effect.task.value, effect.attempt, effect.epoch, taskCallback(effect));
-}
-
-void DispatcherService::carryOut(const batch::AcknowledgeTask& effect)
-{
-    // No reply is needed: the dispatcher repeats the acknowledgement while the worker lists the attempt.
-    if (const WorkerAddress* address = addressOf(effect.worker))
-        m_worker->acknowledge(*address, effect.task.value, effect.attempt, effect.epoch,
-            [](const base::Result<WorkerDone, WorkerError>&) {});
-}
-
-void DispatcherService::carryOut(const batch::PollWorker& effect)
-{
-    const WorkerAddress* address = addressOf(effect.worker);
-    if (address == nullptr) {
-        reportUnreachable(effect.key, effect.worker, effect.request);
-        return;
-    }
-    const WorkerAddress target = *address;
-    m_worker->read(target, [this, effect, target](const base::Result<WorkerContent, WorkerError>& result) {
-        if (result.has_error()) {
-            reportUnreachable(effect.key, effect.worker, effect.request);
-            return;
-        }
-        const WorkerContent& content = result.value();
-        batch::Effects effects;
-        const batch::WorkerState state = toWorkerState(content);
-        batch::onWorkerState(
-            m_dispatcher, effect.key, effect.worker, effect.request, state, base::monotonicNow(), effects);
-        run(std::move(effects));
-        if (content.tasks.empty())
+    m_isStoring = true;
+    const std::weak_ptr<int> generation = m_generation;
+    m_term->commit(std::move(writes), [this, generation, stored = std::move(stored)] {
+        if (generation.expired())
             return;
-        m_worker->reports(
-            target, [this, effect, content](const base::Result<std::vector<WorkerUsage>, WorkerError>& usage) {
-                if (usage.has_error())
-                    return;
-                batch::Effects more;
-                const batch::WorkerReport report = toWorkerReport(content, usage.value());
-                batch::onReports(m_dispatcher, effect.key, report, base::monotonicNow(), more);
-                run(std::move(more));
-            });
+        m_isStoring = false;
+        const scheduler::Millis now = nowMs();
+        for (const Stored& record : stored)
+            scheduler::applyCommit(*m_scheduler, record.id, record.version, record.state, now);
+        publishChanges();
+        renewDue();
+        storeProgress();
     });
 }
 
-void DispatcherService::carryOut(const batch::OfferTransfer& effect)
+void DispatcherService::publishChanges()
 {
-    const auto summary = m_dispatcher.directory.find(effect.target);
-    const bool isOwn = batch::ownedShard(m_dispatcher, effect.target) != nullptr;
-    if (isOwn) {
-        batch::Effects effects;
-        batch::onTransferOffered(m_dispatcher, effect, base::monotonicNow(), effects);
-        run(std::move(effects));
-        return;
+    const scheduler::Millis now = nowMs();
+    for (const scheduler::JobChange& change : m_scheduler->changes) {
+        applyState(*m_table, change.id, change.state, now);
+        m_feed.push_back(change);
     }
-    // Offers are repeated by the dispatcher until they are accepted, so a lost message needs no care here.
-    const std::optional<base::DataCentreId> dataCentre
-        = summary == m_dispatcher.directory.end() ? std::nullopt : std::optional(summary->second.dataCentre);
-    for (const base::DaemonId& daemon : m_membership->daemonsOf(dataCentre))
-        m_membership->request(daemon, toMessage(effect), [](const PeerAnswer&) {});
+    m_scheduler->changes.clear();
 }
 
-void DispatcherService::carryOut(const batch::AcceptTransfer& effect)
+// Callers of this daemon are answered from the same table as those of the others.
+void DispatcherService::updateTable()
 {
-    if (batch::ownedShard(m_dispatcher, effect.source) != nullptr) {
-        batch::Effects effects;
-        batch::onTransferAccepted(m_dispatcher, effect, base::monotonicNow(), effects);
-        run(std::move(effects));
+    const scheduler::Millis now = nowMs();
+    if (now - m_table->freshAt < tickMs)
         return;
-    }
-    const auto summary = m_dispatcher.directory.find(effect.source);
-    const std::optional<base::DataCentreId> dataCentre
-        = summary == m_dispatcher.directory.end() ? std::nullopt : std::optional(summary->second.dataCentre);
-    for (const base::DaemonId& daemon : m_membership->daemonsOf(dataCentre))
-        m_membership->request(daemon, codec::TransferAccept { effect.source, effect.target, effect.job, effect.number },
-            [](const PeerAnswer&) {});
+    m_table->freshAt = now;
+    m_table->pending = scheduler::pendingJobs(*m_scheduler);
 }
 
-// --- HTTP: submit and cancel ---
-
-void DispatcherService::handleSubmit(const http::Request& request, const http::Responder& responder)
+// The next term must know the workers that may hold runs of this one, also those that are not announced any more.
+void DispatcherService::storeWorkers()
 {
-    if (m_isStopping) {
-        responder.respond(
-            http::ProblemBuilder(503, "draining").detail("this daemon is stopping").executedNo().response());
-        return;
-    }
-    auto parsed = readJobSpec(request.body);
-    if (const auto* error = std::get_if<FieldError>(&parsed)) {
-        responder.respond(http::ProblemBuilder(400, "invalidField")
-                              .field(error->field)
-                              .detail("accepted: " + error->detail)
-                              .executedNo()
-                              .response());
+    std::string ids;
+    for (const auto& [id, worker] : m_scheduler->workers)
+        ids += id + ' ';
+    if (ids == m_storedWorkers)
         return;
-    }
-    batch::JobSpec spec = std::get<batch::JobSpec>(std::move(parsed));
-    const std::string prefix = m_runtime.settings.daemon.value + "-" + std::to_string(m_runtime.incarnation);
-    const batch::SubmitToken token = m_nextToken++;
-    if (spec.id.empty())
-        spec.id = { prefix + "-" + std::to_string(token) };
-    Waiting waiting { request, responder, false, spec.id };
-    if (waiting.request.body.size() > 0 && !QJsonDocument::fromJson(request.body).object().contains("id")) {
-        // A forwarded submission carries the id that was chosen here, so that a repeat is recognised.
-        QJsonObject body = QJsonDocument::fromJson(request.body).object();
-        body["id"] = toQString(spec.id.value);
-        waiting.request.body = QJsonDocument(body).toJson(QJsonDocument::Compact);
-    }
-    m_waiting.emplace(token, std::move(waiting));
-    batch::Effects effects;
-    batch::submitJob(m_dispatcher, token, spec, {}, base::monotonicNow(), effects);
-    run(std::move(effects));
+    m_storedWorkers = ids;
+    m_term->commit({ { storeKeys::workers, scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler)) } }, [] { });
 }
 
-void DispatcherService::handleCancel(
-    const http::Request& request, const std::string& job, const http::Responder& responder)
-{
-    const base::JobId id { job };
-    batch::ShardKey key;
-    for (const batch::ShardKey& owned : batch::ownedShards(m_dispatcher)) {
-        const batch::Shard* shard = batch::ownedShard(m_dispatcher, owned);
-        const auto entry = shard->jobs.find(id);
-        if (entry != shard->jobs.end() && entry->second.state != batch::JobState::Moved)
-            key = owned;
-    }
-    if (key.empty()) {
-        m_search->pass(request, id, responder, batch::ownedShards(m_dispatcher).size(), m_dispatcher.directory.size());
-        return;
-    }
-    const batch::SubmitToken token = m_nextToken++;
-    m_waiting.emplace(token, Waiting { request, responder, true, id });
-    batch::Effects effects;
-    batch::cancelJob(m_dispatcher, token, id, key, base::monotonicNow(), effects);
-    run(std::move(effects));
-}
+// --- Plan ---
 
-void DispatcherService::carryOut(const batch::ReplySubmit& effect)
+void DispatcherService::planSoon()
 {
-    const auto entry = m_waiting.find(effect.token);
-    if (entry == m_waiting.end())
-        return;
-    const Waiting waiting = std::move(entry->second);
-    m_waiting.erase(entry);
-    if (effect.code == batch::SubmitCode::Accepted) {
-        const int status = waiting.isCancel ? 200 : 202;
-        waiting.responder.respond(
-            json(status, { { "id", toQString(effect.job.value) }, { "shard", toQString(effect.shard) } }));
-        return;
-    }
-    if (effect.code == batch::SubmitCode::NotOwner && !waiting.isCancel) {
-        m_search->passToOwner(waiting.request, waiting.responder, effect.owner, dataCentreOf(effect.shard));
+    if (m_isPlanQueued || !m_isLoaded)
         return;
-    }
-    waiting.responder.respond(refusal(effect));
-}
-
-base::DataCentreId DispatcherService::dataCentreOf(const batch::ShardKey& key) const
-{
-    const auto summary = m_dispatcher.directory.find(key);
-    return summary == m_dispatcher.directory.end() ? base::DataCentreId() : summary->second.dataCentre;
-}
-
-// --- HTTP: views ---
-
-void DispatcherService::handleStatus(
-    const http::Request& request, const std::string& job, const http::Responder& responder)
-{
-    const base::JobId id { job };
-    for (const batch::ShardKey& key : batch::ownedShards(m_dispatcher)) {
-        const batch::Shard* shard = batch::ownedShard(m_dispatcher, key);
-        const auto entry = shard->jobs.find(id);
-        if (entry != shard->jobs.end() && entry->second.state != batch::JobState::Moved) {
-            responder.respond(json(200, toJson(entry->second, key)));
-            return;
-        }
-    }
-    m_search->pass(request, id, responder, batch::ownedShards(m_dispatcher).size(), m_dispatcher.directory.size());
+    m_isPlanQueued = true;
+    QMetaObject::invokeMethod(
+        this,
+        [this] {
+            m_isPlanQueued = false;
+            runPlan();
+        },
+        Qt::QueuedConnection);
 }
 
-void DispatcherService::handleList(const http::Request& request, const http::Responder& responder)
+void DispatcherService::runPlan()
 {
-    const std::string team = http::queryValue(request, "team").toStdString();
-    const std::string state = http::queryValue(request, "state").toStdString();
-    QJsonArray jobs;
-    for (const batch::ShardKey& key : batch::ownedShards(m_dispatcher)) {
-        for (const auto& [id, job] : batch::ownedShard(m_dispatcher, key)->jobs) {
-            const bool isTeam = team.empty() || job.spec.team.value == team;
-            const bool isState = state.empty() || base::nameOf(batch::jobStateNames, job.state) == state;
-            if (isTeam && isState && job.state != batch::JobState::Moved)
-                jobs.append(toJson(job, key));
-        }
-    }
-    m_search->list(request, responder, jobs);
-}
-
-void DispatcherService::handleEvents(
-    const http::Request& request, const std::string& job, const http::Responder& responder)
-{
-    const base::JobId id { job };
-    bool isCursorValid = true;
-    bool isWaitValid = true;
-    const QString cursorText = http::queryValue(request, "cursor");
-    const QString waitText = http::queryValue(request, "wait");
-    const qulonglong cursor = cursorText.isEmpty() ? 0 : cursorText.toULongLong(&isCursorValid);
-    const int waitMs = waitText.isEmpty() ? 0 : waitText.toInt(&isWaitValid);
-    if (!isCursorValid || !isWaitValid || waitMs < 0) {
-        responder.respond(http::ProblemBuilder(400, "invalidQuery")
-                              .field(isCursorValid ? "wait" : "cursor")
-                              .detail("whole number from 0")
-                              .executedNo()
-                              .response());
-        return;
-    }
-    const batch::Job* known = batch::findJob(m_dispatcher, id);
-    if (known == nullptr || known->state == batch::JobState::Moved) {
-        m_search->pass(request, id, responder, batch::ownedShards(m_dispatcher).size(), m_dispatcher.directory.size());
+    if (!m_isLoaded)
         return;
+    m_scheduler->validUntil = m_runtime.isStopping ? 0 : m_term->validUntil();
+    m_scheduler->validUntil = m_configuration->isLoaded() ? m_scheduler->validUntil : 0;
+    carryOut(scheduler::plan(*m_scheduler, nowMs(), base::wallClockMs()));
+    updateTable();
+    storeProgress();
+    logDecisions();
+}
+
+void DispatcherService::logDecisions()
+{
+    for (const scheduler::Decision& decision : m_scheduler->decisions) {
+        std::vector<kernel::LogField> fields;
+        fields.reserve(decision.inputs.size() + 5);
+        if (!decision.job.empty())
+            fields.emplace_back("job", decision.job);
+        if (!decision.task.empty())
+            fields.emplace_back("task", decision.task);
+        if (!decision.worker.empty())
+            fields.emplace_back("worker", decision.worker);
+        if (decision.run > 0)
+            fields.emplace_back("run", decision.run);
+        for (const auto& [key, value] : decision.inputs)
+            fields.emplace_back(key, value);
+        fields.emplace_back("outcome", decision.outcome);
+        kernel::logEvent(kernel::LogLevel::Info, "dispatcher", decision.event, fields.data(), fields.size());
     }
-    const int boundedMs = std::min(waitMs, m_runtime.settings.longestPollMs);
-    m_polls.push_back({ id, cursor, base::monotonicNow() + base::milliseconds(boundedMs), responder });
-    answerPolls(m_isStopping);
-}
-
-// A poll ends when there is an event, when the job has ended, when its time is over, or when this daemon stops. Each
-// answer is complete, so a stop interrupts nothing: the caller polls again elsewhere with the same cursor.
-void DispatcherService::answerPolls(bool isFinal)
-{
-    const base::TimePoint now = base::monotonicNow();
-    std::erase_if(m_polls, [this, isFinal, now](const Poll& poll) {
-        if (!poll.responder.isConnected())
-            return true;
-        for (const batch::ShardKey& key : batch::ownedShards(m_dispatcher)) {
-            const batch::Shard* shard = batch::ownedShard(m_dispatcher, key);
-            const auto page = batch::eventsAfter(*shard, poll.job, poll.cursor);
-            if (page.has_error())
-                continue;
-            const bool isEnded = batch::isTerminal(shard->jobs.at(poll.job).state);
-            if (page.value().events.empty() && !isEnded && now < poll.until && !isFinal)
-                return false;
-            QJsonObject body = toJson(page.value(), isFinal);
-            body["state"] = toQString(base::nameOf(batch::jobStateNames, shard->jobs.at(poll.job).state));
-            poll.responder.respond(json(200, body));
-            return true;
-        }
-        // The job moved to another daemon; the caller polls again and is passed on.
-        batch::EventPage page;
-        page.nextCursor = poll.cursor;
-        poll.responder.respond(json(200, toJson(page, true)));
-        return true;
-    });
-}
-
-// --- State ---
-
-std::vector<std::string> DispatcherService::ownedShards() const { return batch::ownedShards(m_dispatcher); }
-
-QJsonObject DispatcherService::statusJson() const
-{
-    QJsonArray shards;
-    for (const batch::ShardKey& key : batch::ownedShards(m_dispatcher)) {
-        const batch::Shard* shard = batch::ownedShard(m_dispatcher, key);
-        QJsonObject states;
-        for (const auto& [id, job] : shard->jobs) {
-            const QString name = toQString(base::nameOf(batch::jobStateNames, job.state));
-            states[name] = states[name].toInt() + 1;
-        }
-        shards.append(QJsonObject {
-            { "key", toQString(key) }, { "epoch", static_cast<qint64>(shard->epoch) }, { "jobs", states } });
-    }
-    const batch::DispatcherCounters& counters = m_dispatcher.counters;
-    return { { "shards", shards }, { "knownShards", static_cast<int>(m_dispatcher.directory.size()) },
-        { "starts", static_cast<qint64>(counters.starts) }, { "finished", static_cast<qint64>(counters.finished) },
-        { "evictions", static_cast<qint64>(counters.evictions) },
-        { "failures", static_cast<qint64>(counters.failures) },
-        { "takeovers", static_cast<qint64>(counters.takeovers) },
-        { "lostShards", static_cast<qint64>(counters.lostShards) }, { "storeDown", m_dispatcher.isStoreDown },
-        { "fresh", m_dispatcher.isFresh } };
+    m_scheduler->decisions.clear();
 }
 
 void registerDispatcherService(Runtime& runtime)
 {
-    auto service = std::make_shared<std::unique_ptr<DispatcherService>>();
+    auto service = std::make_shared<DispatcherService>(runtime);
     kernel::Service entry;
     entry.name = serviceNames::dispatcher;
-    entry.dependsOn = { serviceNames::store, serviceNames::membership, serviceNames::configuration };
+    entry.dependsOn = { serviceNames::term, serviceNames::configuration, serviceNames::jobTable };
     entry.start = [&runtime, service] {
-        *service = std::make_unique<DispatcherService>(runtime);
-        kernel::publish(runtime.kernel, serviceNames::dispatcher, service->get());
-        (*service)->start();
+        kernel::publish(runtime.kernel, serviceNames::dispatcher, service.get());
+        service->start();
         return std::string();
     };
-    entry.beginStop = [service] { (*service)->beginStop(); };
-    entry.isIdle = [service] { return (*service)->isIdle(); };
-    entry.stop = [service] { (*service)->stop(); };
-    static_cast<void>(kernel::registerService(runtime.kernel, std::move(entry)));
+    kernel::registerService(runtime.kernel, std::move(entry)).assume_value();
 }
 
 } // namespace lacewing::daemon
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -1,118 +1,92 @@
-// Service `dispatcher`: batch work of this daemon.
-//
-// All decisions are made by batch::Dispatcher; this file carries out its effects: store calls, worker calls and replies
-// to callers. Calls for a job of a shard that another daemon owns are passed on over HTTP, at most one hop.
+// The scheduling daemon's work: loads the jobs at the start of its term, follows new ones, keeps the leases of the
+// workers, carries out the plan and stores progress. Idle in every other daemon.
 #pragma once
 
-#include "batch/dispatcher.h"
-#include "cluster/membership.h"
-#include "codec/message.h"
-#include "daemon/platform_worker.h"
 #include "daemon/runtime.h"
-#include "http/client.h"
-#include "http/server.h"
+#include "daemon/term_service.h"
+#include "platform/worker_link.h"
+#include "scheduler/scheduler.h"
 
-#include <QJsonObject>
+#include <QObject>
 #include <QTimer>
-#include <deque>
 #include <map>
 #include <memory>
-#include <set>
-#include <unordered_map>
+#include <string>
 
 namespace lacewing::daemon {
 
 class ConfigurationService;
-class JobSearch;
-class MembershipService;
-class StoreService;
+struct JobTable;
 
-class DispatcherService {
+class DispatcherService : public QObject {
 public:
-    explicit DispatcherService(Runtime& runtime);
-    ~DispatcherService();
+    DispatcherService(Runtime& runtime);
 
     void start();
-    void stop();
-    void beginStop();
-    bool isIdle() const;
-
-    // --- HTTP (docs/http.md) ---
-    void handleSubmit(const http::Request& request, const http::Responder& responder);
-    void handleStatus(const http::Request& request, const std::string& job, const http::Responder& responder);
-    void handleList(const http::Request& request, const http::Responder& responder);
-    void handleCancel(const http::Request& request, const std::string& job, const http::Responder& responder);
-    void handleEvents(const http::Request& request, const std::string& job, const http::Responder& responder);
-
-    // --- Messages of other daemons ---
-    void onTransferOffer(const codec::TransferOffer& offer);
-    void onTransferAccept(const codec::TransferAccept& accept);
-
-    // --- State ---
-    std::vector<std::string> ownedShards() const;
-    QJsonObject statusJson() const;
-    const batch::Dispatcher& dispatcher() const { return m_dispatcher; }
+    // State of the term, or nullptr when this daemon does not schedule or is still loading.
+    const scheduler::Scheduler* scheduler() const { return m_isLoaded ? m_scheduler.get() : nullptr; }
+    // Committed states since the beginning of the term, in order.
+    const std::vector<scheduler::JobChange>& feed() const { return m_feed; }
 
 private:
-    struct Waiting { // a caller that waits for ReplySubmit
-        http::Request request;
-        http::Responder responder;
-        bool isCancel = false;
-        base::JobId job;
-    };
-    struct Poll { // a long poll for events of a job
-        base::JobId job;
-        std::uint64_t cursor = 0;
-        base::TimePoint until;
-        http::Responder responder;
+    struct Link {
+        std::unique_ptr<platform::WorkerLink> calls;
+        std::string address;
+        int failures = 0;      // renewals without an answer, in a row
+        bool isRenewing = false;
+        scheduler::Millis nextRenewalAt = 0;
     };
 
-    void run(batch::Effects effects);
-    void carryOut(const batch::WriteShard& effect);
-    void carryOut(const batch::ReadShard& effect);
-    void carryOut(const batch::FenceWorker& effect);
-    void carryOut(const batch::StartTask& effect);
-    void carryOut(const batch::RenewWorker& effect);
-    void carryOut(const batch::CheckpointTask& effect);
-    void carryOut(const batch::ThrottleTask& effect);
-    void carryOut(const batch::StopTask& effect);
-    void carryOut(const batch::AcknowledgeTask& effect);
-    void carryOut(const batch::PollWorker& effect);
-    void carryOut(const batch::ReplySubmit& effect);
-    void carryOut(const batch::OfferTransfer& effect);
-    void carryOut(const batch::AcceptTransfer& effect);
-    template <typename Effect> WorkerCallback<WorkerDone> taskCallback(const Effect& effect);
-
-    void tick();
-    void onInstances();
-    void onPolicy();
-    void answerPolls(bool isFinal);
-    const WorkerAddress* addressOf(const base::WorkerId& worker) const;
-
-    void onMemberEvent(const cluster::MemberEvent& event);
-    void reportSilentOwners(base::TimePoint now, batch::Effects& effects);
-    void reportUnreachable(const batch::ShardKey& key, const base::WorkerId& worker, batch::RequestId request);
-    template <typename Effect> const WorkerAddress* addressOrFail(const Effect& effect);
-    base::DataCentreId dataCentreOf(const batch::ShardKey& key) const;
+    // --- Term ---
+    void beginTerm();
+    void endTerm();
+    void load();
+    void finishLoading();
+
+    // --- Store ---
+    void watchJobs();
+    void relistJobs();
+    void applyAccepted(const platform::Item& item, bool isNewInTerm);
+    void listWorkers();
+    void storeProgress();
+    void storeWorkers();
+
+    // --- Workers ---
+    void renewDue();
+    void renew(const std::string& worker, Link& link);
+    void applyRenewal(const std::string& worker, const base::Result<scheduler::WorkerReport, platform::LinkError>& result,
+        scheduler::Millis sentAt);
+    void carryOut(scheduler::Orders orders);
+    void sendStart(const scheduler::StartOrder& order, int attempt);
+
+    void planSoon();
+    void runPlan();
+    void publishChanges();
+    void updateTable();
+    void logDecisions();
 
     Runtime& m_runtime;
-    StoreService* m_store = nullptr;
-    MembershipService* m_membership = nullptr;
+    TermService* m_term = nullptr;
     ConfigurationService* m_configuration = nullptr;
-    batch::Dispatcher m_dispatcher;
-    std::unique_ptr<http::Client> m_client;
-    std::unique_ptr<PlatformWorker> m_worker;
-    std::map<base::WorkerId, WorkerAddress> m_addresses;
-    std::map<batch::SubmitToken, Waiting> m_waiting;
-    std::vector<Poll> m_polls;
-    std::deque<batch::Effects> m_queue; // effects that wait while others are carried out
-    bool m_isRunning = false;
-    batch::SubmitToken m_nextToken = 1;
-    bool m_isStopping = false;
-    QTimer m_tickTimer;
-    std::map<base::DaemonId, base::TimePoint> m_suspectedAt;
-    std::set<base::DataCentreId> m_dataCentres; // of all workers ever listed
-    std::unique_ptr<JobSearch> m_search;
+    JobTable* m_table = nullptr;
+
+    // --- Term; empty between terms ---
+    std::unique_ptr<scheduler::Scheduler> m_scheduler;
+    std::shared_ptr<int> m_generation; // callbacks of an earlier term find it expired
+    bool m_isLoaded = false;
+    platform::ItemList m_accepted; // while loading
+    platform::ItemList m_progress; // while loading
+    std::int64_t m_jobsRevision = 0;
+    std::map<std::string, Link> m_links;
+    std::vector<scheduler::JobChange> m_feed;
+    std::string m_storedWorkers; // ids in the stored list of workers
+    bool m_isStoring = false;
+    bool m_isPlanQueued = false;
+
+    QTimer m_tick;
+    scheduler::Millis m_workersListedAt = 0;
+    bool m_isListingWorkers = false;
+    http::ChannelCounters m_traffic; // with workers
 };
 
 void registerDispatcherService(Runtime& runtime);
--- /dev/null
+++ b/src/daemon/dispatcher_workers.cpp
@@ -0,0 +1,169 @@
+// Calls to workers: the list of workers, renewals of their leases, and orders.
+#include "daemon/dispatcher_service.h"
+
+#include "kernel/log.h"
+#include "platform/documents.h"
+
+namespace lacewing::daemon {
+
+namespace {
+
+    constexpr int failuresUntilLost = 2;  // renewals without an answer in a row
+    constexpr int lostRetryMs = 400;      // ms between attempts to reach a lost worker
+    constexpr int endsPendingWaitMs = 300; // ms; longest pause of the renewals of a worker whose ends are being stored
+    constexpr int startAttempts = 2;      // the second one repeats the first, which a worker carries out once
+
+} // namespace
+
+void DispatcherService::listWorkers()
+{
+    m_isListingWorkers = true;
+    m_workersListedAt = nowMs();
+    const std::weak_ptr<int> generation = m_generation;
+    m_runtime.store->list(platform::workersPrefix, platform::Freshness::Linearizable,
+        [this, generation](const base::Result<platform::ItemList, platform::StoreError>& result) {
+            if (generation.expired())
+                return;
+            m_isListingWorkers = false;
+            if (result.has_error())
+                return;
+            std::vector<scheduler::WorkerEntry> entries;
+            for (const platform::Item& item : result.value().items) {
+                const std::string id = item.key.substr(platform::workersPrefix.size());
+                if (auto entry = platform::decodeWorker(id, item.value))
+                    entries.push_back(std::move(*entry));
+                else
+                    kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "workerEntryRefused",
+                        { { "worker", id }, { "revision", item.revision } });
+            }
+            scheduler::setWorkers(*m_scheduler, entries, nowMs());
+            storeWorkers();
+            renewDue();
+            planSoon();
+        });
+}
+
+void DispatcherService::renewDue()
+{
+    if (!m_isLoaded)
+        return;
+    const scheduler::Millis now = nowMs();
+    for (auto it = m_links.begin(); it != m_links.end();) {
+        const auto worker = m_scheduler->workers.find(it->first);
+        const bool isStale = worker == m_scheduler->workers.end() || worker->second.entry.address != it->second.address;
+        it = isStale ? m_links.erase(it) : std::next(it);
+    }
+    for (const auto& [id, worker] : m_scheduler->workers) {
+        Link& link = m_links[id];
+        if (!link.calls) {
+            link.address = worker.entry.address;
+            link.calls = std::make_unique<platform::WorkerLink>(
+                link.address, id, platform::LinkTimeouts {}, &m_traffic);
+        }
+        // While ends wait for the store, the worker would repeat them at once.
+        const bool isStoringEnds = !worker.unacknowledged.empty() && now - worker.reportedAt < endsPendingWaitMs
+            && m_scheduler->dirty.count(worker.unacknowledged.back().job) > 0;
+        if (!link.isRenewing && now >= link.nextRenewalAt && !isStoringEnds)
+            renew(id, link);
+    }
+}
+
+void DispatcherService::renew(const std::string& id, Link& link)
+{
+    link.isRenewing = true;
+    const scheduler::Millis sentAt = nowMs();
+    const scheduler::Worker& worker = m_scheduler->workers.at(id);
+    const bool isFirst = worker.contact != scheduler::Contact::Held;
+    const scheduler::LeaseRequest lease = scheduler::leaseRequest(*m_scheduler, id, sentAt);
+    const int waitMs = isFirst || lease.expiresClockMs == 0 ? 0 : m_runtime.settings.leaseWaitMs;
+    const std::weak_ptr<int> generation = m_generation;
+    link.calls->renew(m_term->token(), lease, waitMs,
+        [this, generation, id, sentAt](const base::Result<scheduler::WorkerReport, platform::LinkError>& result) {
+            if (!generation.expired())
+                applyRenewal(id, result, sentAt);
+        });
+}
+
+void DispatcherService::applyRenewal(const std::string& id,
+    const base::Result<scheduler::WorkerReport, platform::LinkError>& result, scheduler::Millis sentAt)
+{
+    const auto found = m_links.find(id);
+    if (found == m_links.end())
+        return;
+    Link& link = found->second;
+    const scheduler::Millis now = nowMs();
+    link.isRenewing = false;
+    if (result.has_value()) {
+        link.failures = 0;
+        const bool hadClock = m_scheduler->workers.at(id).clockReadAt > 0;
+        scheduler::applyReport(*m_scheduler, id, result.value(), sentAt, now);
+        // The first report only told the clock: renew the lease at once.
+        link.nextRenewalAt = hadClock ? now + m_runtime.settings.leaseGapMs : now;
+        planSoon();
+        if (!hadClock)
+            renew(id, link);
+        return;
+    }
+    const platform::LinkError error = result.error();
+    link.nextRenewalAt = now + lostRetryMs;
+    if (error == platform::LinkError::OtherLife) {
+        scheduler::forgetRuns(*m_scheduler, id, now);
+        planSoon();
+    } else if (error == platform::LinkError::Fenced) {
+        kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "fenced", { { "worker", id }, { "token", m_term->token() } });
+        m_term->suspectLoss();
+    } else if (++link.failures >= failuresUntilLost || error == platform::LinkError::Refused) {
+        scheduler::loseContact(*m_scheduler, id, now);
+        planSoon();
+    } else {
+        link.nextRenewalAt = now;
+    }
+}
+
+void DispatcherService::carryOut(scheduler::Orders orders)
+{
+    for (const scheduler::StopOrder& order : orders.stops) {
+        if (const auto link = m_links.find(order.worker); link != m_links.end())
+            link->second.calls->stop(m_term->token(), order, [](bool) { });
+    }
+    for (const scheduler::PaceOrder& order : orders.paces) {
+        if (const auto link = m_links.find(order.worker); link != m_links.end())
+            link->second.calls->pace(m_term->token(), order, [](bool) { });
+    }
+    for (const scheduler::StartOrder& order : orders.starts)
+        sendStart(order, 1);
+}
+
+void DispatcherService::sendStart(const scheduler::StartOrder& order, int attempt)
+{
+    const auto link = m_links.find(order.worker);
+    if (link == m_links.end()) {
+        scheduler::applyStart(*m_scheduler, order, scheduler::StartOutcome::Refused, nowMs());
+        return;
+    }
+    const std::weak_ptr<int> generation = m_generation;
+    link->second.calls->start(m_term->token(), order, [this, generation, order, attempt](platform::StartAnswer answer) {
+        if (generation.expired())
+            return;
+        const scheduler::Millis now = nowMs();
+        scheduler::StartOutcome outcome = answer.outcome;
+        if (answer.clockMs > 0 && outcome != scheduler::StartOutcome::OtherLife)
+            scheduler::applyClock(*m_scheduler, order.worker, answer.clockMs, now);
+        if (outcome == scheduler::StartOutcome::Unknown && attempt < startAttempts) {
+            sendStart(order, attempt + 1);
+            return;
+        }
+        // A refusal of the second attempt says nothing about the first.
+        const bool isSettled
+            = outcome == scheduler::StartOutcome::Started || outcome == scheduler::StartOutcome::OtherLife;
+        if (attempt > 1 && !isSettled)
+            outcome = scheduler::StartOutcome::Unknown;
+        if (outcome == scheduler::StartOutcome::Fenced)
+            m_term->suspectLoss();
+        scheduler::applyStart(*m_scheduler, order, outcome, now);
+        if (outcome != scheduler::StartOutcome::Started)
+            planSoon();
+    });
+}
+
+} // namespace lacewing::daemon
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -1,642 +1,329 @@
-// Effects of the routing module on real sockets, and the slot record in the store.
+// Routing of job requests, group commit of accepted jobs, answers from the table of known states.
 #include "daemon/gateway_service.h"
 
 #include "daemon/configuration_service.h"
-#include "daemon/membership_service.h"
-#include "daemon/slot_messages.h"
-#include "daemon/store_service.h"
-#include "http/problem.h"
+#include "daemon/job_table.h"
 #include "kernel/log.h"
+#include "platform/documents.h"
+#include "scheduler/record.h"
 
-#include <algorithm>
+#include <QHostAddress>
 
 namespace lacewing::daemon {
 
 namespace {
 
-    constexpr int recordIntervalMs = 2000; // reads of the slot records; one list call for all data centres
-    constexpr base::Duration assumedDistance = base::milliseconds(1); // round trip to another data centre
-    constexpr int longestTickMs = 100;
+    constexpr std::size_t submissionsPerCommit = 15;  // a condition and a write each, within the store's limit
+    constexpr int retryMs = 60;                       // ms between attempts of uncertain submissions
+    constexpr scheduler::Millis defaultWaitMs = 3000; // ms; of callers that do not say how long they wait
+    constexpr scheduler::Millis answerMarginMs = 400; // ms before the caller's deadline at which it gets its answer
+    constexpr scheduler::Millis freshMs = 1500;       // ms; an older word of the scheduling daemon is checked in the store
+    constexpr int retryAfterSeconds = 1;              // s; told to callers that were refused
 
-    const std::string slotsPrefix = "slots/";
-    const std::string servicePrefix = "/svc/";
-
-    QString toQString(std::string_view text)
-    {
-        return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-    }
-
-    bool isIdempotentMethod(const QByteArray& method)
+    http::Response refusal(int status, const QByteArray& reason)
     {
-        return method == "GET" || method == "HEAD" || method == "PUT" || method == "DELETE" || method == "OPTIONS";
+        http::Response response = http::jsonResponse(status, "{\"error\":\"" + reason + "\"}");
+        if (status == 503)
+            response.headers.push_back({ "Retry-After", QByteArray::number(retryAfterSeconds) });
+        return response;
     }
 
-    bool isIdempotent(const http::Request& request, config::Idempotency idempotency)
+    std::string hostOf(const http::Request& request)
     {
-        const QByteArray declared = http::headerValue(request.headers, "Lacewing-Idempotent").toLower();
-        if (declared == "true" || declared == "false")
-            return declared == "true";
-        if (idempotency != config::Idempotency::ByMethod)
-            return idempotency == config::Idempotency::Always;
-        return isIdempotentMethod(request.method);
+        const QByteArray host = http::headerValue(request.headers, "Host");
+        const qsizetype port = host.lastIndexOf(':');
+        return (port < 0 ? host : host.left(port)).toStdString();
     }
 
-    // Value of a header with a whole number from 1; nothing when it is absent, nullopt-with-error when it is not a
-    // number.
-    struct NumberHeader {
-        bool isValid = true;
-        std::optional<std::int64_t> value;
-    };
-
-    NumberHeader numberHeader(const http::Request& request, const QByteArray& name, std::int64_t least)
+    scheduler::Millis deadlineOf(const http::Request& request, scheduler::Millis now)
     {
-        if (!http::hasHeader(request.headers, name))
-            return {};
         bool isNumber = false;
-        const qint64 value = http::headerValue(request.headers, name).toLongLong(&isNumber);
-        if (!isNumber || value < least)
-            return { false, std::nullopt };
-        return { true, value };
-    }
-
-    const char* problemDetail(routing::Reason reason)
-    {
-        switch (reason) {
-        case routing::Reason::Draining:
-            return "this daemon is stopping";
-        case routing::Reason::QueueFull:
-            return "too many requests of this class are waiting";
-        case routing::Reason::DeadlineTooShort:
-            return "the deadline cannot be met";
-        case routing::Reason::DeadlineExpired:
-            return "the deadline passed before a complete answer arrived";
-        case routing::Reason::NoEndpoint:
-            return "no endpoint can take the request";
-        case routing::Reason::TooManyHops:
-            return "a forwarded request cannot be served here";
-        case routing::Reason::RetryBudgetExhausted:
-            return "an attempt failed and the retry budget is used up";
-        case routing::Reason::AttemptsExhausted:
-            return "all attempts failed";
-        case routing::Reason::MayHaveExecuted:
-            return "the connection broke after the request was sent; it may have been executed";
-        case routing::Reason::DuplicateRequest:
-            return "the request id is in use";
-        case routing::Reason::CallerGone:
-            return "the caller left";
-        }
-        return "";
-    }
-
-    http::Executed toHttp(routing::Executed executed)
-    {
-        return executed == routing::Executed::No ? http::Executed::No : http::Executed::Unknown;
-    }
-
-    // The header lets a daemon that forwarded the request see the field without parsing the body.
-    void addExecutedHeader(http::Response& response, http::Executed executed)
-    {
-        const std::string_view name = base::nameOf(http::executedNames, executed);
-        http::setHeader(
-            response.headers, "Lacewing-Executed", QByteArray(name.data(), static_cast<qsizetype>(name.size())));
-    }
-
-    routing::AttemptOutcome toOutcome(const http::ClientResult& result)
-    {
-        routing::AttemptOutcome outcome;
-        outcome.bytesSent
-            = result.bytesSent == http::BytesSent::None ? routing::BytesSent::None : routing::BytesSent::Some;
-        outcome.status = result.status;
-        outcome.endpointSaidNotExecuted
-            = result.ok() && http::headerValue(result.headers, "Lacewing-Executed").toLower() == "no";
-        outcome.timedOut = result.failure == http::Failure::Timeout;
-        outcome.complete = result.ok();
-        outcome.connectionLost = !result.ok() && !outcome.timedOut;
-        return outcome;
-    }
-
-    http::Response toResponse(const http::ClientResult& result)
-    {
-        http::Response response;
-        response.status = result.status;
-        response.body = result.body;
-        for (const http::Header& header : result.headers) {
-            if (!http::isHopByHop(header.name) && header.name.toLower() != "content-length")
-                response.headers.push_back(header);
-        }
-        return response;
+        const qint64 told = http::headerValue(request.headers, platform::deadlineHeader).toLongLong(&isNumber);
+        const scheduler::Millis wait = isNumber && told > 0 ? std::min<qint64>(told, defaultWaitMs) : defaultWaitMs;
+        return now + std::max<scheduler::Millis>(wait - answerMarginMs, wait / 2);
     }
 
 } // namespace
 
 GatewayService::GatewayService(Runtime& runtime)
     : m_runtime(runtime)
-    , m_client(std::make_unique<http::Client>())
 {
-    const routing::GatewayIdentity identity { runtime.settings.daemon, runtime.incarnation,
-        runtime.settings.dataCentre };
-    routing::initGateway(m_gateway, identity, {}, routing::PolicyName::LatencyAware, runtime.rng.engine());
-    m_tickTimer.setSingleShot(true);
-    QObject::connect(
-        &m_tickTimer, &QTimer::timeout, &m_tickTimer, [this] { run(routing::tick(m_gateway, base::monotonicNow())); });
-    QObject::connect(&m_recordTimer, &QTimer::timeout, &m_recordTimer, [this] { readRecords(); });
+    m_retry.setSingleShot(true);
+    QObject::connect(&m_retry, &QTimer::timeout, this, [this] { storeSubmissions(); });
 }
 
-void GatewayService::start()
+std::string GatewayService::start()
 {
-    m_store = kernel::find<StoreService>(m_runtime.kernel, serviceNames::store);
-    m_membership = kernel::find<MembershipService>(m_runtime.kernel, serviceNames::membership);
     m_configuration = kernel::find<ConfigurationService>(m_runtime.kernel, serviceNames::configuration);
-    m_membership->onInstances([this](const std::vector<InstanceEntry>& instances) { onInstances(instances); });
-    m_membership->onMemberEvent([this](const cluster::MemberEvent& event) {
-        const bool isProof
-            = event.change == cluster::MemberChange::Restarted || event.change == cluster::MemberChange::Stopped;
-        if (!isProof)
-            return;
-        // A restart proves every lower incarnation gone, a goodbye the stated one.
-        for (const routing::RecordMember& member : m_gateway.slots.record.members) {
-            const bool isLower = member.incarnation < event.incarnation;
-            const bool isStopped
-                = event.change == cluster::MemberChange::Stopped && member.incarnation == event.incarnation;
-            if (member.daemon == event.daemon && (isLower || isStopped)) {
-                run(routing::onDaemonGone(m_gateway, member.daemon, member.incarnation, base::monotonicNow()));
-                return;
-            }
-        }
-    });
-    m_configuration->onChanged([this] { onConfiguration(); });
-    m_recordTimer.start(recordIntervalMs);
-    readRecords();
-    scheduleTick();
+    m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
+    http::ServerLimits limits;
+    limits.pathBodies.clear();
+    m_server = std::make_unique<http::Server>(limits,
+        [this](const http::Request& request, const http::Responder& responder) { handle(request, responder); });
+    const QString address = QString::fromStdString(m_runtime.settings.callerAddress);
+    const auto port = m_server->listen(QHostAddress(address.section(':', 0, -2)), address.section(':', -1).toUShort());
+    return port.has_error() ? port.error().detail : std::string();
 }
 
-void GatewayService::stop()
-{
-    m_tickTimer.stop();
-    m_recordTimer.stop();
-    m_client.reset();
-}
+void GatewayService::beginStop() { m_server->beginDrain(); }
 
-void GatewayService::beginDrain() { run(routing::beginDrain(m_gateway, base::monotonicNow())); }
+bool GatewayService::isIdle() const { return m_server->openRequests() == 0; }
 
-bool GatewayService::isIdle()
+void GatewayService::respond(const http::Responder& responder, const http::Response& response, const char* operation,
+    const std::string& id, const std::string& outcome)
 {
-    if (m_isClosed)
-        return true;
-    if (m_isClosing || !routing::isIdle(m_gateway) || !m_pending.empty())
-        return false;
-    m_isClosing = true;
-    const std::optional<routing::SlotRecord> record = routing::closeSlots(m_gateway);
-    if (!record) {
-        m_isClosed = true;
-        return true;
-    }
-    // The record may also be left later: the goodbye lets the others remove this daemon.
-    const std::string operation = m_runtime.settings.daemon.value + ":" + std::to_string(m_runtime.incarnation)
-        + ":slots:" + std::to_string(m_nextOperation++);
-    m_store->put(recordKey(), encodeSlotRecord(*record), record->version - 1, operation,
-        [this](const store::Result<store::Version>&) { m_isClosed = true; });
-    return false;
-}
-
-std::string GatewayService::recordKey() const { return slotsPrefix + m_runtime.settings.dataCentre.value; }
-
-// --- Callers ---
-
-void GatewayService::refuse(const http::Responder& responder, int status, const char* code, const QString& detail) const
-{
-    http::Response response = http::ProblemBuilder(status, code).detail(detail).executedNo().response();
-    addExecutedHeader(response, http::Executed::No);
+    m_runtime.metrics.counter("lacewing_job_requests_total", "Job requests by operation and status.",
+        { { "operation", operation }, { "status", std::to_string(response.status) } }).value++;
+    kernel::logEvent(kernel::LogLevel::Info, "gateway", operation,
+        { { "job", id }, { "status", response.status },
+            { "version", m_configuration->isLoaded() ? m_configuration->current().version : 0 },
+            { "feedAgeMs", m_table->freshAt > 0 ? nowMs() - m_table->freshAt : -1 }, { "outcome", outcome } });
     responder.respond(response);
 }
 
 void GatewayService::handle(const http::Request& request, const http::Responder& responder)
 {
-    const QByteArray rest = request.path.mid(static_cast<qsizetype>(servicePrefix.size()));
-    const qsizetype slash = rest.indexOf('/');
-    const base::ServiceId service { (slash < 0 ? rest : rest.left(slash)).toStdString() };
-    const auto policy = m_configuration->holder().policy();
-    if (!policy) {
-        refuse(responder, 503, "notReady", "this daemon has not seen an accepted configuration");
+    if (!m_configuration->isLoaded()) {
+        respond(responder, refusal(503, "no configuration yet"), "request", {}, "no configuration");
         return;
     }
-    const bool isKnown = policy->services.empty() || policy->services.contains(service);
-    if (service.empty() || !isKnown) {
-        refuse(responder, 404, "unknownService", "the configuration does not list this service");
+    const std::string path = request.path.toStdString();
+    const scheduler::Queue* queue = m_configuration->findQueue(hostOf(request), path);
+    if (!queue) {
+        respond(responder, refusal(404, "no such queue"), "request", {}, "no queue");
         return;
     }
-    const config::ServicePolicy servicePolicy = config::servicePolicy(*policy, service);
-    if (request.body.size() > servicePolicy.bodyBytes) {
-        refuse(responder, 413, "bodyTooLarge", "the body exceeds the limit of the service");
+    const QByteArray rest = request.path.mid(static_cast<qsizetype>(queue->prefix.size()));
+    const std::string id = rest.toStdString();
+    if (rest.isEmpty() && request.method == "GET")
+        answerPending(*queue, responder);
+    else if (!platform::isJobId(rest))
+        respond(responder, refusal(404, "no such job"), "request", {}, "malformed id");
+    else if (request.method == "POST")
+        submit(*queue, id, request, responder);
+    else if (request.method == "GET")
+        answerState(id, responder);
+    else if (request.method == "DELETE")
+        cancel(id, responder, m_table->jobs.count(id) > 0);
+    else
+        respond(responder, refusal(405, "method not allowed"), "request", id, "method");
+}
+
+// --- Handing in ---
+
+void GatewayService::submit(const scheduler::Queue& queue, const std::string& id, const http::Request& request,
+    const http::Responder& responder)
+{
+    if (m_table->jobs.count(id) > 0) {
+        respond(responder, http::jsonResponse(200, "{}"), "submit", id, "known");
         return;
     }
-    const NumberHeader deadline = numberHeader(request, "Lacewing-Deadline-Ms", 1);
-    const NumberHeader hops = numberHeader(request, "Lacewing-Hops", 0);
-    const QByteArray className = http::headerValue(request.headers, "Lacewing-Class").toLower();
-    const bool isClassKnown = className.isEmpty() || className == "urgent" || className == "slow";
-    if (!deadline.isValid || !hops.isValid || !isClassKnown) {
-        refuse(responder, 400, "invalidHeader",
-            "Lacewing-Deadline-Ms and Lacewing-Hops are whole numbers, Lacewing-Class is urgent or slow");
+    auto job = platform::decodeJob(id, request.body);
+    if (job.has_error()) {
+        respond(responder, refusal(400, QByteArray::fromStdString(job.error())), "submit", id, job.error());
         return;
     }
-
-    routing::IncomingRequest incoming;
-    incoming.id = m_nextRequest++;
-    incoming.requestClass = className == "slow" ? routing::RequestClass::Slow : routing::RequestClass::Urgent;
-    incoming.isIdempotent = isIdempotent(request, servicePolicy.idempotency);
-    const base::Duration asked = deadline.value ? base::milliseconds(*deadline.value) : servicePolicy.deadline;
-    incoming.deadline = std::min(asked, servicePolicy.maxDeadline);
-    incoming.hops = static_cast<int>(hops.value.value_or(0));
-
-    Pending pending;
-    pending.request = request;
-    pending.responder = responder;
-    pending.service = service;
-    const QByteArray path = slash < 0 ? QByteArray("/") : rest.mid(slash);
-    pending.endpointPath = (request.query.isEmpty() ? path : path + "?" + request.query).toStdString();
-    const QByteArray givenId = http::headerValue(request.headers, "Lacewing-Request-Id");
-    pending.requestId = givenId.isEmpty() ? m_runtime.settings.daemon.value + "-"
-            + std::to_string(m_runtime.incarnation) + "-" + std::to_string(incoming.id)
-                                          : givenId.left(200).toStdString();
-    pending.startedAt = base::monotonicNow();
-    const routing::RequestId id = incoming.id;
-    m_pending.emplace(id, std::move(pending));
-    responder.onDisconnect([this, id] {
-        run(routing::onCallerGone(m_gateway, id, base::monotonicNow()));
-        forgetWhenDone(id);
-    });
-    run(routing::offer(m_gateway, incoming, base::monotonicNow()));
-}
-
-// --- Effects ---
-
-void GatewayService::run(routing::Effects effects)
-{
-    m_queue.push_back(std::move(effects));
-    if (m_isRunning)
+    if (!isStoreReachable(m_runtime)) {
+        respond(responder, refusal(503, "the store does not answer"), "submit", id, "store unreachable");
         return;
-    m_isRunning = true;
-    while (!m_queue.empty()) {
-        const routing::Effects current = std::move(m_queue.front());
-        m_queue.pop_front();
-        for (const routing::Effect& effect : current) {
-            routing::Effects more;
-            std::visit([this, &more](const auto& typed) { carryOut(typed, more); }, effect);
-            if (!more.empty())
-                m_queue.push_back(std::move(more));
-        }
     }
-    m_isRunning = false;
-    scheduleTick();
-}
-
-http::ClientRequest GatewayService::attemptRequest(
-    const Pending& pending, const std::string& address, const std::string& path, std::int64_t timeoutMs) const
-{
-    http::ClientRequest message;
-    message.method = pending.request.method;
-    message.url = QByteArray::fromStdString("http://" + address + path);
-    for (const http::Header& header : pending.request.headers) {
-        const QByteArray name = header.name.toLower();
-        const bool isReplaced = name == "host" || name == "content-length" || name == "lacewing-deadline-ms"
-            || name == "lacewing-hops" || name == "lacewing-request-id";
-        if (!isReplaced && !http::isHopByHop(header.name))
-            message.headers.push_back(header);
+    Submission submission;
+    submission.id = id;
+    submission.record = scheduler::encodeAccepted({ std::move(job.value()), queue.policy, base::wallClockMs() });
+    submission.responder = responder;
+    submission.receivedAt = nowMs();
+    submission.deadline = deadlineOf(request, submission.receivedAt);
+    m_submissions.push_back(std::move(submission));
+    storeSubmissions();
+}
+
+void GatewayService::storeSubmissions()
+{
+    const scheduler::Millis now = nowMs();
+    while (!m_submissions.empty() && now >= m_submissions.front().deadline) {
+        giveUp(m_submissions.front(), "deadline");
+        m_submissions.pop_front();
     }
-    http::setHeader(message.headers, "Lacewing-Request-Id", QByteArray::fromStdString(pending.requestId));
-    http::setHeader(message.headers, "Lacewing-Deadline-Ms", QByteArray::number(static_cast<qint64>(timeoutMs)));
-    message.body = pending.request.body;
-    message.timeoutMs = static_cast<int>(timeoutMs);
-    message.mode = http::SendMode::Once;
-    return message;
-}
-
-void GatewayService::sendAttempt(
-    routing::RequestId request, routing::AttemptId attempt, const http::ClientRequest& message, routing::Effects& more)
-{
-    more = routing::onAttemptStarted(m_gateway, request, attempt, base::monotonicNow());
-    const http::RequestId sent = m_client->send(message,
-        [this, request, attempt](http::ClientResult result) { onResult(request, attempt, std::move(result)); });
-    m_pending.at(request).inFlight.emplace(attempt, sent);
-}
-
-void GatewayService::carryOut(const routing::Send& send, routing::Effects& more)
-{
-    Pending& pending = m_pending.at(send.requestId);
-    pending.endpoints[send.attemptId] = send.endpoint;
-    sendAttempt(send.requestId, send.attemptId,
-        attemptRequest(pending, m_addresses[send.endpoint], pending.endpointPath, send.timeoutMs), more);
-}
-
-void GatewayService::carryOut(const routing::ForwardToDaemon& forward, routing::Effects& more)
-{
-    Pending& pending = m_pending.at(forward.requestId);
-    pending.endpoints[forward.attemptId] = {};
-    const std::string path = pending.request.path.toStdString()
-        + (pending.request.query.isEmpty() ? "" : "?" + pending.request.query.toStdString());
-    http::ClientRequest message = attemptRequest(pending, m_forwardAddresses[forward.daemon], path, forward.timeoutMs);
-    http::setHeader(message.headers, "Lacewing-Hops", QByteArray::number(forward.hops));
-    // The other daemon must not decide by its own policy file position whether the request is idempotent.
-    const bool isIdempotentRequest = m_gateway.requests.contains(forward.requestId)
-        && m_gateway.requests.at(forward.requestId).incoming.isIdempotent;
-    http::setHeader(message.headers, "Lacewing-Idempotent", isIdempotentRequest ? "true" : "false");
-    sendAttempt(forward.requestId, forward.attemptId, message, more);
-}
-
-void GatewayService::carryOut(const routing::CancelAttempt& cancel, routing::Effects&)
-{
-    const auto pending = m_pending.find(cancel.requestId);
-    if (pending == m_pending.end())
+    if (m_isStoring || m_submissions.empty() || m_retry.isActive())
         return;
-    const auto sent = pending->second.inFlight.find(cancel.attemptId);
-    if (sent != pending->second.inFlight.end())
-        m_client->cancel(sent->second);
+    std::vector<Submission> batch;
+    platform::Transaction transaction;
+    while (!m_submissions.empty() && batch.size() < submissionsPerCommit) {
+        Submission& next = m_submissions.front();
+        const std::string key = storeKeys::acceptedPrefix + next.id;
+        const bool isTwice = std::any_of(
+            batch.begin(), batch.end(), [&](const Submission& other) { return other.id == next.id; });
+        if (isTwice)
+            break; // its turn comes with the next call, which finds the first one's record
+        transaction.conditions.push_back({ key, 0 });
+        transaction.writes.push_back({ key, next.record });
+        batch.push_back(std::move(next));
+        m_submissions.pop_front();
+    }
+    m_isStoring = true;
+    m_inStore = batch.size();
+    m_runtime.store->commit(transaction,
+        [this, batch = std::move(batch)](const base::Result<std::int64_t, platform::StoreError>& result) mutable {
+            m_isStoring = false;
+            m_inStore = 0;
+            applyStored(std::move(batch), result);
+            storeSubmissions();
+        });
 }
 
-void GatewayService::onResult(routing::RequestId request, routing::AttemptId attempt, http::ClientResult result)
+void GatewayService::applyStored(
+    std::vector<Submission> batch, const base::Result<std::int64_t, platform::StoreError>& result)
 {
-    const auto pending = m_pending.find(request);
-    if (pending == m_pending.end())
+    if (result.has_value()) {
+        for (const Submission& submission : batch)
+            accept(submission, "stored");
         return;
-    pending->second.inFlight.erase(attempt);
-    const routing::AttemptOutcome outcome = toOutcome(result);
-    if (!result.ok()) {
-        kernel::logEvent(kernel::LogLevel::Debug, "gateway", "attemptFailed",
-            { { "request", toQString(pending->second.requestId) },
-                { "endpoint", toQString(pending->second.endpoints[attempt].value) },
-                { "failure", toQString(base::nameOf(http::failureNames, result.failure)) },
-                { "bytesSent", toQString(base::nameOf(http::bytesSentNames, result.bytesSent)) } });
     }
-    pending->second.answers.emplace(attempt, std::move(result));
-    run(routing::onAttemptResult(m_gateway, request, attempt, outcome, base::monotonicNow()));
-    forgetWhenDone(request);
-}
-
-void GatewayService::forgetWhenDone(routing::RequestId request)
-{
-    const auto pending = m_pending.find(request);
-    if (pending == m_pending.end())
+    const platform::StoreError& error = result.error();
+    if (error.code == platform::StoreCode::Conflict) {
+        std::vector<Submission> others;
+        for (Submission& submission : batch) {
+            const bool isThere = std::any_of(error.current.begin(), error.current.end(), [&](const platform::Item& item) {
+                return item.key == storeKeys::acceptedPrefix + submission.id;
+            });
+            if (isThere)
+                accept(submission, "already stored");
+            else
+                others.push_back(std::move(submission));
+        }
+        m_submissions.insert(m_submissions.begin(), std::make_move_iterator(others.begin()),
+            std::make_move_iterator(others.end()));
         return;
-    const bool isAnswered = pending->second.responder.isAnswered() || !pending->second.responder.isConnected();
-    if (isAnswered && pending->second.inFlight.empty() && !m_gateway.requests.contains(request))
-        m_pending.erase(pending);
-}
-
-void GatewayService::recordResult(const Pending& pending, const base::EndpointId& endpoint, bool isAnswered)
-{
-    const auto policy = m_configuration->holder().policy();
-    std::optional<base::Duration> threshold;
-    if (policy)
-        threshold = config::servicePolicy(*policy, pending.service).objectives.latencyThreshold;
-    const base::TimePoint now = base::monotonicNow();
-    m_runtime.metrics.recordRequest({ pending.service.value, endpoint.value }, now - pending.startedAt,
-        isAnswered ? base::RequestResult::Answered : base::RequestResult::Failed, threshold, now);
-}
-
-void GatewayService::carryOut(const routing::ReplyWithAnswer& reply, routing::Effects&)
-{
-    Pending& pending = m_pending.at(reply.requestId);
-    const http::ClientResult& answer = pending.answers.at(reply.attemptId);
-    recordResult(pending, pending.endpoints[reply.attemptId], answer.status < 500);
-    pending.responder.respond(toResponse(answer));
-    forgetWhenDone(reply.requestId);
+    }
+    std::vector<Submission> uncertain;
+    for (Submission& submission : batch) {
+        submission.isUncertain = submission.isUncertain || error.code == platform::StoreCode::Unknown;
+        if (submission.isUncertain)
+            uncertain.push_back(std::move(submission));
+        else
+            giveUp(submission, error.detail);
+    }
+    m_submissions.insert(m_submissions.begin(), std::make_move_iterator(uncertain.begin()),
+        std::make_move_iterator(uncertain.end()));
+    if (!m_submissions.empty())
+        m_retry.start(retryMs);
 }
 
-void GatewayService::carryOut(const routing::ReplyWithProblem& reply, routing::Effects&)
+void GatewayService::accept(const Submission& submission, const char* how)
 {
-    Pending& pending = m_pending.at(reply.requestId);
-    const std::string_view code = base::nameOf(routing::reasonNames, reply.code);
-    const http::Executed executed = toHttp(reply.executed);
-    http::ProblemBuilder problem(reply.httpStatus, toQString(code));
-    problem.detail(problemDetail(reply.code));
-    if (executed == http::Executed::No)
-        problem.executedNo();
-    http::Response response = problem.response();
-    addExecutedHeader(response, executed);
-    const base::EndpointId endpoint
-        = pending.endpoints.empty() ? base::EndpointId() : pending.endpoints.rbegin()->second;
-    recordResult(pending, endpoint, false);
-    m_runtime.metrics
-        .counter("lacewing_requests_refused_total", "Requests answered with a problem, by reason.",
-            { { "code", std::string(code) } })
-        .value
-        += 1;
-    kernel::logEvent(kernel::LogLevel::Info, "gateway", "requestRefused",
-        { { "request", toQString(pending.requestId) }, { "service", toQString(pending.service.value) },
-            { "code", toQString(code) }, { "executed", toQString(base::nameOf(http::executedNames, executed)) } });
-    pending.responder.respond(response);
-    forgetWhenDone(reply.requestId);
+    const scheduler::Millis now = nowMs();
+    applyState(*m_table, submission.id, scheduler::JobState::Queued, now);
+    m_runtime.metrics.latency("lacewing_accept_seconds", "Time from a job request to its acceptance.")
+        .record(base::milliseconds(now - submission.receivedAt));
+    respond(submission.responder, http::jsonResponse(200, "{}"), "submit", submission.id, how);
 }
 
-// --- Slots ---
-
-void GatewayService::carryOut(const routing::AskForLoan& ask, routing::Effects&)
+void GatewayService::giveUp(const Submission& submission, const std::string& reason)
 {
-    m_membership->request(ask.owner, toMessage(ask.request), [this](const PeerAnswer& answer) {
-        const auto* reply = answer ? std::get_if<codec::SlotLoanReply>(&*answer) : nullptr;
-        if (reply != nullptr)
-            run(routing::onLoanReply(m_gateway, toLoanReply(*reply), base::monotonicNow()));
-    });
+    if (submission.isUncertain)
+        respond(submission.responder, refusal(504, "the outcome is unknown, ask again with the same id"), "submit",
+            submission.id, "unknown: " + reason);
+    else
+        respond(submission.responder, refusal(503, "not accepted"), "submit", submission.id, "not stored: " + reason);
 }
 
-void GatewayService::carryOut(const routing::GiveLoanBack& giveBack, routing::Effects&)
-{
-    // A lost return costs only time: the lease ends by itself.
-    m_membership->request(giveBack.loan.owner, toMessage(giveBack.loan), [](const PeerAnswer&) {});
-}
+// --- State ---
 
-void GatewayService::carryOut(const routing::WriteSlotRecord& write, routing::Effects&)
+void GatewayService::answerState(const std::string& id, const http::Responder& responder)
 {
-    if (m_isWritingRecord)
+    const auto known = m_table->jobs.find(id);
+    if (known == m_table->jobs.end()) {
+        readState(id, responder);
         return;
-    m_isWritingRecord = true;
-    const std::string operation = m_runtime.settings.daemon.value + ":" + std::to_string(m_runtime.incarnation)
-        + ":slots:" + std::to_string(m_nextOperation++);
-    m_store->put(recordKey(), encodeSlotRecord(write.record), write.record.version - 1, operation,
-        [this, version = write.record.version](const store::Result<store::Version>& result) {
-            m_isWritingRecord = false;
-            kernel::logEvent(kernel::LogLevel::Info, "gateway", "slotRecordWritten",
-                { { "version", static_cast<qint64>(version) }, { "succeeded", result.has_value() } });
-            // The outcome, also of a lost reply or a refused write, is read back.
-            readRecords();
-        });
-}
-
-void GatewayService::readRecords()
-{
-    const base::TimePoint sentAt = base::monotonicNow();
-    m_store->list(slotsPrefix, [this, sentAt](const store::Result<store::Listing>& result) {
-        if (result.has_error())
-            return;
-        routing::SlotRecord own;
-        std::vector<base::DaemonId> recorded;
-        bool isComplete = true;
-        for (const store::Entry& entry : result.value().entries) {
-            const auto record = decodeSlotRecord(entry.value);
-            if (!record) {
-                isComplete = false;
-                kernel::logEvent(
-                    kernel::LogLevel::Error, "gateway", "slotRecordInvalid", { { "key", toQString(entry.key) } });
-                continue;
-            }
-            for (const routing::RecordMember& member : record->members)
-                recorded.push_back(member.daemon);
-            if (entry.key == recordKey())
-                own = *record;
-        }
-        cluster::onRecordedMembers(m_configuration->freshness(), recorded, isComplete);
-        run(routing::onSlotRecord(m_gateway, own, sentAt, base::monotonicNow()));
-        rememberJoin();
-    });
-}
-
-// The first record version that names this incarnation.
-void GatewayService::rememberJoin()
-{
-    if (m_joinedVersion != 0)
+    }
+    const bool isFresh = nowMs() - m_table->freshAt < freshMs && m_table->freshAt > 0;
+    if (!scheduler::isFinal(known->second.state) && !isFresh && isStoreReachable(m_runtime)) {
+        readProgress(id, responder);
         return;
-    const routing::SlotTable& table = m_gateway.slots;
-    for (const routing::RecordMember& member : table.record.members) {
-        if (member.daemon == table.self && member.incarnation == table.incarnation)
-            m_joinedVersion = table.record.version;
     }
+    respond(responder, http::jsonResponse(200, platform::encodeState(known->second.state)), "state", id,
+        std::string(nameOf(scheduler::jobStateNames, known->second.state)));
+}
+
+// A job that this daemon has not heard of may have been accepted by another one a moment ago.
+void GatewayService::readState(const std::string& id, const http::Responder& responder)
+{
+    m_runtime.store->read(storeKeys::acceptedPrefix + id,
+        [this, id, responder](const base::Result<platform::Item, platform::StoreError>& result) {
+            if (result.has_value()) {
+                applyState(*m_table, id, scheduler::JobState::Queued, nowMs());
+                readProgress(id, responder);
+            } else if (result.error().code == platform::StoreCode::Missing) {
+                respond(responder, refusal(410, "no such job"), "state", id, "unknown job");
+            } else {
+                respond(responder, refusal(503, "the store does not answer"), "state", id, result.error().detail);
+            }
+        });
 }
 
-codec::SlotStatement GatewayService::slotStatement() const
-{
-    return toMessage(routing::currentSlotAck(m_gateway, base::monotonicNow()));
-}
-
-void GatewayService::onSlotStatement(
-    const codec::DaemonReport& report, const codec::SlotStatement& statement, base::TimePoint sentAt)
-{
-    run(routing::onSlotAck(m_gateway, toSlotAck(report, statement), sentAt, base::monotonicNow()));
-    if (statement.recordVersion > m_gateway.slots.record.version)
-        readRecords();
-}
-
-codec::SlotLoanReply GatewayService::onLoanRequest(const codec::SlotLoan& loan)
-{
-    return toMessage(routing::onLoanRequest(m_gateway, toLoanRequest(loan), base::monotonicNow()));
-}
-
-void GatewayService::onLoanReturn(const codec::SlotReturn& loan)
-{
-    run(routing::onLoanReturn(m_gateway, toLoanReturn(loan), base::monotonicNow()));
-}
-
-std::uint32_t GatewayService::freeSlots() const
+void GatewayService::readProgress(const std::string& id, const http::Responder& responder)
 {
-    std::uint32_t free = 0;
-    for (const auto& [endpoint, slots] : m_gateway.slots.endpoints)
-        free += static_cast<std::uint32_t>(__builtin_popcountll(slots.granted & ~slots.inUse & ~slots.lent));
-    return free;
+    m_runtime.store->read(storeKeys::progressPrefix + id,
+        [this, id, responder](const base::Result<platform::Item, platform::StoreError>& result) {
+            if (result.has_value()) {
+                if (const auto state = scheduler::decodeState(result.value().value))
+                    applyState(*m_table, id, *state, nowMs());
+            }
+            const auto known = m_table->jobs.find(id);
+            const scheduler::JobState state
+                = known == m_table->jobs.end() ? scheduler::JobState::Queued : known->second.state;
+            respond(responder, http::jsonResponse(200, platform::encodeState(state)), "state", id,
+                std::string(nameOf(scheduler::jobStateNames, state)) + " (store)");
+        });
 }
 
-bool GatewayService::isKnownToAll() const
+void GatewayService::answerPending(const scheduler::Queue& queue, const http::Responder& responder)
 {
-    const routing::SlotTable& table = m_gateway.slots;
-    bool isMember = false;
-    for (const routing::RecordMember& member : table.record.members) {
-        if (member.daemon == table.self) {
-            isMember = member.incarnation == table.incarnation;
-            continue;
-        }
-        const auto peer = table.peers.find(member.daemon);
-        const bool isGone = peer != table.peers.end() && peer->second.isGone;
-        const bool hasAcknowledged
-            = peer != table.peers.end() && peer->second.hasAck && peer->second.ack.version >= m_joinedVersion;
-        if (!isGone && !hasAcknowledged)
-            return false;
-    }
-    return isMember;
+    const auto found = m_table->pending.find(queue.policy.name);
+    const int jobs = found == m_table->pending.end() ? 0 : found->second;
+    respond(responder, http::jsonResponse(200, platform::encodePending(jobs)), "pending", {}, std::to_string(jobs));
 }
 
-// --- Platform and configuration ---
+// --- Cancelling ---
 
-void GatewayService::onInstances(const std::vector<InstanceEntry>& instances)
+void GatewayService::cancel(const std::string& id, const http::Responder& responder, bool isKnown)
 {
-    std::vector<routing::EndpointInfo> endpoints;
-    for (const InstanceEntry& instance : instances) {
-        if (instance.kind != InstanceKind::Endpoint || instance.dataCentre != m_runtime.settings.dataCentre)
-            continue;
-        routing::EndpointInfo info;
-        info.id = { instance.id.value };
-        info.dataCentre = instance.dataCentre;
-        info.address = instance.address;
-        info.port = instance.port;
-        info.status = instance.state == InstanceState::Leaving ? routing::EndpointStatus::Leaving
-                                                               : routing::EndpointStatus::Live;
-        info.slots = instance.slots;
-        m_addresses[info.id] = instance.address + ":" + std::to_string(instance.port);
-        endpoints.push_back(std::move(info));
-    }
-    run(routing::onEndpointList(m_gateway, endpoints, base::monotonicNow()));
-    updatePeers();
-}
-
-void GatewayService::updatePeers()
-{
-    std::vector<routing::PeerInfo> peers;
-    m_forwardAddresses.clear();
-    const auto policy = m_configuration->holder().policy();
-    const base::TimePoint now = base::monotonicNow();
-    for (const auto& [dataCentre, record] : m_membership->digests().records) {
-        if (dataCentre == m_runtime.settings.dataCentre || record.state.gatewayAddress.empty())
-            continue;
-        if (!cluster::isReachable(m_membership->digests(), dataCentre, now)
-            || (policy && config::isOut(*policy, dataCentre)))
-            continue;
-        routing::PeerInfo peer;
-        peer.daemon = record.origin;
-        peer.dataCentre = dataCentre;
-        peer.freeSlots = static_cast<int>(record.state.freeSlots);
-        peer.distance = assumedDistance;
-        m_forwardAddresses[peer.daemon] = record.state.gatewayAddress;
-        peers.push_back(std::move(peer));
+    if (!isKnown) {
+        m_runtime.store->read(storeKeys::acceptedPrefix + id,
+            [this, id, responder](const base::Result<platform::Item, platform::StoreError>& result) {
+                if (result.has_value())
+                    cancel(id, responder, true);
+                else if (result.error().code == platform::StoreCode::Missing)
+                    respond(responder, refusal(410, "no such job"), "cancel", id, "unknown job");
+                else
+                    respond(responder, refusal(503, "the store does not answer"), "cancel", id, result.error().detail);
+            });
+        return;
     }
-    routing::onPeers(m_gateway, peers);
-}
-
-void GatewayService::onConfiguration()
-{
-    const auto policy = m_configuration->holder().policy();
-    routing::setLimits(m_gateway, toLimits(*policy));
-    m_gateway.router.policy
-        = base::valueOf(routing::policyNames, base::nameOf(config::routingPolicyNames, policy->routing.policy))
-              .value_or(routing::PolicyName::LatencyAware);
-    updatePeers();
-    run(routing::setDataCentreOut(
-        m_gateway, config::isOut(*policy, m_runtime.settings.dataCentre), base::monotonicNow()));
-}
-
-void GatewayService::scheduleTick()
-{
-    const base::TimePoint now = base::monotonicNow();
-    const auto wakeUp = routing::nextWakeUp(m_gateway, now);
-    std::int64_t delayMs = longestTickMs;
-    if (wakeUp)
-        delayMs
-            = std::clamp<std::int64_t>(base::toMilliseconds(*wakeUp - now + base::milliseconds(1)), 0, longestTickMs);
-    m_tickTimer.start(static_cast<int>(delayMs));
+    platform::Transaction transaction;
+    transaction.writes.push_back({ storeKeys::acceptedPrefix + id + storeKeys::cancelSuffix, "{}" });
+    m_runtime.store->commit(
+        transaction, [this, id, responder](const base::Result<std::int64_t, platform::StoreError>& result) {
+            if (result.has_value())
+                respond(responder, http::jsonResponse(200, "{}"), "cancel", id, "stored");
+            else
+                respond(responder,
+                    refusal(result.error().code == platform::StoreCode::Unknown ? 504 : 503, "not cancelled"), "cancel",
+                    id, result.error().detail);
+        });
 }
 
 void registerGatewayService(Runtime& runtime)
 {
-    auto service = std::make_shared<std::unique_ptr<GatewayService>>();
+    auto service = std::make_shared<GatewayService>(runtime);
     kernel::Service entry;
     entry.name = serviceNames::gateway;
-    entry.dependsOn = { serviceNames::store, serviceNames::membership, serviceNames::configuration };
-    entry.start = [&runtime, service] {
-        *service = std::make_unique<GatewayService>(runtime);
-        kernel::publish(runtime.kernel, serviceNames::gateway, service->get());
-        (*service)->start();
-        return std::string();
-    };
-    entry.beginStop = [service] { (*service)->beginDrain(); };
-    entry.isIdle = [service] { return (*service)->isIdle(); };
-    entry.stop = [service] { (*service)->stop(); };
-    static_cast<void>(kernel::registerService(runtime.kernel, std::move(entry)));
+    entry.dependsOn = { serviceNames::configuration, serviceNames::jobTable };
+    entry.start = [service] { return service->start(); };
+    entry.beginStop = [service] { service->beginStop(); };
+    entry.isIdle = [service] { return service->isIdle(); };
+    entry.stop = [service] { service->stop(); };
+    kernel::registerService(runtime.kernel, std::move(entry)).assume_value();
 }
 
 } // namespace lacewing::daemon
--- a/src/daemon/gateway_service.h
+++ b/src/daemon/gateway_service.h
@@ -1,118 +1,66 @@
-// Service `gateway`: carries urgent and slow requests from callers to endpoints.
+// Job requests of callers: hand in, ask for the state, cancel, count the waiting ones.
 //
-// All decisions are made by routing::Gateway; this file carries out its effects: it sends attempts to endpoints or to
-// other daemons, answers callers, exchanges slot loans, and reads and writes the slot record of the data centre.
-// Each attempt is sent in SendMode::Once, also for idempotent requests: the only repeats are those that the routing
-// module decides on and counts.
+// Any daemon accepts. A job is accepted when its record is in the store, written by this daemon on the condition that
+// there is none, so that a repeated request stays one job. Only a request of which it is certain that nothing was
+// written is refused with 503; one that may have been written is answered with 504, after which callers ask again.
 #pragma once
 
-#include "codec/message.h"
-#include "config/policy.h"
-#include "daemon/platform_instances.h"
 #include "daemon/runtime.h"
-#include "http/client.h"
 #include "http/server.h"
-#include "routing/gateway.h"
 
+#include <QObject>
 #include <QTimer>
 #include <deque>
-#include <map>
 #include <memory>
-#include <optional>
-#include <unordered_map>
+#include <string>
 
 namespace lacewing::daemon {
 
 class ConfigurationService;
-class MembershipService;
-class StoreService;
+struct JobTable;
 
-class GatewayService {
+class GatewayService : public QObject {
 public:
     explicit GatewayService(Runtime& runtime);
 
-    void start();
-    void stop();
-    void beginDrain();
-    // True when no request is in progress and this daemon has left the slot record.
-    bool isIdle();
-
-    // Any request on /svc/<service>/<path>.
-    void handle(const http::Request& request, const http::Responder& responder);
-
-    // --- Messages of other daemons ---
-    codec::SlotStatement slotStatement() const;
-    // The reply to a heartbeat that was sent at sentAt.
-    void onSlotStatement(
-        const codec::DaemonReport& report, const codec::SlotStatement& statement, base::TimePoint sentAt);
-    codec::SlotLoanReply onLoanRequest(const codec::SlotLoan& loan);
-    void onLoanReturn(const codec::SlotReturn& loan);
-
-    // --- State ---
-    std::uint32_t freeSlots() const;
-    // True when every other member of the slot record has acknowledged a record that names this daemon.
-    bool isKnownToAll() const;
-    const routing::Gateway& gateway() const { return m_gateway; }
+    std::string start();
+    void beginStop();
+    bool isIdle() const;
+    void stop() { m_server.reset(); }
 
 private:
-    struct Pending {
-        http::Request request;
+    struct Submission {
+        std::string id;
+        QByteArray record;
         http::Responder responder;
-        base::ServiceId service;
-        std::string endpointPath; // path and query for the endpoint
-        std::string requestId;    // identity for logs and endpoints
-        base::TimePoint startedAt;
-        std::map<routing::AttemptId, http::ClientResult> answers; // complete answers, until the reply
-        std::map<routing::AttemptId, http::RequestId> inFlight;
-        std::map<routing::AttemptId, base::EndpointId> endpoints; // empty id for a forward
+        scheduler::Millis receivedAt = 0;
+        scheduler::Millis deadline = 0;
+        bool isUncertain = false; // an attempt without an answer: the record may be there, or may still come
     };
 
-    void run(routing::Effects effects);
-    void carryOut(const routing::Send& send, routing::Effects& more);
-    void carryOut(const routing::ForwardToDaemon& forward, routing::Effects& more);
-    void carryOut(const routing::CancelAttempt& cancel, routing::Effects& more);
-    void carryOut(const routing::ReplyWithAnswer& reply, routing::Effects& more);
-    void carryOut(const routing::ReplyWithProblem& reply, routing::Effects& more);
-    void carryOut(const routing::AskForLoan& ask, routing::Effects& more);
-    void carryOut(const routing::GiveLoanBack& giveBack, routing::Effects& more);
-    void carryOut(const routing::WriteSlotRecord& write, routing::Effects& more);
-
-    void sendAttempt(routing::RequestId request, routing::AttemptId attempt, const http::ClientRequest& message,
-        routing::Effects& more);
-    void onResult(routing::RequestId request, routing::AttemptId attempt, http::ClientResult result);
-    void forgetWhenDone(routing::RequestId request);
-    http::ClientRequest attemptRequest(
-        const Pending& pending, const std::string& address, const std::string& path, std::int64_t timeoutMs) const;
-    void recordResult(const Pending& pending, const base::EndpointId& endpoint, bool isAnswered);
-    void refuse(const http::Responder& responder, int status, const char* code, const QString& detail) const;
-
-    void readRecords();
-    void rememberJoin();
-    void onInstances(const std::vector<InstanceEntry>& instances);
-    void onConfiguration();
-    void updatePeers();
-    void scheduleTick();
-    std::string recordKey() const;
+    void handle(const http::Request& request, const http::Responder& responder);
+    void submit(const scheduler::Queue& queue, const std::string& id, const http::Request& request,
+        const http::Responder& responder);
+    void storeSubmissions();
+    void applyStored(std::vector<Submission> batch, const base::Result<std::int64_t, platform::StoreError>& result);
+    void accept(const Submission& submission, const char* how);
+    void giveUp(const Submission& submission, const std::string& reason);
+    void answerState(const std::string& id, const http::Responder& responder);
+    void readState(const std::string& id, const http::Responder& responder);
+    void readProgress(const std::string& id, const http::Responder& responder);
+    void cancel(const std::string& id, const http::Responder& responder, bool isKnown);
+    void answerPending(const scheduler::Queue& queue, const http::Responder& responder);
+    void respond(const http::Responder& responder, const http::Response& response, const char* operation,
+        const std::string& id, const std::string& outcome);
 
     Runtime& m_runtime;
-    StoreService* m_store = nullptr;
-    MembershipService* m_membership = nullptr;
     ConfigurationService* m_configuration = nullptr;
-    routing::Gateway m_gateway;
-    std::unique_ptr<http::Client> m_client;
-    std::unordered_map<routing::RequestId, Pending> m_pending;
-    std::unordered_map<base::EndpointId, std::string> m_addresses; // ADDRESS:PORT
-    std::map<base::DaemonId, std::string> m_forwardAddresses;      // ADDRESS:PORT of gateways in other data centres
-    std::deque<routing::Effects> m_queue;                          // effects that wait while others are carried out
-    bool m_isRunning = false;
-    routing::RequestId m_nextRequest = 1;
-    std::uint64_t m_nextOperation = 1;
-    bool m_isWritingRecord = false;
-    std::uint64_t m_joinedVersion = 0; // first record version that names this incarnation; 0: none yet
-    bool m_isClosing = false;
-    bool m_isClosed = false;
-    QTimer m_tickTimer;
-    QTimer m_recordTimer;
+    JobTable* m_table = nullptr;
+    std::unique_ptr<http::Server> m_server;
+    std::deque<Submission> m_submissions; // waiting for the store
+    bool m_isStoring = false;
+    std::size_t m_inStore = 0; // submissions in the call in flight
+    QTimer m_retry;
 };
 
 void registerGatewayService(Runtime& runtime);
--- /dev/null
+++ b/src/daemon/job_table.h
@@ -0,0 +1,41 @@
+// States of jobs as this daemon knows them, for answers to callers.
+//
+// Fed by the scheduling daemon and by what this daemon accepted itself. A final state never changes.
+#pragma once
+
+#include "scheduler/scheduler.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lacewing::daemon {
+
+struct KnownJob {
+    scheduler::JobState state = scheduler::JobState::Queued;
+    scheduler::Millis knownAt = 0;
+};
+
+struct JobTable {
+    std::unordered_map<std::string, KnownJob> jobs; // by id
+    std::map<std::string, int> pending;             // by queue, as of freshAt
+    scheduler::Millis freshAt = 0;                  // last word of the scheduling daemon; 0: never
+};
+
+inline void applyState(JobTable& table, const std::string& id, scheduler::JobState state, scheduler::Millis now)
+{
+    const auto [entry, isNew] = table.jobs.try_emplace(id, KnownJob { state, now });
+    if (!isNew && !scheduler::isFinal(entry->second.state))
+        entry->second = { state, now };
+}
+
+// Forgets final jobs that nobody may ask for any more.
+inline void forgetOldJobs(JobTable& table, scheduler::Millis keepMs, scheduler::Millis now)
+{
+    std::erase_if(table.jobs, [&](const auto& entry) {
+        return scheduler::isFinal(entry.second.state) && now - entry.second.knownAt > keepMs;
+    });
+}
+
+} // namespace lacewing::daemon
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,24 +1,28 @@
 // lacewingd: reads its settings, starts the services, and stops them gracefully on SIGTERM or SIGINT.
 //
+// SIGHUP reads the settings file again; the log level and rates take effect at once, addresses with the next start.
+//
 // Exit codes: 0 planned stop, 1 settings refused, 2 usage, 3 a service failed to start, 4 the planned stop ran into
-// drainTimeoutMs with requests still open.
+// bounds.graceMs with requests still open.
 #include "daemon/admin_service.h"
 #include "daemon/configuration_service.h"
 #include "daemon/dispatcher_service.h"
 #include "daemon/gateway_service.h"
-#include "daemon/membership_service.h"
+#include "daemon/job_table.h"
 #include "daemon/runtime.h"
 #include "daemon/settings.h"
-#include "daemon/store_service.h"
+#include "daemon/sync_service.h"
+#include "daemon/term_service.h"
 #include "kernel/log.h"
+#include "platform/documents.h"
 
 #include <QCoreApplication>
 #include <QSocketNotifier>
 #include <QTimer>
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
-#include <sys/socket.h>
 #include <unistd.h>
 
 namespace {
@@ -29,17 +33,20 @@
 enum class ExitCode { Stopped = 0, SettingsRefused = 1, Usage = 2, StartFailed = 3, DrainTimeout = 4 };
 
 constexpr int idleCheckMs = 20;
+constexpr int stopMarginMs = 1000;  // ms left before the platform kills the process
+constexpr int logFlushMs = 50;      // ms between writes of collected log lines
+constexpr int forgetJobsMs = 10000; // ms between looks for states that nobody may ask for any more
 
 int signalPipe[2] = { -1, -1 };
 
 // Only async-signal-safe calls: the event loop does the work.
-void onSignal(int)
+void onSignal(int number)
 {
-    const char byte = 1;
-    [[maybe_unused]] const ssize_t written = ::write(signalPipe[0], &byte, 1);
+    const char byte = number == SIGHUP ? 'h' : 's';
+    [[maybe_unused]] const ssize_t written = ::write(signalPipe[1], &byte, 1);
 }
 
-// The planned stop: drain, wait until idle or until the time limit, say goodbye, stop the services.
+// The planned stop: refuse new connections, give the term up, wait until idle or until the time limit, stop.
 class PlannedStop {
 public:
     explicit PlannedStop(Runtime& runtime)
@@ -50,13 +57,14 @@
 
     void begin()
     {
-        if (m_isBegun)
+        if (m_runtime.isStopping)
             return;
-        m_isBegun = true;
+        m_runtime.isStopping = true;
         kernel::logEvent(kernel::LogLevel::Info, "daemon", "stopBegun");
-        const auto* dispatcher = kernel::find<DispatcherService>(m_runtime.kernel, serviceNames::dispatcher);
-        m_shards = dispatcher->ownedShards();
-        m_deadline = base::monotonicNow() + base::milliseconds(m_runtime.settings.drainTimeoutMs);
+        m_deadline = nowMs() + m_runtime.settings.bounds.graceMs - stopMarginMs;
+        auto* term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
+        term->state().isStopping = true;
+        term->resign("planned stop", [this] { m_hasResigned = true; });
         kernel::beginStopAll(m_runtime.kernel);
         m_timer.start(idleCheckMs);
     }
@@ -64,80 +72,117 @@
 private:
     void check()
     {
-        const bool isIdle = kernel::isIdle(m_runtime.kernel);
-        if (!isIdle && base::monotonicNow() < m_deadline)
+        const bool isIdle = kernel::isIdle(m_runtime.kernel) && m_hasResigned;
+        if (!isIdle && nowMs() < m_deadline)
             return;
         m_timer.stop();
-        auto* membership = kernel::find<MembershipService>(m_runtime.kernel, serviceNames::membership);
-        membership->sayGoodbye(m_shards);
         kernel::logEvent(
             isIdle ? kernel::LogLevel::Info : kernel::LogLevel::Error, "daemon", "stopped", { { "graceful", isIdle } });
-        // One more turn of the event loop hands the goodbyes to the sockets.
-        constexpr int goodbyeMs = 100;
-        QTimer::singleShot(goodbyeMs, &m_timer, [isIdle] {
-            QCoreApplication::exit(static_cast<int>(isIdle ? ExitCode::Stopped : ExitCode::DrainTimeout));
-        });
+        QCoreApplication::exit(static_cast<int>(isIdle ? ExitCode::Stopped : ExitCode::DrainTimeout));
     }
 
     Runtime& m_runtime;
     QTimer m_timer;
-    base::TimePoint m_deadline;
-    std::vector<std::string> m_shards;
-    bool m_isBegun = false;
+    scheduler::Millis m_deadline = 0;
+    bool m_hasResigned = false;
 };
 
-int run(int argc, char** argv, Settings settings)
+void reload(Runtime& runtime, const std::string& file)
+{
+    auto settings = readSettings(file);
+    if (settings.has_error()) {
+        for (const base::InputError& error : settings.error())
+            kernel::logEvent(
+                kernel::LogLevel::Error, "daemon", "reloadRefused", { { "detail", base::describe(error) } });
+        return;
+    }
+    runtime.settings.logLevel = settings.value().logLevel;
+    kernel::setLogLevel(runtime.settings.logLevel);
+    runtime.settings.commitGapMs = settings.value().commitGapMs;
+    runtime.settings.workerListMs = settings.value().workerListMs;
+    runtime.settings.leaseWaitMs = settings.value().leaseWaitMs;
+    runtime.settings.leaseGapMs = settings.value().leaseGapMs;
+    kernel::logEvent(kernel::LogLevel::Info, "daemon", "reloaded", { { "file", file } });
+}
+
+int run(int argc, char** argv, Settings settings, const std::string& file)
 {
     QCoreApplication application(argc, argv);
-    kernel::openLog(settings.logLevel, settings.dataCentre.value, settings.daemon.value);
+    kernel::LogLimits logLimits;
+    logLimits.linesPerSecond = settings.logLinesPerSecond;
+    kernel::openLog(settings.logLevel, settings.dataCentre, settings.daemon, logLimits);
     Runtime runtime(std::move(settings));
     PlannedStop plannedStop(runtime);
 
-    if (::socketpair(AF_UNIX, SOCK_STREAM, 0, signalPipe) != 0)
+    if (::pipe(signalPipe) != 0)
         return static_cast<int>(ExitCode::StartFailed);
-    QSocketNotifier notifier(signalPipe[1], QSocketNotifier::Read);
-    QObject::connect(&notifier, &QSocketNotifier::activated, &notifier, [&plannedStop, &notifier] {
-        notifier.setEnabled(false);
-        plannedStop.begin();
+    QSocketNotifier notifier(signalPipe[0], QSocketNotifier::Read);
+    QObject::connect(&notifier, &QSocketNotifier::activated, &notifier, [&] {
+        char byte = 0;
+        if (::read(signalPipe[0], &byte, 1) != 1)
+            return;
+        if (byte == 'h')
+            reload(runtime, file);
+        else
+            plannedStop.begin();
     });
     std::signal(SIGTERM, onSignal);
     std::signal(SIGINT, onSignal);
-
-    registerStoreService(runtime);
-    registerMembershipService(runtime);
+    std::signal(SIGHUP, onSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    JobTable table;
+    kernel::Service tableEntry;
+    tableEntry.name = serviceNames::jobTable;
+    tableEntry.start = [&] {
+        kernel::publish(runtime.kernel, serviceNames::jobTable, &table);
+        return std::string();
+    };
+    kernel::registerService(runtime.kernel, std::move(tableEntry)).assume_value();
     registerConfigurationService(runtime);
-    registerGatewayService(runtime);
+    registerTermService(runtime);
     registerDispatcherService(runtime);
+    registerSyncService(runtime);
+    registerGatewayService(runtime);
     registerAdminService(runtime, [&plannedStop] { plannedStop.begin(); });
     const auto started = kernel::startAll(runtime.kernel);
     if (started.has_error()) {
         kernel::logEvent(kernel::LogLevel::Error, "daemon", "startFailed",
-            { { "failedService", QString::fromStdString(started.error().service) },
-                { "cause", QString::fromStdString(started.error().detail) } });
+            { { "failedService", started.error().service }, { "cause", started.error().detail } });
+        kernel::flushLog();
         std::cerr << "lacewingd: service '" << started.error().service << "' did not start: " << started.error().detail
                   << std::endl;
         return static_cast<int>(ExitCode::StartFailed);
     }
     kernel::logEvent(kernel::LogLevel::Info, "daemon", "started",
-        { { "version", LACEWING_VERSION }, { "httpPort", runtime.settings.http.listen.port },
-            { "incarnation", static_cast<qint64>(runtime.incarnation) } });
+        { { "version", LACEWING_VERSION }, { "callers", runtime.settings.callerAddress },
+            { "incarnation", runtime.incarnation } });
+    QTimer flushTimer;
+    QObject::connect(&flushTimer, &QTimer::timeout, &flushTimer, [] { kernel::flushLog(); });
+    flushTimer.start(logFlushMs);
+    QTimer forgetTimer;
+    QObject::connect(&forgetTimer, &QTimer::timeout, &forgetTimer,
+        [&] { forgetOldJobs(table, 2000LL * runtime.settings.bounds.statusSeconds, nowMs()); });
+    forgetTimer.start(forgetJobsMs);
     const int code = QCoreApplication::exec();
     kernel::stopAll(runtime.kernel);
+    kernel::flushLog();
     return code;
 }
 
 int runProgram(int argc, char** argv)
 {
-    cxxopts::Options options("lacewingd", "Scheduler daemon for urgent requests and batch work.\n");
-    options.add_options()("settings", "settings file (JSON)", cxxopts::value<std::string>(), "FILE")("check-settings",
-        "check the settings file and exit")("settings-schema", "print a table of all settings and exit")(
-        "version", "print the version and exit")("h,help", "print this help and exit");
+    cxxopts::Options options("lacewingd", "Scheduler daemon for urgent and background jobs.\n");
+    options.add_options()("settings", "settings file (JSON); default: the platform's variable",
+        cxxopts::value<std::string>(), "FILE")("check-settings", "check the settings file and exit")(
+        "settings-schema", "print a table of all settings and exit")("version", "print the version and exit")(
+        "h,help", "print this help and exit");
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help")) {
             std::cout << options.help()
-                      << "\nExit codes: 0 planned stop, 1 settings refused, 2 usage, 3 start failed, 4 drain time "
-                         "limit reached.\n";
+                      << "\nExit codes: 0 planned stop, 1 settings refused, 2 usage, 3 start failed, 4 grace period "
+                         "over with requests open.\n";
             return static_cast<int>(ExitCode::Stopped);
         }
         if (arguments.count("version")) {
@@ -148,12 +193,14 @@
             std::cout << base::schemaMarkdown(settingsSchema());
             return static_cast<int>(ExitCode::Stopped);
         }
-        if (!arguments.count("settings") || !arguments.unmatched().empty()) {
+        const char* fallback = std::getenv(platform::settingsVariable);
+        if ((!arguments.count("settings") && !fallback) || !arguments.unmatched().empty()) {
             std::cerr << "lacewingd: --settings FILE is required and takes no further arguments; see --help"
                       << std::endl;
             return static_cast<int>(ExitCode::Usage);
         }
-        auto settings = readSettings(arguments["settings"].as<std::string>());
+        const std::string file = arguments.count("settings") ? arguments["settings"].as<std::string>() : fallback;
+        auto settings = readSettings(file);
         if (settings.has_error()) {
             for (const base::InputError& error : settings.error())
                 std::cerr << base::describe(error) << std::endl;
@@ -163,7 +210,7 @@
             std::cout << "settings are valid" << std::endl;
             return static_cast<int>(ExitCode::Stopped);
         }
-        return run(argc, argv, std::move(settings.value()));
+        return run(argc, argv, std::move(settings.value()), file);
     } catch (const cxxopts::exceptions::exception& error) {
         std::cerr << "lacewingd: " << error.what() << "; see --help" << std::endl;
         return static_cast<int>(ExitCode::Usage);
--- a/src/daemon/runtime.cpp
+++ b/src/daemon/runtime.cpp
@@ -1,26 +1,41 @@
-// Construction of the shared state.
+// Creation of what the services share.
 #include "daemon/runtime.h"
 
-#include <random>
+#include "kernel/log.h"
 
 namespace lacewing::daemon {
 
 namespace {
 
-    std::uint64_t randomSeed()
+    // A store that failed for less is still asked: single lost answers are common.
+    constexpr scheduler::Millis storeFailingMs = 800;
+
+    platform::StoreSettings toStoreSettings(const Settings& settings)
     {
-        std::random_device device;
-        return (static_cast<std::uint64_t>(device()) << 32) | device();
+        platform::StoreSettings store;
+        store.address = QString::fromStdString(settings.storeAddress);
+        return store;
     }
 
 } // namespace
 
 Runtime::Runtime(Settings values)
     : settings(std::move(values))
-    , incarnation(static_cast<std::uint64_t>(base::wallClockMs()))
-    , startedAt(base::monotonicNow())
-    , rng(randomSeed())
+    , incarnation(base::wallClockMs())
+    , store(std::make_unique<platform::Store>(toStoreSettings(settings)))
+{
+    store->onReachability([](bool isReachable, const std::string& detail) {
+        kernel::logEvent(isReachable ? kernel::LogLevel::Info : kernel::LogLevel::Warning, "store",
+            isReachable ? "dependencyRegained" : "dependencyLost", { { "dependency", "store" }, { "detail", detail } });
+    });
+}
+
+scheduler::Millis nowMs() { return base::toMilliseconds(base::monotonicNow().time_since_epoch()); }
+
+bool isStoreReachable(const Runtime& runtime)
 {
+    const platform::StoreHealth& health = runtime.store->health();
+    return health.answeredAt > 0 && (health.failingSince == 0 || nowMs() - health.failingSince < storeFailingMs);
 }
 
 } // namespace lacewing::daemon
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -1,34 +1,53 @@
-// What all services of one daemon process share: settings, identity, random numbers, metrics and the kernel in which
-// services find each other by name.
+// What all services of one daemon process share: settings, identity, metrics, the store and the kernel in which services
+// find each other by name.
 #pragma once
 
 #include "base/metrics.h"
-#include "base/rng.h"
 #include "base/time.h"
 #include "daemon/settings.h"
 #include "kernel/kernel.h"
+#include "platform/store.h"
+#include "scheduler/types.h"
+
+#include <memory>
 
 namespace lacewing::daemon {
 
 struct Runtime {
     explicit Runtime(Settings values);
 
-    const Settings settings;
-    const std::uint64_t incarnation; // ms since the Unix epoch at start; rises with each start under the same name
-    const base::TimePoint startedAt;
-    base::Rng rng; // seeded from the system's random device
+    Settings settings;
+    const std::int64_t incarnation; // ms since the Unix epoch at start; rises with each start under the same name
     base::Metrics metrics;
     kernel::Kernel kernel;
+    std::unique_ptr<platform::Store> store;
+    bool isStopping = false;
 };
 
+// Milliseconds of the boot-time clock.
+scheduler::Millis nowMs();
+
+// True when the store has been answering lately.
+bool isStoreReachable(const Runtime& runtime);
+
 // Names under which the services publish themselves.
 namespace serviceNames {
-    inline const std::string store = "store";
-    inline const std::string membership = "membership";
     inline const std::string configuration = "configuration";
-    inline const std::string gateway = "gateway";
+    inline const std::string jobTable = "jobTable";
+    inline const std::string term = "term";
     inline const std::string dispatcher = "dispatcher";
+    inline const std::string sync = "sync";
+    inline const std::string gateway = "gateway";
     inline const std::string admin = "admin";
 } // namespace serviceNames
 
+// Keys of the project in the store.
+namespace storeKeys {
+    inline const std::string term = "lacewing/term";
+    inline const std::string workers = "lacewing/workers";      // known workers, for the next term
+    inline const std::string acceptedPrefix = "lacewing/in/";   // accepted jobs by id, and requests to cancel them
+    inline const std::string cancelSuffix = "/cancel";          // after the key of an accepted job
+    inline const std::string progressPrefix = "lacewing/jobs/"; // progress by id, written by the scheduling daemon
+} // namespace storeKeys
+
 } // namespace lacewing::daemon
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -3,8 +3,6 @@
 
 #include <QFile>
 #include <QHostAddress>
-#include <QJsonArray>
-#include <QUrl>
 
 namespace lacewing::daemon {
 
@@ -14,341 +12,259 @@
     using base::FieldType;
     using base::Rule;
 
-    bool isAddress(const QJsonValue& value) { return !QHostAddress(value.toString()).isNull(); }
-
-    bool isHttpUrl(const QJsonValue& value)
-    {
-        const QUrl url(value.toString(), QUrl::StrictMode);
-        return url.isValid() && url.scheme() == "http" && !QHostAddress(url.host()).isNull() && url.port() > 0;
-    }
-
-    bool isHostAndPort(const QJsonValue& value) { return isHttpUrl("http://" + value.toString()); }
-
     constexpr Field daemonFields[] = {
         { .key = "name",
             .type = FieldType::Text,
             .minimum = 1,
             .maximum = 100,
             .isRequired = true,
-            .doc = "name of this daemon, unique in the system; the id of its instance" },
+            .doc = "name of this daemon, unique in the system" },
         { .key = "dataCentre",
             .type = FieldType::Text,
             .minimum = 1,
             .maximum = 100,
             .isRequired = true,
             .doc = "data centre of this instance" },
+        { .key = "processorShare",
+            .type = FieldType::Number,
+            .minimum = 0.001,
+            .maximum = 1024,
+            .defaultJson = "1",
+            .unit = "cores",
+            .doc = "processor time that this daemon may use" },
     };
 
-    constexpr Field httpFields[] = {
-        { .key = "address",
-            .type = FieldType::Text,
-            .minimum = 2,
-            .maximum = 45,
-            .defaultJson = "\"127.0.0.1\"",
-            .doc = "IP address of the HTTP interface" },
-        { .key = "port",
-            .type = FieldType::Integer,
-            .minimum = 1,
-            .maximum = 65535,
-            .isRequired = true,
-            .doc = "TCP port of the HTTP interface" },
-        { .key = "headerBytes",
-            .type = FieldType::Integer,
-            .minimum = 1024,
-            .maximum = 1048576,
-            .defaultJson = "16384",
-            .unit = "bytes",
-            .doc = "longest request line and headers" },
-        { .key = "bodyBytes",
-            .type = FieldType::Integer,
-            .minimum = 1024,
-            .maximum = 67108864,
-            .defaultJson = "1048576",
-            .unit = "bytes",
-            .doc = "longest body of an operator's or job request" },
-        { .key = "serviceBodyBytes",
-            .type = FieldType::Integer,
-            .minimum = 1024,
-            .maximum = 67108864,
-            .defaultJson = "8388608",
-            .unit = "bytes",
-            .doc = "longest body of a request to a service" },
-        { .key = "connections",
-            .type = FieldType::Integer,
-            .minimum = 1,
-            .maximum = 100000,
-            .defaultJson = "1000",
-            .doc = "open connections of callers" },
-        { .key = "headerTimeoutMs",
-            .type = FieldType::Integer,
-            .minimum = 10,
-            .maximum = 600000,
-            .defaultJson = "5000",
-            .unit = "ms",
-            .doc = "from the first byte of a request to the end of its headers" },
-        { .key = "bodyTimeoutMs",
-            .type = FieldType::Integer,
-            .minimum = 10,
-            .maximum = 600000,
-            .defaultJson = "15000",
-            .unit = "ms",
-            .doc = "from the end of the headers to the end of the body" },
-        { .key = "idleTimeoutMs",
-            .type = FieldType::Integer,
-            .minimum = 10,
-            .maximum = 3600000,
-            .defaultJson = "30000",
-            .unit = "ms",
-            .doc = "connection without a request" },
-    };
-    constexpr Rule httpRules[] = {
-        { .key = "address",
-            .doc = "address is an IP address",
-            .holds = [](const QJsonObject& o) { return isAddress(o["address"]); } },
-        { .key = "serviceBodyBytes",
-            .doc = "serviceBodyBytes is at least bodyBytes",
-            .holds
-            = [](const QJsonObject& o) { return o["serviceBodyBytes"].toDouble() >= o["bodyBytes"].toDouble(); } },
-    };
-
-    constexpr Field peerFields[] = {
-        { .key = "address",
+    constexpr Field listenFields[] = {
+        { .key = "callers",
             .type = FieldType::Text,
-            .minimum = 2,
-            .maximum = 45,
-            .defaultJson = "\"127.0.0.1\"",
-            .doc = "IP address of the interface for other daemons" },
-        { .key = "port",
-            .type = FieldType::Integer,
-            .minimum = 1,
-            .maximum = 65535,
+            .minimum = 3,
+            .maximum = 60,
             .isRequired = true,
-            .doc = "TCP port of the interface for other daemons" },
-    };
-    constexpr Rule peerRules[] = {
-        { .key = "address",
-            .doc = "address is an IP address",
-            .holds = [](const QJsonObject& o) { return isAddress(o["address"]); } },
-    };
-
-    constexpr Field seedFields[] = {
-        { .key = "daemon",
+            .doc = "HOST:PORT for job requests" },
+        { .key = "readiness",
             .type = FieldType::Text,
-            .minimum = 1,
-            .maximum = 100,
+            .minimum = 3,
+            .maximum = 60,
             .isRequired = true,
-            .doc = "name of the other daemon" },
-        { .key = "dataCentre",
+            .doc = "HOST:PORT where the load balancer asks for this daemon's health" },
+        { .key = "admin",
             .type = FieldType::Text,
-            .minimum = 1,
-            .maximum = 100,
-            .isRequired = true,
-            .doc = "its data centre" },
-        { .key = "peerAddress",
+            .minimum = 0,
+            .maximum = 60,
+            .defaultJson = "\"\"",
+            .doc = "HOST:PORT for operators and metrics; empty: none" },
+        { .key = "peers",
             .type = FieldType::Text,
             .minimum = 3,
             .maximum = 60,
             .isRequired = true,
-            .doc = "ADDRESS:PORT of its peer interface" },
-    };
-    constexpr Rule seedRules[] = {
-        { .key = "peerAddress",
-            .doc = "peerAddress is ADDRESS:PORT with an IP address",
-            .holds = [](const QJsonObject& o) { return isHostAndPort(o["peerAddress"]); } },
+            .doc = "HOST:PORT for other daemons" },
     };
 
-    constexpr Field platformFields[] = {
-        { .key = "storeUrl",
-            .type = FieldType::Text,
-            .minimum = 8,
-            .maximum = 200,
-            .isRequired = true,
-            .doc = "http://ADDRESS:PORT of the platform's store" },
-        { .key = "instancesUrl",
+    constexpr Field storeFields[] = {
+        { .key = "address",
             .type = FieldType::Text,
-            .minimum = 8,
-            .maximum = 200,
+            .minimum = 3,
+            .maximum = 60,
             .isRequired = true,
-            .doc = "http://ADDRESS:PORT of the platform's instance list" },
-        { .key = "storeTimeoutMs",
+            .doc = "HOST:PORT of the platform's key-value store" },
+    };
+
+    constexpr Field boundsFields[] = {
+        { .key = "maxHoldMs",
             .type = FieldType::Integer,
-            .minimum = 100,
+            .minimum = 1000,
+            .maximum = 600000,
+            .defaultJson = "6000",
+            .unit = "ms",
+            .doc = "longest lease of a worker" },
+        { .key = "stopTimeoutMs",
+            .type = FieldType::Integer,
+            .minimum = 0,
             .maximum = 60000,
-            .defaultJson = "2000",
+            .defaultJson = "900",
             .unit = "ms",
-            .doc = "longest wait for an answer of the store" },
-        { .key = "instancesIntervalMs",
+            .doc = "longest stop of a task" },
+        { .key = "restoreMs",
+            .type = FieldType::Integer,
+            .minimum = 0,
+            .maximum = 60000,
+            .defaultJson = "600",
+            .unit = "ms",
+            .doc = "resume of a task from its checkpoint" },
+        { .key = "gangTimeoutMs",
+            .type = FieldType::Integer,
+            .minimum = 0,
+            .maximum = 600000,
+            .defaultJson = "3000",
+            .unit = "ms",
+            .doc = "time that a gang waits for all its members" },
+        { .key = "earlyMs",
+            .type = FieldType::Integer,
+            .minimum = 0,
+            .maximum = 60000,
+            .defaultJson = "250",
+            .unit = "ms",
+            .doc = "tolerance of a start before its time" },
+        { .key = "visibleMs",
             .type = FieldType::Integer,
             .minimum = 100,
             .maximum = 60000,
-            .defaultJson = "1000",
+            .defaultJson = "3000",
             .unit = "ms",
-            .doc = "time between two reads of the instance list" },
-        { .key = "storeWritesPerSecond",
-            .type = FieldType::Number,
-            .minimum = 0.1,
-            .maximum = 1000,
-            .defaultJson = "20",
-            .unit = "calls/s",
-            .doc = "budget of this daemon for writes to the store" },
-        { .key = "storeReadsPerSecond",
+            .doc = "an accepted job is known everywhere within this time" },
+        { .key = "statusSeconds",
+            .type = FieldType::Integer,
+            .minimum = 1,
+            .maximum = 86400,
+            .defaultJson = "120",
+            .unit = "s",
+            .doc = "the state of an ended job can be read for so long" },
+        { .key = "graceMs",
+            .type = FieldType::Integer,
+            .minimum = 500,
+            .maximum = 600000,
+            .defaultJson = "6000",
+            .unit = "ms",
+            .doc = "time between the request to stop and the kill" },
+        { .key = "remoteFactor",
             .type = FieldType::Number,
             .minimum = 1,
-            .maximum = 2000,
-            .defaultJson = "40",
-            .unit = "calls/s",
-            .doc = "budget of this daemon for reads of the store; a waiting watch counts as one" },
-    };
-    constexpr Rule platformRules[] = {
-        { .key = "storeUrl",
-            .doc = "storeUrl is http://ADDRESS:PORT with an IP address",
-            .holds = [](const QJsonObject& o) { return isHttpUrl(o["storeUrl"]); } },
-        { .key = "instancesUrl",
-            .doc = "instancesUrl is http://ADDRESS:PORT with an IP address",
-            .holds = [](const QJsonObject& o) { return isHttpUrl(o["instancesUrl"]); } },
+            .maximum = 100,
+            .defaultJson = "3",
+            .doc = "slow-down of a task away from the rack of its data" },
     };
 
-    constexpr Field batchFields[] = {
-        { .key = "taskLeaseMs",
+    constexpr Field schedulerFields[] = {
+        { .key = "renewMs",
             .type = FieldType::Integer,
-            .minimum = 2000,
-            .maximum = 3600000,
-            .defaultJson = "30000",
+            .minimum = 100,
+            .maximum = 10000,
+            .defaultJson = "500",
             .unit = "ms",
-            .doc = "lease of a task at its worker; a lost worker's tasks resume after it" },
-        { .key = "commitIntervalMs",
+            .doc = "between renewals of the term of the scheduling daemon" },
+        { .key = "commitGapMs",
             .type = FieldType::Integer,
             .minimum = 10,
-            .maximum = 10000,
-            .defaultJson = "200",
+            .maximum = 2000,
+            .defaultJson = "100",
             .unit = "ms",
-            .doc = "least time between two writes of one shard" },
-        { .key = "ownerSilenceMs",
+            .doc = "least time between two writes of progress" },
+        { .key = "syncMs",
             .type = FieldType::Integer,
-            .minimum = 1000,
-            .maximum = 600000,
-            .defaultJson = "5000",
+            .minimum = 50,
+            .maximum = 500,
+            .defaultJson = "200",
             .unit = "ms",
-            .doc = "silence of a shard's owner before another daemon takes the shard over" },
-    };
-    constexpr Rule batchRules[] = {
-        { .key = "commitIntervalMs",
-            .doc = "commitIntervalMs is less than a tenth of taskLeaseMs",
-            .holds =
-                [](const QJsonObject& o) {
-                    return o["commitIntervalMs"].toDouble() * 10 < o["taskLeaseMs"].toDouble();
-                } },
-    };
-
-    constexpr Field rootFields[] = {
-        { .key = "daemon", .type = FieldType::Object, .isRequired = true, .doc = "identity", .fields = daemonFields },
-        { .key = "http",
-            .type = FieldType::Object,
-            .isRequired = true,
-            .doc = "interface for callers and operators",
-            .fields = httpFields,
-            .rules = httpRules },
-        { .key = "peer",
-            .type = FieldType::Object,
-            .isRequired = true,
-            .doc = "interface for other daemons",
-            .fields = peerFields,
-            .rules = peerRules },
-        { .key = "seeds",
-            .type = FieldType::ObjectList,
-            .minimum = 0,
-            .maximum = 1000,
-            .defaultJson = "[]",
-            .doc = "other daemons that are asked before the instance list has been read",
-            .fields = seedFields,
-            .rules = seedRules },
-        { .key = "platform",
-            .type = FieldType::Object,
-            .isRequired = true,
-            .doc = "interfaces of the platform",
-            .fields = platformFields,
-            .rules = platformRules },
-        { .key = "batch", .type = FieldType::Object, .doc = "batch work", .fields = batchFields, .rules = batchRules },
-        { .key = "drainTimeoutMs",
+            .doc = "between messages of a daemon to the scheduling daemon" },
+        { .key = "workerListMs",
             .type = FieldType::Integer,
-            .minimum = 0,
-            .maximum = 3600000,
-            .defaultJson = "30000",
+            .minimum = 200,
+            .maximum = 10000,
+            .defaultJson = "1000",
             .unit = "ms",
-            .doc = "longest planned stop; requests still open then are cut off and reported" },
-        { .key = "longestPollMs",
+            .doc = "between reads of the list of workers" },
+        { .key = "leaseWaitMs",
             .type = FieldType::Integer,
             .minimum = 100,
-            .maximum = 300000,
-            .defaultJson = "30000",
+            .maximum = 2000,
+            .defaultJson = "1000",
+            .unit = "ms",
+            .doc = "a worker may hold back its report so long until a task ends" },
+        { .key = "leaseGapMs",
+            .type = FieldType::Integer,
+            .minimum = 1,
+            .maximum = 1000,
+            .defaultJson = "40",
             .unit = "ms",
-            .doc = "longest wait of one poll for events" },
-        { .key = "logLevel",
+            .doc = "pause between a report and the next renewal" },
+    };
+
+    constexpr Field logFields[] = {
+        { .key = "level",
             .type = FieldType::Choice,
             .choices = "debug|info|warning|error",
             .defaultJson = "\"info\"",
-            .doc = "lowest level that is logged" },
-    };
-    constexpr Rule rootRules[] = {
-        { .key = "peer.port",
-            .doc = "http and peer use different ports",
-            .holds =
-                [](const QJsonObject& o) {
-                    return o["http"]["port"] != o["peer"]["port"] || o["http"]["address"] != o["peer"]["address"];
-                } },
+            .doc = "least level that is written" },
+        { .key = "linesPerSecond",
+            .type = FieldType::Integer,
+            .minimum = 10,
+            .maximum = 100000,
+            .defaultJson = "3000",
+            .unit = "lines/s",
+            .doc = "more lines are dropped and counted, errors excepted" },
     };
 
-    std::string text(const QJsonValue& value) { return value.toString().toStdString(); }
+    constexpr Field rootFields[] = {
+        { .key = "daemon", .type = FieldType::Object, .isRequired = true, .doc = "identity", .fields = daemonFields },
+        { .key = "listen", .type = FieldType::Object, .isRequired = true, .doc = "own addresses", .fields = listenFields },
+        { .key = "store", .type = FieldType::Object, .isRequired = true, .doc = "the store", .fields = storeFields },
+        { .key = "bounds", .type = FieldType::Object, .doc = "bounds of the platform", .fields = boundsFields },
+        { .key = "scheduler", .type = FieldType::Object, .doc = "scheduling", .fields = schedulerFields },
+        { .key = "log", .type = FieldType::Object, .doc = "logs", .fields = logFields },
+    };
 
-    ListenAddress toListenAddress(const QJsonValue& value)
+    bool isAddress(const QJsonValue& value)
     {
-        return { text(value["address"]), static_cast<std::uint16_t>(value["port"].toInt()) };
+        const QString text = value.toString();
+        const int port = text.section(':', -1).toInt();
+        return !QHostAddress(text.section(':', 0, -2)).isNull() && port > 0 && port < 65536;
     }
 
-    HttpSettings toHttpSettings(const QJsonValue& value)
-    {
-        HttpSettings http;
-        http.listen = toListenAddress(value);
-        http.headerBytes = value["headerBytes"].toInteger();
-        http.bodyBytes = value["bodyBytes"].toInteger();
-        http.serviceBodyBytes = value["serviceBodyBytes"].toInteger();
-        http.connections = value["connections"].toInt();
-        http.headerTimeoutMs = value["headerTimeoutMs"].toInt();
-        http.bodyTimeoutMs = value["bodyTimeoutMs"].toInt();
-        http.idleTimeoutMs = value["idleTimeoutMs"].toInt();
-        return http;
-    }
+    constexpr Rule rootRules[] = {
+        { "listen.callers", "is HOST:PORT by IP number",
+            [](const QJsonObject& object) { return isAddress(object["listen"]["callers"]); } },
+        { "listen.readiness", "is HOST:PORT by IP number",
+            [](const QJsonObject& object) { return isAddress(object["listen"]["readiness"]); } },
+        { "listen.admin", "is empty or HOST:PORT by IP number",
+            [](const QJsonObject& object) {
+                return object["listen"]["admin"].toString().isEmpty() || isAddress(object["listen"]["admin"]);
+            } },
+        { "listen.peers", "is HOST:PORT by IP number",
+            [](const QJsonObject& object) { return isAddress(object["listen"]["peers"]); } },
+        { "store.address", "is HOST:PORT by IP number",
+            [](const QJsonObject& object) { return isAddress(object["store"]["address"]); } },
+    };
+
+    std::string text(const QJsonValue& value) { return value.toString().toStdString(); }
 
-    PlatformSettings toPlatformSettings(const QJsonValue& value)
+    PlatformBounds toBounds(const QJsonValue& json)
     {
-        PlatformSettings platform;
-        platform.storeUrl = text(value["storeUrl"]);
-        platform.instancesUrl = text(value["instancesUrl"]);
-        platform.storeTimeoutMs = value["storeTimeoutMs"].toInt();
-        platform.instancesIntervalMs = value["instancesIntervalMs"].toInt();
-        platform.storeWritesPerSecond = value["storeWritesPerSecond"].toDouble();
-        platform.storeReadsPerSecond = value["storeReadsPerSecond"].toDouble();
-        return platform;
+        PlatformBounds bounds;
+        bounds.maxHoldMs = json["maxHoldMs"].toInt();
+        bounds.stopTimeoutMs = json["stopTimeoutMs"].toInt();
+        bounds.restoreMs = json["restoreMs"].toInt();
+        bounds.gangTimeoutMs = json["gangTimeoutMs"].toInt();
+        bounds.earlyMs = json["earlyMs"].toInt();
+        bounds.visibleMs = json["visibleMs"].toInt();
+        bounds.statusSeconds = json["statusSeconds"].toInt();
+        bounds.graceMs = json["graceMs"].toInt();
+        bounds.remoteFactor = json["remoteFactor"].toDouble();
+        return bounds;
     }
 
     Settings toSettings(const QJsonObject& object)
     {
         Settings settings;
-        settings.daemon = { text(object["daemon"]["name"]) };
-        settings.dataCentre = { text(object["daemon"]["dataCentre"]) };
-        settings.http = toHttpSettings(object["http"]);
-        settings.peer = toListenAddress(object["peer"]);
-        for (const QJsonValue seed : object["seeds"].toArray())
-            settings.seeds.push_back(
-                { { text(seed["daemon"]) }, { text(seed["dataCentre"]) }, text(seed["peerAddress"]) });
-        settings.platform = toPlatformSettings(object["platform"]);
-        settings.batch.taskLeaseMs = object["batch"]["taskLeaseMs"].toInt();
-        settings.batch.commitIntervalMs = object["batch"]["commitIntervalMs"].toInt();
-        settings.batch.ownerSilenceMs = object["batch"]["ownerSilenceMs"].toInt();
-        settings.drainTimeoutMs = object["drainTimeoutMs"].toInt();
-        settings.longestPollMs = object["longestPollMs"].toInt();
-        settings.logLevel
-            = base::valueOf(kernel::logLevelNames, text(object["logLevel"])).value_or(kernel::LogLevel::Info);
+        settings.daemon = text(object["daemon"]["name"]);
+        settings.dataCentre = text(object["daemon"]["dataCentre"]);
+        settings.processorShare = object["daemon"]["processorShare"].toDouble();
+        settings.callerAddress = text(object["listen"]["callers"]);
+        settings.readinessAddress = text(object["listen"]["readiness"]);
+        settings.adminAddress = text(object["listen"]["admin"]);
+        settings.peerAddress = text(object["listen"]["peers"]);
+        settings.storeAddress = text(object["store"]["address"]);
+        settings.bounds = toBounds(object["bounds"]);
+        const QJsonValue scheduler = object["scheduler"];
+        settings.renewMs = scheduler["renewMs"].toInt();
+        settings.commitGapMs = scheduler["commitGapMs"].toInt();
+        settings.syncMs = scheduler["syncMs"].toInt();
+        settings.workerListMs = scheduler["workerListMs"].toInt();
+        settings.leaseWaitMs = scheduler["leaseWaitMs"].toInt();
+        settings.leaseGapMs = scheduler["leaseGapMs"].toInt();
+        settings.logLevel = base::valueOf(kernel::logLevelNames, text(object["log"]["level"]))
+                                .value_or(kernel::LogLevel::Info);
+        settings.logLinesPerSecond = object["log"]["linesPerSecond"].toInt();
         return settings;
     }
 
@@ -356,9 +272,9 @@
 
 base::Schema settingsSchema() { return { rootFields, rootRules }; }
 
-base::Result<Settings, base::InputErrors> parseSettings(const std::string& text, const std::string& file)
+base::Result<Settings, base::InputErrors> parseSettings(const std::string& settingsText, const std::string& file)
 {
-    auto parsed = base::parseJsonObject(text, file);
+    auto parsed = base::parseJsonObject(settingsText, file);
     if (parsed.has_error())
         return std::move(parsed.error());
     const base::Schema schema = settingsSchema();
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -1,76 +1,54 @@
-// Settings of one daemon process: identity, addresses, platform interfaces, limits.
+// Settings of one daemon: a JSON file, checked against a schema before anything starts.
 //
-// They are read once at start from one JSON file. The operators' policy, which changes while daemons run, is not here;
-// it lives in the store (src/config).
+// docs/configuration.md lists all keys; `lacewingd --settings-schema` prints the same table.
 #pragma once
 
-#include "base/ids.h"
 #include "base/json.h"
 #include "base/result.h"
 #include "base/schema.h"
 #include "kernel/log.h"
 
-#include <QJsonObject>
-#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace lacewing::daemon {
 
-struct ListenAddress {
-    std::string address = "127.0.0.1"; // IP address
-    std::uint16_t port = 0;
-};
-
-// Another daemon that is asked before the instance list has been read.
-struct SeedPeer {
-    base::DaemonId daemon;
-    base::DataCentreId dataCentre;
-    std::string peerAddress; // HOST:PORT of its peer interface
-};
-
-struct HttpSettings {
-    ListenAddress listen;
-    std::int64_t headerBytes = 16384;
-    std::int64_t bodyBytes = 1048576;
-    std::int64_t serviceBodyBytes = 8388608;
-    int connections = 1000;
-    int headerTimeoutMs = 5000;
-    int bodyTimeoutMs = 15000;
-    int idleTimeoutMs = 30000;
-};
-
-struct PlatformSettings {
-    std::string storeUrl;     // http://ADDRESS:PORT
-    std::string instancesUrl; // http://ADDRESS:PORT
-    int storeTimeoutMs = 2000;
-    int instancesIntervalMs = 1000;
-    double storeWritesPerSecond = 20; // budget of this daemon
-    double storeReadsPerSecond = 40;  // budget of this daemon; a waiting watch counts as one read
-};
-
-struct BatchSettings {
-    int taskLeaseMs = 30000;
-    int commitIntervalMs = 200;
-    int ownerSilenceMs = 5000; // silence after which a shard is taken over
+// What the platform allows and what it promises; all times in ms.
+struct PlatformBounds {
+    int maxHoldMs = 6000;
+    int stopTimeoutMs = 900;
+    int restoreMs = 600;
+    int gangTimeoutMs = 3000;
+    int earlyMs = 250;
+    int visibleMs = 3000;
+    int statusSeconds = 120;
+    int graceMs = 6000;
+    double remoteFactor = 3;
 };
 
 struct Settings {
     // --- Identity ---
-    base::DaemonId daemon;
-    base::DataCentreId dataCentre;
+    std::string daemon;
+    std::string dataCentre;
+    double processorShare = 1; // cores
 
-    // --- Interfaces ---
-    HttpSettings http;
-    ListenAddress peer;
-    std::vector<SeedPeer> seeds;
-    PlatformSettings platform;
+    // --- Interfaces, HOST:PORT ---
+    std::string callerAddress;    // job requests
+    std::string readinessAddress; // health of this daemon for the load balancer
+    std::string adminAddress;     // operators, metrics; empty: none
+    std::string peerAddress;      // other daemons
+    std::string storeAddress;
 
     // --- Behaviour ---
-    BatchSettings batch;
-    int drainTimeoutMs = 30000;
-    int longestPollMs = 30000; // bound of one long poll for events
+    PlatformBounds bounds;
+    int renewMs = 500;
+    int commitGapMs = 100;
+    int syncMs = 200;
+    int workerListMs = 1000;
+    int leaseWaitMs = 1000;
+    int leaseGapMs = 40;
     kernel::LogLevel logLevel = kernel::LogLevel::Info;
+    int logLinesPerSecond = 3000;
 };
 
 base::Schema settingsSchema();
