--- /dev/null
+++ b/src/daemon/sync_service.cpp
@@ -0,0 +1,231 @@
+// Requests and answers as JSON objects over nng.
+#include "daemon/sync_service.h"
+
+#include "daemon/configuration_service.h"
+#include "daemon/dispatcher_service.h"
+#include "daemon/job_table.h"
+#include "daemon/term_service.h"
+#include "kernel/log.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+namespace lacewing::daemon {
+
+namespace {
+
+    constexpr int requestTimeoutMs = 600;     // ms; below the time after which the term may be taken over
+    constexpr int failuresUntilRedial = 2;    // a silent connection is replaced after so many lost answers
+    constexpr int changesPerReply = 500;      // job states in one answer
+    constexpr scheduler::Millis probeMs = 400; // ms between reads of the store on behalf of a leader that has lost it
+
+    peer::PeerLimits peerLimits()
+    {
+        peer::PeerLimits limits;
+        limits.requestTimeoutMs = requestTimeoutMs;
+        return limits;
+    }
+
+    std::string text(const QJsonValue& value) { return value.toString().toStdString(); }
+
+} // namespace
+
+SyncService::SyncService(Runtime& runtime)
+    : m_runtime(runtime)
+{
+    QObject::connect(&m_timer, &QTimer::timeout, this, [this] { tick(); });
+}
+
+std::string SyncService::start()
+{
+    m_term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
+    m_dispatcher = kernel::find<DispatcherService>(m_runtime.kernel, serviceNames::dispatcher);
+    m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
+    auto server = peer::Server::listen(m_runtime.settings.peerAddress, peerLimits(),
+        [this](const QByteArray& request, const peer::ReplyFunction& reply) { reply(answer(request)); });
+    if (server.has_error())
+        return server.error().detail;
+    m_server = std::move(server.value());
+    m_timer.start(m_runtime.settings.syncMs);
+    return {};
+}
+
+void SyncService::stop()
+{
+    m_timer.stop();
+    m_client.reset();
+    m_server.reset();
+}
+
+// --- Follower ---
+
+void SyncService::tick()
+{
+    const election::Election& state = m_term->state();
+    if (m_term->isLeader()) {
+        m_client.reset();
+        m_clientAddress.clear();
+        return;
+    }
+    if (!state.record || state.record->leader == m_runtime.settings.daemon || m_isAsking)
+        return;
+    if (!m_client || m_clientAddress != state.record->peerAddress) {
+        m_clientAddress = state.record->peerAddress;
+        m_failures = 0;
+        auto client = peer::Client::dial(m_clientAddress, peerLimits());
+        if (client.has_error()) {
+            kernel::logEvent(kernel::LogLevel::Error, "sync", "dialFailed",
+                { { "address", m_clientAddress }, { "detail", client.error().detail } });
+            m_client.reset();
+            return;
+        }
+        m_client = std::move(client.value());
+    }
+    ask();
+}
+
+void SyncService::ask()
+{
+    m_isAsking = true;
+    const scheduler::Millis now = nowMs();
+    const platform::StoreHealth& health = m_runtime.store->health();
+    const QJsonObject request { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
+        { "lastReply", static_cast<qint64>(m_lastReply) }, { "feedTerm", static_cast<qint64>(m_feedTerm) },
+        { "feedHave", static_cast<qint64>(m_feedHave) },
+        { "storeAgeMs", static_cast<qint64>(health.answeredAt > 0 ? now - health.answeredAt : -1) },
+        { "isStopping", m_runtime.isStopping } };
+    m_client->request(QJsonDocument(request).toJson(QJsonDocument::Compact),
+        [this, now](const base::Result<QByteArray, peer::PeerError>& result) {
+            m_isAsking = false;
+            if (result.has_value()) {
+                m_failures = 0;
+                applyReply(QJsonDocument::fromJson(result.value()).object(), now);
+                return;
+            }
+            if (m_hasContact)
+                kernel::logEvent(kernel::LogLevel::Warning, "sync", "dependencyLost",
+                    { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
+                        { "detail", result.error().detail } });
+            m_hasContact = false;
+            if (++m_failures >= failuresUntilRedial)
+                m_client.reset(); // not inside a call of its own: the callback runs after the call is finished
+        });
+}
+
+void SyncService::applyReply(const QJsonObject& reply, scheduler::Millis sentAt)
+{
+    election::Election& state = m_term->state();
+    if (m_term->isLeader() || !state.record)
+        return;
+    const bool isSameProcess = reply["incarnation"].toInteger() == state.record->incarnation
+        && text(reply["daemon"]) == state.record->leader;
+    if (!reply["isLeader"].toBool() || !isSameProcess) {
+        m_hasContact = false;
+        m_term->leaderIsDead();
+        return;
+    }
+    const scheduler::Millis now = nowMs();
+    m_lastReply = reply["number"].toInteger();
+    election::observeContact(state, reply["revision"].toInteger(), now);
+    if (!m_hasContact)
+        kernel::logEvent(kernel::LogLevel::Info, "sync", "dependencyRegained",
+            { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
+                { "token", reply["token"].toInteger() } });
+    m_hasContact = true;
+    if (text(reply["successor"]) == m_runtime.settings.daemon) {
+        m_term->leaderIsDead();
+        return;
+    }
+    if (reply["hasLostStore"].toBool())
+        probeStore();
+    if (!reply["isLoaded"].toBool())
+        return;
+    m_feedTerm = reply["token"].toInteger();
+    m_feedHave = reply["next"].toInteger();
+    for (const QJsonValue& change : reply["changes"].toArray()) {
+        if (const auto jobState = base::valueOf(scheduler::jobStateNames, text(change[1])))
+            applyState(*m_table, text(change[0]), *jobState, now);
+    }
+    const QJsonObject pending = reply["pending"].toObject();
+    m_table->pending.clear();
+    for (auto it = pending.begin(); it != pending.end(); ++it)
+        m_table->pending[it.key().toStdString()] = it.value().toInt();
+    m_table->freshAt = sentAt;
+}
+
+void SyncService::probeStore()
+{
+    if (nowMs() - m_probedAt < probeMs)
+        return;
+    m_probedAt = nowMs();
+    // Only whether the store answers counts; it is kept in its health.
+    m_runtime.store->read(storeKeys::term, [](const base::Result<platform::Item, platform::StoreError>&) { });
+}
+
+// --- Scheduling daemon ---
+
+QByteArray SyncService::answer(const QByteArray& bytes)
+{
+    const QJsonObject request = QJsonDocument::fromJson(bytes).object();
+    const std::string daemon = text(request["daemon"]);
+    const scheduler::Millis now = nowMs();
+    QJsonObject reply { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
+        { "incarnation", static_cast<qint64>(m_runtime.incarnation) }, { "isLeader", m_term->isLeader() } };
+    if (!m_term->isLeader() || daemon.empty())
+        return QJsonDocument(reply).toJson(QJsonDocument::Compact);
+    election::Election& state = m_term->state();
+    m_heard[daemon] = now;
+    Reply& last = m_sent[daemon];
+    const bool isLastReceived = last.number > 0 && request["lastReply"].toInteger() == last.number;
+    const std::int64_t storeAge = request["storeAgeMs"].toInteger(-1);
+    if (request["isStopping"].toBool())
+        election::forgetPeer(state, daemon);
+    else
+        election::hearPeer(state, daemon, isLastReceived ? last.sentAt : 0, storeAge < 0 ? 0 : now - storeAge, now);
+    last = { ++m_replies, now };
+    reply["number"] = static_cast<qint64>(last.number);
+    reply["revision"] = static_cast<qint64>(state.revision);
+    reply["token"] = static_cast<qint64>(state.token);
+    reply["hasLostStore"] = !isStoreReachable(m_runtime);
+    if (election::successor(state, now) == daemon) {
+        kernel::logEvent(kernel::LogLevel::Warning, "sync", "handOver",
+            { { "successor", daemon }, { "token", state.token }, { "renewedMsAgo", now - state.renewSentAt },
+                { "successorStoreAgeMs", storeAge } });
+        reply["successor"] = QString::fromStdString(daemon);
+        m_term->handOver();
+        return QJsonDocument(reply).toJson(QJsonDocument::Compact);
+    }
+    reply["isLoaded"] = m_dispatcher->scheduler() != nullptr;
+    if (m_dispatcher->scheduler())
+        addChanges(reply, request["feedTerm"].toInteger(), request["feedHave"].toInteger());
+    return QJsonDocument(reply).toJson(QJsonDocument::Compact);
+}
+
+void SyncService::addChanges(QJsonObject& reply, std::int64_t term, std::int64_t have) const
+{
+    const std::vector<scheduler::JobChange>& feed = m_dispatcher->feed();
+    std::size_t position = term == m_term->token() ? static_cast<std::size_t>(std::max<std::int64_t>(0, have)) : 0;
+    QJsonArray changes;
+    for (; position < feed.size() && changes.size() < changesPerReply; ++position)
+        changes.append(QJsonArray { QString::fromStdString(feed[position].id),
+            QLatin1String(nameOf(scheduler::jobStateNames, feed[position].state)) });
+    reply["changes"] = changes;
+    reply["next"] = static_cast<qint64>(position);
+    QJsonObject pending;
+    for (const auto& [queue, jobs] : scheduler::pendingJobs(*m_dispatcher->scheduler()))
+        pending[QString::fromStdString(queue)] = jobs;
+    reply["pending"] = pending;
+}
+
+void registerSyncService(Runtime& runtime)
+{
+    auto service = std::make_shared<SyncService>(runtime);
+    kernel::Service entry;
+    entry.name = serviceNames::sync;
+    entry.dependsOn = { serviceNames::term, serviceNames::dispatcher, serviceNames::jobTable };
+    entry.start = [service] { return service->start(); };
+    entry.stop = [service] { service->stop(); };
+    kernel::registerService(runtime.kernel, std::move(entry)).assume_value();
+}
+
+} // namespace lacewing::daemon
--- /dev/null
+++ b/src/daemon/sync_service.h
@@ -0,0 +1,72 @@
+// Messages between daemons: every daemon asks the scheduling one, several times a second, what has changed.
+//
+// A message carries the states of jobs one way and, the other way, the promise not to take the term over while the
+// answers come (see election/election.h). It also carries the hand-over of the term to a daemon that reaches the store.
+#pragma once
+
+#include "daemon/runtime.h"
+#include "peer/peer.h"
+
+#include <QJsonObject>
+#include <QObject>
+#include <QTimer>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lacewing::daemon {
+
+class DispatcherService;
+class TermService;
+struct JobTable;
+
+class SyncService : public QObject {
+public:
+    explicit SyncService(Runtime& runtime);
+
+    // Empty when started; otherwise the cause.
+    std::string start();
+    void stop();
+    // Daemons that this one has heard of lately while it scheduled.
+    const std::map<std::string, scheduler::Millis>& heardPeers() const { return m_heard; }
+
+private:
+    struct Reply {
+        std::int64_t number = 0;
+        scheduler::Millis sentAt = 0;
+    };
+
+    void tick();
+    void ask();
+    void applyReply(const QJsonObject& reply, scheduler::Millis sentAt);
+    void probeStore();
+    QByteArray answer(const QByteArray& request);
+    void addChanges(QJsonObject& reply, std::int64_t term, std::int64_t have) const;
+
+    Runtime& m_runtime;
+    TermService* m_term = nullptr;
+    DispatcherService* m_dispatcher = nullptr;
+    JobTable* m_table = nullptr;
+    std::unique_ptr<peer::Server> m_server;
+    QTimer m_timer;
+
+    // --- As a follower ---
+    std::unique_ptr<peer::Client> m_client;
+    std::string m_clientAddress;
+    int m_failures = 0;
+    bool m_isAsking = false;
+    std::int64_t m_lastReply = 0; // number of the last answer received
+    std::int64_t m_feedTerm = 0;
+    std::int64_t m_feedHave = 0;
+    bool m_hasContact = false;
+    scheduler::Millis m_probedAt = 0;
+
+    // --- As the scheduling daemon ---
+    std::int64_t m_replies = 0;
+    std::map<std::string, Reply> m_sent; // last answer by daemon
+    std::map<std::string, scheduler::Millis> m_heard;
+};
+
+void registerSyncService(Runtime& runtime);
+
+} // namespace lacewing::daemon
--- /dev/null
+++ b/src/daemon/term_service.cpp
@@ -0,0 +1,212 @@
+// One election call at a time; a lost answer is resolved by repeating the write on the same condition.
+#include "daemon/term_service.h"
+
+#include "kernel/log.h"
+
+namespace lacewing::daemon {
+
+namespace {
+
+    constexpr int tickMs = 25;      // ms; resolution of the election's periods
+    constexpr int resignWaitMs = 800; // ms; a resignation that is not stored by then is left to the others' time-out
+    // One entry of a transaction is the condition and one the record of the term.
+    constexpr std::size_t writesPerCommit = platform::maxTransactionEntries - 2;
+
+} // namespace
+
+TermService::TermService(Runtime& runtime)
+    : m_runtime(runtime)
+{
+    m_election.self = runtime.settings.daemon;
+    m_election.incarnation = runtime.incarnation;
+    m_election.peerAddress = runtime.settings.peerAddress;
+    m_election.limits.renewMs = runtime.settings.renewMs;
+    QObject::connect(&m_timer, &QTimer::timeout, this, [this] { tick(); });
+}
+
+void TermService::start()
+{
+    m_timer.start(tickMs);
+    tick();
+}
+
+void TermService::tick()
+{
+    if (m_isBusy)
+        return;
+    if (m_resigned && isLeader()) {
+        write(true);
+        return;
+    }
+    const scheduler::Millis now = nowMs();
+    const election::Action action = election::nextAction(m_election, now);
+    const bool isCommitDue = isLeader() && !m_commits.empty() && now - m_committedAt >= m_runtime.settings.commitGapMs;
+    if (action == election::Action::ReadRecord)
+        readRecord();
+    else if (action == election::Action::TakeOver || action == election::Action::Renew || isCommitDue)
+        write(false);
+}
+
+void TermService::readRecord()
+{
+    m_isBusy = true;
+    m_election.polledAt = nowMs();
+    m_runtime.store->read(
+        storeKeys::term, [this](const base::Result<platform::Item, platform::StoreError>& result) {
+            m_isBusy = false;
+            if (result.has_value())
+                election::observe(
+                    m_election, election::decodeRecord(result.value().value), result.value().revision, nowMs());
+            else if (result.error().code == platform::StoreCode::Missing)
+                election::observe(m_election, std::nullopt, 0, nowMs());
+            tick();
+        });
+}
+
+void TermService::write(bool isResigning)
+{
+    m_isBusy = true;
+    const scheduler::Millis sentAt = nowMs();
+    m_election.renewTriedAt = sentAt;
+    const election::Record record = election::recordToWrite(m_election, isResigning);
+    platform::Transaction transaction;
+    transaction.conditions.push_back({ storeKeys::term, m_election.revision });
+    transaction.writes.push_back({ storeKeys::term, election::encodeRecord(record) });
+    std::size_t commits = 0;
+    if (isLeader()) {
+        m_committedAt = sentAt;
+        for (const Commit& commit : m_commits) {
+            if (transaction.writes.size() + commit.writes.size() > writesPerCommit + 1)
+                break;
+            ++commits;
+            transaction.writes.insert(transaction.writes.end(), commit.writes.begin(), commit.writes.end());
+        }
+    }
+    m_runtime.store->commit(transaction,
+        [this, record, sentAt, commits](const base::Result<std::int64_t, platform::StoreError>& result) {
+            m_isBusy = false;
+            if (result.has_value()) {
+                const bool wasLeader = isLeader();
+                election::applyWritten(m_election, record, result.value(), sentAt, nowMs());
+                std::vector<Commit> written;
+                for (std::size_t i = 0; i < commits && wasLeader && !m_commits.empty(); ++i) {
+                    written.push_back(std::move(m_commits.front()));
+                    m_commits.pop_front();
+                }
+                for (const Commit& commit : written)
+                    commit.callback();
+                if (!wasLeader && isLeader()) {
+                    kernel::logEvent(kernel::LogLevel::Info, "term", "elected", { { "token", token() } });
+                    m_onElected();
+                } else if (wasLeader && !isLeader()) {
+                    lose("resigned");
+                }
+            } else if (result.error().code == platform::StoreCode::Conflict) {
+                applyConflict(result.error().current, sentAt);
+            }
+            if (m_resigned && !isLeader())
+                finishResigning();
+        });
+}
+
+// The condition did not hold: the record is another daemon's, or an earlier write of this process whose answer was lost.
+void TermService::applyConflict(const std::vector<platform::Item>& current, scheduler::Millis sentAt)
+{
+    std::optional<election::Record> record;
+    std::int64_t revision = 0;
+    for (const platform::Item& item : current) {
+        if (item.key == storeKeys::term) {
+            record = election::decodeRecord(item.value);
+            revision = item.revision;
+        }
+    }
+    const bool isOwn
+        = record && record->leader == m_election.self && record->incarnation == m_election.incarnation;
+    if (isOwn && isLeader() && !record->isResigned) {
+        m_election.revision = revision;
+        m_election.renewSentAt = sentAt;
+        m_election.renewTriedAt = 0; // writes again at once
+        return;
+    }
+    if (isOwn && !isLeader() && record->token == 0 && !record->isResigned) { // own take-over, whose answer was lost
+        election::applyWritten(m_election, *record, revision, sentAt, nowMs());
+        kernel::logEvent(kernel::LogLevel::Info, "term", "elected", { { "token", token() }, { "afterLostAnswer", true } });
+        m_onElected();
+        return;
+    }
+    if (isLeader())
+        lose("another daemon has the term");
+    election::observe(m_election, record, revision, nowMs());
+}
+
+void TermService::commit(std::vector<platform::Write> writes, std::function<void()> callback)
+{
+    for (std::size_t begin = 0; begin < writes.size(); begin += writesPerCommit) {
+        const std::size_t end = std::min(writes.size(), begin + writesPerCommit);
+        Commit commit;
+        commit.writes.assign(writes.begin() + static_cast<std::ptrdiff_t>(begin),
+            writes.begin() + static_cast<std::ptrdiff_t>(end));
+        commit.callback = end == writes.size() ? std::move(callback) : [] { };
+        m_commits.push_back(std::move(commit));
+    }
+    tick();
+}
+
+void TermService::lose(const std::string& reason)
+{
+    kernel::logEvent(kernel::LogLevel::Warning, "term", "termEnded",
+        { { "reason", reason }, { "token", token() }, { "revision", m_election.revision },
+            { "renewedMsAgo", nowMs() - m_election.renewSentAt } });
+    election::stepDown(m_election);
+    m_commits.clear();
+    m_onLost();
+}
+
+void TermService::resign(const std::string& reason, std::function<void()> done)
+{
+    if (!isLeader() || m_resigned) {
+        done();
+        return;
+    }
+    m_resigned = std::move(done);
+    kernel::logEvent(kernel::LogLevel::Info, "term", "resigning", { { "reason", reason }, { "token", token() } });
+    QTimer::singleShot(resignWaitMs, this, [this] {
+        if (!m_resigned)
+            return;
+        lose("resigned without the store");
+        finishResigning();
+    });
+    tick();
+}
+
+void TermService::finishResigning()
+{
+    const std::function<void()> done = std::move(m_resigned);
+    m_resigned = nullptr;
+    done();
+}
+
+void TermService::suspectLoss()
+{
+    if (isLeader())
+        m_election.renewTriedAt = 0; // the next write shows it
+}
+
+void TermService::leaderIsDead() { election::observeLeaderDeath(m_election); }
+
+void registerTermService(Runtime& runtime)
+{
+    auto service = std::make_shared<TermService>(runtime);
+    kernel::Service entry;
+    entry.name = serviceNames::term;
+    // Published by the first service that depends on it, so that callbacks are set before the election begins.
+    entry.dependsOn = { serviceNames::configuration };
+    entry.start = [&runtime, service] {
+        kernel::publish(runtime.kernel, serviceNames::term, service.get());
+        QTimer::singleShot(0, service.get(), [service] { service->start(); });
+        return std::string();
+    };
+    kernel::registerService(runtime.kernel, std::move(entry)).assume_value();
+}
+
+} // namespace lacewing::daemon
--- /dev/null
+++ b/src/daemon/term_service.h
@@ -0,0 +1,75 @@
+// The term: takes part in the election, renews this daemon's own term, and writes the records of the scheduling daemon.
+//
+// Records are written in the transaction that renews the term, on the condition that the term still stands. A daemon
+// that has lost its term can therefore not write anything, whatever it believes.
+#pragma once
+
+#include "daemon/runtime.h"
+#include "election/election.h"
+
+#include <QObject>
+#include <QTimer>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace lacewing::daemon {
+
+class TermService : public QObject {
+public:
+    explicit TermService(Runtime& runtime);
+
+    void start();
+
+    bool isLeader() const { return m_election.role == election::Role::Leader; }
+    std::int64_t token() const { return m_election.token; }
+    // The leader may act before this.
+    scheduler::Millis validUntil() const { return election::validUntil(m_election, nowMs()); }
+    election::Election& state() { return m_election; }
+    const election::Election& state() const { return m_election; }
+
+    // Writes records in this term; the callback tells whether they are in the store. Never called after the term ended:
+    // the records are dropped with it.
+    void commit(std::vector<platform::Write> writes, std::function<void()> callback);
+    std::size_t pendingCommits() const { return m_commits.size(); }
+
+    // Gives the term up; `done` is called when the record says so, or when that cannot be reached.
+    void resign(const std::string& reason, std::function<void()> done);
+    // Stops leading at once, in favour of a daemon that is told so in the same message.
+    void handOver() { lose("handed over"); }
+    // Another process is known to hold a higher token.
+    void suspectLoss();
+    // The leader's process is known not to lead any more.
+    void leaderIsDead();
+
+    void onElected(std::function<void()> callback) { m_onElected = std::move(callback); }
+    void onLost(std::function<void()> callback) { m_onLost = std::move(callback); }
+
+private:
+    struct Commit {
+        std::vector<platform::Write> writes;
+        std::function<void()> callback;
+    };
+
+    void tick();
+    void readRecord();
+    void write(bool isResigning);
+    void finishResigning();
+    void applyConflict(const std::vector<platform::Item>& current, scheduler::Millis sentAt);
+    void lose(const std::string& reason);
+
+    Runtime& m_runtime;
+    election::Election m_election;
+    QTimer m_timer;
+    bool m_isBusy = false;     // an election call is in flight
+    std::function<void()> m_resigned; // set while resigning
+    std::deque<Commit> m_commits;
+    scheduler::Millis m_committedAt = 0;
+    std::function<void()> m_onElected;
+    std::function<void()> m_onLost;
+};
+
+void registerTermService(Runtime& runtime);
+
+} // namespace lacewing::daemon
--- /dev/null
+++ b/src/election/election.cpp
@@ -0,0 +1,165 @@
+// Rules of taking, keeping and giving up a term.
+#include "election/election.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <algorithm>
+
+namespace lacewing::election {
+
+QByteArray encodeRecord(const Record& record)
+{
+    const QJsonObject json { { "leader", QString::fromStdString(record.leader) },
+        { "incarnation", static_cast<qint64>(record.incarnation) },
+        { "peerAddress", QString::fromStdString(record.peerAddress) },
+        { "sequence", static_cast<qint64>(record.sequence) }, { "token", static_cast<qint64>(record.token) },
+        { "isResigned", record.isResigned } };
+    return QJsonDocument(json).toJson(QJsonDocument::Compact);
+}
+
+std::optional<Record> decodeRecord(const QByteArray& bytes)
+{
+    const QJsonDocument document = QJsonDocument::fromJson(bytes);
+    const QJsonObject json = document.object();
+    if (!document.isObject() || !json["leader"].isString())
+        return std::nullopt;
+    Record record;
+    record.leader = json["leader"].toString().toStdString();
+    record.incarnation = json["incarnation"].toInteger();
+    record.peerAddress = json["peerAddress"].toString().toStdString();
+    record.sequence = json["sequence"].toInteger();
+    record.token = json["token"].toInteger();
+    record.isResigned = json["isResigned"].toBool();
+    return record;
+}
+
+bool isOwn(const Election& election, const std::optional<Record>& record, std::int64_t sequence)
+{
+    return record && record->leader == election.self && record->incarnation == election.incarnation
+        && record->sequence == sequence;
+}
+
+Action nextAction(const Election& election, Millis now)
+{
+    const Limits& limits = election.limits;
+    if (election.role == Role::Leader) {
+        const Millis period = now >= validUntil(election, now) ? limits.pollMs : limits.renewMs;
+        return now - election.renewTriedAt >= period ? Action::Renew : Action::None;
+    }
+    const bool isMissing = now - election.contactAt >= limits.contactMs || election.contactAt == 0;
+    if (election.isKnown && !election.isStopping) {
+        const bool isFree = !election.record || election.record->isResigned || election.isLeaderDead
+            || (election.record->leader == election.self && election.record->incarnation != election.incarnation);
+        const bool isSilent
+            = now - std::max(election.changedAt, election.contactAt) >= limits.takeoverMs && isMissing;
+        if ((isFree || isSilent) && now - election.renewTriedAt >= limits.pollMs)
+            return Action::TakeOver;
+    }
+    if ((isMissing || !election.isKnown) && now - election.polledAt >= limits.pollMs)
+        return Action::ReadRecord;
+    return Action::None;
+}
+
+Record recordToWrite(Election& election, bool isResigning)
+{
+    Record record;
+    record.leader = election.self;
+    record.incarnation = election.incarnation;
+    record.peerAddress = election.peerAddress;
+    record.sequence = ++election.sequence;
+    record.token = election.role == Role::Leader ? election.token : 0;
+    record.isResigned = isResigning;
+    return record;
+}
+
+void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
+{
+    if (!election.isKnown || revision > election.revision || (revision == 0 && election.revision != 0)) {
+        const bool isSameLeader = election.record && record && election.record->leader == record->leader
+            && election.record->incarnation == record->incarnation;
+        election.isLeaderDead = election.isLeaderDead && isSameLeader;
+        election.record = record;
+        election.revision = revision;
+        election.changedAt = now;
+    }
+    election.isKnown = true;
+}
+
+void observeContact(Election& election, std::int64_t revision, Millis now)
+{
+    election.contactAt = now;
+    if (revision > election.revision) {
+        election.revision = revision;
+        election.changedAt = now;
+    }
+}
+
+void observeLeaderDeath(Election& election) { election.isLeaderDead = true; }
+
+void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now)
+{
+    if (record.isResigned) {
+        stepDown(election);
+    } else if (election.role == Role::Follower) {
+        election.role = Role::Leader;
+        election.token = revision;
+        election.peers.clear();
+    }
+    election.record = record;
+    election.revision = revision;
+    election.changedAt = now;
+    election.isKnown = true;
+    election.isLeaderDead = false;
+    election.renewSentAt = sentAt;
+}
+
+void stepDown(Election& election)
+{
+    election.role = Role::Follower;
+    election.token = 0;
+    election.contactAt = 0;
+    election.isKnown = false; // read the record anew before anything is taken over
+    election.peers.clear();
+}
+
+Millis validUntil(const Election& election, Millis now)
+{
+    if (election.role != Role::Leader)
+        return 0;
+    const Millis byStore = election.renewSentAt + election.limits.validityMs;
+    if (byStore > now)
+        return byStore;
+    Millis byPeers = now + election.limits.validityMs;
+    bool hasPeer = false;
+    for (const auto& [name, peer] : election.peers) {
+        if (now - peer.heardAt > election.limits.peerMemoryMs)
+            continue;
+        hasPeer = true;
+        byPeers = std::min(byPeers, peer.promisedAt + election.limits.validityMs);
+    }
+    return hasPeer ? std::max(byStore, byPeers) : byStore;
+}
+
+void hearPeer(Election& election, const std::string& name, Millis promisedAt, Millis storeOkAt, Millis now)
+{
+    Peer& peer = election.peers[name];
+    peer.heardAt = now;
+    peer.promisedAt = std::max(peer.promisedAt, promisedAt);
+    peer.storeOkAt = storeOkAt;
+}
+
+void forgetPeer(Election& election, const std::string& name) { election.peers.erase(name); }
+
+std::optional<std::string> successor(const Election& election, Millis now)
+{
+    if (election.role != Role::Leader || now - election.renewSentAt < election.limits.handOverMs)
+        return std::nullopt;
+    for (const auto& [name, peer] : election.peers) {
+        const bool isInTouch = now - peer.heardAt < election.limits.contactMs;
+        if (isInTouch && peer.storeOkAt > election.renewSentAt + election.limits.renewMs)
+            return name;
+    }
+    return std::nullopt;
+}
+
+} // namespace lacewing::election
--- /dev/null
+++ b/src/election/election.h
@@ -0,0 +1,128 @@
+// Which daemon schedules: a term is a conditional write of one record in the store.
+//
+// The record has no lease of the store, because leases may lapse or be revoked without notice. The leader rewrites it
+// every renewMs; its revision therefore changes as long as the leader lives and reaches the store. Another daemon takes
+// the record over, by a write on the condition of the revision that it saw, after the revision has not changed for
+// takeoverMs. The leader stops acting validityMs after its last successful renewal was sent. The revision of the first
+// write of a term is the term's token; workers refuse orders with a lower one.
+//
+// While the leader does not reach the store, it goes on as long as every daemon that it knows promises, by answering in
+// time, not to take over. A daemon that is in touch with the leader does not take over.
+//
+// Pure: the caller reads clocks and carries out the actions.
+//
+// Invariants
+//   - validityMs + clock rate error < takeoverMs: a former leader has stopped before another one acts.
+//   - tokens rise: they are revisions of the store.
+#pragma once
+
+#include "base/names.h"
+
+#include <QByteArray>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace lacewing::election {
+
+using Millis = std::int64_t; // of the daemon's boot-time clock
+
+struct Limits {
+    Millis renewMs = 500;     // between renewals
+    Millis validityMs = 1500; // trust in the last renewal; above two renewals and a lost answer
+    Millis takeoverMs = 1800; // validityMs and a margin for different clock rates
+    Millis contactMs = 700;   // a leader that was not heard of for so long is looked for in the store
+    Millis pollMs = 300;      // between reads of the record while the leader is missing
+    Millis peerMemoryMs = 30000; // a daemon that was not heard of for so long is gone and promises nothing
+    Millis handOverMs = 900;  // a leader without the store for so long hands over to a daemon that reaches it
+};
+
+// The record. `sequence` tells the writer's own writes apart after a lost answer.
+struct Record {
+    std::string leader;             // name of the daemon
+    std::int64_t incarnation = 0;   // of its process
+    std::string peerAddress;        // HOST:PORT for other daemons
+    std::int64_t sequence = 0;      // rises with each write of the process
+    std::int64_t token = 0;         // 0 in the first write of a term, whose revision is the token
+    bool isResigned = false;        // the leader has stopped: anyone may take over at once
+};
+
+QByteArray encodeRecord(const Record& record);
+std::optional<Record> decodeRecord(const QByteArray& bytes);
+
+enum class Role { Follower, Leader };
+
+constexpr base::EnumNames<Role, 2> roleNames { { { Role::Follower, "follower" }, { Role::Leader, "leader" } } };
+
+enum class Action {
+    None,
+    ReadRecord, // read the record and call observe()
+    TakeOver,   // write recordToWrite() on the condition of `revision`
+    Renew,      // the same, by the leader
+};
+
+constexpr base::EnumNames<Action, 4> actionNames { {
+    { Action::None, "none" },
+    { Action::ReadRecord, "readRecord" },
+    { Action::TakeOver, "takeOver" },
+    { Action::Renew, "renew" },
+} };
+
+struct Peer {
+    Millis heardAt = 0;   // last message
+    Millis promisedAt = 0; // it will not take over before promisedAt + takeoverMs
+    Millis storeOkAt = 0; // last time that it reached the store, by its own word
+};
+
+struct Election {
+    // --- Identity ---
+    std::string self;
+    std::int64_t incarnation = 0;
+    std::string peerAddress;
+    Limits limits;
+    // --- Record as last seen ---
+    bool isKnown = false; // the record, or its absence, has been seen
+    std::optional<Record> record;
+    std::int64_t revision = 0; // 0: absent
+    Millis changedAt = 0;      // first sight of this revision
+    Millis polledAt = 0;
+    // --- Follower ---
+    Millis contactAt = 0;       // last answer of the leader
+    bool isLeaderDead = false;  // the leader's process is known to have ended or to have stopped leading
+    bool isStopping = false;    // takes nothing over
+    // --- Leader ---
+    Role role = Role::Follower;
+    std::int64_t token = 0;
+    std::int64_t sequence = 0;
+    Millis renewSentAt = 0;  // of the last successful renewal
+    Millis renewTriedAt = 0; // of the last attempt
+    std::map<std::string, Peer> peers;
+};
+
+// Next thing to do; the caller has no election call in flight.
+Action nextAction(const Election& election, Millis now);
+Record recordToWrite(Election& election, bool isResigning = false);
+
+// The store holds this record (nullopt: none) at the revision.
+void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
+// The leader told its revision in a message.
+void observeContact(Election& election, std::int64_t revision, Millis now);
+// A process that answers under the leader's address does not lead.
+void observeLeaderDeath(Election& election);
+// Own write of the record, sent at sentAt, succeeded at the revision.
+void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now);
+void stepDown(Election& election);
+// True when the record is the one that this process wrote with the sequence.
+bool isOwn(const Election& election, const std::optional<Record>& record, std::int64_t sequence);
+
+// --- Leader's right to act ---
+
+Millis validUntil(const Election& election, Millis now);
+// A daemon sent a message; `promisedAt` is when the last answer that it has received was given.
+void hearPeer(Election& election, const std::string& peer, Millis promisedAt, Millis storeOkAt, Millis now);
+void forgetPeer(Election& election, const std::string& peer);
+// Daemon to hand the term to, because it reaches the store and this one does not.
+std::optional<std::string> successor(const Election& election, Millis now);
+
+} // namespace lacewing::election
--- /dev/null
+++ b/src/http/channel.cpp
@@ -0,0 +1,254 @@
+// Channel: a queue in front of one QTcpSocket and the answer parser.
+#include "http/channel.h"
+
+#include "base/time.h"
+#include "http/answer.h"
+
+#include <QNetworkProxy>
+#include <QTcpSocket>
+#include <QTimer>
+#include <deque>
+
+namespace lacewing::http {
+
+namespace {
+
+    struct Exchange {
+        ChannelRequest request;
+        ClientCallback callback;
+        base::TimePoint deadline;
+    };
+
+    QByteArray encode(const ChannelRequest& request, const QByteArray& authority)
+    {
+        QByteArray bytes;
+        bytes.reserve(256 + request.body.size());
+        bytes += request.method + ' ' + request.target + " HTTP/1.1\r\nHost: " + authority + "\r\n";
+        for (const Header& header : request.headers)
+            bytes += header.name + ": " + header.value + "\r\n";
+        if (!request.body.isEmpty())
+            bytes += "Content-Type: application/json\r\n";
+        if (!request.body.isEmpty() || request.method != "GET")
+            bytes += "Content-Length: " + QByteArray::number(request.body.size()) + "\r\n";
+        bytes += "\r\n";
+        bytes += request.body;
+        return bytes;
+    }
+
+} // namespace
+
+struct Channel::State : QObject {
+    State(const QString& address, ChannelLimits channelLimits, ChannelCounters* channelCounters)
+        : limits(channelLimits)
+        , counters(channelCounters)
+        , authority(address.toUtf8())
+        , host(address.section(':', 0, -2))
+        , port(address.section(':', -1).toUShort())
+    {
+        timer.setSingleShot(true);
+        QObject::connect(&timer, &QTimer::timeout, this, [this] { onTimer(); });
+        idleTimer.setSingleShot(true);
+        QObject::connect(&idleTimer, &QTimer::timeout, this, [this] { dropSocket(); });
+    }
+
+    ~State() override { dropSocket(); }
+
+    // Starts the request at the head of the queue, or waits for the connection.
+    void pump()
+    {
+        if (isBusy || queue.empty())
+            return;
+        if (!socket) {
+            openSocket();
+            return;
+        }
+        if (socket->state() != QAbstractSocket::ConnectedState)
+            return;
+        isBusy = true;
+        const ChannelRequest& request = queue.front().request;
+        ClientLimits parserLimits;
+        parserLimits.responseBodyBytes = limits.responseBodyBytes;
+        parser = makeAnswerParser(parserLimits, request.method);
+        const QByteArray bytes = encode(request, authority);
+        counters->bytesWritten += static_cast<std::uint64_t>(bytes.size());
+        ++counters->requests;
+        socket->write(bytes);
+        socket->flush();
+        armTimer();
+    }
+
+    void openSocket()
+    {
+        ++counters->connections;
+        connectStarted = base::monotonicNow();
+        socket = new QTcpSocket(this);
+        socket->setProxy(QNetworkProxy::NoProxy);
+        QObject::connect(socket, &QTcpSocket::connected, this, [this] {
+            socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+            pump();
+        });
+        QObject::connect(socket, &QTcpSocket::readyRead, this, [this] { onReadable(); });
+        QObject::connect(socket, &QTcpSocket::errorOccurred, this, [this] { onError(); });
+        socket->connectToHost(host, port);
+        armTimer();
+    }
+
+    void dropSocket()
+    {
+        if (!socket)
+            return;
+        socket->disconnect(this);
+        socket->abort();
+        socket->deleteLater();
+        socket = nullptr;
+    }
+
+    void armTimer()
+    {
+        if (queue.empty()) {
+            timer.stop();
+            return;
+        }
+        base::TimePoint due = queue.front().deadline;
+        if (socket && socket->state() != QAbstractSocket::ConnectedState)
+            due = std::min(due, connectStarted + base::milliseconds(limits.connectTimeoutMs));
+        const auto left = base::toMilliseconds(due - base::monotonicNow()) + 1;
+        timer.start(static_cast<int>(std::max<std::int64_t>(0, left)));
+    }
+
+    void onTimer()
+    {
+        if (queue.empty())
+            return;
+        const base::TimePoint now = base::monotonicNow();
+        if (now >= queue.front().deadline) {
+            fail(isBusy ? Failure::Timeout : Failure::ConnectFailed, "no complete answer in time");
+            return;
+        }
+        const bool isConnecting = socket && socket->state() != QAbstractSocket::ConnectedState;
+        if (isConnecting && now >= connectStarted + base::milliseconds(limits.connectTimeoutMs)) {
+            fail(Failure::ConnectFailed, "no connection in time");
+            return;
+        }
+        armTimer();
+    }
+
+    void onReadable()
+    {
+        const QByteArray bytes = socket->readAll();
+        counters->bytesRead += static_cast<std::uint64_t>(bytes.size());
+        if (!isBusy) { // bytes without a request: the connection is out of step
+            dropSocket();
+            return;
+        }
+        feedAnswer(parser, bytes);
+        if (parser.state == AnswerParser::State::Failed)
+            fail(parser.failure, parser.detail);
+        else if (parser.state == AnswerParser::State::Done)
+            succeed();
+    }
+
+    void onError()
+    {
+        if (isBusy) {
+            feedAnswer(parser, socket->readAll());
+            if (parser.state == AnswerParser::State::Done) {
+                succeed();
+                return;
+            }
+            fail(Failure::ConnectionLost, socket->errorString().toUtf8());
+            return;
+        }
+        const bool wasConnecting = socket->state() != QAbstractSocket::ConnectedState;
+        if (wasConnecting && !queue.empty()) {
+            fail(Failure::ConnectFailed, socket->errorString().toUtf8());
+            return;
+        }
+        dropSocket();
+        pump();
+    }
+
+    void succeed()
+    {
+        ClientResult result;
+        result.status = parser.status;
+        result.headers = std::move(parser.headers);
+        result.body = std::move(parser.body);
+        const bool isClosing = hasToken(result.headers, "Connection", "close");
+        finish(std::move(result), isClosing);
+    }
+
+    void fail(Failure failure, const QByteArray& detail)
+    {
+        ++counters->failures;
+        ClientResult result;
+        result.failure = failure;
+        result.detail = detail;
+        result.bytesSent = isBusy ? BytesSent::Some : BytesSent::None;
+        finish(std::move(result), true);
+    }
+
+    void finish(ClientResult result, bool close)
+    {
+        if (close)
+            dropSocket();
+        isBusy = false;
+        const Exchange exchange = std::move(queue.front());
+        queue.pop_front();
+        if (queue.empty()) {
+            timer.stop();
+            if (limits.idleCloseMs > 0)
+                idleTimer.start(limits.idleCloseMs);
+        }
+        // The callback may destroy the channel: everything else runs in a later turn.
+        QMetaObject::invokeMethod(this, [this] { pump(); }, Qt::QueuedConnection);
+        exchange.callback(std::move(result));
+    }
+
+    ChannelLimits limits;
+    ChannelCounters* counters;
+    QByteArray authority;
+    QString host;
+    std::uint16_t port;
+    QTcpSocket* socket = nullptr;
+    std::deque<Exchange> queue; // the front is in progress when isBusy
+    bool isBusy = false;
+    AnswerParser parser;
+    base::TimePoint connectStarted;
+    QTimer timer; // of the connection or of the request in front
+    QTimer idleTimer;
+};
+
+Channel::Channel(const QString& address, ChannelLimits limits, ChannelCounters* counters)
+    : m_state(std::make_unique<State>(address, limits, counters))
+{
+}
+
+Channel::~Channel() = default;
+
+void Channel::send(ChannelRequest request, ClientCallback callback)
+{
+    State* state = m_state.get();
+    state->idleTimer.stop();
+    if (static_cast<int>(state->queue.size()) >= state->limits.queuedRequests) {
+        QMetaObject::invokeMethod(
+            state,
+            [callback = std::move(callback)] {
+                ClientResult result;
+                result.failure = Failure::ConnectFailed;
+                result.bytesSent = BytesSent::None;
+                result.detail = "queue of the connection is full";
+                callback(std::move(result));
+            },
+            Qt::QueuedConnection);
+        return;
+    }
+    const base::TimePoint deadline = base::monotonicNow() + base::milliseconds(request.timeoutMs);
+    state->queue.push_back({ std::move(request), std::move(callback), deadline });
+    if (state->queue.size() == 1)
+        QMetaObject::invokeMethod(state, [state] { state->pump(); }, Qt::QueuedConnection);
+}
+
+int Channel::pending() const { return static_cast<int>(m_state->queue.size()); }
+
+} // namespace lacewing::http
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -1,23 +1,29 @@
-// JSON lines through log4cxx. The JSON text is composed here, because log4cxx 1.0's own JSON layout has no typed
-// fields.
+// JSON lines through log4cxx with an appender that never blocks. The JSON text is composed here, because log4cxx 1.0's
+// own JSON layout has no typed fields.
 #include "kernel/log.h"
 
-#include <QDateTime>
-#include <QJsonDocument>
-#include <QJsonObject>
+#include <cerrno>
+#include <cstdio>
+#include <ctime>
+#include <fcntl.h>
 #include <log4cxx/consoleappender.h>
-#include <log4cxx/helpers/pool.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
+#include <unistd.h>
 
 namespace lacewing::kernel {
 
 namespace {
 
     struct LogContext {
-        QString dataCentre;
-        QString daemon;
+        std::string identity; // `"dataCentre":...,"daemon":...`
         LogLevel level = LogLevel::Info;
+        LogLimits limits;
+        LogCounters counters;
+        int descriptor = 1;
+        std::string buffer;       // lines not yet written
+        std::int64_t second = 0;  // of the clock, for linesPerSecond
+        int linesThisSecond = 0;
     };
 
     LogContext& context()
@@ -26,6 +32,23 @@
         return instance;
     }
 
+    // Collects lines in the context's buffer in place of writing them, which could block.
+    class BufferAppender : public log4cxx::ConsoleAppender {
+    public:
+        void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool&) override
+        {
+            const log4cxx::LogString& line = event->getMessage();
+            LogContext& log = context();
+            if (log.buffer.size() + line.size() + 1 > log.limits.bufferBytes) {
+                ++log.counters.dropped;
+                return;
+            }
+            log.buffer.append(line.begin(), line.end());
+            log.buffer += '\n';
+            ++log.counters.written;
+        }
+    };
+
     log4cxx::LoggerPtr& logger()
     {
         static log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger("lacewing");
@@ -47,22 +70,81 @@
         return log4cxx::Level::getError();
     }
 
-    QString toQString(std::string_view text)
+    void appendText(std::string& line, std::string_view text)
+    {
+        line += '"';
+        for (const char c : text) {
+            const auto byte = static_cast<unsigned char>(c);
+            if (c == '"' || c == '\\') {
+                line += '\\';
+                line += c;
+            } else if (byte < 0x20) {
+                char escaped[8];
+                std::snprintf(escaped, sizeof escaped, "\\u%04x", byte);
+                line += escaped;
+            } else {
+                line += c;
+            }
+        }
+        line += '"';
+    }
+
+    void appendField(std::string& line, const LogField& field)
     {
-        return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+        line += ",\"";
+        line += field.key;
+        line += "\":";
+        if (const auto* number = std::get_if<std::int64_t>(&field.value))
+            line += std::to_string(*number);
+        else if (const auto* flag = std::get_if<bool>(&field.value))
+            line += *flag ? "true" : "false";
+        else
+            appendText(line, std::get<std::string>(field.value));
+    }
+
+    std::string timeText(const timespec& now)
+    {
+        tm parts {};
+        ::gmtime_r(&now.tv_sec, &parts);
+        char text[40];
+        const std::size_t length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
+        std::snprintf(text + length, sizeof text - length, ".%03ldZ", now.tv_nsec / 1000000);
+        return text;
+    }
+
+    // False when the line is over the bound of this second.
+    bool admit(LogLevel level, std::int64_t second)
+    {
+        LogContext& log = context();
+        if (second != log.second) {
+            log.second = second;
+            log.linesThisSecond = 0;
+        }
+        if (level != LogLevel::Error && log.linesThisSecond >= log.limits.linesPerSecond) {
+            ++log.counters.dropped;
+            return false;
+        }
+        ++log.linesThisSecond;
+        return true;
     }
 
 } // namespace
 
-void openLog(LogLevel level, const std::string& dataCentre, const std::string& daemon)
+void openLog(
+    LogLevel level, const std::string& dataCentre, const std::string& daemon, LogLimits limits, int descriptor)
 {
-    context().dataCentre = toQString(dataCentre);
-    context().daemon = toQString(daemon);
-    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
+    LogContext& log = context();
+    log.limits = limits;
+    log.descriptor = descriptor;
+    log.identity = "\"dataCentre\":";
+    appendText(log.identity, dataCentre);
+    log.identity += ",\"daemon\":";
+    appendText(log.identity, daemon);
+    if (const int flags = ::fcntl(descriptor, F_GETFL); flags >= 0)
+        ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
     logger()->removeAllAppenders();
     logger()->setAdditivity(false);
-    logger()->addAppender(appender);
+    logger()->addAppender(std::make_shared<BufferAppender>());
     setLogLevel(level);
 }
 
@@ -76,20 +158,48 @@
 
 void logEvent(LogLevel level, std::string_view service, std::string_view event, LogFields fields)
 {
-    const log4cxx::LevelPtr target = toLog4cxx(level);
-    if (!logger()->isEnabledFor(target))
+    logEvent(level, service, event, fields.begin(), fields.size());
+}
+
+void logEvent(
+    LogLevel level, std::string_view service, std::string_view event, const LogField* fields, std::size_t count)
+{
+    if (level < context().level)
+        return;
+    timespec now {};
+    ::clock_gettime(CLOCK_REALTIME, &now);
+    if (!admit(level, now.tv_sec))
         return;
-    QJsonObject line;
-    line["time"] = QDateTime::currentDateTimeUtc().toString(Qt::ISODateWithMs);
-    line["level"] = toQString(base::nameOf(logLevelNames, level));
-    line["dataCentre"] = context().dataCentre;
-    line["daemon"] = context().daemon;
-    line["service"] = toQString(service);
-    line["event"] = toQString(event);
-    for (const LogField& field : fields)
-        line[QLatin1String(field.key)] = field.value;
-    const std::string text = QJsonDocument(line).toJson(QJsonDocument::Compact).toStdString();
-    logger()->forcedLog(target, text);
+    std::string line = "{\"time\":\"" + timeText(now) + "\",\"level\":\"";
+    line += base::nameOf(logLevelNames, level);
+    line += "\",";
+    line += context().identity;
+    line += ",\"service\":\"";
+    line += service;
+    line += "\",\"event\":\"";
+    line += event;
+    line += '"';
+    for (std::size_t i = 0; i < count; ++i)
+        appendField(line, fields[i]);
+    line += '}';
+    logger()->forcedLog(toLog4cxx(level), line);
 }
 
+void flushLog()
+{
+    LogContext& log = context();
+    std::size_t position = 0;
+    while (position < log.buffer.size()) {
+        const ssize_t written = ::write(log.descriptor, log.buffer.data() + position, log.buffer.size() - position);
+        if (written < 0 && errno == EINTR)
+            continue;
+        if (written <= 0)
+            break;
+        position += static_cast<std::size_t>(written);
+    }
+    log.buffer.erase(0, position);
+}
+
+const LogCounters& logCounters() { return context().counters; }
+
 } // namespace lacewing::kernel
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -1,17 +1,21 @@
-// Structured logs: one JSON object a line on standard error, written through log4cxx.
+// Structured logs: one JSON object a line on standard output, through log4cxx.
 //
 // Fields of every line: time (UTC, ISO 8601 with milliseconds), level, dataCentre, daemon, service, event. Callers add
 // identities (request, job, worker ...) and numbers with their unit in the key. Request bodies, header values of
 // callers and secrets are never logged.
+//
+// Lines are collected and written by flushLog(), which never blocks: when the reader is slow, the buffer fills to its
+// bound and further lines are dropped and counted. The number of lines a second is bounded as well.
 #pragma once
 
 #include "base/names.h"
 
-#include <QJsonValue>
+#include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
-#include <utility>
+#include <variant>
 
 namespace lacewing::kernel {
 
@@ -24,21 +28,70 @@
     { LogLevel::Error, "error" },
 } };
 
+using LogValue = std::variant<std::int64_t, bool, std::string>;
+
 struct LogField {
+    LogField(const char* fieldKey, std::string_view text)
+        : key(fieldKey)
+        , value(std::string(text))
+    {
+    }
+    LogField(const char* fieldKey, const std::string& text)
+        : key(fieldKey)
+        , value(text)
+    {
+    }
+    LogField(const char* fieldKey, const char* text)
+        : key(fieldKey)
+        , value(std::string(text))
+    {
+    }
+    LogField(const char* fieldKey, bool flag)
+        : key(fieldKey)
+        , value(flag)
+    {
+    }
+    template <std::integral Number>
+    LogField(const char* fieldKey, Number number)
+        : key(fieldKey)
+        , value(static_cast<std::int64_t>(number))
+    {
+    }
+
     const char* key;
-    QJsonValue value;
+    LogValue value;
 };
 
 using LogFields = std::initializer_list<LogField>;
 
-// Sets up the appender and the fields that are equal on every line of this process. Call once.
-void openLog(LogLevel level, const std::string& dataCentre, const std::string& daemon);
+struct LogLimits {
+    std::size_t bufferBytes = 262144; // bytes that wait for a slow reader
+    int linesPerSecond = 3000;        // more are dropped, errors excepted
+};
+
+struct LogCounters {
+    std::uint64_t written = 0; // lines handed to the system
+    std::uint64_t dropped = 0; // lines over a bound
+};
+
+// Sets up the appender and the fields that are equal on every line of this process. Call once. `descriptor` is the file
+// that receives the lines; it is switched to non-blocking writing.
+void openLog(LogLevel level, const std::string& dataCentre, const std::string& daemon, LogLimits limits = {},
+    int descriptor = 1);
 
 // Takes effect on the next line; may be called while the daemon runs.
 void setLogLevel(LogLevel level);
 LogLevel logLevel();
 
-// Writes one line when the level is enabled.
+// Collects one line when the level is enabled.
 void logEvent(LogLevel level, std::string_view service, std::string_view event, LogFields fields = {});
 
+// For lines whose number of fields is known only at run time.
+void logEvent(
+    LogLevel level, std::string_view service, std::string_view event, const LogField* fields, std::size_t count);
+
+// Writes what the reader accepts now.
+void flushLog();
+const LogCounters& logCounters();
+
 } // namespace lacewing::kernel
--- /dev/null
+++ b/src/scheduler/jobs.cpp
@@ -0,0 +1,281 @@
+// Jobs and their tasks: creation, ends of runs, final states, and what has to be stored.
+#include "scheduler/internal.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace lacewing::scheduler {
+
+namespace {
+
+    // Decisions that wait for the log; more are dropped and the log's own bound counts them.
+    constexpr std::size_t maxDecisions = 2000;
+
+    Occurrence makeOccurrence(const JobRequest& request, int number)
+    {
+        Occurrence occurrence;
+        occurrence.dueUnixMs = request.repeatCount > 0 ? request.firstStartUnixMs + number * request.intervalMs : 0;
+        for (const Step& step : request.steps) {
+            StepProgress progress;
+            progress.tasks.resize(static_cast<std::size_t>(step.count));
+            occurrence.steps.push_back(std::move(progress));
+        }
+        return occurrence;
+    }
+
+    bool isStepDone(const Step& step, const StepProgress& progress)
+    {
+        return !step.isLasting && progress.done == step.count;
+    }
+
+    void finishIfDone(Scheduler& scheduler, Job& job, Millis now)
+    {
+        for (auto& [number, occurrence] : job.occurrences) {
+            if (occurrence.isDone)
+                continue;
+            bool isDone = true;
+            for (std::size_t i = 0; i < job.request.steps.size(); ++i)
+                isDone = isDone && isStepDone(job.request.steps[i], occurrence.steps[i]);
+            occurrence.isDone = isDone;
+        }
+        const bool isAllDone = std::all_of(
+            job.occurrences.begin(), job.occurrences.end(), [](const auto& entry) { return entry.second.isDone; });
+        if (isAllDone)
+            setState(scheduler, job, JobState::Completed, now);
+    }
+
+    std::optional<int> parseNumber(std::string_view text)
+    {
+        int value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (error != std::errc() || end != text.data() + text.size() || value < 0)
+            return std::nullopt;
+        return value;
+    }
+
+    void completeTask(StepProgress& progress, Task& task)
+    {
+        if (task.phase == TaskPhase::Done)
+            return;
+        task.phase = TaskPhase::Done;
+        ++progress.done;
+    }
+
+    // Failures of a gang add up over its members, because one failing member ends them all.
+    int countedFailures(const Step& step, const StepProgress& progress, const Task& task)
+    {
+        if (!step.isGang)
+            return task.failures;
+        int sum = 0;
+        for (const Task& member : progress.tasks)
+            sum += member.failures;
+        return sum;
+    }
+
+} // namespace
+
+void note(Scheduler& scheduler, Decision decision)
+{
+    if (scheduler.decisions.size() < maxDecisions)
+        scheduler.decisions.push_back(std::move(decision));
+}
+
+bool holdsRun(const Task& task) { return !task.worker.empty(); }
+
+void touch(Scheduler& scheduler, Job& job)
+{
+    ++job.version;
+    scheduler.dirty.insert(job.request.id);
+}
+
+void setState(Scheduler& scheduler, Job& job, JobState state, Millis now)
+{
+    if (isFinal(job.state) || job.state == state)
+        return;
+    job.state = state;
+    touch(scheduler, job);
+    if (isFinal(state)) {
+        job.finalAt = now;
+        scheduler.hasUrgentChange = true;
+        note(scheduler,
+            { "jobEnded", job.request.id, {}, {}, 0, std::string(nameOf(jobStateNames, state)),
+                { { "ageMs", now - job.acceptedAt }, { "version", static_cast<std::int64_t>(job.version) } } });
+    }
+}
+
+Job& addJob(Scheduler& scheduler, JobRequest request, QueuePolicy policy, std::int64_t acceptedUnixMs, Millis now)
+{
+    auto& slot = scheduler.jobs[request.id];
+    if (slot)
+        return *slot;
+    slot = std::make_unique<Job>();
+    Job& job = *slot;
+    job.acceptedAt = now;
+    job.acceptedUnixMs = acceptedUnixMs;
+    const int occurrences = std::max(1, request.repeatCount);
+    for (int number = 0; number < occurrences; ++number)
+        job.occurrences.emplace(number, makeOccurrence(request, number));
+    job.request = std::move(request);
+    job.policy = std::move(policy);
+    scheduler.active.insert(job.request.id);
+    return job;
+}
+
+void cancelJob(Scheduler& scheduler, const std::string& id, Millis now)
+{
+    const auto found = scheduler.jobs.find(id);
+    if (found == scheduler.jobs.end() || isFinal(found->second->state))
+        return;
+    setState(scheduler, *found->second, JobState::Cancelled, now);
+}
+
+std::string taskName(const std::string& job, int occurrence, int step, int index)
+{
+    return job + '.' + std::to_string(occurrence) + '.' + std::to_string(step) + '.' + std::to_string(index);
+}
+
+std::optional<TaskRef> findTask(Scheduler& scheduler, const std::string& name)
+{
+    const std::size_t third = name.rfind('.');
+    const std::size_t second = third == std::string::npos || third == 0 ? std::string::npos : name.rfind('.', third - 1);
+    const std::size_t first
+        = second == std::string::npos || second == 0 ? std::string::npos : name.rfind('.', second - 1);
+    if (first == std::string::npos)
+        return std::nullopt;
+    const std::string_view view(name);
+    const auto occurrence = parseNumber(view.substr(first + 1, second - first - 1));
+    const auto step = parseNumber(view.substr(second + 1, third - second - 1));
+    const auto index = parseNumber(view.substr(third + 1));
+    if (!occurrence || !step || !index)
+        return std::nullopt;
+    const auto found = scheduler.jobs.find(name.substr(0, first));
+    if (found == scheduler.jobs.end())
+        return std::nullopt;
+    Job& job = *found->second;
+    const auto entry = job.occurrences.find(*occurrence);
+    if (entry == job.occurrences.end() || *step >= static_cast<int>(job.request.steps.size()))
+        return std::nullopt;
+    TaskRef ref;
+    ref.job = &job;
+    ref.occurrence = &entry->second;
+    ref.occurrenceNumber = *occurrence;
+    ref.stepNumber = *step;
+    ref.index = *index;
+    ref.step = &job.request.steps[static_cast<std::size_t>(*step)];
+    ref.progress = &entry->second.steps[static_cast<std::size_t>(*step)];
+    if (*index >= static_cast<int>(ref.progress->tasks.size()))
+        return std::nullopt;
+    ref.task = &ref.progress->tasks[static_cast<std::size_t>(*index)];
+    return ref;
+}
+
+void takeRoom(Scheduler& scheduler, Worker& worker, const TaskRef& ref)
+{
+    const std::string name = taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index);
+    if (!worker.tasks.insert(name).second)
+        return;
+    ref.task->worker = worker.entry.id;
+    worker.memoryUsed += ref.step->memoryMb;
+    worker.gpusUsed += ref.step->gpus;
+    (ref.step->isFilling ? worker.fillCpu : worker.cpuUsed) += ref.step->cpuMillicores;
+    worker.servingCpu += ref.step->latencyTargetMs > 0 ? ref.step->cpuMillicores : 0;
+    if (!ref.job->hasStarted) {
+        ref.job->hasStarted = true;
+        setState(scheduler, *ref.job, JobState::Running, 0);
+    }
+}
+
+void releaseRoom(Scheduler& scheduler, const TaskRef& ref)
+{
+    const auto found = scheduler.workers.find(ref.task->worker);
+    ref.task->worker.clear();
+    if (found == scheduler.workers.end())
+        return;
+    Worker& worker = found->second;
+    if (worker.tasks.erase(taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index)) == 0)
+        return;
+    worker.memoryUsed -= ref.step->memoryMb;
+    worker.gpusUsed -= ref.step->gpus;
+    (ref.step->isFilling ? worker.fillCpu : worker.cpuUsed) -= ref.step->cpuMillicores;
+    worker.servingCpu -= ref.step->latencyTargetMs > 0 ? ref.step->cpuMillicores : 0;
+}
+
+void endRun(Scheduler& scheduler, const TaskRef& ref, EndKind kind, int run, Millis now)
+{
+    Task& task = *ref.task;
+    Job& job = *ref.job;
+    if (holdsRun(task) && task.run <= run)
+        releaseRoom(scheduler, ref);
+    if (run <= task.endedRun && kind != EndKind::Done)
+        return;
+    task.endedRun = std::max(task.endedRun, run);
+    task.run = std::max(task.run, run);
+    touch(scheduler, job);
+    if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed)
+        return;
+    if (kind == EndKind::Done && !ref.step->isLasting) {
+        completeTask(*ref.progress, task);
+        if (ref.step->isGang) { // one end stands for all members
+            for (Task& member : ref.progress->tasks)
+                completeTask(*ref.progress, member);
+        }
+        finishIfDone(scheduler, job, now);
+        return;
+    }
+    if (kind == EndKind::Failed)
+        ++task.failures;
+    if (holdsRun(task)) // a later run is in progress elsewhere
+        return;
+    const bool isUsedUp
+        = !ref.step->isLasting && countedFailures(*ref.step, *ref.progress, task) >= std::max(1, job.policy.maxAttempts);
+    task.phase = isUsedUp ? TaskPhase::Failed : TaskPhase::Waiting;
+    task.since = now;
+    if (isUsedUp)
+        setState(scheduler, job, JobState::Failed, now);
+}
+
+std::vector<std::string> takeCommit(const Scheduler& scheduler, std::size_t limit)
+{
+    std::vector<std::string> ids;
+    // Final states first: callers wait for them.
+    for (const bool wantsFinal : { true, false }) {
+        for (const std::string& id : scheduler.dirty) {
+            if (ids.size() >= limit)
+                return ids;
+            if (isFinal(scheduler.jobs.at(id)->state) == wantsFinal)
+                ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state, Millis now)
+{
+    (void)now;
+    const auto found = scheduler.jobs.find(id);
+    if (found == scheduler.jobs.end())
+        return;
+    Job& job = *found->second;
+    job.committedVersion = std::max(job.committedVersion, version);
+    if (job.committedVersion >= job.version)
+        scheduler.dirty.erase(id);
+    if (job.committedState != state && !isFinal(job.committedState)) {
+        job.committedState = state;
+        scheduler.changes.push_back({ id, state });
+    }
+    if (scheduler.dirty.empty())
+        scheduler.hasUrgentChange = false;
+}
+
+std::map<std::string, int> pendingJobs(const Scheduler& scheduler)
+{
+    std::map<std::string, int> pending;
+    for (const std::string& id : scheduler.active) {
+        const Job& job = *scheduler.jobs.at(id);
+        if (!job.hasStarted && !isFinal(job.state))
+            ++pending[job.policy.name];
+    }
+    return pending;
+}
+
+} // namespace lacewing::scheduler
--- /dev/null
+++ b/src/scheduler/plan.cpp
@@ -0,0 +1,527 @@
+// Placement: which waiting task starts where, and which run has to stop.
+//
+// Order of waiting tasks: priority of the queue, then the job's own deadline (its longest chain times the allowed
+// stretch). A task that fits nowhere does not hold back smaller ones behind it.
+#include "scheduler/internal.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace lacewing::scheduler {
+
+namespace {
+
+    constexpr Millis stopRetryMs = 600;           // ms; a stop without effect is sent again
+    constexpr Millis stalledMs = 2500;            // ms without progress of a running task; above two renewal periods
+    constexpr Millis lastingStartupMs = 4000;     // ms; a lasting task that is still starting up is restarted elsewhere
+    constexpr Millis freshReportMs = 2500;        // ms; older reports say nothing about progress
+    constexpr Millis stalledWorkerMs = 4000;      // ms without new tasks for a worker whose task stood still
+    constexpr double servingLoad = 0.6;           // share of its cpu that a serving task uses at most times
+    constexpr double fillShare = 0.75;            // a filling task starts with at least this share of its cpu
+    constexpr double pressureForNewFills = 0.75;  // reading against target above which no filling task is added
+    constexpr double slowWorker = 1.8;            // slowness against the mean at which others are preferred
+    constexpr Millis dataRackWaitMs = 1500;       // ms that a task waits for room on the rack of its data
+    constexpr int renewedTermGap = 1;             // run numbers left out for starts of an earlier term that were lost
+
+    struct Candidate {
+        Job* job = nullptr;
+        Occurrence* occurrence = nullptr;
+        int occurrenceNumber = 0;
+        int stepNumber = 0;
+        Millis deadline = 0; // of the job
+    };
+
+    struct Planner {
+        Scheduler& scheduler;
+        Millis now;
+        std::int64_t nowUnixMs;
+        Orders orders;
+        std::vector<Candidate> candidates;
+        double meanSlowness = 1;
+        std::map<std::string, int> stepOnWorker; // tasks of the step in hand on each worker
+    };
+
+    TaskRef refOf(const Candidate& candidate, int index)
+    {
+        TaskRef ref;
+        ref.job = candidate.job;
+        ref.occurrence = candidate.occurrence;
+        ref.occurrenceNumber = candidate.occurrenceNumber;
+        ref.stepNumber = candidate.stepNumber;
+        ref.index = index;
+        const auto step = static_cast<std::size_t>(candidate.stepNumber);
+        ref.step = &candidate.job->request.steps[step];
+        ref.progress = &candidate.occurrence->steps[step];
+        ref.task = &ref.progress->tasks[static_cast<std::size_t>(index)];
+        return ref;
+    }
+
+    Millis longestChainMs(const JobRequest& request)
+    {
+        std::vector<Millis> ends;
+        Millis longest = 0;
+        for (const Step& step : request.steps) {
+            Millis start = 0;
+            for (const int before : step.after) {
+                if (before >= 0 && before < static_cast<int>(ends.size()))
+                    start = std::max(start, ends[static_cast<std::size_t>(before)]);
+            }
+            ends.push_back(start + step.estimateMs);
+            longest = std::max(longest, ends.back());
+        }
+        return longest;
+    }
+
+    void stopRun(Planner& planner, const TaskRef& ref, const std::string& reason)
+    {
+        Task& task = *ref.task;
+        if (!holdsRun(task))
+            return;
+        if (task.phase == TaskPhase::Running || task.phase == TaskPhase::Starting) {
+            task.phase = TaskPhase::Stopping;
+            task.since = planner.now;
+            task.lastStopAt = 0;
+        }
+        if (task.lastStopAt > 0 && planner.now - task.lastStopAt < stopRetryMs)
+            return;
+        task.lastStopAt = planner.now;
+        const std::string name = taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index);
+        planner.orders.stops.push_back({ task.worker, name, task.run });
+        note(planner.scheduler, { "stop", ref.job->request.id, name, task.worker, task.run, reason,
+                                    { { "percent", task.percent }, { "quietMs", planner.now - task.progressAt } } });
+    }
+
+    // A run on a draining worker moves when it cannot finish there.
+    bool mustLeave(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    {
+        if (worker.drainEndsAt == 0)
+            return false;
+        if (ref.step->isLasting)
+            return true;
+        const Task& task = *ref.task;
+        const Millis left = worker.drainEndsAt - planner.now;
+        if (task.percent <= 0 || task.startedAt == 0)
+            return left < planner.scheduler.limits.stopTimeoutMs + ref.step->estimateMs;
+        const Millis needed = (planner.now - task.startedAt) * (100 - task.percent) / task.percent;
+        return needed > left;
+    }
+
+    bool isStalled(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    {
+        const Task& task = *ref.task;
+        if (task.phase != TaskPhase::Running || worker.contact != Contact::Held
+            || planner.now - worker.reportedAt > freshReportMs)
+            return false;
+        if (ref.step->isLasting)
+            return task.percent < 100 && planner.now - task.since > lastingStartupMs;
+        if (ref.step->isGang || task.pace < 50)
+            return false;
+        const Millis limit = std::max<Millis>(stalledMs, ref.step->estimateMs / 4);
+        return planner.now - task.progressAt > limit;
+    }
+
+    void reviewRun(Planner& planner, const TaskRef& ref)
+    {
+        Task& task = *ref.task;
+        if (!holdsRun(task))
+            return;
+        if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed) {
+            if (!ref.step->isGang)
+                stopRun(planner, ref, "not needed any more");
+            return;
+        }
+        if (task.phase == TaskPhase::Stopping) {
+            stopRun(planner, ref, "still stopping");
+            return;
+        }
+        const auto found = planner.scheduler.workers.find(task.worker);
+        if (found == planner.scheduler.workers.end())
+            return;
+        Worker& worker = found->second;
+        if (mustLeave(planner, worker, ref)) {
+            stopRun(planner, ref, "worker is draining");
+        } else if (isStalled(planner, worker, ref)) {
+            worker.avoidUntil = std::max(worker.avoidUntil, planner.now + stalledWorkerMs);
+            task.failedWorker = worker.entry.id;
+            stopRun(planner, ref, "no progress");
+        }
+    }
+
+    bool isReady(const Occurrence& occurrence, const JobRequest& request, const Step& step)
+    {
+        return std::all_of(step.after.begin(), step.after.end(), [&](int before) {
+            const auto index = static_cast<std::size_t>(before);
+            return index < occurrence.steps.size() && occurrence.steps[index].done == request.steps[index].count;
+        });
+    }
+
+    void reviewStep(Planner& planner, Job& job, Occurrence& occurrence, int occurrenceNumber, int stepNumber)
+    {
+        const auto index = static_cast<std::size_t>(stepNumber);
+        const Step& step = job.request.steps[index];
+        StepProgress& progress = occurrence.steps[index];
+        Candidate candidate { &job, &occurrence, occurrenceNumber, stepNumber, 0 };
+        bool hasWaiting = false;
+        bool hasRun = false;
+        for (int i = 0; i < step.count; ++i) {
+            const TaskRef ref = refOf(candidate, i);
+            if (ref.task->phase == TaskPhase::Unknown && planner.scheduler.isAccounted) {
+                ref.task->phase = TaskPhase::Waiting;
+                ref.task->since = planner.now;
+                ref.task->run = std::max(ref.task->run, ref.task->endedRun) + renewedTermGap;
+            }
+            reviewRun(planner, ref);
+            hasWaiting = hasWaiting || ref.task->phase == TaskPhase::Waiting;
+            hasRun = hasRun || holdsRun(*ref.task) || ref.task->phase == TaskPhase::Unknown;
+        }
+        if (!hasWaiting || (step.isGang && hasRun) || !isReady(occurrence, job.request, step))
+            return;
+        if (progress.readySince == 0)
+            progress.readySince = planner.now;
+        const auto allowed = static_cast<Millis>(static_cast<double>(longestChainMs(job.request)) * job.policy.stretch);
+        candidate.deadline = job.acceptedAt + allowed + job.policy.goalMs;
+        planner.candidates.push_back(candidate);
+    }
+
+    void reviewJob(Planner& planner, Job& job)
+    {
+        for (auto& [number, occurrence] : job.occurrences) {
+            const bool isDue = occurrence.dueUnixMs <= planner.nowUnixMs;
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                if (isFinal(job.state)) {
+                    const Candidate candidate { &job, &occurrence, number, static_cast<int>(i), 0 };
+                    for (int index = 0; index < job.request.steps[i].count; ++index)
+                        stopRun(planner, refOf(candidate, index), "job has ended");
+                } else if (isDue) {
+                    reviewStep(planner, job, occurrence, number, static_cast<int>(i));
+                }
+            }
+        }
+    }
+
+    bool hasRuns(const Job& job)
+    {
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (const StepProgress& progress : occurrence.steps) {
+                for (const Task& task : progress.tasks) {
+                    if (holdsRun(task))
+                        return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    bool mayUse(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    {
+        const Scheduler& scheduler = planner.scheduler;
+        const std::string& id = worker.entry.id;
+        if (worker.contact != Contact::Held || !worker.isListed || worker.entry.isDraining
+            || worker.entry.service != ref.job->policy.service || scheduler.withdrawn.count(worker.entry.dataCentre) > 0)
+            return false;
+        if (worker.avoidUntil > planner.now || worker.fullUntil > planner.now || ref.task->failedWorker == id)
+            return false;
+        if (!ref.step->requiredLabel.empty() && !hasLabel(worker.entry, ref.step->requiredLabel))
+            return false;
+        if (ref.step->maxPerWorker <= 0)
+            return true;
+        const auto count = planner.stepOnWorker.find(id);
+        return count == planner.stepOnWorker.end() || count->second < ref.step->maxPerWorker;
+    }
+
+    // Millicores that filling tasks may still use.
+    double fillRoom(const Worker& worker)
+    {
+        const double used = worker.cpuUsed - worker.servingCpu * (1 - servingLoad);
+        return worker.entry.capacity.cpuMillicores - used - worker.fillCpu;
+    }
+
+    bool fits(const Worker& worker, const Step& step)
+    {
+        const Capacity& capacity = worker.entry.capacity;
+        if (worker.memoryUsed + step.memoryMb > capacity.memoryMb || worker.gpusUsed + step.gpus > capacity.gpus)
+            return false;
+        if (step.isFilling)
+            return worker.pressure < pressureForNewFills && fillRoom(worker) >= step.cpuMillicores * fillShare;
+        return worker.cpuUsed + step.cpuMillicores <= capacity.cpuMillicores;
+    }
+
+    // Higher is better.
+    double scoreOf(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    {
+        const Step& step = *ref.step;
+        const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
+        double score = step.isFilling ? fillRoom(worker) / capacity - worker.pressure
+                                      : (capacity - worker.cpuUsed) / capacity;
+        if (step.latencyTargetMs > 0)
+            score -= worker.pressure + worker.fillCpu / capacity;
+        if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack))
+            score += 10;
+        if (worker.slowness > slowWorker * planner.meanSlowness)
+            score -= 5;
+        return score - worker.failureScore;
+    }
+
+    Worker* chooseWorker(Planner& planner, const TaskRef& ref, const std::string& rack)
+    {
+        Worker* best = nullptr;
+        double bestScore = 0;
+        for (auto& [id, worker] : planner.scheduler.workers) {
+            if (!mayUse(planner, worker, ref) || !fits(worker, *ref.step)
+                || (!rack.empty() && !hasLabel(worker.entry, rack)))
+                continue;
+            const double score = scoreOf(planner, worker, ref);
+            if (!best || score > bestScore) {
+                best = &worker;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    void startOn(Planner& planner, const TaskRef& ref, Worker& worker, int run)
+    {
+        Scheduler& scheduler = planner.scheduler;
+        Task& task = *ref.task;
+        task.phase = TaskPhase::Starting;
+        task.run = run;
+        task.since = planner.now;
+        task.startedAt = 0;
+        task.percent = 0;
+        task.progressAt = planner.now;
+        task.reading = 0;
+        task.pace = 100;
+        task.lastStopAt = 0;
+        const double wait = static_cast<double>(scheduler.limits.startDeadlineMs) / scheduler.limits.workerClockRate;
+        task.startDeadlineAt = planner.now + static_cast<Millis>(wait) + scheduler.limits.leaseSlackMs;
+        StartOrder order;
+        order.worker = worker.entry.id;
+        order.task = taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index);
+        order.run = run;
+        order.payload = ref.job->request.payload;
+        order.checkpoint = task.checkpoint;
+        order.deadlineClockMs = latestClock(worker, planner.now) + scheduler.limits.startDeadlineMs;
+        worker.grantedClockMs = std::max(worker.grantedClockMs, order.deadlineClockMs);
+        note(scheduler,
+            { "start", ref.job->request.id, order.task, order.worker, run, "ordered",
+                { { "freeMillicores", worker.entry.capacity.cpuMillicores - worker.cpuUsed },
+                    { "reportAgeMs", planner.now - worker.reportedAt },
+                    { "waitedMs", planner.now - ref.progress->readySince }, { "token", scheduler.token } } });
+        takeRoom(scheduler, worker, ref);
+        ++planner.stepOnWorker[worker.entry.id];
+        ++scheduler.starts;
+        planner.orders.starts.push_back(std::move(order));
+    }
+
+    void countStep(Planner& planner, const Candidate& candidate)
+    {
+        planner.stepOnWorker.clear();
+        const StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
+        for (const Task& task : progress.tasks) {
+            if (holdsRun(task))
+                ++planner.stepOnWorker[task.worker];
+        }
+    }
+
+    std::string rackOf(const Worker& worker)
+    {
+        return worker.entry.labels.empty() ? std::string() : worker.entry.labels.back();
+    }
+
+    // Racks to try for a step whose tasks should stay together, best first; "" stands for any rack.
+    std::vector<std::string> racksFor(const Planner& planner, const Candidate& candidate, const Step& step)
+    {
+        if (!step.isSameRack)
+            return { "" };
+        for (const Task& task : candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)].tasks) {
+            const auto found = planner.scheduler.workers.find(task.worker);
+            if (found != planner.scheduler.workers.end())
+                return { rackOf(found->second), "" };
+        }
+        std::map<std::string, double> free;
+        for (const auto& [id, worker] : planner.scheduler.workers)
+            free[rackOf(worker)] += step.isFilling ? fillRoom(worker)
+                                                   : worker.entry.capacity.cpuMillicores - worker.cpuUsed;
+        std::vector<std::pair<double, std::string>> sorted;
+        for (const auto& [rack, room] : free)
+            sorted.emplace_back(room + (rack == step.dataRack ? 1e9 : 0), rack);
+        std::sort(sorted.rbegin(), sorted.rend());
+        std::vector<std::string> racks;
+        for (const auto& [room, rack] : sorted)
+            racks.push_back(rack);
+        if (planner.now - candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)].readySince
+            > dataRackWaitMs)
+            racks.emplace_back("");
+        return racks;
+    }
+
+    struct Placed {
+        int index = 0;
+        Worker* worker = nullptr;
+    };
+
+    // Places all members or none: room is taken while looking and given back when it does not suffice.
+    bool placeGang(Planner& planner, const Candidate& candidate, const std::string& rack)
+    {
+        const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
+        const bool hadStarted = candidate.job->hasStarted;
+        candidate.job->hasStarted = true; // takeRoom must not change the job before the gang is whole
+        std::vector<Placed> placed;
+        int run = 0;
+        std::string checkpoint;
+        for (int i = 0; i < step.count; ++i) {
+            const TaskRef ref = refOf(candidate, i);
+            run = std::max({ run, ref.task->run, ref.task->endedRun });
+            if (checkpoint.empty())
+                checkpoint = ref.task->checkpoint;
+            Worker* worker = chooseWorker(planner, ref, rack);
+            if (!worker)
+                break;
+            takeRoom(planner.scheduler, *worker, ref);
+            ++planner.stepOnWorker[worker->entry.id];
+            placed.push_back({ i, worker });
+        }
+        for (const Placed& member : placed) {
+            --planner.stepOnWorker[member.worker->entry.id];
+            releaseRoom(planner.scheduler, refOf(candidate, member.index));
+        }
+        candidate.job->hasStarted = hadStarted;
+        if (static_cast<int>(placed.size()) < step.count)
+            return false;
+        for (const Placed& member : placed) {
+            const TaskRef ref = refOf(candidate, member.index);
+            ref.task->checkpoint = checkpoint;
+            startOn(planner, ref, *member.worker, run + 1);
+        }
+        return true;
+    }
+
+    void placeStep(Planner& planner, const Candidate& candidate)
+    {
+        const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
+        StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
+        countStep(planner, candidate);
+        const std::vector<std::string> racks = racksFor(planner, candidate, step);
+        if (step.isGang) {
+            for (const std::string& rack : racks) {
+                if (placeGang(planner, candidate, rack))
+                    return;
+            }
+            return;
+        }
+        for (int i = 0; i < step.count; ++i) {
+            const TaskRef ref = refOf(candidate, i);
+            if (ref.task->phase != TaskPhase::Waiting)
+                continue;
+            Worker* worker = nullptr;
+            for (const std::string& rack : racks) {
+                worker = chooseWorker(planner, ref, rack);
+                if (worker)
+                    break;
+            }
+            if (!worker && !ref.task->failedWorker.empty()) { // better there again than not at all
+                ref.task->failedWorker.clear();
+                continue;
+            }
+            const bool isAway = worker && !step.dataRack.empty() && !hasLabel(worker->entry, step.dataRack);
+            if (isAway && planner.now - progress.readySince < dataRackWaitMs)
+                continue;
+            if (!worker)
+                return; // the other tasks of the step have the same shape
+            startOn(planner, ref, *worker, std::max(ref.task->run, ref.task->endedRun) + 1);
+        }
+    }
+
+    void stopStrays(Planner& planner)
+    {
+        for (auto& [id, worker] : planner.scheduler.workers) {
+            if (worker.contact != Contact::Held)
+                continue;
+            for (auto& [name, stray] : worker.strays) {
+                const bool isUnknownJob = !findTask(planner.scheduler, name);
+                if ((isUnknownJob && !planner.scheduler.isAccounted)
+                    || (stray.lastStopAt > 0 && planner.now - stray.lastStopAt < stopRetryMs))
+                    continue;
+                stray.lastStopAt = planner.now;
+                planner.orders.stops.push_back({ id, name, stray.run });
+                note(planner.scheduler, { "stop", name.substr(0, name.find('.')), name, id, stray.run, "stray run", {} });
+            }
+        }
+    }
+
+} // namespace
+
+bool hasLabel(const WorkerEntry& entry, const std::string& label)
+{
+    return std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
+}
+
+void setConfiguration(Scheduler& scheduler, Configuration configuration)
+{
+    if (configuration.version < scheduler.configuration.version)
+        return;
+    scheduler.configuration = std::move(configuration);
+    for (const std::string& id : scheduler.active) {
+        Job& job = *scheduler.jobs.at(id);
+        for (const Queue& queue : scheduler.configuration.queues) {
+            if (queue.policy.name == job.policy.name)
+                job.policy = queue.policy;
+        }
+    }
+}
+
+void setWithdrawn(Scheduler& scheduler, std::set<std::string> dataCentres)
+{
+    scheduler.withdrawn = std::move(dataCentres);
+}
+
+void takeOver(Scheduler& scheduler, std::int64_t token, Millis now)
+{
+    scheduler.token = token;
+    scheduler.termStartedAt = now;
+    scheduler.isAccounted = false;
+    scheduler.hasWorkerList = false;
+    for (auto& [id, job] : scheduler.jobs) {
+        for (auto& [number, occurrence] : job->occurrences) {
+            for (StepProgress& progress : occurrence.steps) {
+                for (Task& task : progress.tasks) {
+                    if (task.phase != TaskPhase::Done && task.phase != TaskPhase::Failed)
+                        task.phase = TaskPhase::Unknown;
+                }
+            }
+        }
+    }
+}
+
+Orders plan(Scheduler& scheduler, Millis now, std::int64_t nowUnixMs)
+{
+    Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {} };
+    accountWorkers(scheduler, now);
+    std::vector<std::string> finished;
+    for (const std::string& id : scheduler.active) {
+        Job& job = *scheduler.jobs.at(id);
+        reviewJob(planner, job);
+        if (isFinal(job.committedState) && !hasRuns(job))
+            finished.push_back(id);
+    }
+    for (const std::string& id : finished)
+        scheduler.active.erase(id);
+    stopStrays(planner);
+    relievePressure(scheduler, planner.orders, now);
+    if (now >= scheduler.validUntil || !scheduler.hasWorkerList)
+        return std::move(planner.orders);
+    double sum = 0;
+    for (const auto& [id, worker] : scheduler.workers)
+        sum += worker.slowness;
+    planner.meanSlowness = scheduler.workers.empty() ? 1 : sum / static_cast<double>(scheduler.workers.size());
+    std::sort(planner.candidates.begin(), planner.candidates.end(), [](const Candidate& a, const Candidate& b) {
+        return std::tuple(a.job->policy.priority, a.deadline, a.job->acceptedUnixMs)
+            < std::tuple(b.job->policy.priority, b.deadline, b.job->acceptedUnixMs);
+    });
+    for (const Candidate& candidate : planner.candidates)
+        placeStep(planner, candidate);
+    return std::move(planner.orders);
+}
+
+} // namespace lacewing::scheduler
--- /dev/null
+++ b/src/scheduler/record.cpp
@@ -0,0 +1,307 @@
+// JSON of accepted jobs, of progress and of the known workers.
+#include "scheduler/record.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <algorithm>
+
+namespace lacewing::scheduler {
+
+namespace {
+
+    // Characters of the string that holds a step's tasks.
+    constexpr char doneMark = 'd';
+    constexpr char failedMark = 'f';
+    constexpr char openMark = '.';
+
+    QString text(const std::string& value) { return QString::fromStdString(value); }
+    std::string text(const QJsonValue& value) { return value.toString().toStdString(); }
+
+    QJsonObject stepToJson(const Step& step)
+    {
+        QJsonObject json;
+        const auto number = [&json](const char* key, int value) {
+            if (value != 0)
+                json[QLatin1String(key)] = value;
+        };
+        const auto flag = [&json](const char* key, bool value) {
+            if (value)
+                json[QLatin1String(key)] = true;
+        };
+        const auto word = [&json](const char* key, const std::string& value) {
+            if (!value.empty())
+                json[QLatin1String(key)] = text(value);
+        };
+        number("count", step.count);
+        number("cpuMillicores", step.cpuMillicores);
+        number("memoryMb", step.memoryMb);
+        number("gpus", step.gpus);
+        number("estimateMs", step.estimateMs);
+        QJsonArray after;
+        for (const int before : step.after)
+            after.append(before);
+        if (!after.isEmpty())
+            json["after"] = after;
+        flag("hasCheckpoints", step.hasCheckpoints);
+        flag("isGang", step.isGang);
+        flag("isSameRack", step.isSameRack);
+        flag("isSpeculative", step.isSpeculative);
+        flag("isLasting", step.isLasting);
+        flag("isFilling", step.isFilling);
+        word("requiredLabel", step.requiredLabel);
+        word("dataRack", step.dataRack);
+        number("maxPerWorker", step.maxPerWorker);
+        number("maxUnavailable", step.maxUnavailable);
+        word("image", step.image);
+        number("latencyTargetMs", step.latencyTargetMs);
+        return json;
+    }
+
+    Step stepFromJson(const QJsonObject& json)
+    {
+        Step step;
+        step.count = json["count"].toInt();
+        step.cpuMillicores = json["cpuMillicores"].toInt();
+        step.memoryMb = json["memoryMb"].toInt();
+        step.gpus = json["gpus"].toInt();
+        step.estimateMs = json["estimateMs"].toInt();
+        for (const QJsonValue& before : json["after"].toArray())
+            step.after.push_back(before.toInt());
+        step.hasCheckpoints = json["hasCheckpoints"].toBool();
+        step.isGang = json["isGang"].toBool();
+        step.isSameRack = json["isSameRack"].toBool();
+        step.isSpeculative = json["isSpeculative"].toBool();
+        step.isLasting = json["isLasting"].toBool();
+        step.isFilling = json["isFilling"].toBool();
+        step.requiredLabel = text(json["requiredLabel"]);
+        step.dataRack = text(json["dataRack"]);
+        step.maxPerWorker = json["maxPerWorker"].toInt();
+        step.maxUnavailable = json["maxUnavailable"].toInt();
+        step.image = text(json["image"]);
+        step.latencyTargetMs = json["latencyTargetMs"].toInt();
+        return step;
+    }
+
+    QJsonObject policyToJson(const QueuePolicy& policy)
+    {
+        return { { "queue", text(policy.name) }, { "service", text(policy.service) }, { "priority", policy.priority },
+            { "maxAttempts", policy.maxAttempts }, { "stretch", policy.stretch }, { "goalMs", policy.goalMs },
+            { "needsTicket", policy.needsTicket } };
+    }
+
+    QueuePolicy policyFromJson(const QJsonObject& json)
+    {
+        QueuePolicy policy;
+        policy.name = text(json["queue"]);
+        policy.service = text(json["service"]);
+        policy.priority = json["priority"].toInt();
+        policy.maxAttempts = json["maxAttempts"].toInt(1);
+        policy.stretch = json["stretch"].toDouble(2);
+        policy.goalMs = json["goalMs"].toInt();
+        policy.needsTicket = json["needsTicket"].toBool();
+        return policy;
+    }
+
+    std::optional<QJsonObject> parseObject(const QByteArray& bytes)
+    {
+        const QJsonDocument document = QJsonDocument::fromJson(bytes);
+        if (!document.isObject())
+            return std::nullopt;
+        return document.object();
+    }
+
+    char markOf(const Task& task)
+    {
+        if (task.phase == TaskPhase::Done)
+            return doneMark;
+        return task.phase == TaskPhase::Failed ? failedMark : openMark;
+    }
+
+    // Tasks that never ended a run and hold nothing worth keeping are left out of the arrays.
+    QJsonObject progressToJson(const StepProgress& progress)
+    {
+        QString marks;
+        QJsonObject ended;
+        QJsonObject failures;
+        QJsonObject checkpoints;
+        for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+            const Task& task = progress.tasks[i];
+            const QString key = QString::number(i);
+            marks.append(QLatin1Char(markOf(task)));
+            if (task.phase == TaskPhase::Done)
+                continue;
+            if (task.endedRun > 0)
+                ended[key] = task.endedRun;
+            if (task.failures > 0)
+                failures[key] = task.failures;
+            if (!task.checkpoint.empty())
+                checkpoints[key] = text(task.checkpoint);
+        }
+        QJsonObject json { { "tasks", marks } };
+        if (!ended.isEmpty())
+            json["endedRuns"] = ended;
+        if (!failures.isEmpty())
+            json["failures"] = failures;
+        if (!checkpoints.isEmpty())
+            json["checkpoints"] = checkpoints;
+        return json;
+    }
+
+    bool restoreStep(StepProgress& progress, const QJsonObject& json)
+    {
+        const QString marks = json["tasks"].toString();
+        if (marks.size() != static_cast<qsizetype>(progress.tasks.size()))
+            return false;
+        const QJsonObject ended = json["endedRuns"].toObject();
+        const QJsonObject failures = json["failures"].toObject();
+        const QJsonObject checkpoints = json["checkpoints"].toObject();
+        progress.done = 0;
+        for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+            Task& task = progress.tasks[i];
+            const QString key = QString::number(i);
+            const char mark = marks.at(static_cast<qsizetype>(i)).toLatin1();
+            if (mark == doneMark) {
+                task.phase = TaskPhase::Done;
+                ++progress.done;
+            } else if (mark == failedMark) {
+                task.phase = TaskPhase::Failed;
+            }
+            task.endedRun = ended[key].toInt();
+            task.run = task.endedRun;
+            task.failures = failures[key].toInt();
+            task.checkpoint = text(checkpoints[key]);
+        }
+        return true;
+    }
+
+    bool isStepDone(const Step& step, const StepProgress& progress)
+    {
+        return !step.isLasting && progress.done == step.count;
+    }
+
+} // namespace
+
+QByteArray encodeAccepted(const AcceptedJob& job)
+{
+    QJsonArray steps;
+    for (const Step& step : job.request.steps)
+        steps.append(stepToJson(step));
+    QJsonObject json { { "id", text(job.request.id) }, { "payload", text(job.request.payload) }, { "steps", steps },
+        { "policy", policyToJson(job.policy) }, { "acceptedUnixMs", static_cast<qint64>(job.acceptedUnixMs) } };
+    if (job.request.repeatCount > 0) {
+        json["repeatCount"] = job.request.repeatCount;
+        json["firstStartUnixMs"] = static_cast<qint64>(job.request.firstStartUnixMs);
+        json["intervalMs"] = static_cast<qint64>(job.request.intervalMs);
+    }
+    return QJsonDocument(json).toJson(QJsonDocument::Compact);
+}
+
+std::optional<AcceptedJob> decodeAccepted(const QByteArray& bytes)
+{
+    const std::optional<QJsonObject> json = parseObject(bytes);
+    if (!json || !(*json)["id"].isString() || !(*json)["steps"].isArray())
+        return std::nullopt;
+    AcceptedJob job;
+    job.request.id = text((*json)["id"]);
+    job.request.payload = text((*json)["payload"]);
+    for (const QJsonValue& step : (*json)["steps"].toArray())
+        job.request.steps.push_back(stepFromJson(step.toObject()));
+    job.request.repeatCount = (*json)["repeatCount"].toInt();
+    job.request.firstStartUnixMs = (*json)["firstStartUnixMs"].toInteger();
+    job.request.intervalMs = (*json)["intervalMs"].toInteger();
+    job.policy = policyFromJson((*json)["policy"].toObject());
+    job.acceptedUnixMs = (*json)["acceptedUnixMs"].toInteger();
+    return job;
+}
+
+QByteArray encodeProgress(const Job& job)
+{
+    QJsonObject json { { "state", QLatin1String(nameOf(jobStateNames, job.state)) },
+        { "version", static_cast<qint64>(job.version) }, { "hasStarted", job.hasStarted } };
+    if (!isFinal(job.state)) { // a final job needs no details: nothing of it starts again
+        QJsonObject occurrences;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            QJsonArray steps;
+            for (const StepProgress& progress : occurrence.steps)
+                steps.append(progressToJson(progress));
+            occurrences[QString::number(number)] = steps;
+        }
+        json["occurrences"] = occurrences;
+    }
+    return QJsonDocument(json).toJson(QJsonDocument::Compact);
+}
+
+std::optional<JobState> decodeState(const QByteArray& bytes)
+{
+    const std::optional<QJsonObject> json = parseObject(bytes);
+    if (!json)
+        return std::nullopt;
+    return base::valueOf(jobStateNames, text((*json)["state"]));
+}
+
+bool restoreProgress(Job& job, const QByteArray& bytes)
+{
+    const std::optional<QJsonObject> json = parseObject(bytes);
+    const std::optional<JobState> state = json ? base::valueOf(jobStateNames, text((*json)["state"])) : std::nullopt;
+    if (!state)
+        return false;
+    job.state = job.committedState = *state;
+    job.version = job.committedVersion = static_cast<std::uint64_t>((*json)["version"].toInteger());
+    job.hasStarted = (*json)["hasStarted"].toBool();
+    if (isFinal(*state))
+        return true;
+    const QJsonObject occurrences = (*json)["occurrences"].toObject();
+    for (auto& [number, occurrence] : job.occurrences) {
+        const QJsonArray steps = occurrences[QString::number(number)].toArray();
+        if (steps.size() != static_cast<qsizetype>(occurrence.steps.size()))
+            return false;
+        bool isDone = true;
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            if (!restoreStep(occurrence.steps[i], steps[static_cast<qsizetype>(i)].toObject()))
+                return false;
+            isDone = isDone && isStepDone(job.request.steps[i], occurrence.steps[i]);
+        }
+        occurrence.isDone = isDone;
+    }
+    return true;
+}
+
+QByteArray encodeWorkers(const std::vector<WorkerEntry>& entries)
+{
+    QJsonArray json;
+    for (const WorkerEntry& entry : entries) {
+        QJsonArray labels;
+        for (const std::string& label : entry.labels)
+            labels.append(text(label));
+        json.append(QJsonObject { { "id", text(entry.id) }, { "service", text(entry.service) },
+            { "address", text(entry.address) }, { "dataCentre", text(entry.dataCentre) }, { "labels", labels },
+            { "cpuMillicores", entry.capacity.cpuMillicores }, { "memoryMb", entry.capacity.memoryMb },
+            { "gpus", entry.capacity.gpus }, { "bornUnixMs", static_cast<qint64>(entry.bornUnixMs) } });
+    }
+    return QJsonDocument(json).toJson(QJsonDocument::Compact);
+}
+
+std::optional<std::vector<WorkerEntry>> decodeWorkers(const QByteArray& bytes)
+{
+    const QJsonDocument document = QJsonDocument::fromJson(bytes);
+    if (!document.isArray())
+        return std::nullopt;
+    std::vector<WorkerEntry> entries;
+    for (const QJsonValue& value : document.array()) {
+        const QJsonObject json = value.toObject();
+        WorkerEntry entry;
+        entry.id = text(json["id"]);
+        entry.service = text(json["service"]);
+        entry.address = text(json["address"]);
+        entry.dataCentre = text(json["dataCentre"]);
+        for (const QJsonValue& label : json["labels"].toArray())
+            entry.labels.push_back(text(label));
+        entry.capacity = { json["cpuMillicores"].toInt(), json["memoryMb"].toInt(), json["gpus"].toInt() };
+        entry.bornUnixMs = json["bornUnixMs"].toInteger();
+        entries.push_back(std::move(entry));
+    }
+    return entries;
+}
+
+} // namespace lacewing::scheduler
--- /dev/null
+++ b/src/scheduler/scheduler.h
@@ -0,0 +1,286 @@
+// State of the daemon that schedules, and the functions that change it.
+//
+// Guide
+//   takeOver        a new term begins: nothing may start before the workers have said what they run
+//   setWorkers, setConfiguration, setWithdrawn, addJob, cancelJob
+//                   what the store says
+//   applyReport, loseContact, applyStart, applyStop
+//                   what workers say
+//   plan            what to do next: starts, stops, paces
+//   takeCommit, applyCommit
+//                   what has to be in the store before anything that depends on it is shown or acknowledged
+//
+// Pure: no clock, no random numbers, no input or output. The same functions run in the daemon, the tests and the bench.
+//
+// Invariants
+//   - A task has at most one run that a worker may be executing. It is placed again only after that run's end was
+//     reported, the worker is known to have lost it, or the worker's lease has surely run out.
+//   - An end is acknowledged to its worker only after the job's record that contains it is in the store.
+//   - A final state is shown only after it is in the store.
+#pragma once
+
+#include "scheduler/types.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace lacewing::scheduler {
+
+// --- Limits ---
+
+struct Limits {
+    Millis maxHoldMs = 6000;       // longest lease of a worker (platform bound)
+    Millis stopTimeoutMs = 900;    // longest stop of a task (platform bound)
+    Millis restoreMs = 600;        // resume from a checkpoint (platform bound)
+    Millis gangTimeoutMs = 3000;   // a gang waits this long for its members (platform bound)
+    Millis earlyMs = 250;          // tolerance of a start before its time (platform bound)
+    double remoteFactor = 3;       // slow-down away from the data's rack (platform bound)
+    double workerClockRate = 0.98; // slowest clock of a worker relative to ours (platform bound)
+    Millis termValidityMs = 1500;  // how long a leader trusts its last renewal (setting)
+    Millis startDeadlineMs = 1500; // a start that arrives later is refused by the worker
+    Millis leaseSlackMs = 150;     // margin on top of computed ends of leases
+    Millis visibleMs = 3000;       // accepted jobs are visible everywhere within this (platform bound)
+};
+
+// --- Jobs ---
+
+enum class TaskPhase {
+    Waiting,  // may be placed
+    Unknown,  // may be running on a worker that has not reported in this term
+    Starting, // ordered; no answer yet
+    Running,
+    Stopping, // stop ordered; holds its room until the end is reported
+    Done,
+    Failed, // used up its attempts
+};
+
+struct Task {
+    TaskPhase phase = TaskPhase::Waiting;
+    int run = 0;      // highest run number used
+    int endedRun = 0; // highest run whose end was applied; ends up to it are repeats
+    int failures = 0; // ends that count against maxAttempts
+    std::string checkpoint;
+    // --- Run in progress ---
+    std::string worker;   // empty when none
+    Millis since = 0;     // of the phase
+    Millis startedAt = 0; // of the run
+    int percent = 0;
+    Millis progressAt = 0; // last change of percent
+    int reading = 0;       // see RunningTask
+    int pace = 100;        // ordered share of work
+    Millis startDeadlineAt = 0; // the start cannot be carried out after this
+    int stopAttempts = 0;
+    Millis lastStopAt = 0;
+    std::string failedWorker; // where the last failure happened
+    std::string ticket;       // approval of the worker of the run in progress
+};
+
+struct StepProgress {
+    std::vector<Task> tasks;
+    int done = 0;
+    Millis readySince = 0; // when the steps before it had finished; 0: not ready
+};
+
+struct Occurrence {
+    std::int64_t dueUnixMs = 0; // 0: at once
+    std::vector<StepProgress> steps;
+    bool isDone = false;
+};
+
+struct Job {
+    JobRequest request;
+    QueuePolicy policy;
+    Millis acceptedAt = 0; // first seen by this process
+    std::int64_t acceptedUnixMs = 0;
+    JobState state = JobState::Queued;
+    std::map<int, Occurrence> occurrences; // by number
+    bool hasStarted = false;               // any task was started
+    Millis finalAt = 0;
+    // --- Store ---
+    std::uint64_t version = 0;          // rises with each change that has to be stored
+    std::uint64_t committedVersion = 0; // never above version
+    JobState committedState = JobState::Queued;
+    bool isRemoved = false; // record is to be deleted from the store
+};
+
+// --- Workers ---
+
+// A run that a worker reports and nobody needs: it is stopped.
+struct StrayRun {
+    int run = 0;
+    Millis lastStopAt = 0;
+};
+
+enum class Contact {
+    New,  // has not answered in this term
+    Held, // holds a lease of this term
+    Lost, // does not answer; what ran there may go on until its lease has run out
+};
+
+constexpr base::EnumNames<Contact, 3> contactNames { {
+    { Contact::New, "new" },
+    { Contact::Held, "held" },
+    { Contact::Lost, "lost" },
+} };
+
+// An end that was read but may not be acknowledged yet.
+struct UnacknowledgedEnd {
+    std::int64_t number = 0;
+    std::string job;
+    std::uint64_t version = 0; // of the job's record that contains the end
+};
+
+struct Worker {
+    WorkerEntry entry;
+    bool isListed = true; // announced in the store now
+    Millis unlistedSince = 0;
+    Contact contact = Contact::New;
+    // --- Lease and clock ---
+    std::int64_t clockMs = 0;       // last clock read
+    Millis clockReadAt = 0;         // 0: never
+    std::int64_t grantedClockMs = 0; // latest end of lease ever asked for, on the worker's clock
+    Millis leaseOverAt = 0;          // when a lease of an earlier term has surely run out
+    Millis reportedAt = 0;           // last report
+    Millis lostAt = 0;
+    bool isExpired = false; // lost, and its lease has surely run out
+    // --- Ends ---
+    std::int64_t readNumber = 0; // ends up to this were applied
+    std::int64_t acknowledgedNumber = 0;
+    std::deque<UnacknowledgedEnd> unacknowledged;
+    // --- Room; tasks that are being stopped count ---
+    int cpuUsed = 0; // accounted millicores, without filling tasks
+    int memoryUsed = 0;
+    int gpusUsed = 0;
+    int servingCpu = 0; // part of cpuUsed that belongs to tasks with a latency target
+    int fillCpu = 0;    // millicores asked for by filling tasks
+    std::set<std::string> tasks;
+    std::map<std::string, StrayRun> strays;
+    // --- Experience ---
+    double failureScore = 0;  // decaying count of failed ends without a done one between
+    Millis avoidUntil = 0;    // no new tasks before this
+    Millis fullUntil = 0;     // refused a start for want of room
+    double slowness = 1;      // measured time of a task against its estimate, relative to other workers
+    double pressure = 0;      // highest reading of a serving task against its target
+    Millis pacedAt = 0;       // last change of the paces on this worker
+    Millis drainEndsAt = 0;   // earliest end of a draining worker; 0: not draining
+};
+
+// --- Outputs ---
+
+// One decision for the log: what was decided, for which request, from which inputs.
+struct Decision {
+    std::string_view event;
+    std::string job;
+    std::string task;
+    std::string worker;
+    int run = 0;
+    std::string outcome;
+    std::vector<std::pair<const char*, std::int64_t>> inputs;
+};
+
+struct Orders {
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::vector<PaceOrder> paces;
+};
+
+struct JobChange {
+    std::string id;
+    JobState state = JobState::Queued;
+};
+
+// --- State ---
+
+struct Scheduler {
+    Limits limits;
+    Configuration configuration;
+    std::set<std::string> withdrawn; // data centres that get nothing new
+    std::map<std::string, Worker> workers;
+    std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
+    std::set<std::string> active; // jobs that are not final, or not committed as such
+    std::set<std::string> dirty;  // jobs whose record has to be stored
+    bool hasUrgentChange = false; // a dirty job has reached a final state
+    // --- Term ---
+    std::int64_t token = 0;
+    Millis termStartedAt = 0;
+    Millis validUntil = 0;     // nothing starts after this
+    bool isAccounted = false;  // every worker has reported or expired: unknown tasks may be placed
+    bool hasWorkerList = false; // the list of workers was read in this term
+    // --- For the services ---
+    std::vector<Decision> decisions;
+    std::vector<JobChange> changes; // committed states, in order
+    std::uint64_t starts = 0;
+    std::uint64_t rejectedStarts = 0;
+};
+
+// --- What the store says ---
+
+// Begins a term under the token. Jobs must have been added with their stored progress. Workers of earlier terms are
+// added by setWorkers and rememberWorkers.
+void takeOver(Scheduler& scheduler, std::int64_t token, Millis now);
+void setConfiguration(Scheduler& scheduler, Configuration configuration);
+void setWithdrawn(Scheduler& scheduler, std::set<std::string> dataCentres);
+void setWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now);
+// Workers that an earlier term knew: what they run is unknown until they report or their lease has run out.
+void rememberWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now);
+std::vector<WorkerEntry> knownWorkers(const Scheduler& scheduler);
+// Adds an accepted job; no effect when it is known.
+Job& addJob(Scheduler& scheduler, JobRequest request, QueuePolicy policy, std::int64_t acceptedUnixMs, Millis now);
+void cancelJob(Scheduler& scheduler, const std::string& id, Millis now);
+
+// --- What workers say ---
+
+struct LeaseRequest {
+    std::int64_t expiresClockMs = 0; // 0: only look
+    std::int64_t acknowledged = 0;   // ends up to this may be forgotten
+};
+
+LeaseRequest leaseRequest(Scheduler& scheduler, const std::string& worker, Millis now);
+// A report that was asked for at sentAt. Reports of one worker must be applied in the order of their requests.
+void applyReport(Scheduler& scheduler, const std::string& worker, const WorkerReport& report, Millis sentAt, Millis now);
+void loseContact(Scheduler& scheduler, const std::string& worker, Millis now);
+void applyStart(Scheduler& scheduler, const StartOrder& order, StartOutcome outcome, Millis now);
+// Another life of the worker answers: everything that ran there is gone.
+void forgetRuns(Scheduler& scheduler, const std::string& worker, Millis now);
+void applyClock(Scheduler& scheduler, const std::string& worker, std::int64_t clockMs, Millis now);
+
+// --- Decisions ---
+
+Orders plan(Scheduler& scheduler, Millis now, std::int64_t nowUnixMs);
+
+// --- Storing ---
+
+// Jobs to store now, at most `limit`.
+std::vector<std::string> takeCommit(const Scheduler& scheduler, std::size_t limit);
+// The record of the job at that version is in the store.
+void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state, Millis now);
+
+// --- Queries ---
+
+std::string taskName(const std::string& job, int occurrence, int step, int index);
+
+struct TaskRef {
+    Job* job = nullptr;
+    Occurrence* occurrence = nullptr;
+    StepProgress* progress = nullptr;
+    const Step* step = nullptr;
+    Task* task = nullptr;
+    int occurrenceNumber = 0;
+    int stepNumber = 0;
+    int index = 0;
+};
+
+std::optional<TaskRef> findTask(Scheduler& scheduler, const std::string& name);
+bool hasLabel(const WorkerEntry& entry, const std::string& label);
+// Accepted jobs for which no task has started, by queue; queues without any are left out.
+std::map<std::string, int> pendingJobs(const Scheduler& scheduler);
+
+} // namespace lacewing::scheduler
--- /dev/null
+++ b/src/scheduler/workers.cpp
@@ -0,0 +1,428 @@
+// Workers: announcements, leases, reports of what runs and what has ended, answers to starts.
+#include "scheduler/internal.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lacewing::scheduler {
+
+namespace {
+
+    // Failures without a success between them after which a worker gets no new tasks for a while.
+    constexpr double failureScoreLimit = 3;
+    constexpr Millis avoidFailingMs = 4000;  // ms; longer than the platform's shortest grey failures
+    constexpr Millis avoidRefusingMs = 1000; // ms; a worker that answers 429 or 503 to a start
+    constexpr Millis fullMs = 300;           // ms; a worker that refused a start for want of room
+    constexpr double failureDecay = 0.5;     // of the score with each success
+    constexpr double repeatedFailure = 0.3;  // weight of a task that failed elsewhere before
+    constexpr double slownessGain = 0.2;     // weight of the newest measurement
+    // An unlisted worker is kept this long after it stopped answering and its lease has run out.
+    constexpr Millis forgetWorkerMs = 2000;
+
+    bool isEnded(const Task& task) { return task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed; }
+
+    void updateEntry(Scheduler& scheduler, Worker& worker, const WorkerEntry& entry, Millis now)
+    {
+        if (entry.isDraining && worker.drainEndsAt == 0)
+            worker.drainEndsAt = now + entry.remainingMs;
+        else if (!entry.isDraining)
+            worker.drainEndsAt = 0;
+        if (worker.entry.isDraining != entry.isDraining)
+            note(scheduler, { "workerDraining", {}, {}, entry.id, 0, entry.isDraining ? "draining" : "ready",
+                                { { "remainingMs", entry.remainingMs } } });
+        // Only a report changes the life in force: it comes with the runs of that life.
+        const std::int64_t born = worker.entry.bornUnixMs != 0 ? worker.entry.bornUnixMs : entry.bornUnixMs;
+        worker.entry = entry;
+        worker.entry.bornUnixMs = born;
+        if (!worker.isListed)
+            note(scheduler, { "workerListed", {}, {}, entry.id, 0, "listed", {} });
+        worker.isListed = true;
+    }
+
+    void learnFromEnd(Scheduler& scheduler, Worker& worker, const TaskRef& ref, const EndedTask& end, Millis now)
+    {
+        Task& task = *ref.task;
+        if (end.kind == EndKind::Done) {
+            worker.failureScore *= failureDecay;
+            const Millis took = now - task.startedAt;
+            if (task.startedAt > 0 && ref.step->estimateMs > 0 && task.pace == 100 && !ref.step->isFilling) {
+                const double ratio = static_cast<double>(took) / ref.step->estimateMs;
+                worker.slowness += slownessGain * (std::clamp(ratio, 0.2, 10.0) - worker.slowness);
+            }
+            return;
+        }
+        if (end.kind != EndKind::Failed || ref.step->isLasting)
+            return;
+        worker.failureScore += task.failures == 0 ? 1 : repeatedFailure;
+        task.failedWorker = worker.entry.id;
+        if (worker.failureScore >= failureScoreLimit && worker.avoidUntil < now) {
+            worker.avoidUntil = now + avoidFailingMs;
+            note(scheduler, { "workerAvoided", {}, {}, worker.entry.id, 0, "failing",
+                                { { "forMs", avoidFailingMs },
+                                    { "scorePercent", static_cast<std::int64_t>(worker.failureScore * 100) } } });
+            worker.failureScore = failureScoreLimit - 1; // one more failure afterwards avoids it again
+        }
+    }
+
+    void applyEnd(Scheduler& scheduler, Worker& worker, const EndedTask& end, Millis now)
+    {
+        UnacknowledgedEnd pending;
+        pending.number = end.number;
+        const std::optional<TaskRef> ref = findTask(scheduler, end.task);
+        if (ref) {
+            Task& task = *ref->task;
+            const bool isTracked = task.worker == worker.entry.id && task.run == end.run;
+            if (!end.checkpoint.empty() && !isEnded(task))
+                task.checkpoint = end.checkpoint;
+            if (isTracked)
+                learnFromEnd(scheduler, worker, *ref, end, now);
+            note(scheduler,
+                { "taskEnded", ref->job->request.id, end.task, worker.entry.id, end.run,
+                    std::string(nameOf(endKindNames, end.kind)),
+                    { { "number", end.number }, { "runningMs", task.startedAt > 0 ? now - task.startedAt : 0 },
+                        { "failures", task.failures } } });
+            endRun(scheduler, *ref, end.kind, end.run, now);
+            pending.job = ref->job->request.id;
+            pending.version = ref->job->version;
+        }
+        worker.strays.erase(end.task);
+        worker.unacknowledged.push_back(std::move(pending));
+    }
+
+    // Adopts a run that an earlier term started.
+    void adopt(Scheduler& scheduler, Worker& worker, const TaskRef& ref, const RunningTask& row, Millis now)
+    {
+        Task& task = *ref.task;
+        task.phase = TaskPhase::Running;
+        task.run = row.run;
+        task.since = now;
+        task.startedAt = 0;
+        task.percent = row.percent;
+        task.progressAt = now;
+        task.pace = 100;
+        takeRoom(scheduler, worker, ref);
+        note(scheduler, { "taskAdopted", ref.job->request.id, row.task, worker.entry.id, row.run, "running",
+                            { { "percent", row.percent } } });
+    }
+
+    void applyRunning(Scheduler& scheduler, Worker& worker, const RunningTask& row, Millis now)
+    {
+        const std::optional<TaskRef> ref = findTask(scheduler, row.task);
+        const auto markStray = [&] { worker.strays[row.task].run = row.run; };
+        if (!ref || isFinal(ref->job->state) || isEnded(*ref->task) || row.run <= ref->task->endedRun) {
+            const bool isOwnStop = ref && ref->task->worker == worker.entry.id && ref->task->run == row.run;
+            if (!isOwnStop)
+                markStray();
+            return;
+        }
+        Task& task = *ref->task;
+        if (!holdsRun(task) && row.run >= task.run)
+            adopt(scheduler, worker, *ref, row, now);
+        if (task.worker != worker.entry.id || task.run != row.run) {
+            markStray();
+            return;
+        }
+        if (task.phase == TaskPhase::Starting) {
+            task.phase = TaskPhase::Running;
+            task.since = now;
+        }
+        if (row.percent != task.percent) {
+            task.percent = row.percent;
+            task.progressAt = now;
+        }
+        if (!row.checkpoint.empty())
+            task.checkpoint = row.checkpoint;
+        task.reading = row.reading;
+    }
+
+    // A run that the worker neither runs nor has ended is gone, if the report is younger than everything that was sent.
+    void dropMissing(Scheduler& scheduler, Worker& worker, const std::set<std::string>& running, Millis sentAt, Millis now)
+    {
+        const std::vector<std::string> tasks(worker.tasks.begin(), worker.tasks.end());
+        for (const std::string& name : tasks) {
+            if (running.count(name) > 0)
+                continue;
+            const std::optional<TaskRef> ref = findTask(scheduler, name);
+            if (!ref)
+                continue;
+            Task& task = *ref->task;
+            const bool isSettled = task.phase == TaskPhase::Starting ? sentAt > task.startDeadlineAt : sentAt > task.since;
+            if (!isSettled)
+                continue;
+            note(scheduler, { "runMissing", ref->job->request.id, name, worker.entry.id, task.run, "waiting",
+                                { { "phaseMs", now - task.since } } });
+            endRun(scheduler, *ref, EndKind::Lapsed, task.run, now);
+        }
+    }
+
+    // Ends the runs of a life that is over, except those for which `survives` holds.
+    template <typename Predicate>
+    void forgetAllRuns(Scheduler& scheduler, Worker& worker, Millis now, Predicate survives)
+    {
+        note(scheduler, { "workerRestarted", {}, {}, worker.entry.id, 0, "runs are gone",
+                            { { "tasks", static_cast<int>(worker.tasks.size()) } } });
+        const std::vector<std::string> tasks(worker.tasks.begin(), worker.tasks.end());
+        for (const std::string& name : tasks) {
+            const std::optional<TaskRef> ref = findTask(scheduler, name);
+            if (ref && !survives(name, *ref->task))
+                endRun(scheduler, *ref, EndKind::Lapsed, ref->task->run, now);
+        }
+        worker.strays.clear();
+        worker.readNumber = worker.acknowledgedNumber = 0;
+        worker.unacknowledged.clear();
+        worker.clockReadAt = 0;
+        worker.pressure = 0;
+        worker.failureScore = 0;
+    }
+
+    // The same worker in another life. A start that is on its way may be carried out by the new life as well.
+    void restartWorker(Scheduler& scheduler, Worker& worker, const WorkerReport& report, Millis now)
+    {
+        forgetAllRuns(scheduler, worker, now, [&](const std::string& name, const Task& task) {
+            if (task.phase == TaskPhase::Starting && now <= task.startDeadlineAt)
+                return true;
+            return std::any_of(report.running.begin(), report.running.end(),
+                [&](const RunningTask& row) { return row.task == name && row.run == task.run; });
+        });
+        worker.grantedClockMs = 0;
+    }
+
+    void acknowledgeStored(const Scheduler& scheduler, Worker& worker)
+    {
+        while (!worker.unacknowledged.empty()) {
+            const UnacknowledgedEnd& end = worker.unacknowledged.front();
+            const auto job = scheduler.jobs.find(end.job);
+            if (job != scheduler.jobs.end() && job->second->committedVersion < end.version)
+                return;
+            worker.acknowledgedNumber = end.number;
+            worker.unacknowledged.pop_front();
+        }
+    }
+
+} // namespace
+
+std::int64_t earliestClock(const Scheduler& scheduler, const Worker& worker, Millis now)
+{
+    const auto passed = static_cast<double>(now - worker.clockReadAt);
+    return worker.clockMs + static_cast<std::int64_t>(passed * scheduler.limits.workerClockRate);
+}
+
+std::int64_t latestClock(const Worker& worker, Millis now) { return worker.clockMs + (now - worker.clockReadAt); }
+
+void setWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now)
+{
+    std::set<std::string> listed;
+    for (const WorkerEntry& entry : entries) {
+        listed.insert(entry.id);
+        const auto [found, isNew] = scheduler.workers.try_emplace(entry.id);
+        if (isNew) {
+            found->second.entry = entry;
+            // A worker that joins during the term holds no lease of an earlier one.
+            found->second.leaseOverAt = scheduler.hasWorkerList && now - scheduler.termStartedAt > scheduler.limits.maxHoldMs
+                ? now
+                : scheduler.termStartedAt + scheduler.limits.termValidityMs + scheduler.limits.startDeadlineMs
+                    + static_cast<Millis>(
+                        static_cast<double>(scheduler.limits.maxHoldMs) / scheduler.limits.workerClockRate);
+            note(scheduler, { "workerListed", {}, {}, entry.id, 0, "new", { { "cpu", entry.capacity.cpuMillicores } } });
+        }
+        updateEntry(scheduler, found->second, entry, now);
+    }
+    for (auto& [id, worker] : scheduler.workers) {
+        if (listed.count(id) > 0 || !worker.isListed)
+            continue;
+        worker.isListed = false;
+        worker.unlistedSince = now;
+        note(scheduler, { "workerListed", {}, {}, id, 0, "missing", { { "tasks", static_cast<int>(worker.tasks.size()) } } });
+    }
+    scheduler.hasWorkerList = true;
+}
+
+void rememberWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now)
+{
+    for (const WorkerEntry& entry : entries) {
+        const auto [found, isNew] = scheduler.workers.try_emplace(entry.id);
+        if (!isNew)
+            continue;
+        Worker& worker = found->second;
+        worker.entry = entry;
+        worker.isListed = false;
+        worker.unlistedSince = now;
+        worker.leaseOverAt = scheduler.termStartedAt + scheduler.limits.termValidityMs + scheduler.limits.startDeadlineMs
+            + static_cast<Millis>(static_cast<double>(scheduler.limits.maxHoldMs) / scheduler.limits.workerClockRate);
+    }
+}
+
+std::vector<WorkerEntry> knownWorkers(const Scheduler& scheduler)
+{
+    std::vector<WorkerEntry> entries;
+    for (const auto& [id, worker] : scheduler.workers)
+        entries.push_back(worker.entry);
+    return entries;
+}
+
+LeaseRequest leaseRequest(Scheduler& scheduler, const std::string& id, Millis now)
+{
+    Worker& worker = scheduler.workers.at(id);
+    acknowledgeStored(scheduler, worker);
+    LeaseRequest request;
+    request.acknowledged = worker.acknowledgedNumber;
+    if (worker.clockReadAt > 0) {
+        request.expiresClockMs = latestClock(worker, now) + scheduler.limits.maxHoldMs;
+        worker.grantedClockMs = std::max(worker.grantedClockMs, request.expiresClockMs);
+    }
+    return request;
+}
+
+void applyClock(Scheduler& scheduler, const std::string& id, std::int64_t clockMs, Millis now)
+{
+    const auto found = scheduler.workers.find(id);
+    if (found == scheduler.workers.end() || clockMs <= 0)
+        return;
+    found->second.clockMs = clockMs;
+    found->second.clockReadAt = now;
+}
+
+void applyReport(Scheduler& scheduler, const std::string& id, const WorkerReport& report, Millis sentAt, Millis now)
+{
+    const auto found = scheduler.workers.find(id);
+    if (found == scheduler.workers.end())
+        return;
+    Worker& worker = found->second;
+    if (report.bornUnixMs != 0 && worker.entry.bornUnixMs != 0 && report.bornUnixMs != worker.entry.bornUnixMs)
+        restartWorker(scheduler, worker, report, now);
+    if (report.bornUnixMs != 0)
+        worker.entry.bornUnixMs = report.bornUnixMs;
+    applyClock(scheduler, id, report.clockMs, now);
+    if (worker.contact != Contact::Held) {
+        note(scheduler, { "workerContact", {}, {}, id, 0, "held",
+                            { { "running", static_cast<int>(report.running.size()) },
+                                { "ended", static_cast<int>(report.ended.size()) } } });
+        worker.contact = Contact::Held;
+    }
+    worker.isExpired = false;
+    worker.reportedAt = now;
+    for (const EndedTask& end : report.ended) {
+        if (end.number <= worker.readNumber)
+            continue;
+        worker.readNumber = end.number;
+        applyEnd(scheduler, worker, end, now);
+    }
+    std::set<std::string> running;
+    for (auto it = worker.strays.begin(); it != worker.strays.end();) {
+        const bool isListed = std::any_of(report.running.begin(), report.running.end(),
+            [&](const RunningTask& row) { return row.task == it->first && row.run == it->second.run; });
+        it = isListed ? std::next(it) : worker.strays.erase(it);
+    }
+    for (const RunningTask& row : report.running) {
+        running.insert(row.task);
+        applyRunning(scheduler, worker, row, now);
+    }
+    if (!report.isEndListCut)
+        dropMissing(scheduler, worker, running, sentAt, now);
+}
+
+void loseContact(Scheduler& scheduler, const std::string& id, Millis now)
+{
+    const auto found = scheduler.workers.find(id);
+    if (found == scheduler.workers.end() || found->second.contact == Contact::Lost)
+        return;
+    Worker& worker = found->second;
+    note(scheduler, { "workerContact", {}, {}, id, 0, "lost",
+                        { { "tasks", static_cast<int>(worker.tasks.size()) },
+                            { "lastReportMs", worker.reportedAt > 0 ? now - worker.reportedAt : -1 } } });
+    worker.contact = Contact::Lost;
+    worker.lostAt = now;
+}
+
+void forgetRuns(Scheduler& scheduler, const std::string& id, Millis now)
+{
+    const auto found = scheduler.workers.find(id);
+    if (found == scheduler.workers.end())
+        return;
+    Worker& worker = found->second;
+    forgetAllRuns(scheduler, worker, now, [](const std::string&, const Task&) { return false; });
+    worker.leaseOverAt = now;
+    worker.grantedClockMs = 0;
+    worker.contact = Contact::New;
+}
+
+void applyStart(Scheduler& scheduler, const StartOrder& order, StartOutcome outcome, Millis now)
+{
+    const auto worker = scheduler.workers.find(order.worker);
+    const std::optional<TaskRef> ref = findTask(scheduler, order.task);
+    if (outcome != StartOutcome::Started)
+        note(scheduler, { "startAnswered", ref ? ref->job->request.id : "", order.task, order.worker, order.run,
+                            std::string(nameOf(startOutcomeNames, outcome)), {} });
+    if (outcome == StartOutcome::OtherLife) {
+        forgetRuns(scheduler, order.worker, now);
+        return;
+    }
+    if (!ref || ref->task->worker != order.worker || ref->task->run != order.run
+        || ref->task->phase != TaskPhase::Starting)
+        return;
+    Task& task = *ref->task;
+    switch (outcome) {
+    case StartOutcome::Started:
+        task.phase = TaskPhase::Running;
+        task.since = now;
+        task.startedAt = now;
+        task.progressAt = now;
+        return;
+    case StartOutcome::Unknown:
+    case StartOutcome::Outdated: // the run may have started and ended before its answer was lost
+        return;
+    case StartOutcome::NoRoom:
+        ++scheduler.rejectedStarts;
+        if (worker != scheduler.workers.end())
+            worker->second.fullUntil = now + fullMs;
+        break;
+    case StartOutcome::Refused:
+        if (worker != scheduler.workers.end())
+            worker->second.avoidUntil = std::max(worker->second.avoidUntil, now + avoidRefusingMs);
+        break;
+    case StartOutcome::NoTicket:
+        task.ticket.clear();
+        break;
+    case StartOutcome::Fenced:
+    case StartOutcome::Late:
+    case StartOutcome::OtherLife:
+        break;
+    }
+    releaseRoom(scheduler, *ref);
+    task.phase = TaskPhase::Waiting;
+    task.since = now;
+}
+
+void accountWorkers(Scheduler& scheduler, Millis now)
+{
+    bool isAccounted = scheduler.hasWorkerList;
+    for (auto it = scheduler.workers.begin(); it != scheduler.workers.end();) {
+        Worker& worker = it->second;
+        if (worker.contact != Contact::Held && !worker.isExpired) {
+            const bool isGrantOver = worker.grantedClockMs == 0
+                || (worker.clockReadAt > 0
+                    && earliestClock(scheduler, worker, now) > worker.grantedClockMs + scheduler.limits.leaseSlackMs);
+            worker.isExpired = isGrantOver && now > worker.leaseOverAt + scheduler.limits.leaseSlackMs;
+            if (worker.isExpired && !worker.tasks.empty()) {
+                note(scheduler, { "leaseExpired", {}, {}, it->first, 0, "tasks are waiting again",
+                                    { { "tasks", static_cast<int>(worker.tasks.size()) },
+                                        { "lostMs", now - worker.lostAt } } });
+                const std::vector<std::string> tasks(worker.tasks.begin(), worker.tasks.end());
+                for (const std::string& name : tasks) {
+                    if (const std::optional<TaskRef> ref = findTask(scheduler, name))
+                        endRun(scheduler, *ref, EndKind::Lapsed, ref->task->run, now);
+                }
+            }
+        }
+        isAccounted = isAccounted && (worker.contact == Contact::Held || worker.isExpired);
+        const bool isGone = worker.isExpired && !worker.isListed && now - worker.unlistedSince > forgetWorkerMs;
+        it = isGone ? scheduler.workers.erase(it) : std::next(it);
+    }
+    if (isAccounted && !scheduler.isAccounted) {
+        scheduler.isAccounted = true;
+        note(scheduler, { "termAccounted", {}, {}, {}, 0, "unknown tasks may start",
+                            { { "token", scheduler.token }, { "sinceMs", now - scheduler.termStartedAt } } });
+    }
+}
+
+} // namespace lacewing::scheduler
