Learn which images disturb each other, keep room for short tasks

Change: a table of slopes by pair, learned from the readings; disturbing fills are stopped and placed elsewhere.

--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -128,6 +128,20 @@
         return true;
     }
 
+    // A write of at most this many bytes to a pipe is not mixed with those of other processes (PIPE_BUF).
+    constexpr std::size_t atomicBytes = 4096;
+
+    // Whole lines from the position on that fit one atomic write; a longer line is written alone.
+    std::size_t pieceLength(const std::string& buffer, std::size_t position)
+    {
+        if (buffer.size() - position <= atomicBytes)
+            return buffer.size() - position;
+        const std::size_t end = buffer.rfind('\n', position + atomicBytes - 1);
+        if (end != std::string::npos && end >= position)
+            return end + 1 - position;
+        return buffer.find('\n', position) + 1 - position;
+    }
+
 } // namespace
 
 void openLog(
@@ -190,7 +204,7 @@
     LogContext& log = context();
     std::size_t position = 0;
     while (position < log.buffer.size()) {
-        const ssize_t written = ::write(log.descriptor, log.buffer.data() + position, log.buffer.size() - position);
+        const ssize_t written = ::write(log.descriptor, log.buffer.data() + position, pieceLength(log.buffer, position));
         if (written < 0 && errno == EINTR)
             continue;
         if (written <= 0)
--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -20,7 +20,18 @@
 void accountWorkers(Scheduler& scheduler, Millis now);
 bool holdsRun(const Task& task);
 void note(Scheduler& scheduler, Decision decision);
-// Paces and moves filling tasks so that serving tasks stay within their targets.
+// Level of disturbance that is assumed of a pair of images that was not seen together yet; 1 reaches the target.
+constexpr double unknownPairLevel = 0.3;
+// A worker without serving tasks ranks between one with the same image and one with others.
+constexpr double emptyWorkerShare = 0.5;
+
+// What a filling task would do to the serving tasks on the worker; 1 takes the worst of them to its target.
+double disturbance(Scheduler& scheduler, const Worker& worker, const Step& fill);
+// What the filling tasks on the worker would do to a serving task.
+double disturbanceOf(Scheduler& scheduler, const Worker& worker, const Step& serving);
+// Share of the worker's serving tasks that have the image.
+double sameImageShare(Scheduler& scheduler, const Worker& worker, const Step& serving);
+// Learns from the newest readings and stops filling tasks that push serving tasks over their targets.
 void relievePressure(Scheduler& scheduler, Orders& orders, Millis now);
 
 } // namespace lacewing::scheduler
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -19,9 +19,11 @@
     constexpr Millis stalledWorkerMs = 4000;      // ms without new tasks for a worker whose task stood still
     constexpr double servingLoad = 0.6;           // share of its cpu that a serving task uses at most times
     constexpr double fillShare = 0.75;            // a filling task starts with at least this share of its cpu
-    constexpr double pressureForNewFills = 0.75;  // reading against target above which no filling task is added
+    constexpr double disturbanceLimit = 0.8;      // of the way to a serving task's target; more is not placed
     constexpr double slowWorker = 1.8;            // slowness against the mean at which others are preferred
     constexpr Millis dataRackWaitMs = 1500;       // ms that a task waits for room on the rack of its data
+    constexpr double shortDemandMemoryMs = 15000; // ms; decay of the remembered need of short tasks
+    constexpr double shortShareLimit = 0.15;      // of a service's processors that are kept for short tasks at most
     constexpr int renewedTermGap = 1;             // run numbers left out for starts of an earlier term that were lost
 
     struct Candidate {
@@ -32,6 +34,14 @@
         Millis deadline = 0; // of the job
     };
 
+    // Processors of one service, in millicores.
+    struct Room {
+        double capacity = 0;
+        double lasting = 0; // used by lasting tasks
+        double shortRunning = 0;
+        double shortWaiting = 0;
+    };
+
     struct Planner {
         Scheduler& scheduler;
         Millis now;
@@ -39,7 +49,8 @@
         Orders orders;
         std::vector<Candidate> candidates;
         double meanSlowness = 1;
-        std::map<std::string, int> stepOnWorker; // tasks of the step in hand on each worker
+            std::map<std::string, int> stepOnWorker; // tasks of the step in hand on each worker
+        std::map<std::string, Room> rooms;       // by service
     };
 
     TaskRef refOf(const Candidate& candidate, int index)
@@ -121,9 +132,58 @@
         return planner.now - task.progressAt > limit;
     }
 
+    void countRoom(Planner& planner, const TaskRef& ref)
+    {
+        if (ref.step->isFilling)
+            return;
+        Room& room = planner.rooms[ref.job->policy.service];
+        if (ref.step->isLasting)
+            room.lasting += holdsRun(*ref.task) ? ref.step->cpuMillicores : 0;
+        else if (holdsRun(*ref.task))
+            room.shortRunning += ref.step->cpuMillicores;
+    }
+
+    // Remembers for a while how much room short tasks need: they are worth more for each processor second than lasting
+    // tasks, which would otherwise take what is free between two short ones.
+    void updateShortDemand(Planner& planner)
+    {
+        Scheduler& scheduler = planner.scheduler;
+        for (const Candidate& candidate : planner.candidates) {
+            const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
+            if (step.isFilling || step.isLasting)
+                continue;
+            const StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
+            for (const Task& task : progress.tasks)
+                planner.rooms[candidate.job->policy.service].shortWaiting
+                    += task.phase == TaskPhase::Waiting ? step.cpuMillicores : 0;
+        }
+        for (const auto& [id, worker] : scheduler.workers) {
+            if (worker.contact == Contact::Held && worker.isListed && !worker.entry.isDraining
+                && scheduler.withdrawn.count(worker.entry.dataCentre) == 0)
+                planner.rooms[worker.entry.service].capacity += worker.entry.capacity.cpuMillicores;
+        }
+        const auto passed = static_cast<double>(planner.now - scheduler.shortDemandAt);
+        scheduler.shortDemandAt = planner.now;
+        for (const auto& [service, room] : planner.rooms) {
+            double& demand = scheduler.shortDemand[service];
+            demand = std::max(demand * std::exp(-passed / shortDemandMemoryMs), room.shortRunning + room.shortWaiting);
+        }
+    }
+
+    bool leavesRoomForShort(const Planner& planner, const TaskRef& ref)
+    {
+        const auto room = planner.rooms.find(ref.job->policy.service);
+        const auto demand = planner.scheduler.shortDemand.find(ref.job->policy.service);
+        if (room == planner.rooms.end() || demand == planner.scheduler.shortDemand.end())
+            return true;
+        const double kept = std::min(demand->second, room->second.capacity * shortShareLimit);
+        return room->second.lasting + ref.step->cpuMillicores + kept <= room->second.capacity;
+    }
+
     void reviewRun(Planner& planner, const TaskRef& ref)
     {
         Task& task = *ref.task;
+        countRoom(planner, ref);
         if (!holdsRun(task))
             return;
         if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed) {
@@ -243,7 +303,7 @@
         if (worker.memoryUsed + step.memoryMb > capacity.memoryMb || worker.gpusUsed + step.gpus > capacity.gpus)
             return false;
         if (step.isFilling)
-            return worker.pressure < pressureForNewFills && fillRoom(worker) >= step.cpuMillicores * fillShare;
+            return fillRoom(worker) >= step.cpuMillicores * fillShare;
         return worker.cpuUsed + step.cpuMillicores <= capacity.cpuMillicores;
     }
 
@@ -252,10 +312,12 @@
     {
         const Step& step = *ref.step;
         const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
-        double score = step.isFilling ? fillRoom(worker) / capacity - worker.pressure
-                                      : (capacity - worker.cpuUsed) / capacity;
+        // Tasks spread over what is free, filling ones over what is idle.
+        double score = (step.isFilling ? fillRoom(worker) : capacity - worker.cpuUsed) / capacity;
+        // Serving tasks of one image share workers: what disturbs them then leaves the other workers usable.
         if (step.latencyTargetMs > 0)
-            score -= worker.pressure + worker.fillCpu / capacity;
+            score += 2 * sameImageShare(planner.scheduler, worker, step)
+                - std::min(1.0, disturbanceOf(planner.scheduler, worker, step));
         if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack))
             score += 10;
         if (worker.slowness > slowWorker * planner.meanSlowness)
@@ -271,7 +333,13 @@
             if (!mayUse(planner, worker, ref) || !fits(worker, *ref.step)
                 || (!rack.empty() && !hasLabel(worker.entry, rack)))
                 continue;
-            const double score = scoreOf(planner, worker, ref);
+            double score = scoreOf(planner, worker, ref);
+            if (ref.step->isFilling && worker.servingCpu > 0) {
+                const double level = disturbance(planner.scheduler, worker, *ref.step);
+                if (level > disturbanceLimit)
+                    continue;
+                score -= level;
+            }
             if (!best || score > bestScore) {
                 best = &worker;
                 bestScore = score;
@@ -307,7 +375,9 @@
             { "start", ref.job->request.id, order.task, order.worker, run, "ordered",
                 { { "freeMillicores", worker.entry.capacity.cpuMillicores - worker.cpuUsed },
                     { "reportAgeMs", planner.now - worker.reportedAt },
-                    { "waitedMs", planner.now - ref.progress->readySince }, { "token", scheduler.token } } });
+                    { "waitedMs", planner.now - ref.progress->readySince }, { "priority", ref.job->policy.priority },
+                    { "millicores", ref.step->cpuMillicores }, { "isLasting", ref.step->isLasting ? 1 : 0 },
+                    { "token", scheduler.token } } });
         takeRoom(scheduler, worker, ref);
         ++planner.stepOnWorker[worker.entry.id];
         ++scheduler.starts;
@@ -414,6 +484,8 @@
             const TaskRef ref = refOf(candidate, i);
             if (ref.task->phase != TaskPhase::Waiting)
                 continue;
+            if (step.isLasting && !leavesRoomForShort(planner, ref))
+                return;
             Worker* worker = nullptr;
             for (const std::string& rack : racks) {
                 worker = chooseWorker(planner, ref, rack);
@@ -430,6 +502,8 @@
             if (!worker)
                 return; // the other tasks of the step have the same shape
             startOn(planner, ref, *worker, std::max(ref.task->run, ref.task->endedRun) + 1);
+            if (step.isLasting)
+                planner.rooms[ref.job->policy.service].lasting += step.cpuMillicores;
         }
     }
 
@@ -496,7 +570,7 @@
 
 Orders plan(Scheduler& scheduler, Millis now, std::int64_t nowUnixMs)
 {
-    Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {} };
+    Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {}, {} };
     accountWorkers(scheduler, now);
     std::vector<std::string> finished;
     for (const std::string& id : scheduler.active) {
@@ -511,6 +585,7 @@
     relievePressure(scheduler, planner.orders, now);
     if (now >= scheduler.validUntil || !scheduler.hasWorkerList)
         return std::move(planner.orders);
+    updateShortDemand(planner);
     double sum = 0;
     for (const auto& [id, worker] : scheduler.workers)
         sum += worker.slowness;
--- a/src/scheduler/pressure.cpp
+++ b/src/scheduler/pressure.cpp
@@ -1,5 +1,7 @@
-// Interference: filling tasks slow the serving tasks beside them. The tail latencies that workers report are late and
-// rough, so the paces of the filling tasks on a worker move in steps, down fast and up slowly.
+// Serving tasks first: learns from their readings and stops the filling tasks that push them over their targets.
+//
+// A disturbing pair of images costs many times the target, so slowing the filling task down is not enough: it is stopped,
+// keeps its checkpoint, and starts again beside images that it does not disturb.
 #include "scheduler/internal.h"
 
 #include <algorithm>
@@ -8,36 +10,56 @@
 
 namespace {
 
-    constexpr double pressureHigh = 0.9;  // reading against target above which filling tasks are slowed
-    constexpr double pressureLow = 0.7;   // below which they are let go faster
-    constexpr Millis paceStepMs = 700;    // ms; a reading covers half a second, and a pace acts after 100 ms
-    constexpr double paceDown = 0.5;      // factor of one step down
-    constexpr double paceDownHard = 0.2;  // the same above the target
-    constexpr int paceUp = 25;            // percent of one step up
-    constexpr int paceOff = 10;           // percent below which a filling task rests
+    constexpr Millis readingWindowMs = 500;    // ms that a reading covers
+    constexpr Millis settleMs = 1000;          // ms after a stop until readings of the worker count again
+    constexpr double blameShare = 0.25;        // part of the excess that a filling task must cause to be stopped
+    constexpr double nearlyDonePercent = 85;   // a filling task that ends soon is left alone
 
-    int nextPace(int pace, double pressure)
+    std::vector<FillUse> fillUses(Scheduler& scheduler, const Worker& worker)
     {
-        if (pressure > 1)
-            pace = static_cast<int>(pace * paceDownHard);
-        else if (pressure > pressureHigh)
-            pace = static_cast<int>(pace * paceDown);
-        else if (pressure < pressureLow)
-            return std::min(100, pace + paceUp);
-        else
-            return pace;
-        return pace < paceOff ? 0 : pace;
+        std::map<std::string, double> shares;
+        const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
+        for (const std::string& name : worker.tasks) {
+            const std::optional<TaskRef> ref = findTask(scheduler, name);
+            if (ref && ref->step->isFilling)
+                shares[ref->step->image] += ref->task->reading / capacity;
+        }
+        std::vector<FillUse> uses;
+        for (const auto& [image, share] : shares)
+            uses.push_back({ image, share });
+        return uses;
     }
 
-    double pressureOn(Scheduler& scheduler, const Worker& worker)
+    bool isServing(const TaskRef& ref, Millis now)
     {
-        double highest = 0;
+        return ref.step->latencyTargetMs > 0 && ref.task->phase == TaskPhase::Running && ref.task->percent >= 100
+            && now - ref.task->since > readingWindowMs;
+    }
+
+    void stopDisturbing(Scheduler& scheduler, Worker& worker, const TaskRef& serving, Orders& orders, Millis now)
+    {
+        const double excess = serving.task->reading - serving.step->latencyTargetMs;
+        const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
         for (const std::string& name : worker.tasks) {
             const std::optional<TaskRef> ref = findTask(scheduler, name);
-            if (ref && ref->step->latencyTargetMs > 0 && ref->task->phase == TaskPhase::Running)
-                highest = std::max(highest, static_cast<double>(ref->task->reading) / ref->step->latencyTargetMs);
+            if (!ref || !ref->step->isFilling || ref->task->phase != TaskPhase::Running
+                || ref->task->percent >= nearlyDonePercent)
+                continue;
+            const double added
+                = addedMs(scheduler.interference, serving.step->image, ref->step->image, ref->task->reading / capacity);
+            if (added < blameShare * excess)
+                continue;
+            ref->task->phase = TaskPhase::Stopping;
+            ref->task->since = now;
+            ref->task->lastStopAt = now;
+            worker.relievedAt = now;
+            orders.stops.push_back({ worker.entry.id, name, ref->task->run });
+            note(scheduler, { "stop", ref->job->request.id, name, worker.entry.id, ref->task->run,
+                                "disturbs " + serving.step->image,
+                                { { "percent", ref->task->percent }, { "addedMs", static_cast<std::int64_t>(added) },
+                                    { "readingMs", serving.task->reading },
+                                    { "targetMs", serving.step->latencyTargetMs } } });
         }
-        return highest;
     }
 
 } // namespace
@@ -45,36 +67,73 @@
 void relievePressure(Scheduler& scheduler, Orders& orders, Millis now)
 {
     for (auto& [id, worker] : scheduler.workers) {
-        if (worker.contact != Contact::Held || worker.servingCpu == 0 || worker.reportedAt <= worker.pacedAt)
-            continue;
-        worker.pressure = pressureOn(scheduler, worker);
-        { //TRIAL
-            std::string text = std::to_string(worker.entry.capacity.cpuMillicores) + "|";
-            for (const std::string& name : worker.tasks) {
-                const std::optional<TaskRef> ref = findTask(scheduler, name);
-                if (!ref || ref->task->phase != TaskPhase::Running) continue;
-                text += (ref->step->latencyTargetMs > 0 ? "S," : ref->step->isFilling ? "F," : "K,") + ref->step->image + "," + std::to_string(ref->step->cpuMillicores) + "," + std::to_string(ref->task->reading) + "," + std::to_string(ref->step->latencyTargetMs) + "," + std::to_string(ref->task->pace) + "," + std::to_string(ref->task->percent) + ";";
-            }
-            note(scheduler, {"reading", {}, {}, id, 0, text, {}});
-        }
-        if (now - worker.pacedAt < paceStepMs || worker.fillCpu == 0)
+        const bool isDue = worker.contact == Contact::Held && worker.servingCpu > 0
+            && worker.reportedAt - worker.learnedAt >= readingWindowMs;
+        if (!isDue)
             continue;
-        for (const std::string& name : worker.tasks) {
+        worker.learnedAt = worker.reportedAt;
+        worker.pressure = 0;
+        const std::vector<FillUse> uses = fillUses(scheduler, worker);
+        const std::vector<std::string> tasks(worker.tasks.begin(), worker.tasks.end());
+        for (const std::string& name : tasks) {
             const std::optional<TaskRef> ref = findTask(scheduler, name);
-            if (!ref || !ref->step->isFilling || ref->task->phase != TaskPhase::Running)
-                continue;
-            const int pace = nextPace(ref->task->pace, worker.pressure);
-            if (pace == ref->task->pace)
+            if (!ref || !isServing(*ref, now))
                 continue;
-            note(scheduler, { "pace", ref->job->request.id, name, id, ref->task->run, "changed",
-                                { { "fromPercent", ref->task->pace }, { "toPercent", pace },
-                                    { "pressurePercent", static_cast<std::int64_t>(worker.pressure * 100) } } });
-            ref->task->pace = pace;
-            ref->task->progressAt = now;
-            worker.pacedAt = now;
-            orders.paces.push_back({ id, name, ref->task->run, pace });
+            const double ratio = static_cast<double>(ref->task->reading) / ref->step->latencyTargetMs;
+            worker.pressure = std::max(worker.pressure, ratio);
+            learn(scheduler.interference, ref->step->image, ref->task->reading, uses);
+            if (ratio > 1 && now - worker.relievedAt >= settleMs)
+                stopDisturbing(scheduler, worker, *ref, orders, now);
         }
     }
 }
 
+double disturbance(Scheduler& scheduler, const Worker& worker, const Step& fill)
+{
+    double worst = 0;
+    const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
+    const double share = fill.cpuMillicores / capacity;
+    for (const std::string& name : worker.tasks) {
+        const std::optional<TaskRef> ref = findTask(scheduler, name);
+        if (!ref || ref->step->latencyTargetMs <= 0)
+            continue;
+        const std::string& image = ref->step->image;
+        const double room = std::max(1.0, ref->step->latencyTargetMs - aloneMs(scheduler.interference, image));
+        double level = addedMs(scheduler.interference, image, fill.image, share) / room;
+        if (!isKnownPair(scheduler.interference, image, fill.image))
+            level = std::max(level, unknownPairLevel);
+        worst = std::max(worst, level);
+    }
+    return worst;
+}
+
+double disturbanceOf(Scheduler& scheduler, const Worker& worker, const Step& serving)
+{
+    double worst = 0;
+    const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
+    const double room = std::max(1.0, serving.latencyTargetMs - aloneMs(scheduler.interference, serving.image));
+    for (const std::string& name : worker.tasks) {
+        const std::optional<TaskRef> ref = findTask(scheduler, name);
+        if (ref && ref->step->isFilling)
+            worst = std::max(worst,
+                addedMs(scheduler.interference, serving.image, ref->step->image, ref->step->cpuMillicores / capacity)
+                    / room);
+    }
+    return worst;
+}
+
+double sameImageShare(Scheduler& scheduler, const Worker& worker, const Step& serving)
+{
+    int same = 0;
+    int all = 0;
+    for (const std::string& name : worker.tasks) {
+        const std::optional<TaskRef> ref = findTask(scheduler, name);
+        if (!ref || ref->step->latencyTargetMs <= 0)
+            continue;
+        ++all;
+        same += ref->step->image == serving.image ? 1 : 0;
+    }
+    return all == 0 ? emptyWorkerShare : static_cast<double>(same) / all;
+}
+
 } // namespace lacewing::scheduler
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -19,6 +19,7 @@
 //   - A final state is shown only after it is in the store.
 #pragma once
 
+#include "scheduler/interference.h"
 #include "scheduler/types.h"
 
 #include <deque>
@@ -169,7 +170,8 @@
     Millis fullUntil = 0;     // refused a start for want of room
     double slowness = 1;      // measured time of a task against its estimate, relative to other workers
     double pressure = 0;      // highest reading of a serving task against its target
-    Millis pacedAt = 0;       // last change of the paces on this worker
+    Millis learnedAt = 0;     // last report whose readings were learned from
+    Millis relievedAt = 0;    // last stop of a filling task for the sake of a serving one
     Millis drainEndsAt = 0;   // earliest end of a draining worker; 0: not draining
 };
 
@@ -206,6 +208,7 @@
     std::map<std::string, Worker> workers;
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
     std::set<std::string> active; // jobs that are not final, or not committed as such
+    Interference interference;
     std::set<std::string> dirty;  // jobs whose record has to be stored
     bool hasUrgentChange = false; // a dirty job has reached a final state
     // --- Term ---
@@ -217,6 +220,9 @@
     // --- For the services ---
     std::vector<Decision> decisions;
     std::vector<JobChange> changes; // committed states, in order
+    // --- Room kept for short tasks ---
+    std::map<std::string, double> shortDemand; // by service: millicores that short tasks lately ran or waited with
+    Millis shortDemandAt = 0;
     std::uint64_t starts = 0;
     std::uint64_t rejectedStarts = 0;
 };
