--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -55,7 +55,7 @@
     void renewDue();
     void renew(const std::string& worker, Link& link);
     void applyRenewal(const std::string& worker, const base::Result<scheduler::WorkerReport, platform::LinkError>& result,
-        scheduler::Millis sentAt);
+        scheduler::Millis sentAt, bool isLook);
     void carryOut(scheduler::Orders orders);
     void sendStart(const scheduler::StartOrder& order, int attempt);
 
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -78,14 +78,15 @@
     const int waitMs = isFirst || lease.expiresClockMs == 0 ? 0 : m_runtime.settings.leaseWaitMs;
     const std::weak_ptr<int> generation = m_generation;
     link.calls->renew(m_term->token(), lease, waitMs,
-        [this, generation, id, sentAt](const base::Result<scheduler::WorkerReport, platform::LinkError>& result) {
+        [this, generation, id, sentAt, isLook = lease.expiresClockMs == 0](
+            const base::Result<scheduler::WorkerReport, platform::LinkError>& result) {
             if (!generation.expired())
-                applyRenewal(id, result, sentAt);
+                applyRenewal(id, result, sentAt, isLook);
         });
 }
 
 void DispatcherService::applyRenewal(const std::string& id,
-    const base::Result<scheduler::WorkerReport, platform::LinkError>& result, scheduler::Millis sentAt)
+    const base::Result<scheduler::WorkerReport, platform::LinkError>& result, scheduler::Millis sentAt, bool isLook)
 {
     const auto found = m_links.find(id);
     if (found == m_links.end())
@@ -95,12 +96,10 @@
     link.isRenewing = false;
     if (result.has_value()) {
         link.failures = 0;
-        const bool hadClock = m_scheduler->workers.at(id).clockReadAt > 0;
         scheduler::applyReport(*m_scheduler, id, result.value(), sentAt, now);
-        // The first report only told the clock: renew the lease at once.
-        link.nextRenewalAt = hadClock ? now + m_runtime.settings.leaseGapMs : now;
+        link.nextRenewalAt = now + m_runtime.settings.leaseGapMs;
         planSoon();
-        if (!hadClock)
+        if (isLook) // it told the clock; the lease is still to be renewed
             renew(id, link);
         return;
     }
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -228,7 +228,10 @@
         return;
     const bool isUsedUp
         = !ref.step->isLasting && countedFailures(*ref.step, *ref.progress, task) >= std::max(1, job.policy.maxAttempts);
-    task.phase = isUsedUp ? TaskPhase::Failed : TaskPhase::Waiting;
+    // The end of an earlier run says nothing about a later one on a worker that has not reported in this term.
+    const bool mayRunElsewhere = task.phase == TaskPhase::Unknown && !scheduler.isAccounted;
+    if (!mayRunElsewhere || isUsedUp)
+        task.phase = isUsedUp ? TaskPhase::Failed : TaskPhase::Waiting;
     task.since = now;
     if (isUsedUp)
         setState(scheduler, job, JobState::Failed, now);
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -132,14 +132,24 @@
         return planner.now - task.progressAt > limit;
     }
 
+    // Takes part in placement at this time.
+    bool isUsable(const Scheduler& scheduler, const Worker& worker)
+    {
+        return worker.contact == Contact::Held && worker.isListed && !worker.entry.isDraining
+            && scheduler.withdrawn.count(worker.entry.dataCentre) == 0;
+    }
+
     void countRoom(Planner& planner, const TaskRef& ref)
     {
-        if (ref.step->isFilling)
+        if (ref.step->isFilling || !holdsRun(*ref.task))
+            return;
+        const auto worker = planner.scheduler.workers.find(ref.task->worker);
+        if (worker == planner.scheduler.workers.end() || !isUsable(planner.scheduler, worker->second))
             return;
         Room& room = planner.rooms[ref.job->policy.service];
         if (ref.step->isLasting)
-            room.lasting += holdsRun(*ref.task) ? ref.step->cpuMillicores : 0;
-        else if (holdsRun(*ref.task))
+            room.lasting += ref.step->cpuMillicores;
+        else
             room.shortRunning += ref.step->cpuMillicores;
     }
 
@@ -158,8 +168,7 @@
                     += task.phase == TaskPhase::Waiting ? step.cpuMillicores : 0;
         }
         for (const auto& [id, worker] : scheduler.workers) {
-            if (worker.contact == Contact::Held && worker.isListed && !worker.entry.isDraining
-                && scheduler.withdrawn.count(worker.entry.dataCentre) == 0)
+            if (isUsable(scheduler, worker))
                 planner.rooms[worker.entry.service].capacity += worker.entry.capacity.cpuMillicores;
         }
         const auto passed = static_cast<double>(planner.now - scheduler.shortDemandAt);
@@ -277,8 +286,7 @@
     {
         const Scheduler& scheduler = planner.scheduler;
         const std::string& id = worker.entry.id;
-        if (worker.contact != Contact::Held || !worker.isListed || worker.entry.isDraining
-            || worker.entry.service != ref.job->policy.service || scheduler.withdrawn.count(worker.entry.dataCentre) > 0)
+        if (!isUsable(scheduler, worker) || worker.entry.service != ref.job->policy.service)
             return false;
         if (worker.avoidUntil > planner.now || worker.fullUntil > planner.now || ref.task->failedWorker == id)
             return false;
@@ -303,7 +311,7 @@
         if (worker.memoryUsed + step.memoryMb > capacity.memoryMb || worker.gpusUsed + step.gpus > capacity.gpus)
             return false;
         if (step.isFilling)
-            return fillRoom(worker) >= step.cpuMillicores * fillShare;
+            return worker.hotSince == 0 && fillRoom(worker) >= step.cpuMillicores * fillShare;
         return worker.cpuUsed + step.cpuMillicores <= capacity.cpuMillicores;
     }
 
--- a/src/scheduler/pressure.cpp
+++ b/src/scheduler/pressure.cpp
@@ -14,6 +14,10 @@
     constexpr Millis settleMs = 1000;          // ms after a stop until readings of the worker count again
     constexpr double blameShare = 0.25;        // part of the excess that a filling task must cause to be stopped
     constexpr double nearlyDonePercent = 85;   // a filling task that ends soon is left alone
+    // A worker whose serving tasks stay over their targets: blame is spread over several fills or not learned yet.
+    constexpr Millis hotMs = 1300;             // ms after which small parts of the excess count as well
+    constexpr double hotBlameShare = 0.05;     // part of the excess that counts then
+    constexpr Millis veryHotMs = 2000;         // ms after which every filling task on the worker is stopped
 
     std::vector<FillUse> fillUses(Scheduler& scheduler, const Worker& worker)
     {
@@ -40,14 +44,16 @@
     {
         const double excess = serving.task->reading - serving.step->latencyTargetMs;
         const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
+        const Millis hotFor = now - worker.hotSince;
+        const double share = hotFor > hotMs ? hotBlameShare : blameShare;
         for (const std::string& name : worker.tasks) {
             const std::optional<TaskRef> ref = findTask(scheduler, name);
-            if (!ref || !ref->step->isFilling || ref->task->phase != TaskPhase::Running
-                || ref->task->percent >= nearlyDonePercent)
+            if (!ref || !ref->step->isFilling || ref->task->phase != TaskPhase::Running)
                 continue;
             const double added
                 = addedMs(scheduler.interference, serving.step->image, ref->step->image, ref->task->reading / capacity);
-            if (added < blameShare * excess)
+            const bool isBlamed = added >= share * excess && ref->task->percent < nearlyDonePercent;
+            if (!isBlamed && hotFor <= veryHotMs)
                 continue;
             ref->task->phase = TaskPhase::Stopping;
             ref->task->since = now;
@@ -82,9 +88,15 @@
             const double ratio = static_cast<double>(ref->task->reading) / ref->step->latencyTargetMs;
             worker.pressure = std::max(worker.pressure, ratio);
             learn(scheduler.interference, ref->step->image, ref->task->reading, uses);
-            if (ratio > 1 && now - worker.relievedAt >= settleMs)
+            if (ratio <= 1)
+                continue;
+            if (worker.hotSince == 0)
+                worker.hotSince = now;
+            if (now - worker.relievedAt >= settleMs || now - worker.hotSince > veryHotMs)
                 stopDisturbing(scheduler, worker, *ref, orders, now);
         }
+        if (worker.pressure <= 1)
+            worker.hotSince = 0;
     }
 }
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -170,6 +170,7 @@
     Millis fullUntil = 0;     // refused a start for want of room
     double slowness = 1;      // measured time of a task against its estimate, relative to other workers
     double pressure = 0;      // highest reading of a serving task against its target
+    Millis hotSince = 0;      // a serving task is over its target since; 0: none
     Millis learnedAt = 0;     // last report whose readings were learned from
     Millis relievedAt = 0;    // last stop of a filling task for the sake of a serving one
     Millis drainEndsAt = 0;   // earliest end of a draining worker; 0: not draining
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -266,7 +266,8 @@
     acknowledgeStored(scheduler, worker);
     LeaseRequest request;
     request.acknowledged = worker.acknowledgedNumber;
-    if (worker.clockReadAt > 0) {
+    // A lost worker is only looked at: a renewal that it may carry out unseen would put off the end of its lease for ever.
+    if (worker.clockReadAt > 0 && worker.contact != Contact::Lost) {
         request.expiresClockMs = latestClock(worker, now) + scheduler.limits.maxHoldMs;
         worker.grantedClockMs = std::max(worker.grantedClockMs, request.expiresClockMs);
     }
