--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -31,7 +31,8 @@
         Occurrence* occurrence = nullptr;
         int occurrenceNumber = 0;
         int stepNumber = 0;
-        Millis deadline = 0; // of the job
+        Millis deadline = 0;    // of the job
+        bool isRestart = false; // lasting tasks that ran before: their users wait
     };
 
     // Processors of one service, in millicores.
@@ -230,7 +231,7 @@
         const auto index = static_cast<std::size_t>(stepNumber);
         const Step& step = job.request.steps[index];
         StepProgress& progress = occurrence.steps[index];
-        Candidate candidate { &job, &occurrence, occurrenceNumber, stepNumber, 0 };
+        Candidate candidate { &job, &occurrence, occurrenceNumber, stepNumber, 0, false };
         bool hasWaiting = false;
         bool hasRun = false;
         for (int i = 0; i < step.count; ++i) {
@@ -249,6 +250,9 @@
         if (progress.readySince == 0)
             progress.readySince = planner.now;
         const auto allowed = static_cast<Millis>(static_cast<double>(longestChainMs(job.request)) * job.policy.stretch);
+        candidate.isRestart = step.isLasting
+            && std::any_of(progress.tasks.begin(), progress.tasks.end(),
+                [](const Task& task) { return task.phase == TaskPhase::Waiting && task.run > 0; });
         candidate.deadline = job.acceptedAt + allowed + job.policy.goalMs;
         planner.candidates.push_back(candidate);
     }
@@ -259,7 +263,7 @@
             const bool isDue = occurrence.dueUnixMs <= planner.nowUnixMs;
             for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
                 if (isFinal(job.state)) {
-                    const Candidate candidate { &job, &occurrence, number, static_cast<int>(i), 0 };
+                    const Candidate candidate { &job, &occurrence, number, static_cast<int>(i), 0, false };
                     for (int index = 0; index < job.request.steps[i].count; ++index)
                         stopRun(planner, refOf(candidate, index), "job has ended");
                 } else if (isDue) {
@@ -492,8 +496,9 @@
             const TaskRef ref = refOf(candidate, i);
             if (ref.task->phase != TaskPhase::Waiting)
                 continue;
-            if (step.isLasting && !leavesRoomForShort(planner, ref))
-                return;
+            const bool isFirstRun = ref.task->run == 0;
+            if (step.isLasting && isFirstRun && !leavesRoomForShort(planner, ref))
+                continue;
             Worker* worker = nullptr;
             for (const std::string& rack : racks) {
                 worker = chooseWorker(planner, ref, rack);
@@ -599,8 +604,8 @@
         sum += worker.slowness;
     planner.meanSlowness = scheduler.workers.empty() ? 1 : sum / static_cast<double>(scheduler.workers.size());
     std::sort(planner.candidates.begin(), planner.candidates.end(), [](const Candidate& a, const Candidate& b) {
-        return std::tuple(a.job->policy.priority, a.deadline, a.job->acceptedUnixMs)
-            < std::tuple(b.job->policy.priority, b.deadline, b.job->acceptedUnixMs);
+        return std::tuple(!a.isRestart, a.job->policy.priority, a.deadline, a.job->acceptedUnixMs)
+            < std::tuple(!b.isRestart, b.job->policy.priority, b.deadline, b.job->acceptedUnixMs);
     });
     for (const Candidate& candidate : planner.candidates)
         placeStep(planner, candidate);
