--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -204,7 +204,7 @@
                                                    toQString(scheduler::taskName(id, number, static_cast<int>(step),
                                                        static_cast<int>(index))) },
                         { "phase", phaseName(list[index].phase) }, { "run", list[index].run },
-                        { "failures", list[index].failures }, { "worker", toQString(list[index].worker) },
+                        { "failures", static_cast<qint64>(list[index].failedRuns.size()) }, { "worker", toQString(list[index].worker) },
                         { "percent", list[index].percent }, { "pace", list[index].pace } });
             }
         }
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr int tickMs = 50;            // ms; resolution of the periods of this service
+    constexpr int planGapMs = 15;         // ms; reports that arrive together lead to one plan
     constexpr int retryMs = 250;          // ms after a failed call to the store
     constexpr int watchWaitMs = 2000;     // ms; a silent connection is noticed within this and the store's margin
     constexpr int watchGapMs = 40;        // ms between watch calls, which gathers jobs that arrive together
@@ -342,13 +343,10 @@
     if (m_isPlanQueued || !m_isLoaded)
         return;
     m_isPlanQueued = true;
-    QMetaObject::invokeMethod(
-        this,
-        [this] {
-            m_isPlanQueued = false;
-            runPlan();
-        },
-        Qt::QueuedConnection);
+    QTimer::singleShot(planGapMs, this, [this] {
+        m_isPlanQueued = false;
+        runPlan();
+    });
 }
 
 void DispatcherService::runPlan()
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -187,7 +187,7 @@
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
     reply["hasLostStore"] = !isStoreReachable(m_runtime);
-    if (election::successor(state, now) == daemon) {
+    if (election::successor(state, m_runtime.store->health().failingSince, now) == daemon) {
         kernel::logEvent(kernel::LogLevel::Warning, "sync", "handOver",
             { { "successor", daemon }, { "token", state.token }, { "renewedMsAgo", now - state.renewSentAt },
                 { "successorStoreAgeMs", storeAge } });
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -150,13 +150,14 @@
 
 void forgetPeer(Election& election, const std::string& name) { election.peers.erase(name); }
 
-std::optional<std::string> successor(const Election& election, Millis now)
+std::optional<std::string> successor(const Election& election, Millis failingSince, Millis now)
 {
-    if (election.role != Role::Leader || now - election.renewSentAt < election.limits.handOverMs)
+    const bool hasLostStore = failingSince > 0 && now - failingSince >= election.limits.handOverMs;
+    if (election.role != Role::Leader || !hasLostStore)
         return std::nullopt;
     for (const auto& [name, peer] : election.peers) {
         const bool isInTouch = now - peer.heardAt < election.limits.contactMs;
-        if (isInTouch && peer.storeOkAt > election.renewSentAt + election.limits.renewMs)
+        if (isInTouch && peer.storeOkAt > failingSince)
             return name;
     }
     return std::nullopt;
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -122,7 +122,8 @@
 // A daemon sent a message; `promisedAt` is when the last answer that it has received was given.
 void hearPeer(Election& election, const std::string& peer, Millis promisedAt, Millis storeOkAt, Millis now);
 void forgetPeer(Election& election, const std::string& peer);
-// Daemon to hand the term to, because it reaches the store and this one does not.
-std::optional<std::string> successor(const Election& election, Millis now);
+// Daemon to hand the term to, because it reaches the store and this one has been failing to since `failingSince` (0: it
+// has not). A renewal that is merely late, on a busy machine, is no reason.
+std::optional<std::string> successor(const Election& election, Millis failingSince, Millis now);
 
 } // namespace lacewing::election
--- a/src/scheduler/interference.cpp
+++ b/src/scheduler/interference.cpp
@@ -27,16 +27,29 @@
     return found == table.aloneMs.end() ? aloneStartMs : found->second;
 }
 
+namespace {
+
+    const Slope* findSlope(const Interference& table, const std::string& servingImage, const std::string& fillImage)
+    {
+        const auto row = table.slopes.find(fillImage);
+        if (row == table.slopes.end())
+            return nullptr;
+        const auto found = row->second.find(servingImage);
+        return found == row->second.end() ? nullptr : &found->second;
+    }
+
+} // namespace
+
 double addedMs(const Interference& table, const std::string& servingImage, const std::string& fillImage, double share)
 {
-    const auto found = table.slopes.find({ servingImage, fillImage });
-    return found == table.slopes.end() ? 0 : found->second.msPerShare * share;
+    const Slope* slope = findSlope(table, servingImage, fillImage);
+    return slope ? slope->msPerShare * share : 0;
 }
 
-bool isKnownPair(const Interference& table, const std::string& servingImage, const std::string& fillImage)
+const Slope* knownSlope(const Interference& table, const std::string& servingImage, const std::string& fillImage)
 {
-    const auto found = table.slopes.find({ servingImage, fillImage });
-    return found != table.slopes.end() && found->second.readings >= knownReadings;
+    const Slope* slope = findSlope(table, servingImage, fillImage);
+    return slope && slope->readings >= knownReadings ? slope : nullptr;
 }
 
 void learn(Interference& table, const std::string& servingImage, double readingMs, const std::vector<FillUse>& fills)
@@ -63,7 +76,7 @@
     for (const FillUse& fill : fills) {
         if (fill.share < usedShare)
             continue;
-        Slope& slope = table.slopes[{ servingImage, fill.image }];
+        Slope& slope = table.slopes[fill.image][servingImage];
         slope.msPerShare = std::clamp(slope.msPerShare + slopeGain * error * fill.share / energy, 0.0, slopeMaxMs);
         ++slope.readings;
     }
@@ -75,9 +88,11 @@
     for (const auto& [image, ms] : table.aloneMs)
         alone[QString::fromStdString(image)] = ms;
     QJsonArray slopes;
-    for (const auto& [pair, slope] : table.slopes)
-        slopes.append(QJsonArray { QString::fromStdString(pair.first), QString::fromStdString(pair.second),
-            slope.msPerShare, slope.readings });
+    for (const auto& [fill, row] : table.slopes) {
+        for (const auto& [serving, slope] : row)
+            slopes.append(QJsonArray { QString::fromStdString(serving), QString::fromStdString(fill), slope.msPerShare,
+                slope.readings });
+    }
     return QJsonDocument(QJsonObject { { "aloneMs", alone }, { "slopes", slopes } }).toJson(QJsonDocument::Compact);
 }
 
@@ -91,7 +106,7 @@
     for (auto it = alone.begin(); it != alone.end(); ++it)
         table.aloneMs[it.key().toStdString()] = it.value().toDouble();
     for (const QJsonValue& row : json["slopes"].toArray())
-        table.slopes[{ row[0].toString().toStdString(), row[1].toString().toStdString() }]
+        table.slopes[row[1].toString().toStdString()][row[0].toString().toStdString()]
             = { row[2].toDouble(), row[3].toInt() };
     return true;
 }
--- a/src/scheduler/interference.h
+++ b/src/scheduler/interference.h
@@ -21,8 +21,8 @@
 };
 
 struct Interference {
-    std::map<std::string, double> aloneMs;                             // by serving image
-    std::map<std::pair<std::string, std::string>, Slope> slopes;       // by serving and filling image
+    std::map<std::string, double> aloneMs;                      // by serving image
+    std::map<std::string, std::map<std::string, Slope>> slopes; // by filling image, then by serving image
 };
 
 // Use of one filling image on a worker, as a share of the worker's processors.
@@ -37,8 +37,8 @@
 double aloneMs(const Interference& table, const std::string& servingImage);
 // Tail latency that a share of the filling image adds to a serving task.
 double addedMs(const Interference& table, const std::string& servingImage, const std::string& fillImage, double share);
-// True when the pair has been seen together often enough.
-bool isKnownPair(const Interference& table, const std::string& servingImage, const std::string& fillImage);
+// Slope of a pair that has been seen together often enough; nullptr for any other.
+const Slope* knownSlope(const Interference& table, const std::string& servingImage, const std::string& fillImage);
 
 QByteArray encodeInterference(const Interference& table);
 // False when the bytes do not decode; the table is left as it was.
--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -10,7 +10,7 @@
 void setState(Scheduler& scheduler, Job& job, JobState state, Millis now);
 // Books and releases the room of a run; a task that holds room names its worker.
 void takeRoom(Scheduler& scheduler, Worker& worker, const TaskRef& ref);
-void releaseRoom(Scheduler& scheduler, const TaskRef& ref);
+void releaseRoom(const TaskRef& ref);
 // Ends the run in progress, or one that this term did not track.
 void endRun(Scheduler& scheduler, const TaskRef& ref, EndKind kind, int run, Millis now);
 // Earliest and latest reading of the worker's clock now.
@@ -26,11 +26,11 @@
 constexpr double emptyWorkerShare = 0.5;
 
 // What a filling task would do to the serving tasks on the worker; 1 takes the worst of them to its target.
-double disturbance(Scheduler& scheduler, const Worker& worker, const Step& fill);
+double disturbance(const Scheduler& scheduler, const Worker& worker, const Step& fill);
 // What the filling tasks on the worker would do to a serving task.
-double disturbanceOf(Scheduler& scheduler, const Worker& worker, const Step& serving);
+double disturbanceOf(const Scheduler& scheduler, const Worker& worker, const Step& serving);
 // Share of the worker's serving tasks that have the image.
-double sameImageShare(Scheduler& scheduler, const Worker& worker, const Step& serving);
+double sameImageShare(const Worker& worker, const Step& serving);
 // Learns from the newest readings and stops filling tasks that push serving tasks over their targets.
 void relievePressure(Scheduler& scheduler, Orders& orders, Millis now);
 
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -62,13 +62,13 @@
     }
 
     // Failures of a gang add up over its members, because one failing member ends them all.
-    int countedFailures(const Step& step, const StepProgress& progress, const Task& task)
+    std::size_t countedFailures(const Step& step, const StepProgress& progress, const Task& task)
     {
         if (!step.isGang)
-            return task.failures;
-        int sum = 0;
+            return task.failedRuns.size();
+        std::size_t sum = 0;
         for (const Task& member : progress.tasks)
-            sum += member.failures;
+            sum += member.failedRuns.size();
         return sum;
     }
 
@@ -80,7 +80,7 @@
         scheduler.decisions.push_back(std::move(decision));
 }
 
-bool holdsRun(const Task& task) { return !task.worker.empty(); }
+bool holdsRun(const Task& task) { return task.host != nullptr; }
 
 void touch(Scheduler& scheduler, Job& job)
 {
@@ -169,35 +169,55 @@
     return ref;
 }
 
+namespace {
+
+    void countServing(Worker& worker, const Step& step, int change)
+    {
+        if (step.latencyTargetMs <= 0)
+            return;
+        ServingImage& image = worker.servingImages[step.image];
+        image.tasks += change;
+        image.targetMs = image.targetMs == 0 ? step.latencyTargetMs : std::min(image.targetMs, step.latencyTargetMs);
+        if (image.tasks <= 0)
+            worker.servingImages.erase(step.image);
+    }
+
+} // namespace
+
 void takeRoom(Scheduler& scheduler, Worker& worker, const TaskRef& ref)
 {
     const std::string name = taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index);
-    if (!worker.tasks.insert(name).second)
+    if (!worker.tasks.emplace(name, ref).second)
         return;
     ref.task->worker = worker.entry.id;
+    ref.task->host = &worker;
     worker.memoryUsed += ref.step->memoryMb;
     worker.gpusUsed += ref.step->gpus;
     (ref.step->isFilling ? worker.fillCpu : worker.cpuUsed) += ref.step->cpuMillicores;
     worker.servingCpu += ref.step->latencyTargetMs > 0 ? ref.step->cpuMillicores : 0;
+    countServing(worker, *ref.step, 1);
+    worker.lastingCpu += ref.step->isLasting && !ref.step->isFilling ? ref.step->cpuMillicores : 0;
     if (!ref.job->hasStarted) {
         ref.job->hasStarted = true;
         setState(scheduler, *ref.job, JobState::Running, 0);
     }
 }
 
-void releaseRoom(Scheduler& scheduler, const TaskRef& ref)
+void releaseRoom(const TaskRef& ref)
 {
-    const auto found = scheduler.workers.find(ref.task->worker);
-    ref.task->worker.clear();
-    if (found == scheduler.workers.end())
+    if (!holdsRun(*ref.task))
         return;
-    Worker& worker = found->second;
+    Worker& worker = *ref.task->host;
+    ref.task->worker.clear();
+    ref.task->host = nullptr;
     if (worker.tasks.erase(taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index)) == 0)
         return;
     worker.memoryUsed -= ref.step->memoryMb;
     worker.gpusUsed -= ref.step->gpus;
     (ref.step->isFilling ? worker.fillCpu : worker.cpuUsed) -= ref.step->cpuMillicores;
     worker.servingCpu -= ref.step->latencyTargetMs > 0 ? ref.step->cpuMillicores : 0;
+    countServing(worker, *ref.step, -1);
+    worker.lastingCpu -= ref.step->isLasting && !ref.step->isFilling ? ref.step->cpuMillicores : 0;
 }
 
 void endRun(Scheduler& scheduler, const TaskRef& ref, EndKind kind, int run, Millis now)
@@ -205,9 +225,13 @@
     Task& task = *ref.task;
     Job& job = *ref.job;
     if (holdsRun(task) && task.run <= run)
-        releaseRoom(scheduler, ref);
-    if (run <= task.endedRun && kind != EndKind::Done)
+        releaseRoom(ref);
+    const bool isCounted = std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end();
+    const bool isNewFailure = kind == EndKind::Failed && !isCounted; // ends of several workers come in any order
+    if (run <= task.endedRun && kind != EndKind::Done && !isNewFailure)
         return;
+    if (isNewFailure)
+        task.failedRuns.push_back(run);
     task.endedRun = std::max(task.endedRun, run);
     task.run = std::max(task.run, run);
     touch(scheduler, job);
@@ -222,12 +246,11 @@
         finishIfDone(scheduler, job, now);
         return;
     }
-    if (kind == EndKind::Failed)
-        ++task.failures;
-    if (holdsRun(task)) // a later run is in progress elsewhere
-        return;
+    const std::size_t failures = countedFailures(*ref.step, *ref.progress, task);
     const bool isUsedUp
-        = !ref.step->isLasting && countedFailures(*ref.step, *ref.progress, task) >= std::max(1, job.policy.maxAttempts);
+        = !ref.step->isLasting && failures >= static_cast<std::size_t>(std::max(1, job.policy.maxAttempts));
+    if (holdsRun(task) && !isUsedUp) // a later run is in progress elsewhere
+        return;
     // The end of an earlier run says nothing about a later one on a worker that has not reported in this term.
     const bool mayRunElsewhere = task.phase == TaskPhase::Unknown && !scheduler.isAccounted;
     if (!mayRunElsewhere || isUsedUp)
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -20,6 +20,8 @@
     constexpr double servingLoad = 0.6;           // share of its cpu that a serving task uses at most times
     constexpr double fillShare = 0.75;            // a filling task starts with at least this share of its cpu
     constexpr double disturbanceLimit = 0.8;      // of the way to a serving task's target; more is not placed
+    constexpr Millis trialWaitMs = 1500;          // ms of waiting after which a disturbing pair is tried again
+    constexpr Millis trialCalmMs = 4000;          // ms without a stop for interference before such a trial
     constexpr double slowWorker = 1.8;            // slowness against the mean at which others are preferred
     constexpr Millis dataRackWaitMs = 1500;       // ms that a task waits for room on the rack of its data
     constexpr double shortDemandMemoryMs = 15000; // ms; decay of the remembered need of short tasks
@@ -52,6 +54,7 @@
         double meanSlowness = 1;
             std::map<std::string, int> stepOnWorker; // tasks of the step in hand on each worker
         std::map<std::string, Room> rooms;       // by service
+        std::map<const Worker*, double> disturbances; // by the step in hand, when it fills
     };
 
     TaskRef refOf(const Candidate& candidate, int index)
@@ -140,20 +143,6 @@
             && scheduler.withdrawn.count(worker.entry.dataCentre) == 0;
     }
 
-    void countRoom(Planner& planner, const TaskRef& ref)
-    {
-        if (ref.step->isFilling || !holdsRun(*ref.task))
-            return;
-        const auto worker = planner.scheduler.workers.find(ref.task->worker);
-        if (worker == planner.scheduler.workers.end() || !isUsable(planner.scheduler, worker->second))
-            return;
-        Room& room = planner.rooms[ref.job->policy.service];
-        if (ref.step->isLasting)
-            room.lasting += ref.step->cpuMillicores;
-        else
-            room.shortRunning += ref.step->cpuMillicores;
-    }
-
     // Remembers for a while how much room short tasks need: they are worth more for each processor second than lasting
     // tasks, which would otherwise take what is free between two short ones.
     void updateShortDemand(Planner& planner)
@@ -169,8 +158,12 @@
                     += task.phase == TaskPhase::Waiting ? step.cpuMillicores : 0;
         }
         for (const auto& [id, worker] : scheduler.workers) {
-            if (isUsable(scheduler, worker))
-                planner.rooms[worker.entry.service].capacity += worker.entry.capacity.cpuMillicores;
+            if (!isUsable(scheduler, worker))
+                continue;
+            Room& room = planner.rooms[worker.entry.service];
+            room.capacity += worker.entry.capacity.cpuMillicores;
+            room.lasting += worker.lastingCpu;
+            room.shortRunning += worker.cpuUsed - worker.lastingCpu;
         }
         const auto passed = static_cast<double>(planner.now - scheduler.shortDemandAt);
         scheduler.shortDemandAt = planner.now;
@@ -193,7 +186,6 @@
     void reviewRun(Planner& planner, const TaskRef& ref)
     {
         Task& task = *ref.task;
-        countRoom(planner, ref);
         if (!holdsRun(task))
             return;
         if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed) {
@@ -205,10 +197,7 @@
             stopRun(planner, ref, "still stopping");
             return;
         }
-        const auto found = planner.scheduler.workers.find(task.worker);
-        if (found == planner.scheduler.workers.end())
-            return;
-        Worker& worker = found->second;
+        Worker& worker = *task.host;
         if (mustLeave(planner, worker, ref)) {
             stopRun(planner, ref, "worker is draining");
         } else if (isStalled(planner, worker, ref)) {
@@ -328,7 +317,7 @@
         double score = (step.isFilling ? fillRoom(worker) : capacity - worker.cpuUsed) / capacity;
         // Serving tasks of one image share workers: what disturbs them then leaves the other workers usable.
         if (step.latencyTargetMs > 0)
-            score += 2 * sameImageShare(planner.scheduler, worker, step)
+            score += 2 * sameImageShare(worker, step)
                 - std::min(1.0, disturbanceOf(planner.scheduler, worker, step));
         if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack))
             score += 10;
@@ -337,6 +326,16 @@
         return score - worker.failureScore;
     }
 
+    // A table that was learned wrong would never be corrected if the pair were never tried again: a filling task that has
+    // waited long may try, on a worker that was calm for a while.
+    double allowedDisturbance(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    {
+        const Millis waited = planner.now - std::max(ref.task->since, ref.progress->readySince);
+        if (waited < trialWaitMs || planner.now - worker.relievedAt < trialCalmMs)
+            return disturbanceLimit;
+        return disturbanceLimit * static_cast<double>(waited) / trialWaitMs;
+    }
+
     Worker* chooseWorker(Planner& planner, const TaskRef& ref, const std::string& rack)
     {
         Worker* best = nullptr;
@@ -347,8 +346,11 @@
                 continue;
             double score = scoreOf(planner, worker, ref);
             if (ref.step->isFilling && worker.servingCpu > 0) {
-                const double level = disturbance(planner.scheduler, worker, *ref.step);
-                if (level > disturbanceLimit)
+                const auto [cached, isNew] = planner.disturbances.try_emplace(&worker, 0);
+                if (isNew)
+                    cached->second = disturbance(planner.scheduler, worker, *ref.step);
+                const double level = cached->second;
+                if (level > allowedDisturbance(planner, worker, ref))
                     continue;
                 score -= level;
             }
@@ -399,6 +401,7 @@
     void countStep(Planner& planner, const Candidate& candidate)
     {
         planner.stepOnWorker.clear();
+        planner.disturbances.clear();
         const StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
         for (const Task& task : progress.tasks) {
             if (holdsRun(task))
@@ -466,7 +469,7 @@
         }
         for (const Placed& member : placed) {
             --planner.stepOnWorker[member.worker->entry.id];
-            releaseRoom(planner.scheduler, refOf(candidate, member.index));
+            releaseRoom(refOf(candidate, member.index));
         }
         candidate.job->hasStarted = hadStarted;
         if (static_cast<int>(placed.size()) < step.count)
@@ -583,7 +586,7 @@
 
 Orders plan(Scheduler& scheduler, Millis now, std::int64_t nowUnixMs)
 {
-    Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {}, {} };
+    Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {}, {}, {} };
     accountWorkers(scheduler, now);
     std::vector<std::string> finished;
     for (const std::string& id : scheduler.active) {
--- a/src/scheduler/pressure.cpp
+++ b/src/scheduler/pressure.cpp
@@ -19,14 +19,13 @@
     constexpr double hotBlameShare = 0.05;     // part of the excess that counts then
     constexpr Millis veryHotMs = 2000;         // ms after which every filling task on the worker is stopped
 
-    std::vector<FillUse> fillUses(Scheduler& scheduler, const Worker& worker)
+    std::vector<FillUse> fillUses(const Worker& worker)
     {
         std::map<std::string, double> shares;
         const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
-        for (const std::string& name : worker.tasks) {
-            const std::optional<TaskRef> ref = findTask(scheduler, name);
-            if (ref && ref->step->isFilling)
-                shares[ref->step->image] += ref->task->reading / capacity;
+        for (const auto& [name, ref] : worker.tasks) {
+            if (ref.step->isFilling)
+                shares[ref.step->image] += ref.task->reading / capacity;
         }
         std::vector<FillUse> uses;
         for (const auto& [image, share] : shares)
@@ -46,23 +45,22 @@
         const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
         const Millis hotFor = now - worker.hotSince;
         const double share = hotFor > hotMs ? hotBlameShare : blameShare;
-        for (const std::string& name : worker.tasks) {
-            const std::optional<TaskRef> ref = findTask(scheduler, name);
-            if (!ref || !ref->step->isFilling || ref->task->phase != TaskPhase::Running)
+        for (const auto& [name, ref] : worker.tasks) {
+            if (!ref.step->isFilling || ref.task->phase != TaskPhase::Running)
                 continue;
             const double added
-                = addedMs(scheduler.interference, serving.step->image, ref->step->image, ref->task->reading / capacity);
-            const bool isBlamed = added >= share * excess && ref->task->percent < nearlyDonePercent;
+                = addedMs(scheduler.interference, serving.step->image, ref.step->image, ref.task->reading / capacity);
+            const bool isBlamed = added >= share * excess && ref.task->percent < nearlyDonePercent;
             if (!isBlamed && hotFor <= veryHotMs)
                 continue;
-            ref->task->phase = TaskPhase::Stopping;
-            ref->task->since = now;
-            ref->task->lastStopAt = now;
+            ref.task->phase = TaskPhase::Stopping;
+            ref.task->since = now;
+            ref.task->lastStopAt = now;
             worker.relievedAt = now;
-            orders.stops.push_back({ worker.entry.id, name, ref->task->run });
-            note(scheduler, { "stop", ref->job->request.id, name, worker.entry.id, ref->task->run,
+            orders.stops.push_back({ worker.entry.id, name, ref.task->run });
+            note(scheduler, { "stop", ref.job->request.id, name, worker.entry.id, ref.task->run,
                                 "disturbs " + serving.step->image,
-                                { { "percent", ref->task->percent }, { "addedMs", static_cast<std::int64_t>(added) },
+                                { { "percent", ref.task->percent }, { "addedMs", static_cast<std::int64_t>(added) },
                                     { "readingMs", serving.task->reading },
                                     { "targetMs", serving.step->latencyTargetMs } } });
         }
@@ -79,73 +77,60 @@
             continue;
         worker.learnedAt = worker.reportedAt;
         worker.pressure = 0;
-        const std::vector<FillUse> uses = fillUses(scheduler, worker);
-        const std::vector<std::string> tasks(worker.tasks.begin(), worker.tasks.end());
-        for (const std::string& name : tasks) {
-            const std::optional<TaskRef> ref = findTask(scheduler, name);
-            if (!ref || !isServing(*ref, now))
+        const std::vector<FillUse> uses = fillUses(worker);
+        for (const auto& [name, ref] : worker.tasks) {
+            if (!isServing(ref, now))
                 continue;
-            const double ratio = static_cast<double>(ref->task->reading) / ref->step->latencyTargetMs;
+            const double ratio = static_cast<double>(ref.task->reading) / ref.step->latencyTargetMs;
             worker.pressure = std::max(worker.pressure, ratio);
-            learn(scheduler.interference, ref->step->image, ref->task->reading, uses);
+            learn(scheduler.interference, ref.step->image, ref.task->reading, uses);
             if (ratio <= 1)
                 continue;
             if (worker.hotSince == 0)
                 worker.hotSince = now;
             if (now - worker.relievedAt >= settleMs || now - worker.hotSince > veryHotMs)
-                stopDisturbing(scheduler, worker, *ref, orders, now);
+                stopDisturbing(scheduler, worker, ref, orders, now);
         }
         if (worker.pressure <= 1)
             worker.hotSince = 0;
     }
 }
 
-double disturbance(Scheduler& scheduler, const Worker& worker, const Step& fill)
+double disturbance(const Scheduler& scheduler, const Worker& worker, const Step& fill)
 {
     double worst = 0;
-    const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
-    const double share = fill.cpuMillicores / capacity;
-    for (const std::string& name : worker.tasks) {
-        const std::optional<TaskRef> ref = findTask(scheduler, name);
-        if (!ref || ref->step->latencyTargetMs <= 0)
-            continue;
-        const std::string& image = ref->step->image;
-        const double room = std::max(1.0, ref->step->latencyTargetMs - aloneMs(scheduler.interference, image));
-        double level = addedMs(scheduler.interference, image, fill.image, share) / room;
-        if (!isKnownPair(scheduler.interference, image, fill.image))
-            level = std::max(level, unknownPairLevel);
-        worst = std::max(worst, level);
+    const double share = fill.cpuMillicores / static_cast<double>(std::max(1, worker.entry.capacity.cpuMillicores));
+    for (const auto& [image, serving] : worker.servingImages) {
+        const double room = std::max(1.0, serving.targetMs - aloneMs(scheduler.interference, image));
+        const Slope* slope = knownSlope(scheduler.interference, image, fill.image);
+        worst = std::max(worst, slope ? slope->msPerShare * share / room : unknownPairLevel);
     }
     return worst;
 }
 
-double disturbanceOf(Scheduler& scheduler, const Worker& worker, const Step& serving)
+double disturbanceOf(const Scheduler& scheduler, const Worker& worker, const Step& serving)
 {
     double worst = 0;
     const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
     const double room = std::max(1.0, serving.latencyTargetMs - aloneMs(scheduler.interference, serving.image));
-    for (const std::string& name : worker.tasks) {
-        const std::optional<TaskRef> ref = findTask(scheduler, name);
-        if (ref && ref->step->isFilling)
+    for (const auto& [name, ref] : worker.tasks) {
+        if (ref.step->isFilling)
             worst = std::max(worst,
-                addedMs(scheduler.interference, serving.image, ref->step->image, ref->step->cpuMillicores / capacity)
+                addedMs(scheduler.interference, serving.image, ref.step->image, ref.step->cpuMillicores / capacity)
                     / room);
     }
     return worst;
 }
 
-double sameImageShare(Scheduler& scheduler, const Worker& worker, const Step& serving)
+double sameImageShare(const Worker& worker, const Step& serving)
 {
-    int same = 0;
     int all = 0;
-    for (const std::string& name : worker.tasks) {
-        const std::optional<TaskRef> ref = findTask(scheduler, name);
-        if (!ref || ref->step->latencyTargetMs <= 0)
-            continue;
-        ++all;
-        same += ref->step->image == serving.image ? 1 : 0;
-    }
-    return all == 0 ? emptyWorkerShare : static_cast<double>(same) / all;
+    for (const auto& [image, entry] : worker.servingImages)
+        all += entry.tasks;
+    const auto same = worker.servingImages.find(serving.image);
+    if (all == 0)
+        return emptyWorkerShare;
+    return same == worker.servingImages.end() ? 0 : static_cast<double>(same->second.tasks) / all;
 }
 
 } // namespace lacewing::scheduler
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -133,8 +133,12 @@
                 continue;
             if (task.endedRun > 0)
                 ended[key] = task.endedRun;
-            if (task.failures > 0)
-                failures[key] = task.failures;
+            if (!task.failedRuns.empty()) {
+                QJsonArray runs;
+                for (const int run : task.failedRuns)
+                    runs.append(run);
+                failures[key] = runs;
+            }
             if (!task.checkpoint.empty())
                 checkpoints[key] = text(task.checkpoint);
         }
@@ -142,7 +146,7 @@
         if (!ended.isEmpty())
             json["endedRuns"] = ended;
         if (!failures.isEmpty())
-            json["failures"] = failures;
+            json["failedRuns"] = failures;
         if (!checkpoints.isEmpty())
             json["checkpoints"] = checkpoints;
         return json;
@@ -154,7 +158,7 @@
         if (marks.size() != static_cast<qsizetype>(progress.tasks.size()))
             return false;
         const QJsonObject ended = json["endedRuns"].toObject();
-        const QJsonObject failures = json["failures"].toObject();
+        const QJsonObject failures = json["failedRuns"].toObject();
         const QJsonObject checkpoints = json["checkpoints"].toObject();
         progress.done = 0;
         for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
@@ -169,7 +173,8 @@
             }
             task.endedRun = ended[key].toInt();
             task.run = task.endedRun;
-            task.failures = failures[key].toInt();
+            for (const QJsonValue& run : failures[key].toArray())
+                task.failedRuns.push_back(run.toInt());
             task.checkpoint = text(checkpoints[key]);
         }
         return true;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -53,6 +53,8 @@
 
 // --- Jobs ---
 
+struct Worker;
+
 enum class TaskPhase {
     Waiting,  // may be placed
     Unknown,  // may be running on a worker that has not reported in this term
@@ -67,10 +69,11 @@
     TaskPhase phase = TaskPhase::Waiting;
     int run = 0;      // highest run number used
     int endedRun = 0; // highest run whose end was applied; ends up to it are repeats
-    int failures = 0; // ends that count against maxAttempts
+    std::vector<int> failedRuns; // runs that count against maxAttempts, each once
     std::string checkpoint;
     // --- Run in progress ---
-    std::string worker;   // empty when none
+    std::string worker;     // id; empty when none
+    Worker* host = nullptr; // the same worker; null exactly when the id is empty
     Millis since = 0;     // of the phase
     Millis startedAt = 0; // of the run
     int percent = 0;
@@ -112,6 +115,18 @@
     bool isRemoved = false; // record is to be deleted from the store
 };
 
+// A task with everything above it. Pointers stay valid as long as the job exists.
+struct TaskRef {
+    Job* job = nullptr;
+    Occurrence* occurrence = nullptr;
+    StepProgress* progress = nullptr;
+    const Step* step = nullptr;
+    Task* task = nullptr;
+    int occurrenceNumber = 0;
+    int stepNumber = 0;
+    int index = 0;
+};
+
 // --- Workers ---
 
 // A run that a worker reports and nobody needs: it is stopped.
@@ -132,6 +147,12 @@
     { Contact::Lost, "lost" },
 } };
 
+// Serving tasks of one image on a worker.
+struct ServingImage {
+    int tasks = 0;
+    int targetMs = 0; // lowest target seen
+};
+
 // An end that was read but may not be acknowledged yet.
 struct UnacknowledgedEnd {
     std::int64_t number = 0;
@@ -162,7 +183,9 @@
     int gpusUsed = 0;
     int servingCpu = 0; // part of cpuUsed that belongs to tasks with a latency target
     int fillCpu = 0;    // millicores asked for by filling tasks
-    std::set<std::string> tasks;
+    int lastingCpu = 0; // part of cpuUsed that belongs to lasting tasks
+    std::map<std::string, TaskRef> tasks; // by name
+    std::map<std::string, ServingImage> servingImages;
     std::map<std::string, StrayRun> strays;
     // --- Experience ---
     double failureScore = 0;  // decaying count of failed ends without a done one between
@@ -274,17 +297,6 @@
 
 std::string taskName(const std::string& job, int occurrence, int step, int index);
 
-struct TaskRef {
-    Job* job = nullptr;
-    Occurrence* occurrence = nullptr;
-    StepProgress* progress = nullptr;
-    const Step* step = nullptr;
-    Task* task = nullptr;
-    int occurrenceNumber = 0;
-    int stepNumber = 0;
-    int index = 0;
-};
-
 std::optional<TaskRef> findTask(Scheduler& scheduler, const std::string& name);
 bool hasLabel(const WorkerEntry& entry, const std::string& label);
 // Accepted jobs for which no task has started, by queue; queues without any are left out.
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -53,7 +53,7 @@
         }
         if (end.kind != EndKind::Failed || ref.step->isLasting)
             return;
-        worker.failureScore += task.failures == 0 ? 1 : repeatedFailure;
+        worker.failureScore += task.failedRuns.empty() ? 1 : repeatedFailure;
         task.failedWorker = worker.entry.id;
         if (worker.failureScore >= failureScoreLimit && worker.avoidUntil < now) {
             worker.avoidUntil = now + avoidFailingMs;
@@ -80,7 +80,7 @@
                 { "taskEnded", ref->job->request.id, end.task, worker.entry.id, end.run,
                     std::string(nameOf(endKindNames, end.kind)),
                     { { "number", end.number }, { "runningMs", task.startedAt > 0 ? now - task.startedAt : 0 },
-                        { "failures", task.failures } } });
+                        { "failures", static_cast<std::int64_t>(task.failedRuns.size()) } } });
             endRun(scheduler, *ref, end.kind, end.run, now);
             pending.job = ref->job->request.id;
             pending.version = ref->job->version;
@@ -138,20 +138,17 @@
     // A run that the worker neither runs nor has ended is gone, if the report is younger than everything that was sent.
     void dropMissing(Scheduler& scheduler, Worker& worker, const std::set<std::string>& running, Millis sentAt, Millis now)
     {
-        const std::vector<std::string> tasks(worker.tasks.begin(), worker.tasks.end());
-        for (const std::string& name : tasks) {
+        const std::map<std::string, TaskRef> tasks = worker.tasks;
+        for (const auto& [name, ref] : tasks) {
             if (running.count(name) > 0)
                 continue;
-            const std::optional<TaskRef> ref = findTask(scheduler, name);
-            if (!ref)
-                continue;
-            Task& task = *ref->task;
+            Task& task = *ref.task;
             const bool isSettled = task.phase == TaskPhase::Starting ? sentAt > task.startDeadlineAt : sentAt > task.since;
             if (!isSettled)
                 continue;
-            note(scheduler, { "runMissing", ref->job->request.id, name, worker.entry.id, task.run, "waiting",
+            note(scheduler, { "runMissing", ref.job->request.id, name, worker.entry.id, task.run, "waiting",
                                 { { "phaseMs", now - task.since } } });
-            endRun(scheduler, *ref, EndKind::Lapsed, task.run, now);
+            endRun(scheduler, ref, EndKind::Lapsed, task.run, now);
         }
     }
 
@@ -161,11 +158,10 @@
     {
         note(scheduler, { "workerRestarted", {}, {}, worker.entry.id, 0, "runs are gone",
                             { { "tasks", static_cast<int>(worker.tasks.size()) } } });
-        const std::vector<std::string> tasks(worker.tasks.begin(), worker.tasks.end());
-        for (const std::string& name : tasks) {
-            const std::optional<TaskRef> ref = findTask(scheduler, name);
-            if (ref && !survives(name, *ref->task))
-                endRun(scheduler, *ref, EndKind::Lapsed, ref->task->run, now);
+        const std::map<std::string, TaskRef> tasks = worker.tasks;
+        for (const auto& [name, ref] : tasks) {
+            if (!survives(name, *ref.task))
+                endRun(scheduler, ref, EndKind::Lapsed, ref.task->run, now);
         }
         worker.strays.clear();
         worker.readNumber = worker.acknowledgedNumber = 0;
@@ -389,7 +385,7 @@
     case StartOutcome::OtherLife:
         break;
     }
-    releaseRoom(scheduler, *ref);
+    releaseRoom(*ref);
     task.phase = TaskPhase::Waiting;
     task.since = now;
 }
@@ -408,11 +404,9 @@
                 note(scheduler, { "leaseExpired", {}, {}, it->first, 0, "tasks are waiting again",
                                     { { "tasks", static_cast<int>(worker.tasks.size()) },
                                         { "lostMs", now - worker.lostAt } } });
-                const std::vector<std::string> tasks(worker.tasks.begin(), worker.tasks.end());
-                for (const std::string& name : tasks) {
-                    if (const std::optional<TaskRef> ref = findTask(scheduler, name))
-                        endRun(scheduler, *ref, EndKind::Lapsed, ref->task->run, now);
-                }
+                const std::map<std::string, TaskRef> tasks = worker.tasks;
+                for (const auto& [name, ref] : tasks)
+                    endRun(scheduler, ref, EndKind::Lapsed, ref.task->run, now);
             }
         }
         isAccounted = isAccounted && (worker.contact == Contact::Held || worker.isExpired);
