--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -24,7 +24,7 @@
         return text.size() >= suffix.size() && text.compare(text.size() - suffix.size(), suffix.size(), suffix) == 0;
     }
 
-    scheduler::Limits toLimits(const Settings& settings, const election::Limits& election)
+    scheduler::Limits toLimits(const Settings& settings)
     {
         scheduler::Limits limits;
         limits.maxHoldMs = settings.bounds.maxHoldMs;
@@ -34,7 +34,6 @@
         limits.earlyMs = settings.bounds.earlyMs;
         limits.visibleMs = settings.bounds.visibleMs;
         limits.remoteFactor = settings.bounds.remoteFactor;
-        limits.termValidityMs = election.validityMs;
         return limits;
     }
 
@@ -75,7 +74,7 @@
 void DispatcherService::beginTerm()
 {
     m_scheduler = std::make_unique<scheduler::Scheduler>();
-    m_scheduler->limits = toLimits(m_runtime.settings, m_term->state().limits);
+    m_scheduler->limits = toLimits(m_runtime.settings);
     m_scheduler->token = m_term->token();
     m_generation = std::make_shared<int>(0);
     m_isLoaded = false;
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -63,7 +63,8 @@
         // While ends wait for the store, the worker would repeat them at once.
         const bool isStoringEnds = !worker.unacknowledged.empty() && now - worker.reportedAt < endsPendingWaitMs
             && m_scheduler->dirty.count(worker.unacknowledged.back().job) > 0;
-        if (!link.isRenewing && now >= link.nextRenewalAt && !isStoringEnds)
+        // Without a valid term no lease is renewed: the next term counts on their end.
+        if (!link.isRenewing && now >= link.nextRenewalAt && !isStoringEnds && now < m_term->validUntil())
             renew(id, link);
     }
 }
@@ -94,6 +95,8 @@
     Link& link = found->second;
     const scheduler::Millis now = nowMs();
     link.isRenewing = false;
+    if (m_scheduler->workers.count(id) == 0) // forgotten while the call was on its way
+        return;
     if (result.has_value()) {
         link.failures = 0;
         scheduler::applyReport(*m_scheduler, id, result.value(), sentAt, now);
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -18,6 +18,7 @@
     constexpr scheduler::Millis defaultWaitMs = 3000; // ms; of callers that do not say how long they wait
     constexpr scheduler::Millis answerMarginMs = 400; // ms before the caller's deadline at which it gets its answer
     constexpr scheduler::Millis freshMs = 1500;       // ms; an older word of the scheduling daemon is checked in the store
+    constexpr scheduler::Millis pendingAgeMs = 2000;  // ms; an older number of waiting jobs is not told (platform bound)
     constexpr int retryAfterSeconds = 1;              // s; told to callers that were refused
 
     http::Response refusal(int status, const QByteArray& reason)
@@ -279,6 +280,10 @@
 
 void GatewayService::answerPending(const scheduler::Queue& queue, const http::Responder& responder)
 {
+    if (m_table->freshAt == 0 || nowMs() - m_table->freshAt > pendingAgeMs) {
+        respond(responder, refusal(503, "the number is not known at present"), "pending", {}, "feed too old");
+        return;
+    }
     const auto found = m_table->pending.find(queue.policy.name);
     const int jobs = found == m_table->pending.end() ? 0 : found->second;
     respond(responder, http::jsonResponse(200, platform::encodePending(jobs)), "pending", {}, std::to_string(jobs));
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -45,7 +45,7 @@
     Millis earlyMs = 250;          // tolerance of a start before its time (platform bound)
     double remoteFactor = 3;       // slow-down away from the data's rack (platform bound)
     double workerClockRate = 0.98; // slowest clock of a worker relative to ours (platform bound)
-    Millis termValidityMs = 1500;  // how long a leader trusts its last renewal (setting)
+    Millis callDelayMs = 400;      // a call of an earlier term may still be on its way (time-out of an order)
     Millis startDeadlineMs = 1500; // a start that arrives later is refused by the worker
     Millis leaseSlackMs = 150;     // margin on top of computed ends of leases
     Millis visibleMs = 3000;       // accepted jobs are visible everywhere within this (platform bound)
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -19,6 +19,13 @@
     // An unlisted worker is kept this long after it stopped answering and its lease has run out.
     constexpr Millis forgetWorkerMs = 2000;
 
+    // Earlier terms renewed nothing after this one began, but for calls that were on their way.
+    Millis earlierLeasesOverAt(const Scheduler& scheduler)
+    {
+        const double longest = static_cast<double>(scheduler.limits.maxHoldMs) / scheduler.limits.workerClockRate;
+        return scheduler.termStartedAt + scheduler.limits.callDelayMs + static_cast<Millis>(longest);
+    }
+
     bool isEnded(const Task& task) { return task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed; }
 
     void updateEntry(Scheduler& scheduler, Worker& worker, const WorkerEntry& entry, Millis now)
@@ -216,9 +223,7 @@
             // A worker that joins during the term holds no lease of an earlier one.
             found->second.leaseOverAt = scheduler.hasWorkerList && now - scheduler.termStartedAt > scheduler.limits.maxHoldMs
                 ? now
-                : scheduler.termStartedAt + scheduler.limits.termValidityMs + scheduler.limits.startDeadlineMs
-                    + static_cast<Millis>(
-                        static_cast<double>(scheduler.limits.maxHoldMs) / scheduler.limits.workerClockRate);
+                : earlierLeasesOverAt(scheduler);
             note(scheduler, { "workerListed", {}, {}, entry.id, 0, "new", { { "cpu", entry.capacity.cpuMillicores } } });
         }
         updateEntry(scheduler, found->second, entry, now);
@@ -243,8 +248,7 @@
         worker.entry = entry;
         worker.isListed = false;
         worker.unlistedSince = now;
-        worker.leaseOverAt = scheduler.termStartedAt + scheduler.limits.termValidityMs + scheduler.limits.startDeadlineMs
-            + static_cast<Millis>(static_cast<double>(scheduler.limits.maxHoldMs) / scheduler.limits.workerClockRate);
+        worker.leaseOverAt = earlierLeasesOverAt(scheduler);
     }
 }
 
