Keep the learned interference for the next term

Cause: each change of the scheduling daemon began with an empty table; fills were stopped again until it was learned.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr int tickMs = 50;            // ms; resolution of the periods of this service
+    constexpr scheduler::Millis interferenceMs = 3000; // ms between writes of the learned interference
     constexpr int planGapMs = 15;         // ms; reports that arrive together lead to one plan
     constexpr int retryMs = 250;          // ms after a failed call to the store
     constexpr int watchWaitMs = 2000;     // ms; a silent connection is noticed within this and the store's margin
@@ -180,11 +181,26 @@
     m_progress = {};
     m_isLoaded = true;
     m_workersListedAt = 0;
+    m_interferenceStoredAt = now;
+    loadInterference();
     watchJobs();
     listWorkers();
     m_tick.start(tickMs);
 }
 
+// Not needed for a correct start: the table only improves the choice of workers.
+void DispatcherService::loadInterference()
+{
+    const std::weak_ptr<int> generation = m_generation;
+    m_runtime.store->read(storeKeys::interference,
+        [this, generation](const base::Result<platform::Item, platform::StoreError>& result) {
+            if (generation.expired() || result.has_error())
+                return;
+            if (!scheduler::decodeInterference(m_scheduler->interference, result.value().value))
+                kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "interferenceRefused", {});
+        });
+}
+
 // --- Jobs ---
 
 void DispatcherService::applyAccepted(const platform::Item& item, bool isNewInTerm)
@@ -323,6 +339,18 @@
     m_table->pending = scheduler::pendingJobs(*m_scheduler);
 }
 
+// The next term starts with what this one has learned.
+void DispatcherService::storeInterference()
+{
+    const scheduler::Millis now = nowMs();
+    if (now - m_interferenceStoredAt < interferenceMs || m_scheduler->interference.slopes.empty())
+        return;
+    m_interferenceStoredAt = now;
+    const QByteArray table = scheduler::encodeInterference(m_scheduler->interference);
+    kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "interferenceStored", { { "table", table.toStdString() } });
+    m_term->commit({ { storeKeys::interference, table } }, [] { });
+}
+
 // The next term must know the workers that may hold runs of this one, also those that are not announced any more.
 void DispatcherService::storeWorkers()
 {
@@ -356,6 +384,7 @@
     m_scheduler->validUntil = m_configuration->isLoaded() ? m_scheduler->validUntil : 0;
     carryOut(scheduler::plan(*m_scheduler, nowMs(), base::wallClockMs()));
     updateTable();
+    storeInterference();
     storeProgress();
     logDecisions();
 }
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -50,6 +50,8 @@
     void listWorkers();
     void storeProgress();
     void storeWorkers();
+    void storeInterference();
+    void loadInterference();
 
     // --- Workers ---
     void renewDue();
@@ -86,6 +88,7 @@
     QTimer m_tick;
     scheduler::Millis m_workersListedAt = 0;
     bool m_isListingWorkers = false;
+    scheduler::Millis m_interferenceStoredAt = 0;
     http::ChannelCounters m_traffic; // with workers
 };
 
