--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -17,7 +17,7 @@
     constexpr Millis lastingStartupMs = 4000;     // ms; a lasting task that is still starting up is restarted elsewhere
     constexpr Millis freshReportMs = 2500;        // ms; older reports say nothing about progress
     constexpr Millis stalledWorkerMs = 4000;      // ms without new tasks for a worker whose task stood still
-    constexpr double servingLoad = 0.6;           // share of its cpu that a serving task uses at most times
+    constexpr double servingLoad = 0.45;           // share of its cpu that a serving task uses on average
     constexpr double fillShare = 0.75;            // a filling task starts with at least this share of its cpu
     constexpr double disturbanceLimit = 0.8;      // of the way to a serving task's target; more is not placed
     constexpr Millis trialWaitMs = 1500;          // ms of waiting after which a disturbing pair is tried again
