--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -92,8 +92,7 @@
             if (ready != m_wasReady)
                 kernel::logEvent(kernel::LogLevel::Info, "admin", "readiness",
                     { { "isReady", ready }, { "hasConfiguration", m_configuration->isLoaded() },
-                        { "isStoreReachable", isStoreReachable(m_runtime) },
-                        { "isStopping", m_runtime.isStopping } });
+                        { "isStoreReachable", isStoreReachable(m_runtime) }, { "isStopping", m_runtime.isStopping } });
             m_wasReady = ready;
             responder.respond(http::jsonResponse(ready ? 200 : 503, "{}"));
         });
@@ -150,8 +149,8 @@
         { "configurationVersion",
             m_configuration->isLoaded() ? static_cast<qint64>(m_configuration->current().version) : -1 },
         { "feedAgeMs", m_table->freshAt > 0 ? static_cast<qint64>(now - m_table->freshAt) : -1 },
-        { "knownJobs", static_cast<qint64>(m_table->jobs.size()) },
-        { "cpuSeconds", processorSeconds() }, { "residentBytes", residentBytes() } };
+        { "knownJobs", static_cast<qint64>(m_table->jobs.size()) }, { "cpuSeconds", processorSeconds() },
+        { "residentBytes", residentBytes() } };
     QJsonArray withdrawn;
     for (const std::string& dataCentre : m_configuration->withdrawn())
         withdrawn.append(toQString(dataCentre));
@@ -189,7 +188,10 @@
 {
     const auto known = m_table->jobs.find(id);
     if (known == m_table->jobs.end())
-        return http::ProblemBuilder(404, "unknownJob").detail("this daemon does not know the job").executedNo().response();
+        return http::ProblemBuilder(404, "unknownJob")
+            .detail("this daemon does not know the job")
+            .executedNo()
+            .response();
     QJsonObject object { { "id", toQString(id) },
         { "state", toQString(base::nameOf(scheduler::jobStateNames, known->second.state)) } };
     const scheduler::Scheduler* scheduler = m_dispatcher->scheduler();
@@ -201,11 +203,12 @@
                 const auto& list = occurrence.steps[step].tasks;
                 for (std::size_t index = 0; index < list.size(); ++index)
                     tasks.append(QJsonObject { { "task",
-                                                   toQString(scheduler::taskName(id, number, static_cast<int>(step),
-                                                       static_cast<int>(index))) },
+                                                   toQString(scheduler::taskName(
+                                                       id, number, static_cast<int>(step), static_cast<int>(index))) },
                         { "phase", phaseName(list[index].phase) }, { "run", list[index].run },
-                        { "failures", static_cast<qint64>(list[index].failedRuns.size()) }, { "worker", toQString(list[index].worker) },
-                        { "percent", list[index].percent }, { "pace", list[index].pace } });
+                        { "failures", static_cast<qint64>(list[index].failedRuns.size()) },
+                        { "worker", toQString(list[index].worker) }, { "percent", list[index].percent },
+                        { "pace", list[index].pace } });
             }
         }
         object["queue"] = toQString(found->second->policy.name);
@@ -217,9 +220,8 @@
 http::Response AdminService::metrics() const
 {
     base::Metrics& registry = m_runtime.metrics;
-    const auto gauge = [&registry](const char* name, const char* help, double value) {
-        registry.gauge(name, help).value = value;
-    };
+    const auto gauge
+        = [&registry](const char* name, const char* help, double value) { registry.gauge(name, help).value = value; };
     const platform::StoreCounters& store = m_runtime.store->counters();
     gauge("lacewing_store_reads", "Reads of one key since the start.", static_cast<double>(store.reads));
     gauge("lacewing_store_lists", "Pages of lists read since the start.", static_cast<double>(store.lists));
--- a/src/daemon/configuration_service.cpp
+++ b/src/daemon/configuration_service.cpp
@@ -90,7 +90,8 @@
             m_withdrawn.erase(dataCentre);
         else
             m_withdrawn.insert(dataCentre);
-        kernel::logEvent(kernel::LogLevel::Info, "configuration", item.isDeleted ? "dataCentreReturned" : "dataCentreWithdrawn",
+        kernel::logEvent(kernel::LogLevel::Info, "configuration",
+            item.isDeleted ? "dataCentreReturned" : "dataCentreWithdrawn",
             { { "dataCentreName", dataCentre }, { "revision", item.revision } });
         return;
     }
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -12,12 +12,12 @@
 
 namespace {
 
-    constexpr int tickMs = 50;            // ms; resolution of the periods of this service
+    constexpr int tickMs = 50;                         // ms; resolution of the periods of this service
     constexpr scheduler::Millis interferenceMs = 3000; // ms between writes of the learned interference
-    constexpr int planGapMs = 15;         // ms; reports that arrive together lead to one plan
-    constexpr int retryMs = 250;          // ms after a failed call to the store
-    constexpr int watchWaitMs = 2000;     // ms; a silent connection is noticed within this and the store's margin
-    constexpr int watchGapMs = 40;        // ms between watch calls, which gathers jobs that arrive together
+    constexpr int planGapMs = 15;                      // ms; reports that arrive together lead to one plan
+    constexpr int retryMs = 250;                       // ms after a failed call to the store
+    constexpr int watchWaitMs = 2000; // ms; a silent connection is noticed within this and the store's margin
+    constexpr int watchGapMs = 40;    // ms between watch calls, which gathers jobs that arrive together
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction, the term's own entries off
 
     bool endsWith(const std::string& text, const std::string& suffix)
@@ -192,8 +192,8 @@
 void DispatcherService::loadInterference()
 {
     const std::weak_ptr<int> generation = m_generation;
-    m_runtime.store->read(storeKeys::interference,
-        [this, generation](const base::Result<platform::Item, platform::StoreError>& result) {
+    m_runtime.store->read(
+        storeKeys::interference, [this, generation](const base::Result<platform::Item, platform::StoreError>& result) {
             if (generation.expired() || result.has_error())
                 return;
             if (!scheduler::decodeInterference(m_scheduler->interference, result.value().value))
@@ -212,8 +212,8 @@
         id.resize(id.size() - storeKeys::cancelSuffix.size());
         if (!isNewInTerm) // applied once the jobs are there
             return;
-        kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "cancelSeen",
-            { { "job", id }, { "revision", item.revision } });
+        kernel::logEvent(
+            kernel::LogLevel::Info, "dispatcher", "cancelSeen", { { "job", id }, { "revision", item.revision } });
         scheduler::cancelJob(*m_scheduler, id, nowMs());
         return;
     }
@@ -348,7 +348,7 @@
     m_interferenceStoredAt = now;
     const QByteArray table = scheduler::encodeInterference(m_scheduler->interference);
     kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "interferenceStored", { { "table", table.toStdString() } });
-    m_term->commit({ { storeKeys::interference, table } }, [] { });
+    m_term->commit({ { storeKeys::interference, table } }, [] {});
 }
 
 // The next term must know the workers that may hold runs of this one, also those that are not announced any more.
@@ -360,7 +360,7 @@
     if (ids == m_storedWorkers)
         return;
     m_storedWorkers = ids;
-    m_term->commit({ { storeKeys::workers, scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler)) } }, [] { });
+    m_term->commit({ { storeKeys::workers, scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler)) } }, [] {});
 }
 
 // --- Plan ---
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -32,7 +32,7 @@
     struct Link {
         std::unique_ptr<platform::WorkerLink> calls;
         std::string address;
-        int failures = 0;      // renewals without an answer, in a row
+        int failures = 0; // renewals without an answer, in a row
         bool isRenewing = false;
         scheduler::Millis nextRenewalAt = 0;
     };
@@ -56,8 +56,9 @@
     // --- Workers ---
     void renewDue();
     void renew(const std::string& worker, Link& link);
-    void applyRenewal(const std::string& worker, const base::Result<scheduler::WorkerReport, platform::LinkError>& result,
-        scheduler::Millis sentAt, bool isLook);
+    void applyRenewal(const std::string& worker,
+        const base::Result<scheduler::WorkerReport, platform::LinkError>& result, scheduler::Millis sentAt,
+        bool isLook);
     void carryOut(scheduler::Orders orders);
     void sendStart(const scheduler::StartOrder& order, int attempt);
 
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-    constexpr int failuresUntilLost = 2;  // renewals without an answer in a row
-    constexpr int lostRetryMs = 400;      // ms between attempts to reach a lost worker
+    constexpr int failuresUntilLost = 2;   // renewals without an answer in a row
+    constexpr int lostRetryMs = 400;       // ms between attempts to reach a lost worker
     constexpr int endsPendingWaitMs = 300; // ms; longest pause of the renewals of a worker whose ends are being stored
-    constexpr int startAttempts = 2;      // the second one repeats the first, which a worker carries out once
+    constexpr int startAttempts = 2;       // the second one repeats the first, which a worker carries out once
 
 } // namespace
 
@@ -57,8 +57,8 @@
         Link& link = m_links[id];
         if (!link.calls) {
             link.address = worker.entry.address;
-            link.calls = std::make_unique<platform::WorkerLink>(
-                link.address, id, platform::LinkTimeouts {}, &m_traffic);
+            link.calls
+                = std::make_unique<platform::WorkerLink>(link.address, id, platform::LinkTimeouts {}, &m_traffic);
         }
         // While ends wait for the store, the worker would repeat them at once.
         const bool isStoringEnds = !worker.unacknowledged.empty() && now - worker.reportedAt < endsPendingWaitMs
@@ -112,7 +112,8 @@
         scheduler::forgetRuns(*m_scheduler, id, now);
         planSoon();
     } else if (error == platform::LinkError::Fenced) {
-        kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "fenced", { { "worker", id }, { "token", m_term->token() } });
+        kernel::logEvent(
+            kernel::LogLevel::Warning, "dispatcher", "fenced", { { "worker", id }, { "token", m_term->token() } });
         m_term->suspectLoss();
     } else if (++link.failures >= failuresUntilLost || error == platform::LinkError::Refused) {
         scheduler::loseContact(*m_scheduler, id, now);
@@ -126,11 +127,11 @@
 {
     for (const scheduler::StopOrder& order : orders.stops) {
         if (const auto link = m_links.find(order.worker); link != m_links.end())
-            link->second.calls->stop(m_term->token(), order, [](bool) { });
+            link->second.calls->stop(m_term->token(), order, [](bool) {});
     }
     for (const scheduler::PaceOrder& order : orders.paces) {
         if (const auto link = m_links.find(order.worker); link != m_links.end())
-            link->second.calls->pace(m_term->token(), order, [](bool) { });
+            link->second.calls->pace(m_term->token(), order, [](bool) {});
     }
     for (const scheduler::StartOrder& order : orders.starts)
         sendStart(order, 1);
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -17,9 +17,9 @@
     constexpr int retryMs = 60;                       // ms between attempts of uncertain submissions
     constexpr scheduler::Millis defaultWaitMs = 3000; // ms; of callers that do not say how long they wait
     constexpr scheduler::Millis answerMarginMs = 400; // ms before the caller's deadline at which it gets its answer
-    constexpr scheduler::Millis freshMs = 1500;       // ms; an older word of the scheduling daemon is checked in the store
-    constexpr scheduler::Millis pendingAgeMs = 2000;  // ms; an older number of waiting jobs is not told (platform bound)
-    constexpr int retryAfterSeconds = 1;              // s; told to callers that were refused
+    constexpr scheduler::Millis freshMs = 1500; // ms; an older word of the scheduling daemon is checked in the store
+    constexpr scheduler::Millis pendingAgeMs = 2000; // ms; an older number of waiting jobs is not told (platform bound)
+    constexpr int retryAfterSeconds = 1;             // s; told to callers that were refused
 
     http::Response refusal(int status, const QByteArray& reason)
     {
@@ -59,8 +59,8 @@
     m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
     http::ServerLimits limits;
     limits.pathBodies.clear();
-    m_server = std::make_unique<http::Server>(limits,
-        [this](const http::Request& request, const http::Responder& responder) { handle(request, responder); });
+    m_server = std::make_unique<http::Server>(
+        limits, [this](const http::Request& request, const http::Responder& responder) { handle(request, responder); });
     const QString address = QString::fromStdString(m_runtime.settings.callerAddress);
     const auto port = m_server->listen(QHostAddress(address.section(':', 0, -2)), address.section(':', -1).toUShort());
     return port.has_error() ? port.error().detail : std::string();
@@ -73,8 +73,10 @@
 void GatewayService::respond(const http::Responder& responder, const http::Response& response, const char* operation,
     const std::string& id, const std::string& outcome)
 {
-    m_runtime.metrics.counter("lacewing_job_requests_total", "Job requests by operation and status.",
-        { { "operation", operation }, { "status", std::to_string(response.status) } }).value++;
+    m_runtime.metrics
+        .counter("lacewing_job_requests_total", "Job requests by operation and status.",
+            { { "operation", operation }, { "status", std::to_string(response.status) } })
+        .value++;
     kernel::logEvent(kernel::LogLevel::Info, "gateway", operation,
         { { "job", id }, { "status", response.status },
             { "version", m_configuration->isLoaded() ? m_configuration->current().version : 0 },
@@ -152,8 +154,8 @@
     while (!m_submissions.empty() && batch.size() < submissionsPerCommit) {
         Submission& next = m_submissions.front();
         const std::string key = storeKeys::acceptedPrefix + next.id;
-        const bool isTwice = std::any_of(
-            batch.begin(), batch.end(), [&](const Submission& other) { return other.id == next.id; });
+        const bool isTwice
+            = std::any_of(batch.begin(), batch.end(), [&](const Submission& other) { return other.id == next.id; });
         if (isTwice)
             break; // its turn comes with the next call, which finds the first one's record
         transaction.conditions.push_back({ key, 0 });
@@ -184,16 +186,15 @@
     if (error.code == platform::StoreCode::Conflict) {
         std::vector<Submission> others;
         for (Submission& submission : batch) {
-            const bool isThere = std::any_of(error.current.begin(), error.current.end(), [&](const platform::Item& item) {
-                return item.key == storeKeys::acceptedPrefix + submission.id;
-            });
+            const bool isThere = std::any_of(error.current.begin(), error.current.end(),
+                [&](const platform::Item& item) { return item.key == storeKeys::acceptedPrefix + submission.id; });
             if (isThere)
                 accept(submission, "already stored");
             else
                 others.push_back(std::move(submission));
         }
-        m_submissions.insert(m_submissions.begin(), std::make_move_iterator(others.begin()),
-            std::make_move_iterator(others.end()));
+        m_submissions.insert(
+            m_submissions.begin(), std::make_move_iterator(others.begin()), std::make_move_iterator(others.end()));
         return;
     }
     std::vector<Submission> uncertain;
@@ -204,8 +205,8 @@
         else
             giveUp(submission, error.detail);
     }
-    m_submissions.insert(m_submissions.begin(), std::make_move_iterator(uncertain.begin()),
-        std::make_move_iterator(uncertain.end()));
+    m_submissions.insert(
+        m_submissions.begin(), std::make_move_iterator(uncertain.begin()), std::make_move_iterator(uncertain.end()));
     if (!m_submissions.empty())
         m_retry.start(retryMs);
 }
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -1,5 +1,5 @@
-// What all services of one daemon process share: settings, identity, metrics, the store and the kernel in which services
-// find each other by name.
+// What all services of one daemon process share: settings, identity, metrics, the store and the kernel in which
+// services find each other by name.
 #pragma once
 
 #include "base/metrics.h"
@@ -44,11 +44,11 @@
 // Keys of the project in the store.
 namespace storeKeys {
     inline const std::string term = "lacewing/term";
-    inline const std::string workers = "lacewing/workers";      // known workers, for the next term
+    inline const std::string workers = "lacewing/workers";           // known workers, for the next term
     inline const std::string interference = "lacewing/interference"; // learned effects between images
-    inline const std::string acceptedPrefix = "lacewing/in/";   // accepted jobs by id, and requests to cancel them
-    inline const std::string cancelSuffix = "/cancel";          // after the key of an accepted job
-    inline const std::string progressPrefix = "lacewing/jobs/"; // progress by id, written by the scheduling daemon
+    inline const std::string acceptedPrefix = "lacewing/in/";        // accepted jobs by id, and requests to cancel them
+    inline const std::string cancelSuffix = "/cancel";               // after the key of an accepted job
+    inline const std::string progressPrefix = "lacewing/jobs/";      // progress by id, written by the scheduling daemon
 } // namespace storeKeys
 
 } // namespace lacewing::daemon
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -197,7 +197,11 @@
 
     constexpr Field rootFields[] = {
         { .key = "daemon", .type = FieldType::Object, .isRequired = true, .doc = "identity", .fields = daemonFields },
-        { .key = "listen", .type = FieldType::Object, .isRequired = true, .doc = "own addresses", .fields = listenFields },
+        { .key = "listen",
+            .type = FieldType::Object,
+            .isRequired = true,
+            .doc = "own addresses",
+            .fields = listenFields },
         { .key = "store", .type = FieldType::Object, .isRequired = true, .doc = "the store", .fields = storeFields },
         { .key = "bounds", .type = FieldType::Object, .doc = "bounds of the platform", .fields = boundsFields },
         { .key = "scheduler", .type = FieldType::Object, .doc = "scheduling", .fields = schedulerFields },
@@ -262,8 +266,8 @@
         settings.workerListMs = scheduler["workerListMs"].toInt();
         settings.leaseWaitMs = scheduler["leaseWaitMs"].toInt();
         settings.leaseGapMs = scheduler["leaseGapMs"].toInt();
-        settings.logLevel = base::valueOf(kernel::logLevelNames, text(object["log"]["level"]))
-                                .value_or(kernel::LogLevel::Info);
+        settings.logLevel
+            = base::valueOf(kernel::logLevelNames, text(object["log"]["level"])).value_or(kernel::LogLevel::Info);
         settings.logLinesPerSecond = object["log"]["linesPerSecond"].toInt();
         return settings;
     }
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-    constexpr int requestTimeoutMs = 600;     // ms; below the time after which the term may be taken over
-    constexpr int failuresUntilRedial = 2;    // a silent connection is replaced after so many lost answers
-    constexpr int changesPerReply = 500;      // job states in one answer
+    constexpr int requestTimeoutMs = 600;      // ms; below the time after which the term may be taken over
+    constexpr int failuresUntilRedial = 2;     // a silent connection is replaced after so many lost answers
+    constexpr int changesPerReply = 500;       // job states in one answer
     constexpr scheduler::Millis probeMs = 400; // ms between reads of the store on behalf of a leader that has lost it
 
     peer::PeerLimits peerLimits()
@@ -142,7 +142,7 @@
         return;
     m_feedTerm = reply["token"].toInteger();
     m_feedHave = reply["next"].toInteger();
-    for (const QJsonValue& change : reply["changes"].toArray()) {
+    for (const QJsonValue change : reply["changes"].toArray()) {
         if (const auto jobState = base::valueOf(scheduler::jobStateNames, text(change[1])))
             applyState(*m_table, text(change[0]), *jobState, now);
     }
@@ -159,7 +159,7 @@
         return;
     m_probedAt = nowMs();
     // Only whether the store answers counts; it is kept in its health.
-    m_runtime.store->read(storeKeys::term, [](const base::Result<platform::Item, platform::StoreError>&) { });
+    m_runtime.store->read(storeKeys::term, [](const base::Result<platform::Item, platform::StoreError>&) {});
 }
 
 // --- Scheduling daemon ---
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr int tickMs = 25;      // ms; resolution of the election's periods
+    constexpr int tickMs = 25;        // ms; resolution of the election's periods
     constexpr int resignWaitMs = 800; // ms; a resignation that is not stored by then is left to the others' time-out
     // One entry of a transaction is the condition and one the record of the term.
     constexpr std::size_t writesPerCommit = platform::maxTransactionEntries - 2;
@@ -51,16 +51,15 @@
 {
     m_isBusy = true;
     m_election.polledAt = nowMs();
-    m_runtime.store->read(
-        storeKeys::term, [this](const base::Result<platform::Item, platform::StoreError>& result) {
-            m_isBusy = false;
-            if (result.has_value())
-                election::observe(
-                    m_election, election::decodeRecord(result.value().value), result.value().revision, nowMs());
-            else if (result.error().code == platform::StoreCode::Missing)
-                election::observe(m_election, std::nullopt, 0, nowMs());
-            tick();
-        });
+    m_runtime.store->read(storeKeys::term, [this](const base::Result<platform::Item, platform::StoreError>& result) {
+        m_isBusy = false;
+        if (result.has_value())
+            election::observe(
+                m_election, election::decodeRecord(result.value().value), result.value().revision, nowMs());
+        else if (result.error().code == platform::StoreCode::Missing)
+            election::observe(m_election, std::nullopt, 0, nowMs());
+        tick();
+    });
 }
 
 void TermService::write(bool isResigning)
@@ -82,8 +81,8 @@
             transaction.writes.insert(transaction.writes.end(), commit.writes.begin(), commit.writes.end());
         }
     }
-    m_runtime.store->commit(transaction,
-        [this, record, sentAt, commits](const base::Result<std::int64_t, platform::StoreError>& result) {
+    m_runtime.store->commit(
+        transaction, [this, record, sentAt, commits](const base::Result<std::int64_t, platform::StoreError>& result) {
             m_isBusy = false;
             if (result.has_value()) {
                 const bool wasLeader = isLeader();
@@ -109,7 +108,8 @@
         });
 }
 
-// The condition did not hold: the record is another daemon's, or an earlier write of this process whose answer was lost.
+// The condition did not hold: the record is another daemon's, or an earlier write of this process whose answer was
+// lost.
 void TermService::applyConflict(const std::vector<platform::Item>& current, scheduler::Millis sentAt)
 {
     std::optional<election::Record> record;
@@ -120,15 +120,15 @@
             revision = item.revision;
         }
     }
-    const bool isOwn
-        = record && record->leader == m_election.self && record->incarnation == m_election.incarnation;
+    const bool isOwn = record && record->leader == m_election.self && record->incarnation == m_election.incarnation;
     if (isOwn && isLeader() && !record->isResigned) {
         election::applyStanding(m_election, revision, sentAt);
         return;
     }
     if (isOwn && !isLeader() && record->token == 0 && !record->isResigned) { // own take-over, whose answer was lost
         election::applyWritten(m_election, *record, revision, sentAt, nowMs());
-        kernel::logEvent(kernel::LogLevel::Info, "term", "elected", { { "token", token() }, { "afterLostAnswer", true } });
+        kernel::logEvent(
+            kernel::LogLevel::Info, "term", "elected", { { "token", token() }, { "afterLostAnswer", true } });
         m_onElected();
         return;
     }
@@ -142,9 +142,9 @@
     for (std::size_t begin = 0; begin < writes.size(); begin += writesPerCommit) {
         const std::size_t end = std::min(writes.size(), begin + writesPerCommit);
         Commit commit;
-        commit.writes.assign(writes.begin() + static_cast<std::ptrdiff_t>(begin),
-            writes.begin() + static_cast<std::ptrdiff_t>(end));
-        commit.callback = end == writes.size() ? std::move(callback) : [] { };
+        commit.writes.assign(
+            writes.begin() + static_cast<std::ptrdiff_t>(begin), writes.begin() + static_cast<std::ptrdiff_t>(end));
+        commit.callback = end == writes.size() ? std::move(callback) : [] {};
         m_commits.push_back(std::move(commit));
     }
     tick();
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -62,7 +62,7 @@
     Runtime& m_runtime;
     election::Election m_election;
     QTimer m_timer;
-    bool m_isBusy = false;     // an election call is in flight
+    bool m_isBusy = false;            // an election call is in flight
     std::function<void()> m_resigned; // set while resigning
     std::deque<Commit> m_commits;
     scheduler::Millis m_committedAt = 0;
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -50,8 +50,7 @@
     if (election.isKnown && !election.isStopping) {
         const bool isFree = !election.record || election.record->isResigned || election.isLeaderDead
             || (election.record->leader == election.self && election.record->incarnation != election.incarnation);
-        const bool isSilent
-            = now - std::max(election.changedAt, election.contactAt) >= limits.takeoverMs && isMissing;
+        const bool isSilent = now - std::max(election.changedAt, election.contactAt) >= limits.takeoverMs && isMissing;
         if ((isFree || isSilent) && now - election.renewTriedAt >= limits.pollMs)
             return Action::TakeOver;
     }
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -29,23 +29,23 @@
 using Millis = std::int64_t; // of the daemon's boot-time clock
 
 struct Limits {
-    Millis renewMs = 500;     // between renewals
-    Millis validityMs = 1500; // trust in the last renewal; above two renewals and a lost answer
-    Millis takeoverMs = 1800; // validityMs and a margin for different clock rates
-    Millis contactMs = 700;   // a leader that was not heard of for so long is looked for in the store
-    Millis pollMs = 300;      // between reads of the record while the leader is missing
+    Millis renewMs = 500;        // between renewals
+    Millis validityMs = 1500;    // trust in the last renewal; above two renewals and a lost answer
+    Millis takeoverMs = 1800;    // validityMs and a margin for different clock rates
+    Millis contactMs = 700;      // a leader that was not heard of for so long is looked for in the store
+    Millis pollMs = 300;         // between reads of the record while the leader is missing
     Millis peerMemoryMs = 30000; // a daemon that was not heard of for so long is gone and promises nothing
-    Millis handOverMs = 900;  // a leader without the store for so long hands over to a daemon that reaches it
+    Millis handOverMs = 900;     // a leader without the store for so long hands over to a daemon that reaches it
 };
 
 // The record. `sequence` tells the writer's own writes apart after a lost answer.
 struct Record {
-    std::string leader;             // name of the daemon
-    std::int64_t incarnation = 0;   // of its process
-    std::string peerAddress;        // HOST:PORT for other daemons
-    std::int64_t sequence = 0;      // rises with each write of the process
-    std::int64_t token = 0;         // 0 in the first write of a term, whose revision is the token
-    bool isResigned = false;        // the leader has stopped: anyone may take over at once
+    std::string leader;           // name of the daemon
+    std::int64_t incarnation = 0; // of its process
+    std::string peerAddress;      // HOST:PORT for other daemons
+    std::int64_t sequence = 0;    // rises with each write of the process
+    std::int64_t token = 0;       // 0 in the first write of a term, whose revision is the token
+    bool isResigned = false;      // the leader has stopped: anyone may take over at once
 };
 
 QByteArray encodeRecord(const Record& record);
@@ -70,9 +70,9 @@
 } };
 
 struct Peer {
-    Millis heardAt = 0;   // last message
+    Millis heardAt = 0;    // last message
     Millis promisedAt = 0; // it will not take over before promisedAt + takeoverMs
-    Millis storeOkAt = 0; // last time that it reached the store, by its own word
+    Millis storeOkAt = 0;  // last time that it reached the store, by its own word
 };
 
 struct Election {
@@ -88,9 +88,9 @@
     Millis changedAt = 0;      // first sight of this revision
     Millis polledAt = 0;
     // --- Follower ---
-    Millis contactAt = 0;       // last answer of the leader
-    bool isLeaderDead = false;  // the leader's process is known to have ended or to have stopped leading
-    bool isStopping = false;    // takes nothing over
+    Millis contactAt = 0;      // last answer of the leader
+    bool isLeaderDead = false; // the leader's process is known to have ended or to have stopped leading
+    bool isStopping = false;   // takes nothing over
     // --- Leader ---
     Role role = Role::Follower;
     std::int64_t token = 0;
--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -201,7 +201,8 @@
                 idleTimer.start(limits.idleCloseMs);
         }
         // The callback may destroy the channel: everything else runs in a later turn.
-        QMetaObject::invokeMethod(this, [this] { pump(); }, Qt::QueuedConnection);
+        QMetaObject::invokeMethod(
+            this, [this] { pump(); }, Qt::QueuedConnection);
         exchange.callback(std::move(result));
     }
 
@@ -246,7 +247,8 @@
     const base::TimePoint deadline = base::monotonicNow() + base::milliseconds(request.timeoutMs);
     state->queue.push_back({ std::move(request), std::move(callback), deadline });
     if (state->queue.size() == 1)
-        QMetaObject::invokeMethod(state, [state] { state->pump(); }, Qt::QueuedConnection);
+        QMetaObject::invokeMethod(
+            state, [state] { state->pump(); }, Qt::QueuedConnection);
 }
 
 int Channel::pending() const { return static_cast<int>(m_state->queue.size()); }
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -21,8 +21,8 @@
         LogLimits limits;
         LogCounters counters;
         int descriptor = 1;
-        std::string buffer;       // lines not yet written
-        std::int64_t second = 0;  // of the clock, for linesPerSecond
+        std::string buffer;      // lines not yet written
+        std::int64_t second = 0; // of the clock, for linesPerSecond
         int linesThisSecond = 0;
     };
 
@@ -144,8 +144,7 @@
 
 } // namespace
 
-void openLog(
-    LogLevel level, const std::string& dataCentre, const std::string& daemon, LogLimits limits, int descriptor)
+void openLog(LogLevel level, const std::string& dataCentre, const std::string& daemon, LogLimits limits, int descriptor)
 {
     LogContext& log = context();
     log.limits = limits;
@@ -205,7 +204,8 @@
     LogContext& log = context();
     std::size_t position = 0;
     while (position < log.buffer.size()) {
-        const ssize_t written = ::write(log.descriptor, log.buffer.data() + position, pieceLength(log.buffer, position));
+        const ssize_t written
+            = ::write(log.descriptor, log.buffer.data() + position, pieceLength(log.buffer, position));
         if (written < 0 && errno == EINTR)
             continue;
         if (written <= 0)
--- a/src/scheduler/interference.cpp
+++ b/src/scheduler/interference.cpp
@@ -10,14 +10,14 @@
 
 namespace {
 
-    constexpr double aloneStartMs = 5;      // ms; a serving image that was never seen alone
-    constexpr double aloneGain = 0.1;       // weight of the newest reading without fills
-    constexpr double slopeGain = 0.4;       // share of the error that one reading corrects
-    constexpr double shareFloor = 0.004;    // keeps the correction bounded when hardly any processor is used
-    constexpr double readingCapMs = 500;    // higher readings say no more about a pair
-    constexpr double usedShare = 0.01;      // less use of a fill says nothing about it
-    constexpr double slopeMaxMs = 5000;     // ms for all processors of a worker
-    constexpr int knownReadings = 4;        // readings after which a pair counts as known
+    constexpr double aloneStartMs = 5;   // ms; a serving image that was never seen alone
+    constexpr double aloneGain = 0.1;    // weight of the newest reading without fills
+    constexpr double slopeGain = 0.4;    // share of the error that one reading corrects
+    constexpr double shareFloor = 0.004; // keeps the correction bounded when hardly any processor is used
+    constexpr double readingCapMs = 500; // higher readings say no more about a pair
+    constexpr double usedShare = 0.01;   // less use of a fill says nothing about it
+    constexpr double slopeMaxMs = 5000;  // ms for all processors of a worker
+    constexpr int knownReadings = 4;     // readings after which a pair counts as known
 
 } // namespace
 
@@ -90,8 +90,8 @@
     QJsonArray slopes;
     for (const auto& [fill, row] : table.slopes) {
         for (const auto& [serving, slope] : row)
-            slopes.append(QJsonArray { QString::fromStdString(serving), QString::fromStdString(fill), slope.msPerShare,
-                slope.readings });
+            slopes.append(QJsonArray {
+                QString::fromStdString(serving), QString::fromStdString(fill), slope.msPerShare, slope.readings });
     }
     return QJsonDocument(QJsonObject { { "aloneMs", alone }, { "slopes", slopes } }).toJson(QJsonDocument::Compact);
 }
@@ -105,7 +105,7 @@
     const QJsonObject alone = json["aloneMs"].toObject();
     for (auto it = alone.begin(); it != alone.end(); ++it)
         table.aloneMs[it.key().toStdString()] = it.value().toDouble();
-    for (const QJsonValue& row : json["slopes"].toArray())
+    for (const QJsonValue row : json["slopes"].toArray())
         table.slopes[row[1].toString().toStdString()][row[0].toString().toStdString()]
             = { row[2].toDouble(), row[3].toInt() };
     return true;
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -137,7 +137,8 @@
 std::optional<TaskRef> findTask(Scheduler& scheduler, const std::string& name)
 {
     const std::size_t third = name.rfind('.');
-    const std::size_t second = third == std::string::npos || third == 0 ? std::string::npos : name.rfind('.', third - 1);
+    const std::size_t second
+        = third == std::string::npos || third == 0 ? std::string::npos : name.rfind('.', third - 1);
     const std::size_t first
         = second == std::string::npos || second == 0 ? std::string::npos : name.rfind('.', second - 1);
     if (first == std::string::npos)
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -17,7 +17,7 @@
     constexpr Millis lastingStartupMs = 4000;     // ms; a lasting task that is still starting up is restarted elsewhere
     constexpr Millis freshReportMs = 2500;        // ms; older reports say nothing about progress
     constexpr Millis stalledWorkerMs = 4000;      // ms without new tasks for a worker whose task stood still
-    constexpr double servingLoad = 0.45;           // share of its cpu that a serving task uses on average
+    constexpr double servingLoad = 0.45;          // share of its cpu that a serving task uses on average
     constexpr double fillShare = 0.75;            // a filling task starts with at least this share of its cpu
     constexpr double disturbanceLimit = 0.8;      // of the way to a serving task's target; more is not placed
     constexpr Millis trialWaitMs = 1500;          // ms of waiting after which a disturbing pair is tried again
@@ -52,8 +52,8 @@
         Orders orders;
         std::vector<Candidate> candidates;
         double meanSlowness = 1;
-            std::map<std::string, int> stepOnWorker; // tasks of the step in hand on each worker
-        std::map<std::string, Room> rooms;       // by service
+        std::map<std::string, int> stepOnWorker;      // tasks of the step in hand on each worker
+        std::map<std::string, Room> rooms;            // by service
         std::map<const Worker*, double> disturbances; // by the step in hand, when it fills
     };
 
@@ -103,8 +103,9 @@
         task.lastStopAt = planner.now;
         const std::string name = taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index);
         planner.orders.stops.push_back({ task.worker, name, task.run });
-        note(planner.scheduler, { "stop", ref.job->request.id, name, task.worker, task.run, reason,
-                                    { { "percent", task.percent }, { "quietMs", planner.now - task.progressAt } } });
+        note(planner.scheduler,
+            { "stop", ref.job->request.id, name, task.worker, task.run, reason,
+                { { "percent", task.percent }, { "quietMs", planner.now - task.progressAt } } });
     }
 
     // A run on a draining worker moves when it cannot finish there.
@@ -317,8 +318,7 @@
         double score = (step.isFilling ? fillRoom(worker) : capacity - worker.cpuUsed) / capacity;
         // Serving tasks of one image share workers: what disturbs them then leaves the other workers usable.
         if (step.latencyTargetMs > 0)
-            score += 2 * sameImageShare(worker, step)
-                - std::min(1.0, disturbanceOf(planner.scheduler, worker, step));
+            score += 2 * sameImageShare(worker, step) - std::min(1.0, disturbanceOf(planner.scheduler, worker, step));
         if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack))
             score += 10;
         if (worker.slowness > slowWorker * planner.meanSlowness)
@@ -326,8 +326,8 @@
         return score - worker.failureScore;
     }
 
-    // A table that was learned wrong would never be corrected if the pair were never tried again: a filling task that has
-    // waited long may try, on a worker that was calm for a while.
+    // A table that was learned wrong would never be corrected if the pair were never tried again: a filling task that
+    // has waited long may try, on a worker that was calm for a while.
     double allowedDisturbance(const Planner& planner, const Worker& worker, const TaskRef& ref)
     {
         const Millis waited = planner.now - std::max(ref.task->since, ref.progress->readySince);
@@ -426,8 +426,8 @@
         }
         std::map<std::string, double> free;
         for (const auto& [id, worker] : planner.scheduler.workers)
-            free[rackOf(worker)] += step.isFilling ? fillRoom(worker)
-                                                   : worker.entry.capacity.cpuMillicores - worker.cpuUsed;
+            free[rackOf(worker)]
+                += step.isFilling ? fillRoom(worker) : worker.entry.capacity.cpuMillicores - worker.cpuUsed;
         std::vector<std::pair<double, std::string>> sorted;
         for (const auto& [rack, room] : free)
             sorted.emplace_back(room + (rack == step.dataRack ? 1e9 : 0), rack);
@@ -535,7 +535,8 @@
                     continue;
                 stray.lastStopAt = planner.now;
                 planner.orders.stops.push_back({ id, name, stray.run });
-                note(planner.scheduler, { "stop", name.substr(0, name.find('.')), name, id, stray.run, "stray run", {} });
+                note(planner.scheduler,
+                    { "stop", name.substr(0, name.find('.')), name, id, stray.run, "stray run", {} });
             }
         }
     }
--- a/src/scheduler/pressure.cpp
+++ b/src/scheduler/pressure.cpp
@@ -1,7 +1,7 @@
 // Serving tasks first: learns from their readings and stops the filling tasks that push them over their targets.
 //
-// A disturbing pair of images costs many times the target, so slowing the filling task down is not enough: it is stopped,
-// keeps its checkpoint, and starts again beside images that it does not disturb.
+// A disturbing pair of images costs many times the target, so slowing the filling task down is not enough: it is
+// stopped, keeps its checkpoint, and starts again beside images that it does not disturb.
 #include "scheduler/internal.h"
 
 #include <algorithm>
@@ -10,14 +10,14 @@
 
 namespace {
 
-    constexpr Millis readingWindowMs = 500;    // ms that a reading covers
-    constexpr Millis settleMs = 1000;          // ms after a stop until readings of the worker count again
-    constexpr double blameShare = 0.25;        // part of the excess that a filling task must cause to be stopped
-    constexpr double nearlyDonePercent = 85;   // a filling task that ends soon is left alone
+    constexpr Millis readingWindowMs = 500;  // ms that a reading covers
+    constexpr Millis settleMs = 1000;        // ms after a stop until readings of the worker count again
+    constexpr double blameShare = 0.25;      // part of the excess that a filling task must cause to be stopped
+    constexpr double nearlyDonePercent = 85; // a filling task that ends soon is left alone
     // A worker whose serving tasks stay over their targets: blame is spread over several fills or not learned yet.
-    constexpr Millis hotMs = 1300;             // ms after which small parts of the excess count as well
-    constexpr double hotBlameShare = 0.05;     // part of the excess that counts then
-    constexpr Millis veryHotMs = 2000;         // ms after which every filling task on the worker is stopped
+    constexpr Millis hotMs = 1300;         // ms after which small parts of the excess count as well
+    constexpr double hotBlameShare = 0.05; // part of the excess that counts then
+    constexpr Millis veryHotMs = 2000;     // ms after which every filling task on the worker is stopped
 
     std::vector<FillUse> fillUses(const Worker& worker)
     {
@@ -58,11 +58,10 @@
             ref.task->lastStopAt = now;
             worker.relievedAt = now;
             orders.stops.push_back({ worker.entry.id, name, ref.task->run });
-            note(scheduler, { "stop", ref.job->request.id, name, worker.entry.id, ref.task->run,
-                                "disturbs " + serving.step->image,
-                                { { "percent", ref.task->percent }, { "addedMs", static_cast<std::int64_t>(added) },
-                                    { "readingMs", serving.task->reading },
-                                    { "targetMs", serving.step->latencyTargetMs } } });
+            note(scheduler,
+                { "stop", ref.job->request.id, name, worker.entry.id, ref.task->run, "disturbs " + serving.step->image,
+                    { { "percent", ref.task->percent }, { "addedMs", static_cast<std::int64_t>(added) },
+                        { "readingMs", serving.task->reading }, { "targetMs", serving.step->latencyTargetMs } } });
         }
     }
 
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -66,7 +66,7 @@
         step.memoryMb = json["memoryMb"].toInt();
         step.gpus = json["gpus"].toInt();
         step.estimateMs = json["estimateMs"].toInt();
-        for (const QJsonValue& before : json["after"].toArray())
+        for (const QJsonValue before : json["after"].toArray())
             step.after.push_back(before.toInt());
         step.hasCheckpoints = json["hasCheckpoints"].toBool();
         step.isGang = json["isGang"].toBool();
@@ -173,7 +173,7 @@
             }
             task.endedRun = ended[key].toInt();
             task.run = task.endedRun;
-            for (const QJsonValue& run : failures[key].toArray())
+            for (const QJsonValue run : failures[key].toArray())
                 task.failedRuns.push_back(run.toInt());
             task.checkpoint = text(checkpoints[key]);
         }
@@ -210,7 +210,7 @@
     AcceptedJob job;
     job.request.id = text((*json)["id"]);
     job.request.payload = text((*json)["payload"]);
-    for (const QJsonValue& step : (*json)["steps"].toArray())
+    for (const QJsonValue step : (*json)["steps"].toArray())
         job.request.steps.push_back(stepFromJson(step.toObject()));
     job.request.repeatCount = (*json)["repeatCount"].toInt();
     job.request.firstStartUnixMs = (*json)["firstStartUnixMs"].toInteger();
@@ -293,14 +293,14 @@
     if (!document.isArray())
         return std::nullopt;
     std::vector<WorkerEntry> entries;
-    for (const QJsonValue& value : document.array()) {
+    for (const QJsonValue value : document.array()) {
         const QJsonObject json = value.toObject();
         WorkerEntry entry;
         entry.id = text(json["id"]);
         entry.service = text(json["service"]);
         entry.address = text(json["address"]);
         entry.dataCentre = text(json["dataCentre"]);
-        for (const QJsonValue& label : json["labels"].toArray())
+        for (const QJsonValue label : json["labels"].toArray())
             entry.labels.push_back(text(label));
         entry.capacity = { json["cpuMillicores"].toInt(), json["memoryMb"].toInt(), json["gpus"].toInt() };
         entry.bornUnixMs = json["bornUnixMs"].toInteger();
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -67,19 +67,19 @@
 
 struct Task {
     TaskPhase phase = TaskPhase::Waiting;
-    int run = 0;      // highest run number used
-    int endedRun = 0; // highest run whose end was applied; ends up to it are repeats
+    int run = 0;                 // highest run number used
+    int endedRun = 0;            // highest run whose end was applied; ends up to it are repeats
     std::vector<int> failedRuns; // runs that count against maxAttempts, each once
     std::string checkpoint;
     // --- Run in progress ---
     std::string worker;     // id; empty when none
     Worker* host = nullptr; // the same worker; null exactly when the id is empty
-    Millis since = 0;     // of the phase
-    Millis startedAt = 0; // of the run
+    Millis since = 0;       // of the phase
+    Millis startedAt = 0;   // of the run
     int percent = 0;
-    Millis progressAt = 0; // last change of percent
-    int reading = 0;       // see RunningTask
-    int pace = 100;        // ordered share of work
+    Millis progressAt = 0;      // last change of percent
+    int reading = 0;            // see RunningTask
+    int pace = 100;             // ordered share of work
     Millis startDeadlineAt = 0; // the start cannot be carried out after this
     int stopAttempts = 0;
     Millis lastStopAt = 0;
@@ -166,8 +166,8 @@
     Millis unlistedSince = 0;
     Contact contact = Contact::New;
     // --- Lease and clock ---
-    std::int64_t clockMs = 0;       // last clock read
-    Millis clockReadAt = 0;         // 0: never
+    std::int64_t clockMs = 0;        // last clock read
+    Millis clockReadAt = 0;          // 0: never
     std::int64_t grantedClockMs = 0; // latest end of lease ever asked for, on the worker's clock
     Millis leaseOverAt = 0;          // when a lease of an earlier term has surely run out
     Millis reportedAt = 0;           // last report
@@ -181,22 +181,22 @@
     int cpuUsed = 0; // accounted millicores, without filling tasks
     int memoryUsed = 0;
     int gpusUsed = 0;
-    int servingCpu = 0; // part of cpuUsed that belongs to tasks with a latency target
-    int fillCpu = 0;    // millicores asked for by filling tasks
-    int lastingCpu = 0; // part of cpuUsed that belongs to lasting tasks
+    int servingCpu = 0;                   // part of cpuUsed that belongs to tasks with a latency target
+    int fillCpu = 0;                      // millicores asked for by filling tasks
+    int lastingCpu = 0;                   // part of cpuUsed that belongs to lasting tasks
     std::map<std::string, TaskRef> tasks; // by name
     std::map<std::string, ServingImage> servingImages;
     std::map<std::string, StrayRun> strays;
     // --- Experience ---
-    double failureScore = 0;  // decaying count of failed ends without a done one between
-    Millis avoidUntil = 0;    // no new tasks before this
-    Millis fullUntil = 0;     // refused a start for want of room
-    double slowness = 1;      // measured time of a task against its estimate, relative to other workers
-    double pressure = 0;      // highest reading of a serving task against its target
-    Millis hotSince = 0;      // a serving task is over its target since; 0: none
-    Millis learnedAt = 0;     // last report whose readings were learned from
-    Millis relievedAt = 0;    // last stop of a filling task for the sake of a serving one
-    Millis drainEndsAt = 0;   // earliest end of a draining worker; 0: not draining
+    double failureScore = 0; // decaying count of failed ends without a done one between
+    Millis avoidUntil = 0;   // no new tasks before this
+    Millis fullUntil = 0;    // refused a start for want of room
+    double slowness = 1;     // measured time of a task against its estimate, relative to other workers
+    double pressure = 0;     // highest reading of a serving task against its target
+    Millis hotSince = 0;     // a serving task is over its target since; 0: none
+    Millis learnedAt = 0;    // last report whose readings were learned from
+    Millis relievedAt = 0;   // last stop of a filling task for the sake of a serving one
+    Millis drainEndsAt = 0;  // earliest end of a draining worker; 0: not draining
 };
 
 // --- Outputs ---
@@ -238,8 +238,8 @@
     // --- Term ---
     std::int64_t token = 0;
     Millis termStartedAt = 0;
-    Millis validUntil = 0;     // nothing starts after this
-    bool isAccounted = false;  // every worker has reported or expired: unknown tasks may be placed
+    Millis validUntil = 0;      // nothing starts after this
+    bool isAccounted = false;   // every worker has reported or expired: unknown tasks may be placed
     bool hasWorkerList = false; // the list of workers was read in this term
     // --- For the services ---
     std::vector<Decision> decisions;
@@ -275,7 +275,8 @@
 
 LeaseRequest leaseRequest(Scheduler& scheduler, const std::string& worker, Millis now);
 // A report that was asked for at sentAt. Reports of one worker must be applied in the order of their requests.
-void applyReport(Scheduler& scheduler, const std::string& worker, const WorkerReport& report, Millis sentAt, Millis now);
+void applyReport(
+    Scheduler& scheduler, const std::string& worker, const WorkerReport& report, Millis sentAt, Millis now);
 void loseContact(Scheduler& scheduler, const std::string& worker, Millis now);
 void applyStart(Scheduler& scheduler, const StartOrder& order, StartOutcome outcome, Millis now);
 // Another life of the worker answers: everything that ran there is gone.
--- a/src/scheduler/types.h
+++ b/src/scheduler/types.h
@@ -23,8 +23,8 @@
     int cpuMillicores = 0;
     int memoryMb = 0;
     int gpus = 0;
-    int estimateMs = 0;         // rough; often far off
-    std::vector<int> after;     // earlier steps that must have finished
+    int estimateMs = 0;     // rough; often far off
+    std::vector<int> after; // earlier steps that must have finished
     bool hasCheckpoints = false;
     bool isGang = false;        // all tasks start together and end together
     bool isSameRack = false;    // far slower across racks
@@ -54,7 +54,7 @@
     std::string service; // pool of workers that runs the tasks
     int priority = 0;    // 0 is the most urgent
     int maxAttempts = 1;
-    double stretch = 2;  // allowed multiple of the longest chain
+    double stretch = 2; // allowed multiple of the longest chain
     int goalMs = 0;
     bool needsTicket = false; // workers must be approved by the advice service
 };
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -35,8 +35,9 @@
         else if (!entry.isDraining)
             worker.drainEndsAt = 0;
         if (worker.entry.isDraining != entry.isDraining)
-            note(scheduler, { "workerDraining", {}, {}, entry.id, 0, entry.isDraining ? "draining" : "ready",
-                                { { "remainingMs", entry.remainingMs } } });
+            note(scheduler,
+                { "workerDraining", {}, {}, entry.id, 0, entry.isDraining ? "draining" : "ready",
+                    { { "remainingMs", entry.remainingMs } } });
         // Only a report changes the life in force: it comes with the runs of that life.
         const std::int64_t born = worker.entry.bornUnixMs != 0 ? worker.entry.bornUnixMs : entry.bornUnixMs;
         worker.entry = entry;
@@ -64,9 +65,10 @@
         task.failedWorker = worker.entry.id;
         if (worker.failureScore >= failureScoreLimit && worker.avoidUntil < now) {
             worker.avoidUntil = now + avoidFailingMs;
-            note(scheduler, { "workerAvoided", {}, {}, worker.entry.id, 0, "failing",
-                                { { "forMs", avoidFailingMs },
-                                    { "scorePercent", static_cast<std::int64_t>(worker.failureScore * 100) } } });
+            note(scheduler,
+                { "workerAvoided", {}, {}, worker.entry.id, 0, "failing",
+                    { { "forMs", avoidFailingMs },
+                        { "scorePercent", static_cast<std::int64_t>(worker.failureScore * 100) } } });
             worker.failureScore = failureScoreLimit - 1; // one more failure afterwards avoids it again
         }
     }
@@ -108,8 +110,9 @@
         task.progressAt = now;
         task.pace = 100;
         takeRoom(scheduler, worker, ref);
-        note(scheduler, { "taskAdopted", ref.job->request.id, row.task, worker.entry.id, row.run, "running",
-                            { { "percent", row.percent } } });
+        note(scheduler,
+            { "taskAdopted", ref.job->request.id, row.task, worker.entry.id, row.run, "running",
+                { { "percent", row.percent } } });
     }
 
     void applyRunning(Scheduler& scheduler, Worker& worker, const RunningTask& row, Millis now)
@@ -143,18 +146,21 @@
     }
 
     // A run that the worker neither runs nor has ended is gone, if the report is younger than everything that was sent.
-    void dropMissing(Scheduler& scheduler, Worker& worker, const std::set<std::string>& running, Millis sentAt, Millis now)
+    void dropMissing(
+        Scheduler& scheduler, Worker& worker, const std::set<std::string>& running, Millis sentAt, Millis now)
     {
         const std::map<std::string, TaskRef> tasks = worker.tasks;
         for (const auto& [name, ref] : tasks) {
             if (running.count(name) > 0)
                 continue;
             Task& task = *ref.task;
-            const bool isSettled = task.phase == TaskPhase::Starting ? sentAt > task.startDeadlineAt : sentAt > task.since;
+            const bool isSettled
+                = task.phase == TaskPhase::Starting ? sentAt > task.startDeadlineAt : sentAt > task.since;
             if (!isSettled)
                 continue;
-            note(scheduler, { "runMissing", ref.job->request.id, name, worker.entry.id, task.run, "waiting",
-                                { { "phaseMs", now - task.since } } });
+            note(scheduler,
+                { "runMissing", ref.job->request.id, name, worker.entry.id, task.run, "waiting",
+                    { { "phaseMs", now - task.since } } });
             endRun(scheduler, ref, EndKind::Lapsed, task.run, now);
         }
     }
@@ -163,8 +169,9 @@
     template <typename Predicate>
     void forgetAllRuns(Scheduler& scheduler, Worker& worker, Millis now, Predicate survives)
     {
-        note(scheduler, { "workerRestarted", {}, {}, worker.entry.id, 0, "runs are gone",
-                            { { "tasks", static_cast<int>(worker.tasks.size()) } } });
+        note(scheduler,
+            { "workerRestarted", {}, {}, worker.entry.id, 0, "runs are gone",
+                { { "tasks", static_cast<int>(worker.tasks.size()) } } });
         const std::map<std::string, TaskRef> tasks = worker.tasks;
         for (const auto& [name, ref] : tasks) {
             if (!survives(name, *ref.task))
@@ -221,10 +228,12 @@
         if (isNew) {
             found->second.entry = entry;
             // A worker that joins during the term holds no lease of an earlier one.
-            found->second.leaseOverAt = scheduler.hasWorkerList && now - scheduler.termStartedAt > scheduler.limits.maxHoldMs
+            found->second.leaseOverAt
+                = scheduler.hasWorkerList && now - scheduler.termStartedAt > scheduler.limits.maxHoldMs
                 ? now
                 : earlierLeasesOverAt(scheduler);
-            note(scheduler, { "workerListed", {}, {}, entry.id, 0, "new", { { "cpu", entry.capacity.cpuMillicores } } });
+            note(
+                scheduler, { "workerListed", {}, {}, entry.id, 0, "new", { { "cpu", entry.capacity.cpuMillicores } } });
         }
         updateEntry(scheduler, found->second, entry, now);
     }
@@ -233,7 +242,8 @@
             continue;
         worker.isListed = false;
         worker.unlistedSince = now;
-        note(scheduler, { "workerListed", {}, {}, id, 0, "missing", { { "tasks", static_cast<int>(worker.tasks.size()) } } });
+        note(scheduler,
+            { "workerListed", {}, {}, id, 0, "missing", { { "tasks", static_cast<int>(worker.tasks.size()) } } });
     }
     scheduler.hasWorkerList = true;
 }
@@ -266,7 +276,8 @@
     acknowledgeStored(scheduler, worker);
     LeaseRequest request;
     request.acknowledged = worker.acknowledgedNumber;
-    // A lost worker is only looked at: a renewal that it may carry out unseen would put off the end of its lease for ever.
+    // A lost worker is only looked at: a renewal that it may carry out unseen would put off the end of its lease for
+    // ever.
     if (worker.clockReadAt > 0 && worker.contact != Contact::Lost) {
         request.expiresClockMs = latestClock(worker, now) + scheduler.limits.maxHoldMs;
         worker.grantedClockMs = std::max(worker.grantedClockMs, request.expiresClockMs);
@@ -295,9 +306,10 @@
         worker.entry.bornUnixMs = report.bornUnixMs;
     applyClock(scheduler, id, report.clockMs, now);
     if (worker.contact != Contact::Held) {
-        note(scheduler, { "workerContact", {}, {}, id, 0, "held",
-                            { { "running", static_cast<int>(report.running.size()) },
-                                { "ended", static_cast<int>(report.ended.size()) } } });
+        note(scheduler,
+            { "workerContact", {}, {}, id, 0, "held",
+                { { "running", static_cast<int>(report.running.size()) },
+                    { "ended", static_cast<int>(report.ended.size()) } } });
         worker.contact = Contact::Held;
     }
     worker.isExpired = false;
@@ -328,9 +340,10 @@
     if (found == scheduler.workers.end() || found->second.contact == Contact::Lost)
         return;
     Worker& worker = found->second;
-    note(scheduler, { "workerContact", {}, {}, id, 0, "lost",
-                        { { "tasks", static_cast<int>(worker.tasks.size()) },
-                            { "lastReportMs", worker.reportedAt > 0 ? now - worker.reportedAt : -1 } } });
+    note(scheduler,
+        { "workerContact", {}, {}, id, 0, "lost",
+            { { "tasks", static_cast<int>(worker.tasks.size()) },
+                { "lastReportMs", worker.reportedAt > 0 ? now - worker.reportedAt : -1 } } });
     worker.contact = Contact::Lost;
     worker.lostAt = now;
 }
@@ -352,8 +365,9 @@
     const auto worker = scheduler.workers.find(order.worker);
     const std::optional<TaskRef> ref = findTask(scheduler, order.task);
     if (outcome != StartOutcome::Started)
-        note(scheduler, { "startAnswered", ref ? ref->job->request.id : "", order.task, order.worker, order.run,
-                            std::string(nameOf(startOutcomeNames, outcome)), {} });
+        note(scheduler,
+            { "startAnswered", ref ? ref->job->request.id : "", order.task, order.worker, order.run,
+                std::string(nameOf(startOutcomeNames, outcome)), {} });
     if (outcome == StartOutcome::OtherLife) {
         forgetRuns(scheduler, order.worker, now);
         return;
@@ -405,9 +419,9 @@
                     && earliestClock(scheduler, worker, now) > worker.grantedClockMs + scheduler.limits.leaseSlackMs);
             worker.isExpired = isGrantOver && now > worker.leaseOverAt + scheduler.limits.leaseSlackMs;
             if (worker.isExpired && !worker.tasks.empty()) {
-                note(scheduler, { "leaseExpired", {}, {}, it->first, 0, "tasks are waiting again",
-                                    { { "tasks", static_cast<int>(worker.tasks.size()) },
-                                        { "lostMs", now - worker.lostAt } } });
+                note(scheduler,
+                    { "leaseExpired", {}, {}, it->first, 0, "tasks are waiting again",
+                        { { "tasks", static_cast<int>(worker.tasks.size()) }, { "lostMs", now - worker.lostAt } } });
                 const std::map<std::string, TaskRef> tasks = worker.tasks;
                 for (const auto& [name, ref] : tasks)
                     endRun(scheduler, ref, EndKind::Lapsed, ref.task->run, now);
@@ -419,8 +433,9 @@
     }
     if (isAccounted && !scheduler.isAccounted) {
         scheduler.isAccounted = true;
-        note(scheduler, { "termAccounted", {}, {}, {}, 0, "unknown tasks may start",
-                            { { "token", scheduler.token }, { "sinceMs", now - scheduler.termStartedAt } } });
+        note(scheduler,
+            { "termAccounted", {}, {}, {}, 0, "unknown tasks may start",
+                { { "token", scheduler.token }, { "sinceMs", now - scheduler.termStartedAt } } });
     }
 }
 
--- a/tests/http_channel_test.cpp
+++ b/tests/http_channel_test.cpp
@@ -30,7 +30,7 @@
     QTcpServer server;
     QByteArray received;
     int connections = 0;
-    std::function<void(QTcpSocket*)> onData = [](QTcpSocket*) { };
+    std::function<void(QTcpSocket*)> onData = [](QTcpSocket*) {};
 };
 
 class HttpChannelTest : public CppUnit::TestFixture {
--- a/tests/kernel_log_test.cpp
+++ b/tests/kernel_log_test.cpp
@@ -45,8 +45,8 @@
     void linesAreJsonObjects()
     {
         open({});
-        logEvent(LogLevel::Info, "gateway", "submit",
-            { { "job", "a\"b\\c\n" }, { "status", 200 }, { "isLate", false } });
+        logEvent(
+            LogLevel::Info, "gateway", "submit", { { "job", "a\"b\\c\n" }, { "status", 200 }, { "isLate", false } });
         logEvent(LogLevel::Debug, "gateway", "notWritten");
         flushLog();
         const QByteArray text = readAll();
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -1,4 +1,5 @@
-// Tests of the scheduler: single faults, each with the failure that it guards against, and random schedules of all of them.
+// Tests of the scheduler: single faults, each with the failure that it guards against, and random schedules of all of
+// them.
 #include "scheduler_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -237,8 +238,8 @@
         CPPUNIT_ASSERT(scheduler::addedMs(copy, "serving", "loud", 0.1) > 60);
     }
 
-    // Random schedules of lost and late orders, failures, cuts, crashes and lost terms: no task twice at once, none after
-    // an acknowledged end, capacity, attempts, and every job ends. A failing seed is printed and replays.
+    // Random schedules of lost and late orders, failures, cuts, crashes and lost terms: no task twice at once, none
+    // after an acknowledged end, capacity, attempts, and every job ends. A failing seed is printed and replays.
     void randomFaultsBreakNoPromise()
     {
         for (std::uint64_t seed = 1; seed <= 60; ++seed) {
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -161,7 +161,8 @@
     int cpu = ref->step->cpuMillicores;
     for (const auto& [task, run] : worker.running)
         cpu += run.step.isFilling ? 0 : run.step.cpuMillicores;
-    check(ref->step->isFilling || cpu <= worker.entry.capacity.cpuMillicores, worker.entry.id + " is over its capacity");
+    check(
+        ref->step->isFilling || cpu <= worker.entry.capacity.cpuMillicores, worker.entry.id + " is over its capacity");
     const Accepted& accepted = m_accepted[job];
     check(!accepted.isCancelled || m_now - accepted.cancelledAt < 3000, order.task + " started after it was cancelled");
     SimRun run;
@@ -277,7 +278,8 @@
     if (base::chance(m_rng, faults.termPerStep))
         replaceTerm();
     std::vector<LateOrder> due;
-    std::copy_if(m_late.begin(), m_late.end(), std::back_inserter(due), [&](const LateOrder& late) { return late.at <= m_now; });
+    std::copy_if(
+        m_late.begin(), m_late.end(), std::back_inserter(due), [&](const LateOrder& late) { return late.at <= m_now; });
     std::erase_if(m_late, [&](const LateOrder& late) { return late.at <= m_now; });
     for (const LateOrder& late : due) {
         for (SimWorker& worker : m_workers) {
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -1,5 +1,6 @@
-// A small deployment on a virtual clock for tests of the scheduler: workers that carry out orders, a store that keeps what
-// was committed, terms that end at any moment. Faults are switched on by the test; every random choice comes from a seed.
+// A small deployment on a virtual clock for tests of the scheduler: workers that carry out orders, a store that keeps
+// what was committed, terms that end at any moment. Faults are switched on by the test; every random choice comes from
+// a seed.
 //
 // The world checks the promises itself, from what its workers did, and keeps the first violation.
 #pragma once
@@ -40,8 +41,8 @@
 
 struct SimWorker {
     scheduler::WorkerEntry entry;
-    std::int64_t token = 0;      // highest seen
-    Millis leaseEndsAt = 0;      // on the world's clock
+    std::int64_t token = 0; // highest seen
+    Millis leaseEndsAt = 0; // on the world's clock
     std::map<std::string, SimRun> running;
     std::map<std::string, int> closed; // highest run that ended or was stopped, by task
     std::deque<scheduler::EndedTask> ended;
@@ -110,9 +111,9 @@
     std::set<std::string> m_withdrawn;
     std::vector<LateOrder> m_late;
     std::map<std::string, int> m_starts;
-    std::set<std::string> m_notedDone;          // tasks whose end `done` was acknowledged
+    std::set<std::string> m_notedDone;                    // tasks whose end `done` was acknowledged
     std::map<std::string, std::set<int>> m_notedFailures; // acknowledged failed runs by task
-    std::map<std::string, int> m_maxAttempts;   // by job
+    std::map<std::string, int> m_maxAttempts;             // by job
     std::string m_violation;
 };
 
