--- /dev/null
+++ b/fuzz/documents_fuzz.cpp
@@ -0,0 +1,41 @@
+// Fuzz target: documents of other writers and stored records. Whatever decodes must encode to something that decodes.
+#include "election/election.h"
+#include "platform/documents.h"
+#include "scheduler/record.h"
+
+#include <cstdlib>
+
+extern "C" int LLVMFuzzerTestOneInput(const unsigned char* data, std::size_t size)
+{
+    using namespace lacewing;
+    const QByteArray input(reinterpret_cast<const char*>(data), static_cast<qsizetype>(size));
+    (void)platform::decodeConfiguration(input);
+    (void)platform::decodeWorker("worker", input);
+    const auto request = platform::decodeJob("0123456789abcdef", input);
+    if (request.has_value()) {
+        const auto stored = scheduler::decodeAccepted(scheduler::encodeAccepted({ request.value(), {}, 1 }));
+        if (!stored || stored->request.steps.size() != request.value().steps.size())
+            std::abort();
+    }
+    const auto accepted = scheduler::decodeAccepted(input);
+    constexpr int tasksPerJob = 100000; // larger ones only cost time here
+    int tasks = 0;
+    if (accepted) {
+        for (const scheduler::Step& step : accepted->request.steps)
+            tasks += step.count >= 0 && step.count < tasksPerJob ? step.count : tasksPerJob + 1;
+    }
+    if (accepted && tasks <= tasksPerJob && accepted->request.repeatCount < 10) {
+        scheduler::Scheduler state;
+        scheduler::Job& job = scheduler::addJob(state, accepted->request, accepted->policy, 0, 0);
+        if (!scheduler::restoreProgress(job, scheduler::encodeProgress(job)))
+            std::abort();
+        (void)scheduler::restoreProgress(job, input);
+    }
+    if (const auto record = election::decodeRecord(input);
+        record && !election::decodeRecord(election::encodeRecord(*record)))
+        std::abort();
+    scheduler::Interference table;
+    (void)scheduler::decodeInterference(table, input);
+    (void)scheduler::decodeWorkers(input);
+    return 0;
+}
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -59,7 +59,7 @@
     void applyRenewal(const std::string& worker,
         const base::Result<scheduler::WorkerReport, platform::LinkError>& result, scheduler::Millis sentAt,
         bool isLook);
-    void carryOut(scheduler::Orders orders);
+    void carryOut(const scheduler::Orders& orders);
     void sendStart(const scheduler::StartOrder& order, int attempt);
 
     void planSoon();
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -123,7 +123,7 @@
     }
 }
 
-void DispatcherService::carryOut(scheduler::Orders orders)
+void DispatcherService::carryOut(const scheduler::Orders& orders)
 {
     for (const scheduler::StopOrder& order : orders.stops) {
         if (const auto link = m_links.find(order.worker); link != m_links.end())
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -16,7 +16,7 @@
     constexpr std::size_t submissionsPerCommit = 15;  // a condition and a write each, within the store's limit
     constexpr int retryMs = 60;                       // ms between attempts of uncertain submissions
     constexpr scheduler::Millis defaultWaitMs = 3000; // ms; of callers that do not say how long they wait
-    constexpr scheduler::Millis answerMarginMs = 400; // ms before the caller's deadline at which it gets its answer
+    constexpr scheduler::Millis holdMs = 1300;        // ms; a request is not held longer: another daemon may do better
     constexpr scheduler::Millis freshMs = 1500; // ms; an older word of the scheduling daemon is checked in the store
     constexpr scheduler::Millis pendingAgeMs = 2000; // ms; an older number of waiting jobs is not told (platform bound)
     constexpr int retryAfterSeconds = 1;             // s; told to callers that were refused
@@ -40,8 +40,8 @@
     {
         bool isNumber = false;
         const qint64 told = http::headerValue(request.headers, platform::deadlineHeader).toLongLong(&isNumber);
-        const scheduler::Millis wait = isNumber && told > 0 ? std::min<qint64>(told, defaultWaitMs) : defaultWaitMs;
-        return now + std::max<scheduler::Millis>(wait - answerMarginMs, wait / 2);
+        const scheduler::Millis wait = isNumber && told > 0 ? told : defaultWaitMs;
+        return now + std::min(holdMs, wait / 2);
     }
 
 } // namespace
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -144,9 +144,11 @@
         Commit commit;
         commit.writes.assign(
             writes.begin() + static_cast<std::ptrdiff_t>(begin), writes.begin() + static_cast<std::ptrdiff_t>(end));
-        commit.callback = end == writes.size() ? std::move(callback) : [] {};
+        commit.callback = [] {};
         m_commits.push_back(std::move(commit));
     }
+    if (!writes.empty())
+        m_commits.back().callback = std::move(callback);
     tick();
 }
 
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -429,10 +429,12 @@
             free[rackOf(worker)]
                 += step.isFilling ? fillRoom(worker) : worker.entry.capacity.cpuMillicores - worker.cpuUsed;
         std::vector<std::pair<double, std::string>> sorted;
+        sorted.reserve(free.size());
         for (const auto& [rack, room] : free)
             sorted.emplace_back(room + (rack == step.dataRack ? 1e9 : 0), rack);
         std::sort(sorted.rbegin(), sorted.rend());
         std::vector<std::string> racks;
+        racks.reserve(sorted.size() + 1);
         for (const auto& [room, rack] : sorted)
             racks.push_back(rack);
         if (planner.now - candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)].readySince
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+    constexpr int maxTasksPerStep = 100000; // more is no record of this project
+
     // Characters of the string that holds a step's tasks.
     constexpr char doneMark = 'd';
     constexpr char failedMark = 'f';
@@ -210,8 +212,15 @@
     AcceptedJob job;
     job.request.id = text((*json)["id"]);
     job.request.payload = text((*json)["payload"]);
-    for (const QJsonValue step : (*json)["steps"].toArray())
-        job.request.steps.push_back(stepFromJson(step.toObject()));
+    for (const QJsonValue value : (*json)["steps"].toArray()) {
+        Step step = stepFromJson(value.toObject());
+        const int index = static_cast<int>(job.request.steps.size());
+        const bool isInOrder = std::all_of(
+            step.after.begin(), step.after.end(), [index](int before) { return before >= 0 && before < index; });
+        if (step.count < 1 || step.count > maxTasksPerStep || !isInOrder)
+            return std::nullopt;
+        job.request.steps.push_back(std::move(step));
+    }
     job.request.repeatCount = (*json)["repeatCount"].toInt();
     job.request.firstStartUnixMs = (*json)["firstStartUnixMs"].toInteger();
     job.request.intervalMs = (*json)["intervalMs"].toInteger();
--- a/tests/platform_documents_test.cpp
+++ b/tests/platform_documents_test.cpp
@@ -127,6 +127,8 @@
         CPPUNIT_ASSERT(restored.tasks[1].endedRun == 4 && restored.tasks[1].failedRuns == std::vector<int>({ 2, 4 }));
         CPPUNIT_ASSERT(restored.tasks[2].checkpoint == "saved");
         CPPUNIT_ASSERT(!scheduler::restoreProgress(copy, "{\"state\":\"asleep\"}"));
+        CPPUNIT_ASSERT(!scheduler::decodeAccepted("{\"id\":\"j\",\"steps\":[{\"count\":-1}]}"));
+        CPPUNIT_ASSERT(!scheduler::decodeAccepted("{\"id\":\"j\",\"steps\":[{\"count\":1,\"after\":[0]}]}"));
     }
 };
 
