--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -22,6 +22,7 @@
 void note(Scheduler& scheduler, Decision decision);
 // Level of disturbance that is assumed of a pair of images that was not seen together yet; 1 reaches the target.
 constexpr double unknownPairLevel = 0.3;
+constexpr double disturbanceLimit = 0.8; // of the way to a serving task's target; more is not placed
 // A worker without serving tasks ranks between one with the same image and one with others.
 constexpr double emptyWorkerShare = 0.5;
 
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -19,8 +19,8 @@
     constexpr Millis stalledWorkerMs = 4000;      // ms without new tasks for a worker whose task stood still
     constexpr double servingLoad = 0.45;          // share of its cpu that a serving task uses on average
     constexpr double fillShare = 0.75;            // a filling task starts with at least this share of its cpu
-    constexpr double disturbanceLimit = 0.8;      // of the way to a serving task's target; more is not placed
     constexpr Millis trialWaitMs = 1500;          // ms of waiting after which a disturbing pair is tried again
+    constexpr Millis trialGapMs = 700;            // ms between such trials on all workers together
     constexpr Millis trialCalmMs = 4000;          // ms without a stop for interference before such a trial
     constexpr double slowWorker = 1.8;            // slowness against the mean at which others are preferred
     constexpr Millis dataRackWaitMs = 1500;       // ms that a task waits for room on the rack of its data
@@ -331,7 +331,8 @@
     double allowedDisturbance(const Planner& planner, const Worker& worker, const TaskRef& ref)
     {
         const Millis waited = planner.now - std::max(ref.task->since, ref.progress->readySince);
-        if (waited < trialWaitMs || planner.now - worker.relievedAt < trialCalmMs)
+        const bool isTrialDue = planner.now - planner.scheduler.trialAt >= trialGapMs;
+        if (!isTrialDue || waited < trialWaitMs || planner.now - worker.relievedAt < trialCalmMs)
             return disturbanceLimit;
         return disturbanceLimit * static_cast<double>(waited) / trialWaitMs;
     }
@@ -392,6 +393,8 @@
                     { "waitedMs", planner.now - ref.progress->readySince }, { "priority", ref.job->policy.priority },
                     { "millicores", ref.step->cpuMillicores }, { "isLasting", ref.step->isLasting ? 1 : 0 },
                     { "token", scheduler.token } } });
+        if (ref.step->isFilling && disturbance(scheduler, worker, *ref.step) > disturbanceLimit)
+            scheduler.trialAt = planner.now;
         takeRoom(scheduler, worker, ref);
         ++planner.stepOnWorker[worker.entry.id];
         ++scheduler.starts;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -233,6 +233,7 @@
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
     std::set<std::string> active; // jobs that are not final, or not committed as such
     Interference interference;
+    Millis trialAt = 0;           // last start of a filling task beside an image that it is believed to disturb
     std::set<std::string> dirty;  // jobs whose record has to be stored
     bool hasUrgentChange = false; // a dirty job has reached a final state
     // --- Term ---
