--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -3,6 +3,7 @@
 
 #include "daemon/configuration_service.h"
 #include "daemon/dispatcher_service.h"
+#include "daemon/gateway_service.h"
 #include "daemon/job_table.h"
 #include "daemon/term_service.h"
 #include "http/problem.h"
@@ -19,7 +20,8 @@
 namespace {
 
     const QByteArray jobsPath = "/v1/jobs";
-    constexpr int listedJobs = 1000; // jobs in one answer
+    constexpr int listedJobs = 1000;                    // jobs in one answer
+    constexpr scheduler::Millis memberSilenceMs = 1500; // ms after which a daemon is shown as silent
 
     QString toQString(std::string_view text)
     {
@@ -51,6 +53,13 @@
         return server.listen(QHostAddress(text.section(':', 0, -2)), text.section(':', -1).toUShort());
     }
 
+    // States of jobs in the operators' interface; a completed job is called finished there.
+    QString viewName(scheduler::JobState state)
+    {
+        return state == scheduler::JobState::Completed ? QString("finished")
+                                                       : toQString(base::nameOf(scheduler::jobStateNames, state));
+    }
+
     const char* phaseName(scheduler::TaskPhase phase)
     {
         switch (phase) {
@@ -86,6 +95,7 @@
     m_dispatcher = kernel::find<DispatcherService>(m_runtime.kernel, serviceNames::dispatcher);
     m_term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
     m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
+    m_gateway = kernel::find<GatewayService>(m_runtime.kernel, serviceNames::gateway);
     m_readiness = std::make_unique<http::Server>(
         http::ServerLimits {}, [this](const http::Request&, const http::Responder& responder) {
             const bool ready = isReady();
@@ -128,6 +138,12 @@
         responder.respond(jobList(request));
     } else if (request.method == "GET" && request.path.startsWith(jobsPath + '/')) {
         responder.respond(jobDetails(request.path.mid(jobsPath.size() + 1).toStdString()));
+    } else if (request.method == "DELETE" && request.path.startsWith(jobsPath + '/')) {
+        m_gateway->cancelJob(request.path.mid(jobsPath.size() + 1).toStdString(), responder);
+    } else if (request.method == "GET" && request.path == "/healthz") {
+        responder.respond(http::textResponse(200, "ok\n"));
+    } else if (request.method == "PUT" && request.path == "/v1/loglevel") {
+        responder.respond(setLevel(request.body));
     } else if (request.method == "POST" && request.path == "/v1/drain") {
         responder.respond(http::jsonResponse(202, "{}"));
         m_beginDrain();
@@ -140,14 +156,16 @@
 {
     const election::Election& state = m_term->state();
     const scheduler::Millis now = nowMs();
+    const char* readiness = m_runtime.isStopping ? "draining" : isReady() ? "ready" : "notReady";
     QJsonObject object { { "daemon", toQString(m_runtime.settings.daemon) },
         { "dataCentre", toQString(m_runtime.settings.dataCentre) }, { "version", LACEWING_VERSION },
-        { "incarnation", static_cast<qint64>(m_runtime.incarnation) }, { "isReady", isReady() },
+        { "state", readiness }, { "upSeconds", (base::wallClockMs() - m_runtime.incarnation) / 1000.0 },
+        { "revision", m_configuration->isLoaded() ? static_cast<qint64>(m_configuration->current().version) : -1 },
+        { "confirmed", isStoreReachable(m_runtime) },
+        { "evidence", "scheduled by " + (state.record ? toQString(state.record->leader) : QString("nobody")) },
+        { "store", QJsonObject { { "access", isStoreReachable(m_runtime) } } },
         { "role", toQString(base::nameOf(election::roleNames, state.role)) },
-        { "schedulingDaemon", state.record ? toQString(state.record->leader) : QString() },
-        { "token", static_cast<qint64>(state.token) }, { "isStoreReachable", isStoreReachable(m_runtime) },
-        { "configurationVersion",
-            m_configuration->isLoaded() ? static_cast<qint64>(m_configuration->current().version) : -1 },
+        { "token", static_cast<qint64>(state.token) },
         { "feedAgeMs", m_table->freshAt > 0 ? static_cast<qint64>(now - m_table->freshAt) : -1 },
         { "knownJobs", static_cast<qint64>(m_table->jobs.size()) }, { "cpuSeconds", processorSeconds() },
         { "residentBytes", residentBytes() } };
@@ -156,28 +174,75 @@
         withdrawn.append(toQString(dataCentre));
     object["withdrawn"] = withdrawn;
     if (const scheduler::Scheduler* scheduler = m_dispatcher->scheduler()) {
-        QJsonArray workers;
-        for (const auto& [id, worker] : scheduler->workers)
-            workers.append(QJsonObject { { "id", toQString(id) }, { "service", toQString(worker.entry.service) },
-                { "dataCentre", toQString(worker.entry.dataCentre) },
-                { "contact", toQString(base::nameOf(scheduler::contactNames, worker.contact)) },
-                { "isDraining", worker.entry.isDraining }, { "tasks", static_cast<qint64>(worker.tasks.size()) },
-                { "cpuUsed", worker.cpuUsed }, { "cpuMillicores", worker.entry.capacity.cpuMillicores },
-                { "fillCpu", worker.fillCpu }, { "pressure", worker.pressure },
-                { "reportAgeMs", static_cast<qint64>(now - worker.reportedAt) } });
-        object["workers"] = workers;
-        object["openJobs"] = static_cast<qint64>(scheduler->active.size());
-        object["isAccounted"] = scheduler->isAccounted;
+        object["members"] = members();
+        object["endpoints"] = workers(*scheduler);
+        object["batch"] = QJsonObject { { "shards", QJsonArray { term(*scheduler) } } };
     }
     return json(object);
 }
 
+QJsonArray AdminService::members() const
+{
+    const scheduler::Millis now = nowMs();
+    QJsonArray list;
+    for (const auto& [name, peer] : m_term->state().peers)
+        list.append(QJsonObject { { "name", toQString(name) },
+            { "state", now - peer.heardAt < memberSilenceMs ? "alive" : "silent" },
+            { "storeAccess", peer.storeOkAt > 0 && now - peer.storeOkAt < memberSilenceMs },
+            { "heardMsAgo", static_cast<qint64>(now - peer.heardAt) } });
+    return list;
+}
+
+QJsonArray AdminService::workers(const scheduler::Scheduler& scheduler) const
+{
+    const scheduler::Millis now = nowMs();
+    QJsonArray list;
+    for (const auto& [id, worker] : scheduler.workers) {
+        const bool isHeld = worker.contact == scheduler::Contact::Held;
+        list.append(QJsonObject { { "id", toQString(id) }, { "service", toQString(worker.entry.service) },
+            { "dataCentre", toQString(worker.entry.dataCentre) },
+            { "state",
+                worker.entry.isDraining ? "leaving"
+                    : isHeld            ? "live"
+                                        : "unverified" },
+            { "contact", toQString(base::nameOf(scheduler::contactNames, worker.contact)) },
+            { "ejected", worker.avoidUntil > now }, { "inFlight", static_cast<qint64>(worker.tasks.size()) },
+            { "cpuUsed", worker.cpuUsed }, { "cpuMillicores", worker.entry.capacity.cpuMillicores },
+            { "fillCpu", worker.fillCpu }, { "pressure", worker.pressure },
+            { "reportAgeMs", static_cast<qint64>(now - worker.reportedAt) } });
+    }
+    return list;
+}
+
+// The jobs of this term, in the shape of one shard.
+QJsonObject AdminService::term(const scheduler::Scheduler& scheduler) const
+{
+    std::map<scheduler::JobState, int> counts;
+    for (const auto& [id, known] : m_table->jobs)
+        ++counts[known.state];
+    QJsonObject jobs;
+    for (const auto& [state, count] : counts)
+        jobs[viewName(state)] = count;
+    return { { "key", "all" }, { "epoch", static_cast<qint64>(scheduler.token) }, { "jobs", jobs },
+        { "isAccounted", scheduler.isAccounted }, { "open", static_cast<qint64>(scheduler.active.size()) } };
+}
+
+http::Response AdminService::setLevel(const QByteArray& body)
+{
+    const QString name = QJsonDocument::fromJson(body).object()["level"].toString();
+    const auto level = base::valueOf(kernel::logLevelNames, name.toStdString());
+    if (!level)
+        return http::ProblemBuilder(400, "invalidField").field("level").detail("unknown level").executedNo().response();
+    kernel::setLogLevel(*level);
+    return json({ { "level", name } });
+}
+
 http::Response AdminService::jobList(const http::Request& request) const
 {
     const QString wanted = http::queryValue(request, "state");
     QJsonArray jobs;
     for (const auto& [id, known] : m_table->jobs) {
-        const QString state = toQString(base::nameOf(scheduler::jobStateNames, known.state));
+        const QString state = viewName(known.state);
         if ((wanted.isEmpty() || wanted == state) && jobs.size() < listedJobs)
             jobs.append(QJsonObject { { "id", toQString(id) }, { "state", state } });
     }
@@ -192,8 +257,7 @@
             .detail("this daemon does not know the job")
             .executedNo()
             .response();
-    QJsonObject object { { "id", toQString(id) },
-        { "state", toQString(base::nameOf(scheduler::jobStateNames, known->second.state)) } };
+    QJsonObject object { { "id", toQString(id) }, { "state", viewName(known->second.state) } };
     const scheduler::Scheduler* scheduler = m_dispatcher->scheduler();
     const auto found = scheduler ? scheduler->jobs.find(id) : decltype(scheduler->jobs.find(id)) {};
     if (scheduler && found != scheduler->jobs.end()) {
@@ -211,7 +275,9 @@
                         { "pace", list[index].pace } });
             }
         }
-        object["queue"] = toQString(found->second->policy.name);
+        object["team"] = toQString(found->second->policy.name);
+        object["service"] = toQString(found->second->policy.service);
+        object["class"] = found->second->policy.priority == 0 ? "urgent" : "batch";
         object["tasks"] = tasks;
     }
     return json(object);
@@ -249,8 +315,8 @@
     auto service = std::make_shared<AdminService>(runtime, std::move(beginDrain));
     kernel::Service entry;
     entry.name = serviceNames::admin;
-    entry.dependsOn
-        = { serviceNames::configuration, serviceNames::dispatcher, serviceNames::term, serviceNames::jobTable };
+    entry.dependsOn = { serviceNames::configuration, serviceNames::dispatcher, serviceNames::term,
+        serviceNames::jobTable, serviceNames::gateway };
     entry.start = [service] { return service->start(); };
     entry.stop = [service] { service->stop(); };
     kernel::registerService(runtime.kernel, std::move(entry)).assume_value();
--- a/src/daemon/admin_service.h
+++ b/src/daemon/admin_service.h
@@ -3,7 +3,10 @@
 
 #include "daemon/runtime.h"
 #include "http/server.h"
+#include "scheduler/scheduler.h"
 
+#include <QJsonArray>
+#include <QJsonObject>
 #include <QObject>
 #include <functional>
 #include <memory>
@@ -13,7 +16,7 @@
 
 class ConfigurationService;
 class DispatcherService;
-class SyncService;
+class GatewayService;
 class TermService;
 struct JobTable;
 
@@ -28,6 +31,10 @@
     bool isReady() const;
     void handle(const http::Request& request, const http::Responder& responder);
     http::Response status() const;
+    QJsonArray members() const;
+    QJsonArray workers(const scheduler::Scheduler& scheduler) const;
+    QJsonObject term(const scheduler::Scheduler& scheduler) const;
+    static http::Response setLevel(const QByteArray& body);
     http::Response jobList(const http::Request& request) const;
     http::Response jobDetails(const std::string& id) const;
     http::Response metrics() const;
@@ -37,6 +44,7 @@
     ConfigurationService* m_configuration = nullptr;
     DispatcherService* m_dispatcher = nullptr;
     TermService* m_term = nullptr;
+    GatewayService* m_gateway = nullptr;
     JobTable* m_table = nullptr;
     std::unique_ptr<http::Server> m_readiness;
     std::unique_ptr<http::Server> m_admin;
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -8,6 +8,7 @@
 #include "scheduler/record.h"
 
 #include <QHostAddress>
+#include <algorithm>
 
 namespace lacewing::daemon {
 
@@ -319,13 +320,21 @@
         });
 }
 
+void GatewayService::cancelJob(const std::string& id, const http::Responder& responder)
+{
+    cancel(id, responder, m_table->jobs.count(id) > 0);
+}
+
 void registerGatewayService(Runtime& runtime)
 {
     auto service = std::make_shared<GatewayService>(runtime);
     kernel::Service entry;
     entry.name = serviceNames::gateway;
     entry.dependsOn = { serviceNames::configuration, serviceNames::jobTable };
-    entry.start = [service] { return service->start(); };
+    entry.start = [&runtime, service] {
+        kernel::publish(runtime.kernel, serviceNames::gateway, service.get());
+        return service->start();
+    };
     entry.beginStop = [service] { service->beginStop(); };
     entry.isIdle = [service] { return service->isIdle(); };
     entry.stop = [service] { service->stop(); };
--- a/src/daemon/gateway_service.h
+++ b/src/daemon/gateway_service.h
@@ -27,6 +27,8 @@
     void beginStop();
     bool isIdle() const;
     void stop() { m_server.reset(); }
+    // Cancels on behalf of an operator, as a caller does.
+    void cancelJob(const std::string& id, const http::Responder& responder);
 
 private:
     struct Submission {
