--- a/src/scheduler/pressure.cpp
+++ b/src/scheduler/pressure.cpp
@@ -28,6 +28,7 @@
                 shares[ref.step->image] += ref.task->reading / capacity;
         }
         std::vector<FillUse> uses;
+        uses.reserve(shares.size());
         for (const auto& [image, share] : shares)
             uses.push_back({ image, share });
         return uses;
