Ask every daemon that an earlier leader knew for its promise

Change: the record of the term and each answer name the known daemons; a new leader waits for the promise of all of them.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -126,7 +126,10 @@
     }
     const scheduler::Millis now = nowMs();
     m_lastReply = reply["number"].toInteger();
-    election::observeContact(state, reply["revision"].toInteger(), now);
+    std::set<std::string> members;
+    for (const QJsonValue member : reply["members"].toArray())
+        members.insert(text(member));
+    election::observeContact(state, reply["revision"].toInteger(), members, now);
     if (!m_hasContact)
         kernel::logEvent(kernel::LogLevel::Info, "sync", "dependencyRegained",
             { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
@@ -186,6 +189,10 @@
     reply["number"] = static_cast<qint64>(last.number);
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
+    QJsonArray members;
+    for (const std::string& member : election::knownMembers(state, now))
+        members.append(QString::fromStdString(member));
+    reply["members"] = members;
     reply["hasLostStore"] = !isStoreReachable(m_runtime);
     if (election::successor(state, m_runtime.store->health().failingSince, now) == daemon) {
         kernel::logEvent(kernel::LogLevel::Warning, "sync", "handOver",
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -1,6 +1,7 @@
 // Rules of taking, keeping and giving up a term.
 #include "election/election.h"
 
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <algorithm>
@@ -9,11 +10,14 @@
 
 QByteArray encodeRecord(const Record& record)
 {
+    QJsonArray members;
+    for (const std::string& member : record.members)
+        members.append(QString::fromStdString(member));
     const QJsonObject json { { "leader", QString::fromStdString(record.leader) },
         { "incarnation", static_cast<qint64>(record.incarnation) },
         { "peerAddress", QString::fromStdString(record.peerAddress) },
         { "sequence", static_cast<qint64>(record.sequence) }, { "token", static_cast<qint64>(record.token) },
-        { "isResigned", record.isResigned } };
+        { "isResigned", record.isResigned }, { "members", members } };
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
@@ -30,6 +34,8 @@
     record.sequence = json["sequence"].toInteger();
     record.token = json["token"].toInteger();
     record.isResigned = json["isResigned"].toBool();
+    for (const QJsonValue member : json["members"].toArray())
+        record.members.insert(member.toString().toStdString());
     return record;
 }
 
@@ -68,9 +74,21 @@
     record.sequence = ++election.sequence;
     record.token = election.role == Role::Leader ? election.token : 0;
     record.isResigned = isResigning;
+    record.members = election.members;
+    record.members.insert(election.self);
     return record;
 }
 
+std::set<std::string> knownMembers(const Election& election, Millis now)
+{
+    std::set<std::string> members { election.self };
+    for (const auto& [name, peer] : election.peers) {
+        if (now - peer.heardAt <= election.limits.peerMemoryMs)
+            members.insert(name);
+    }
+    return members;
+}
+
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
 {
     if (!election.isKnown || revision > election.revision || (revision == 0 && election.revision != 0)) {
@@ -78,12 +96,15 @@
         election.record = record;
         election.revision = revision;
         election.changedAt = now;
+        if (record)
+            election.members.insert(record->members.begin(), record->members.end());
     }
     election.isKnown = true;
 }
 
-void observeContact(Election& election, std::int64_t revision, Millis now)
+void observeContact(Election& election, std::int64_t revision, const std::set<std::string>& members, Millis now)
 {
+    election.members = members;
     election.contactAt = now;
     election.isLeaderDead = false;
     if (revision > election.revision) {
@@ -102,7 +123,13 @@
         election.role = Role::Leader;
         election.token = revision;
         election.peers.clear();
+        // Each of them may take over, whether it has been heard of in this term or not.
+        for (const std::string& member : election.members) {
+            if (member != election.self)
+                election.peers[member].heardAt = now;
+        }
     }
+    election.members = knownMembers(election, now);
     election.record = record;
     election.revision = revision;
     election.changedAt = now;
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -13,6 +13,7 @@
 //
 // Invariants
 //   - validityMs + clock rate error < takeoverMs: a former leader has stopped before another one acts.
+//   - promises count only when every daemon that this leader or the one before it knew gives one.
 //   - tokens rise: they are revisions of the store.
 #pragma once
 
@@ -22,6 +23,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace lacewing::election {
@@ -40,12 +42,13 @@
 
 // The record. `sequence` tells the writer's own writes apart after a lost answer.
 struct Record {
-    std::string leader;           // name of the daemon
-    std::int64_t incarnation = 0; // of its process
-    std::string peerAddress;      // HOST:PORT for other daemons
-    std::int64_t sequence = 0;    // rises with each write of the process
-    std::int64_t token = 0;       // 0 in the first write of a term, whose revision is the token
-    bool isResigned = false;      // the leader has stopped: anyone may take over at once
+    std::string leader;            // name of the daemon
+    std::int64_t incarnation = 0;  // of its process
+    std::string peerAddress;       // HOST:PORT for other daemons
+    std::int64_t sequence = 0;     // rises with each write of the process
+    std::int64_t token = 0;        // 0 in the first write of a term, whose revision is the token
+    bool isResigned = false;       // the leader has stopped: anyone may take over at once
+    std::set<std::string> members; // daemons that the leader knows, itself included
 };
 
 QByteArray encodeRecord(const Record& record);
@@ -88,9 +91,10 @@
     Millis changedAt = 0;      // first sight of this revision
     Millis polledAt = 0;
     // --- Follower ---
-    Millis contactAt = 0;      // last answer of the leader
-    bool isLeaderDead = false; // the leader's process is known to have ended or to have stopped leading
-    bool isStopping = false;   // takes nothing over
+    Millis contactAt = 0;          // last answer of the leader
+    std::set<std::string> members; // daemons that leaders have named; any of them may take over
+    bool isLeaderDead = false;     // the leader's process is known to have ended or to have stopped leading
+    bool isStopping = false;       // takes nothing over
     // --- Leader ---
     Role role = Role::Follower;
     std::int64_t token = 0;
@@ -107,8 +111,10 @@
 
 // The store holds this record (nullopt: none) at the revision.
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
-// The leader told its revision in a message.
-void observeContact(Election& election, std::int64_t revision, Millis now);
+// The leader told its revision and the daemons that it knows in a message.
+void observeContact(Election& election, std::int64_t revision, const std::set<std::string>& members, Millis now);
+// Daemons that the leader has heard of lately, or that earlier leaders knew; itself included.
+std::set<std::string> knownMembers(const Election& election, Millis now);
 // A process that answers under the leader's address does not lead.
 void observeLeaderDeath(Election& election);
 // Own write of the record, sent at sentAt, succeeded at the revision.
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -21,6 +21,8 @@
     Millis peersCutUntil = 0;
     Millis frozenUntil = 0;
     Millis lastReplyAt = 0;
+    Millis zoneCutUntil = 0; // cut off together with the other daemons of its zone
+    int zone = 0;
 };
 
 Daemon makeDaemon(const std::string& name)
@@ -70,12 +72,15 @@
 {
     if (now < follower.peersCutUntil || now < leader.peersCutUntil || now < leader.frozenUntil)
         return;
+    const bool isZoneCut = now < follower.zoneCutUntil || now < leader.zoneCutUntil;
+    if (isZoneCut && follower.zone != leader.zone)
+        return;
     if (leader.election.role != Role::Leader) {
         observeLeaderDeath(follower.election);
         return;
     }
     hearPeer(leader.election, follower.election.self, follower.lastReplyAt, now, now);
-    observeContact(follower.election, leader.election.revision, now);
+    observeContact(follower.election, leader.election.revision, knownMembers(leader.election, now), now);
     follower.lastReplyAt = now;
 }
 
@@ -172,12 +177,14 @@
         CPPUNIT_ASSERT(!decodeRecord("{"));
         CPPUNIT_ASSERT(!decodeRecord("[1]"));
         CPPUNIT_ASSERT(!decodeRecord("{\"leader\":7}"));
-        Record record { "a", 1, "127.0.0.1:1", 2, 3, true };
+        Record record { "a", 1, "127.0.0.1:1", 2, 3, true, { "a", "b" } };
         const auto copy = decodeRecord(encodeRecord(record));
-        CPPUNIT_ASSERT(copy && copy->leader == "a" && copy->token == 3 && copy->isResigned);
+        CPPUNIT_ASSERT(
+            copy && copy->leader == "a" && copy->token == 3 && copy->isResigned && copy->members.count("b") == 1);
     }
 
-    // Random cuts, freezes and restarts. A frozen daemon does not act; one that acts must be the only one.
+    // Random cuts of daemons and zones, freezes and restarts (trouble-1 of cetka-loft, seed 539847510921: TWICE 99). A
+    // frozen daemon does not act; one that acts must be the only one.
     void neverTwoActingLeaders()
     {
         for (std::uint64_t seed = 1; seed <= 200; ++seed) {
@@ -186,7 +193,21 @@
             std::vector<Daemon> daemons;
             for (const char* name : { "a", "b", "c", "d" })
                 daemons.push_back(makeDaemon(name));
+            for (std::size_t i = 0; i < daemons.size(); ++i)
+                daemons[i].zone = static_cast<int>(i) / 2;
             for (Millis now = 1000; now < 60000; now += 50) {
+                // A zone is cut off, most often just after another daemon has taken over.
+                const bool isTaken = std::any_of(daemons.begin(), daemons.end(), [&](const Daemon& d) {
+                    return d.election.role == Role::Leader && d.election.token == cell.revision;
+                });
+                if (base::chance(rng, isTaken ? 0.02 : 0.001)) {
+                    const int zone = static_cast<int>(base::below(rng, 2));
+                    const Millis until = now + 6000;
+                    for (Daemon& daemon : daemons) {
+                        if (daemon.zone == zone)
+                            daemon.zoneCutUntil = daemon.storeCutUntil = until;
+                    }
+                }
                 for (Daemon& daemon : daemons) {
                     if (base::chance(rng, 0.002))
                         daemon.storeCutUntil = now + static_cast<Millis>(base::below(rng, 6000));
@@ -200,8 +221,12 @@
                         continue;
                     if (base::chance(rng, 0.001)) {
                         const std::int64_t life = daemon.election.incarnation;
-                        daemon = makeDaemon(daemon.election.self);
+                        const Daemon former = daemon;
+                        daemon = makeDaemon(former.election.self);
                         daemon.election.incarnation = life + 1;
+                        daemon.zone = former.zone;
+                        daemon.storeCutUntil = former.storeCutUntil;
+                        daemon.zoneCutUntil = former.zoneCutUntil;
                     }
                     act(cell, daemon, now);
                     for (Daemon& other : daemons) {
