--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -30,11 +30,6 @@
         scheduler::Limits limits;
         limits.maxHoldMs = settings.bounds.maxHoldMs;
         limits.stopTimeoutMs = settings.bounds.stopTimeoutMs;
-        limits.restoreMs = settings.bounds.restoreMs;
-        limits.gangTimeoutMs = settings.bounds.gangTimeoutMs;
-        limits.earlyMs = settings.bounds.earlyMs;
-        limits.visibleMs = settings.bounds.visibleMs;
-        limits.remoteFactor = settings.bounds.remoteFactor;
         return limits;
     }
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -85,34 +85,6 @@
             .defaultJson = "900",
             .unit = "ms",
             .doc = "longest stop of a task" },
-        { .key = "restoreMs",
-            .type = FieldType::Integer,
-            .minimum = 0,
-            .maximum = 60000,
-            .defaultJson = "600",
-            .unit = "ms",
-            .doc = "resume of a task from its checkpoint" },
-        { .key = "gangTimeoutMs",
-            .type = FieldType::Integer,
-            .minimum = 0,
-            .maximum = 600000,
-            .defaultJson = "3000",
-            .unit = "ms",
-            .doc = "time that a gang waits for all its members" },
-        { .key = "earlyMs",
-            .type = FieldType::Integer,
-            .minimum = 0,
-            .maximum = 60000,
-            .defaultJson = "250",
-            .unit = "ms",
-            .doc = "tolerance of a start before its time" },
-        { .key = "visibleMs",
-            .type = FieldType::Integer,
-            .minimum = 100,
-            .maximum = 60000,
-            .defaultJson = "3000",
-            .unit = "ms",
-            .doc = "an accepted job is known everywhere within this time" },
         { .key = "statusSeconds",
             .type = FieldType::Integer,
             .minimum = 1,
@@ -127,12 +99,6 @@
             .defaultJson = "6000",
             .unit = "ms",
             .doc = "time between the request to stop and the kill" },
-        { .key = "remoteFactor",
-            .type = FieldType::Number,
-            .minimum = 1,
-            .maximum = 100,
-            .defaultJson = "3",
-            .doc = "slow-down of a task away from the rack of its data" },
     };
 
     constexpr Field schedulerFields[] = {
@@ -237,13 +203,8 @@
         PlatformBounds bounds;
         bounds.maxHoldMs = json["maxHoldMs"].toInt();
         bounds.stopTimeoutMs = json["stopTimeoutMs"].toInt();
-        bounds.restoreMs = json["restoreMs"].toInt();
-        bounds.gangTimeoutMs = json["gangTimeoutMs"].toInt();
-        bounds.earlyMs = json["earlyMs"].toInt();
-        bounds.visibleMs = json["visibleMs"].toInt();
         bounds.statusSeconds = json["statusSeconds"].toInt();
         bounds.graceMs = json["graceMs"].toInt();
-        bounds.remoteFactor = json["remoteFactor"].toDouble();
         return bounds;
     }
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -17,13 +17,8 @@
 struct PlatformBounds {
     int maxHoldMs = 6000;
     int stopTimeoutMs = 900;
-    int restoreMs = 600;
-    int gangTimeoutMs = 3000;
-    int earlyMs = 250;
-    int visibleMs = 3000;
     int statusSeconds = 120;
     int graceMs = 6000;
-    double remoteFactor = 3;
 };
 
 struct Settings {
--- /dev/null
+++ b/src/scheduler/planner.h
@@ -0,0 +1,47 @@
+// State of one plan, shared by its two parts: the review of what runs (review.cpp) and placement (plan.cpp).
+#pragma once
+
+#include "scheduler/internal.h"
+
+namespace lacewing::scheduler {
+
+struct Candidate {
+    Job* job = nullptr;
+    Occurrence* occurrence = nullptr;
+    int occurrenceNumber = 0;
+    int stepNumber = 0;
+    Millis deadline = 0;    // of the job
+    bool isRestart = false; // lasting tasks that ran before: their users wait
+};
+
+// Processors of one service, in millicores.
+struct Room {
+    double capacity = 0;
+    double lasting = 0; // used by lasting tasks
+    double shortRunning = 0;
+    double shortWaiting = 0;
+};
+
+struct Planner {
+    Scheduler& scheduler;
+    Millis now;
+    std::int64_t nowUnixMs;
+    Orders orders;
+    std::vector<Candidate> candidates;
+    double meanSlowness = 1;
+    std::map<std::string, int> stepOnWorker;      // tasks of the step in hand on each worker
+    std::map<std::string, Room> rooms;            // by service
+    std::map<const Worker*, double> disturbances; // by the step in hand, when it fills
+};
+
+TaskRef refOf(const Candidate& candidate, int index);
+// Takes part in placement at this time.
+bool isUsable(const Scheduler& scheduler, const Worker& worker);
+
+// Stops what must not go on, and collects the steps with waiting tasks.
+void reviewJob(Planner& planner, Job& job);
+bool hasRuns(const Job& job);
+// Stops runs that workers report and nobody needs.
+void stopStrays(Planner& planner);
+
+} // namespace lacewing::scheduler
--- /dev/null
+++ b/src/scheduler/review.cpp
@@ -0,0 +1,208 @@
+// Review of what runs: which run has to stop, and which steps have tasks that may be placed.
+#include "scheduler/planner.h"
+
+#include <algorithm>
+
+namespace lacewing::scheduler {
+
+namespace {
+
+    constexpr Millis stopRetryMs = 600;       // ms; a stop without effect is sent again
+    constexpr Millis stalledMs = 2500;        // ms without progress of a running task; above two renewal periods
+    constexpr Millis lastingStartupMs = 4000; // ms; a lasting task that is still starting up is restarted elsewhere
+    constexpr Millis freshReportMs = 2500;    // ms; older reports say nothing about progress
+    constexpr Millis stalledWorkerMs = 4000;  // ms without new tasks for a worker whose task stood still
+    constexpr int renewedTermGap = 1;         // run numbers left out for starts of an earlier term that were lost
+
+    Millis longestChainMs(const JobRequest& request)
+    {
+        std::vector<Millis> ends;
+        Millis longest = 0;
+        for (const Step& step : request.steps) {
+            Millis start = 0;
+            for (const int before : step.after) {
+                if (before >= 0 && before < static_cast<int>(ends.size()))
+                    start = std::max(start, ends[static_cast<std::size_t>(before)]);
+            }
+            ends.push_back(start + step.estimateMs);
+            longest = std::max(longest, ends.back());
+        }
+        return longest;
+    }
+
+    void stopRun(Planner& planner, const TaskRef& ref, const std::string& reason)
+    {
+        Task& task = *ref.task;
+        if (!holdsRun(task))
+            return;
+        if (task.phase == TaskPhase::Running || task.phase == TaskPhase::Starting) {
+            task.phase = TaskPhase::Stopping;
+            task.since = planner.now;
+            task.lastStopAt = 0;
+        }
+        if (task.lastStopAt > 0 && planner.now - task.lastStopAt < stopRetryMs)
+            return;
+        task.lastStopAt = planner.now;
+        const std::string name = taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index);
+        planner.orders.stops.push_back({ task.worker, name, task.run });
+        note(planner.scheduler,
+            { "stop", ref.job->request.id, name, task.worker, task.run, reason,
+                { { "percent", task.percent }, { "quietMs", planner.now - task.progressAt } } });
+    }
+
+    // A run on a draining worker moves when it cannot finish there.
+    bool mustLeave(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    {
+        if (worker.drainEndsAt == 0)
+            return false;
+        if (ref.step->isLasting)
+            return true;
+        const Task& task = *ref.task;
+        const Millis left = worker.drainEndsAt - planner.now;
+        if (task.percent <= 0 || task.startedAt == 0)
+            return left < planner.scheduler.limits.stopTimeoutMs + ref.step->estimateMs;
+        const Millis needed = (planner.now - task.startedAt) * (100 - task.percent) / task.percent;
+        return needed > left;
+    }
+
+    bool isStalled(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    {
+        const Task& task = *ref.task;
+        if (task.phase != TaskPhase::Running || worker.contact != Contact::Held
+            || planner.now - worker.reportedAt > freshReportMs)
+            return false;
+        if (ref.step->isLasting)
+            return task.percent < 100 && planner.now - task.since > lastingStartupMs;
+        if (ref.step->isGang || task.pace < 50)
+            return false;
+        const Millis limit = std::max<Millis>(stalledMs, ref.step->estimateMs / 4);
+        return planner.now - task.progressAt > limit;
+    }
+
+    void reviewRun(Planner& planner, const TaskRef& ref)
+    {
+        Task& task = *ref.task;
+        if (!holdsRun(task))
+            return;
+        if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed) {
+            if (!ref.step->isGang)
+                stopRun(planner, ref, "not needed any more");
+            return;
+        }
+        if (task.phase == TaskPhase::Stopping) {
+            stopRun(planner, ref, "still stopping");
+            return;
+        }
+        Worker& worker = *task.host;
+        if (mustLeave(planner, worker, ref)) {
+            stopRun(planner, ref, "worker is draining");
+        } else if (isStalled(planner, worker, ref)) {
+            worker.avoidUntil = std::max(worker.avoidUntil, planner.now + stalledWorkerMs);
+            task.failedWorker = worker.entry.id;
+            stopRun(planner, ref, "no progress");
+        }
+    }
+
+    bool isReady(const Occurrence& occurrence, const JobRequest& request, const Step& step)
+    {
+        return std::all_of(step.after.begin(), step.after.end(), [&](int before) {
+            const auto index = static_cast<std::size_t>(before);
+            return index < occurrence.steps.size() && occurrence.steps[index].done == request.steps[index].count;
+        });
+    }
+
+    void reviewStep(Planner& planner, Job& job, Occurrence& occurrence, int occurrenceNumber, int stepNumber)
+    {
+        const auto index = static_cast<std::size_t>(stepNumber);
+        const Step& step = job.request.steps[index];
+        StepProgress& progress = occurrence.steps[index];
+        Candidate candidate { &job, &occurrence, occurrenceNumber, stepNumber, 0, false };
+        bool hasWaiting = false;
+        bool hasRun = false;
+        for (int i = 0; i < step.count; ++i) {
+            const TaskRef ref = refOf(candidate, i);
+            if (ref.task->phase == TaskPhase::Unknown && planner.scheduler.isAccounted) {
+                ref.task->phase = TaskPhase::Waiting;
+                ref.task->since = planner.now;
+                ref.task->run = std::max(ref.task->run, ref.task->endedRun) + renewedTermGap;
+            }
+            reviewRun(planner, ref);
+            hasWaiting = hasWaiting || ref.task->phase == TaskPhase::Waiting;
+            hasRun = hasRun || holdsRun(*ref.task) || ref.task->phase == TaskPhase::Unknown;
+        }
+        if (!hasWaiting || (step.isGang && hasRun) || !isReady(occurrence, job.request, step))
+            return;
+        if (progress.readySince == 0)
+            progress.readySince = planner.now;
+        const auto allowed = static_cast<Millis>(static_cast<double>(longestChainMs(job.request)) * job.policy.stretch);
+        candidate.isRestart = step.isLasting
+            && std::any_of(progress.tasks.begin(), progress.tasks.end(),
+                [](const Task& task) { return task.phase == TaskPhase::Waiting && task.run > 0; });
+        candidate.deadline = job.acceptedAt + allowed + job.policy.goalMs;
+        planner.candidates.push_back(candidate);
+    }
+
+} // namespace
+
+TaskRef refOf(const Candidate& candidate, int index)
+{
+    TaskRef ref;
+    ref.job = candidate.job;
+    ref.occurrence = candidate.occurrence;
+    ref.occurrenceNumber = candidate.occurrenceNumber;
+    ref.stepNumber = candidate.stepNumber;
+    ref.index = index;
+    const auto step = static_cast<std::size_t>(candidate.stepNumber);
+    ref.step = &candidate.job->request.steps[step];
+    ref.progress = &candidate.occurrence->steps[step];
+    ref.task = &ref.progress->tasks[static_cast<std::size_t>(index)];
+    return ref;
+}
+
+void reviewJob(Planner& planner, Job& job)
+{
+    for (auto& [number, occurrence] : job.occurrences) {
+        const bool isDue = occurrence.dueUnixMs <= planner.nowUnixMs;
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            if (isFinal(job.state)) {
+                const Candidate candidate { &job, &occurrence, number, static_cast<int>(i), 0, false };
+                for (int index = 0; index < job.request.steps[i].count; ++index)
+                    stopRun(planner, refOf(candidate, index), "job has ended");
+            } else if (isDue) {
+                reviewStep(planner, job, occurrence, number, static_cast<int>(i));
+            }
+        }
+    }
+}
+
+bool hasRuns(const Job& job)
+{
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (const StepProgress& progress : occurrence.steps) {
+            for (const Task& task : progress.tasks) {
+                if (holdsRun(task))
+                    return true;
+            }
+        }
+    }
+    return false;
+}
+
+void stopStrays(Planner& planner)
+{
+    for (auto& [id, worker] : planner.scheduler.workers) {
+        if (worker.contact != Contact::Held)
+            continue;
+        for (auto& [name, stray] : worker.strays) {
+            const bool isUnknownJob = !findTask(planner.scheduler, name);
+            if ((isUnknownJob && !planner.scheduler.isAccounted)
+                || (stray.lastStopAt > 0 && planner.now - stray.lastStopAt < stopRetryMs))
+                continue;
+            stray.lastStopAt = planner.now;
+            planner.orders.stops.push_back({ id, name, stray.run });
+            note(planner.scheduler, { "stop", name.substr(0, name.find('.')), name, id, stray.run, "stray run", {} });
+        }
+    }
+}
+
+} // namespace lacewing::scheduler
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -40,15 +40,10 @@
 struct Limits {
     Millis maxHoldMs = 6000;       // longest lease of a worker (platform bound)
     Millis stopTimeoutMs = 900;    // longest stop of a task (platform bound)
-    Millis restoreMs = 600;        // resume from a checkpoint (platform bound)
-    Millis gangTimeoutMs = 3000;   // a gang waits this long for its members (platform bound)
-    Millis earlyMs = 250;          // tolerance of a start before its time (platform bound)
-    double remoteFactor = 3;       // slow-down away from the data's rack (platform bound)
     double workerClockRate = 0.98; // slowest clock of a worker relative to ours (platform bound)
     Millis callDelayMs = 400;      // a call of an earlier term may still be on its way (time-out of an order)
     Millis startDeadlineMs = 1500; // a start that arrives later is refused by the worker
     Millis leaseSlackMs = 150;     // margin on top of computed ends of leases
-    Millis visibleMs = 3000;       // accepted jobs are visible everywhere within this (platform bound)
 };
 
 // --- Jobs ---
--- a/tests/daemon_settings_test.cpp
+++ b/tests/daemon_settings_test.cpp
@@ -44,7 +44,6 @@
         text.replace("{{bounds.grace_s|json}}", "6");
         text.replace("{{bounds.status_s|json}}", "120");
         text.replace(QRegularExpression(R"(\{\{bounds\.[a-z_]+\|json\}\})"), "1500");
-        text.replace("\"remoteFactor\": 1500", "\"remoteFactor\": 3");
         const auto settings = parseSettings(text.toStdString(), "settings.json");
         if (settings.has_error())
             CPPUNIT_FAIL(base::describe(settings.error().front()));
