Start nothing on queues that need approval of workers

Cause: approval is not asked for yet, so each start would be refused and repeated with the next plan.

--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -66,7 +66,9 @@
     {
         const Scheduler& scheduler = planner.scheduler;
         const std::string& id = worker.entry.id;
-        if (!isUsable(scheduler, worker) || worker.entry.service != ref.job->policy.service)
+        // Approval of workers is not asked for yet: starts without it would be refused one after the other.
+        if (ref.job->policy.needsTicket || !isUsable(scheduler, worker)
+            || worker.entry.service != ref.job->policy.service)
             return false;
         if (worker.avoidUntil > planner.now || worker.fullUntil > planner.now || ref.task->failedWorker == id)
             return false;
