Remove state and calls that nothing uses

Cause: pacing, tickets of starts, and several counters and flags were left from steps that were replaced; no order to pace was ever made, so every task's pace was 100. Change: they are gone, with the constant field pace in the operators' view of a job.

--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -271,8 +271,7 @@
                                                        id, number, static_cast<int>(step), static_cast<int>(index))) },
                         { "phase", phaseName(list[index].phase) }, { "run", list[index].run },
                         { "failures", static_cast<qint64>(list[index].failedRuns.size()) },
-                        { "worker", toQString(list[index].worker) }, { "percent", list[index].percent },
-                        { "pace", list[index].pace } });
+                        { "worker", toQString(list[index].worker) }, { "percent", list[index].percent } });
             }
         }
         object["team"] = toQString(found->second->policy.name);
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -305,9 +305,8 @@
         if (generation.expired())
             return;
         m_isStoring = false;
-        const scheduler::Millis now = nowMs();
         for (const Stored& record : stored)
-            scheduler::applyCommit(*m_scheduler, record.id, record.version, record.state, now);
+            scheduler::applyCommit(*m_scheduler, record.id, record.version, record.state);
         publishChanges();
         renewDue();
         storeProgress();
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -129,10 +129,6 @@
         if (const auto link = m_links.find(order.worker); link != m_links.end())
             link->second.calls->stop(m_term->token(), order, [](bool) {});
     }
-    for (const scheduler::PaceOrder& order : orders.paces) {
-        if (const auto link = m_links.find(order.worker); link != m_links.end())
-            link->second.calls->pace(m_term->token(), order, [](bool) {});
-    }
     for (const scheduler::StartOrder& order : orders.starts)
         sendStart(order, 1);
 }
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -165,11 +165,9 @@
         m_submissions.pop_front();
     }
     m_isStoring = true;
-    m_inStore = batch.size();
     m_runtime.store->commit(transaction,
         [this, batch = std::move(batch)](const base::Result<std::int64_t, platform::StoreError>& result) mutable {
             m_isStoring = false;
-            m_inStore = 0;
             applyStored(std::move(batch), result);
             storeSubmissions();
         });
--- a/src/daemon/gateway_service.h
+++ b/src/daemon/gateway_service.h
@@ -61,7 +61,6 @@
     std::unique_ptr<http::Server> m_server;
     std::deque<Submission> m_submissions; // waiting for the store
     bool m_isStoring = false;
-    std::size_t m_inStore = 0; // submissions in the call in flight
     QTimer m_retry;
 };
 
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -177,7 +177,6 @@
     if (!m_term->isLeader() || daemon.empty())
         return QJsonDocument(reply).toJson(QJsonDocument::Compact);
     election::Election& state = m_term->state();
-    m_heard[daemon] = now;
     Reply& last = m_sent[daemon];
     const bool isLastReceived = last.number > 0 && request["lastReply"].toInteger() == last.number;
     const std::int64_t storeAge = request["storeAgeMs"].toInteger(-1);
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -27,8 +27,6 @@
     // Empty when started; otherwise the cause.
     std::string start();
     void stop();
-    // Daemons that this one has heard of lately while it scheduled.
-    const std::map<std::string, scheduler::Millis>& heardPeers() const { return m_heard; }
 
 private:
     struct Reply {
@@ -64,7 +62,6 @@
     // --- As the scheduling daemon ---
     std::int64_t m_replies = 0;
     std::map<std::string, Reply> m_sent; // last answer by daemon
-    std::map<std::string, scheduler::Millis> m_heard;
 };
 
 void registerSyncService(Runtime& runtime);
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -32,7 +32,6 @@
     // Writes records in this term; the callback tells whether they are in the store. Never called after the term ended:
     // the records are dropped with it.
     void commit(std::vector<platform::Write> writes, std::function<void()> callback);
-    std::size_t pendingCommits() const { return m_commits.size(); }
 
     // Gives the term up; `done` is called when the record says so, or when that cannot be reached.
     void resign(const std::string& reason, std::function<void()> done);
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -95,8 +95,6 @@
     job.state = state;
     touch(scheduler, job);
     if (isFinal(state)) {
-        job.finalAt = now;
-        scheduler.hasUrgentChange = true;
         note(scheduler,
             { "jobEnded", job.request.id, {}, {}, 0, std::string(nameOf(jobStateNames, state)),
                 { { "ageMs", now - job.acceptedAt }, { "version", static_cast<std::int64_t>(job.version) } } });
@@ -276,9 +274,8 @@
     return ids;
 }
 
-void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state, Millis now)
+void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state)
 {
-    (void)now;
     const auto found = scheduler.jobs.find(id);
     if (found == scheduler.jobs.end())
         return;
@@ -290,8 +287,6 @@
         job.committedState = state;
         scheduler.changes.push_back({ id, state });
     }
-    if (scheduler.dirty.empty())
-        scheduler.hasUrgentChange = false;
 }
 
 std::map<std::string, int> pendingJobs(const Scheduler& scheduler)
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -162,7 +162,6 @@
         task.percent = 0;
         task.progressAt = planner.now;
         task.reading = 0;
-        task.pace = 100;
         task.lastStopAt = 0;
         const double wait = static_cast<double>(scheduler.limits.startDeadlineMs) / scheduler.limits.workerClockRate;
         task.startDeadlineAt = planner.now + static_cast<Millis>(wait) + scheduler.limits.leaseSlackMs;
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -73,7 +73,7 @@
             return false;
         if (ref.step->isLasting)
             return task.percent < 100 && planner.now - task.since > lastingStartupMs;
-        if (ref.step->isGang || task.pace < 50)
+        if (ref.step->isGang)
             return false;
         const Millis limit = std::max<Millis>(stalledMs, ref.step->estimateMs / 4);
         return planner.now - task.progressAt > limit;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -4,13 +4,13 @@
 //   takeOver        a new term begins: nothing may start before the workers have said what they run
 //   setWorkers, setConfiguration, setWithdrawn, addJob, cancelJob
 //                   what the store says
-//   applyReport, loseContact, applyStart, applyStop
+//   applyReport, loseContact, applyStart
 //                   what workers say
-//   plan            what to do next: starts, stops, paces
+//   plan            what to do next: starts and stops
 //   takeCommit, applyCommit
 //                   what has to be in the store before anything that depends on it is shown or acknowledged
 //
-// Pure: no clock, no random numbers, no input or output. The same functions run in the daemon, the tests and the bench.
+// Pure: no clock, no random numbers, no input or output. The same functions run in the daemon and the tests.
 //
 // Invariants
 //   - A task has at most one run that a worker may be executing. It is placed again only after that run's end was
@@ -74,12 +74,9 @@
     int percent = 0;
     Millis progressAt = 0;      // last change of percent
     int reading = 0;            // see RunningTask
-    int pace = 100;             // ordered share of work
     Millis startDeadlineAt = 0; // the start cannot be carried out after this
-    int stopAttempts = 0;
     Millis lastStopAt = 0;
     std::string failedWorker; // where the last failure happened
-    std::string ticket;       // approval of the worker of the run in progress
 };
 
 struct StepProgress {
@@ -102,12 +99,10 @@
     JobState state = JobState::Queued;
     std::map<int, Occurrence> occurrences; // by number
     bool hasStarted = false;               // any task was started
-    Millis finalAt = 0;
     // --- Store ---
     std::uint64_t version = 0;          // rises with each change that has to be stored
     std::uint64_t committedVersion = 0; // never above version
     JobState committedState = JobState::Queued;
-    bool isRemoved = false; // record is to be deleted from the store
 };
 
 // A task with everything above it. Pointers stay valid as long as the job exists.
@@ -210,7 +205,6 @@
 struct Orders {
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
-    std::vector<PaceOrder> paces;
 };
 
 struct JobChange {
@@ -228,9 +222,8 @@
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
     std::set<std::string> active; // jobs that are not final, or not committed as such
     Interference interference;
-    Millis trialAt = 0;           // last start of a filling task beside an image that it is believed to disturb
-    std::set<std::string> dirty;  // jobs whose record has to be stored
-    bool hasUrgentChange = false; // a dirty job has reached a final state
+    Millis trialAt = 0;          // last start of a filling task beside an image that it is believed to disturb
+    std::set<std::string> dirty; // jobs whose record has to be stored
     // --- Term ---
     std::int64_t token = 0;
     Millis termStartedAt = 0;
@@ -288,7 +281,7 @@
 // Jobs to store now, at most `limit`.
 std::vector<std::string> takeCommit(const Scheduler& scheduler, std::size_t limit);
 // The record of the job at that version is in the store.
-void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state, Millis now);
+void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state);
 
 // --- Queries ---
 
--- a/src/scheduler/types.h
+++ b/src/scheduler/types.h
@@ -164,7 +164,6 @@
     int run = 0;
     std::string payload;
     std::string checkpoint;
-    std::string ticket;
     std::int64_t deadlineClockMs = 0; // worker's clock; the worker refuses the start afterwards
 };
 
@@ -174,13 +173,6 @@
     int run = 0;
 };
 
-struct PaceOrder {
-    std::string worker;
-    std::string task;
-    int run = 0;
-    int percent = 100;
-};
-
 enum class StartOutcome {
     Started,  // is running, or has run, under this number
     Fenced,   // a higher token is in force
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -53,7 +53,7 @@
         if (end.kind == EndKind::Done) {
             worker.failureScore *= failureDecay;
             const Millis took = now - task.startedAt;
-            if (task.startedAt > 0 && ref.step->estimateMs > 0 && task.pace == 100 && !ref.step->isFilling) {
+            if (task.startedAt > 0 && ref.step->estimateMs > 0 && !ref.step->isFilling) {
                 const double ratio = static_cast<double>(took) / ref.step->estimateMs;
                 worker.slowness += slownessGain * (std::clamp(ratio, 0.2, 10.0) - worker.slowness);
             }
@@ -108,7 +108,6 @@
         task.startedAt = 0;
         task.percent = row.percent;
         task.progressAt = now;
-        task.pace = 100;
         takeRoom(scheduler, worker, ref);
         note(scheduler,
             { "taskAdopted", ref.job->request.id, row.task, worker.entry.id, row.run, "running",
@@ -396,8 +395,6 @@
             worker->second.avoidUntil = std::max(worker->second.avoidUntil, now + avoidRefusingMs);
         break;
     case StartOutcome::NoTicket:
-        task.ticket.clear();
-        break;
     case StartOutcome::Fenced:
     case StartOutcome::Late:
     case StartOutcome::OtherLife:
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -255,7 +255,7 @@
     for (const std::string& id : scheduler::takeCommit(*m_scheduler, 30)) {
         const scheduler::Job& job = *m_scheduler->jobs.at(id);
         m_progress[id] = scheduler::encodeProgress(job);
-        scheduler::applyCommit(*m_scheduler, id, job.version, job.state, m_now);
+        scheduler::applyCommit(*m_scheduler, id, job.version, job.state);
     }
     m_knownWorkers = scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler));
 }
