--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -317,4 +317,14 @@
     return text.substr(0, end) + "...";
 }
 
+std::string textOf(const QJsonValue& value) { return value.toString().toStdString(); }
+
+std::optional<QJsonObject> parseObject(const QByteArray& bytes)
+{
+    const QJsonDocument document = QJsonDocument::fromJson(bytes);
+    if (!document.isObject())
+        return std::nullopt;
+    return document.object();
+}
+
 } // namespace lacewing::base
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -10,10 +10,12 @@
 
 #include "base/result.h"
 
+#include <QByteArray>
 #include <QJsonObject>
 #include <QJsonValue>
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -96,6 +98,12 @@
 // Path of the value that contains `path`; empty at the top level.
 std::string parentPath(std::string_view path);
 
+// Text of a value; empty when it is no string.
+std::string textOf(const QJsonValue& value);
+
+// The object in foreign bytes; nullopt when they hold anything else. Faults are not located: see parseJsonObject().
+std::optional<QJsonObject> parseObject(const QByteArray& bytes);
+
 // Compact JSON text of any value; longer texts are cut to `bytes` and end in "...".
 std::string jsonText(const QJsonValue& value, std::size_t bytes = 80);
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -196,8 +196,6 @@
             [](const QJsonObject& object) { return isAddress(object["store"]["address"]); } },
     };
 
-    std::string text(const QJsonValue& value) { return value.toString().toStdString(); }
-
     PlatformBounds toBounds(const QJsonValue& json)
     {
         PlatformBounds bounds;
@@ -211,14 +209,14 @@
     Settings toSettings(const QJsonObject& object)
     {
         Settings settings;
-        settings.daemon = text(object["daemon"]["name"]);
-        settings.dataCentre = text(object["daemon"]["dataCentre"]);
+        settings.daemon = base::textOf(object["daemon"]["name"]);
+        settings.dataCentre = base::textOf(object["daemon"]["dataCentre"]);
         settings.processorShare = object["daemon"]["processorShare"].toDouble();
-        settings.callerAddress = text(object["listen"]["callers"]);
-        settings.readinessAddress = text(object["listen"]["readiness"]);
-        settings.adminAddress = text(object["listen"]["admin"]);
-        settings.peerAddress = text(object["listen"]["peers"]);
-        settings.storeAddress = text(object["store"]["address"]);
+        settings.callerAddress = base::textOf(object["listen"]["callers"]);
+        settings.readinessAddress = base::textOf(object["listen"]["readiness"]);
+        settings.adminAddress = base::textOf(object["listen"]["admin"]);
+        settings.peerAddress = base::textOf(object["listen"]["peers"]);
+        settings.storeAddress = base::textOf(object["store"]["address"]);
         settings.bounds = toBounds(object["bounds"]);
         const QJsonValue scheduler = object["scheduler"];
         settings.renewMs = scheduler["renewMs"].toInt();
@@ -227,8 +225,8 @@
         settings.workerListMs = scheduler["workerListMs"].toInt();
         settings.leaseWaitMs = scheduler["leaseWaitMs"].toInt();
         settings.leaseGapMs = scheduler["leaseGapMs"].toInt();
-        settings.logLevel
-            = base::valueOf(kernel::logLevelNames, text(object["log"]["level"])).value_or(kernel::LogLevel::Info);
+        settings.logLevel = base::valueOf(kernel::logLevelNames, base::textOf(object["log"]["level"]))
+                                .value_or(kernel::LogLevel::Info);
         settings.logLinesPerSecond = object["log"]["linesPerSecond"].toInt();
         return settings;
     }
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -1,6 +1,7 @@
 // Requests and answers as JSON objects over nng.
 #include "daemon/sync_service.h"
 
+#include "base/json.h"
 #include "daemon/configuration_service.h"
 #include "daemon/dispatcher_service.h"
 #include "daemon/job_table.h"
@@ -26,8 +27,6 @@
         return limits;
     }
 
-    std::string text(const QJsonValue& value) { return value.toString().toStdString(); }
-
 } // namespace
 
 SyncService::SyncService(Runtime& runtime)
@@ -118,7 +117,7 @@
     if (m_term->isLeader() || !state.record)
         return;
     const bool isSameProcess = reply["incarnation"].toInteger() == state.record->incarnation
-        && text(reply["daemon"]) == state.record->leader;
+        && base::textOf(reply["daemon"]) == state.record->leader;
     if (!reply["isLeader"].toBool() || !isSameProcess) {
         m_hasContact = false;
         m_term->leaderIsDead();
@@ -128,14 +127,14 @@
     m_lastReply = reply["number"].toInteger();
     std::set<std::string> members;
     for (const QJsonValue member : reply["members"].toArray())
-        members.insert(text(member));
+        members.insert(base::textOf(member));
     election::observeContact(state, reply["revision"].toInteger(), members, now);
     if (!m_hasContact)
         kernel::logEvent(kernel::LogLevel::Info, "sync", "dependencyRegained",
             { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
                 { "token", reply["token"].toInteger() } });
     m_hasContact = true;
-    if (text(reply["successor"]) == m_runtime.settings.daemon) {
+    if (base::textOf(reply["successor"]) == m_runtime.settings.daemon) {
         m_term->leaderIsDead();
         return;
     }
@@ -146,8 +145,8 @@
     m_feedTerm = reply["token"].toInteger();
     m_feedHave = reply["next"].toInteger();
     for (const QJsonValue change : reply["changes"].toArray()) {
-        if (const auto jobState = base::valueOf(scheduler::jobStateNames, text(change[1])))
-            applyState(*m_table, text(change[0]), *jobState, now);
+        if (const auto jobState = base::valueOf(scheduler::jobStateNames, base::textOf(change[1])))
+            applyState(*m_table, base::textOf(change[0]), *jobState, now);
     }
     const QJsonObject pending = reply["pending"].toObject();
     m_table->pending.clear();
@@ -170,7 +169,7 @@
 QByteArray SyncService::answer(const QByteArray& bytes)
 {
     const QJsonObject request = QJsonDocument::fromJson(bytes).object();
-    const std::string daemon = text(request["daemon"]);
+    const std::string daemon = base::textOf(request["daemon"]);
     const scheduler::Millis now = nowMs();
     QJsonObject reply { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
         { "incarnation", static_cast<qint64>(m_runtime.incarnation) }, { "isLeader", m_term->isLeader() } };
--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -11,6 +11,12 @@
 // Books and releases the room of a run; a task that holds room names its worker.
 void takeRoom(Scheduler& scheduler, Worker& worker, const TaskRef& ref);
 void releaseRoom(const TaskRef& ref);
+// Name of the task in orders and reports.
+std::string nameOf(const TaskRef& ref);
+bool isOccurrenceDone(const JobRequest& request, const Occurrence& occurrence);
+// Orders the stop of the run in progress and logs the reason with the inputs that decided it.
+void orderStop(Scheduler& scheduler, Orders& orders, const TaskRef& ref, const std::string& reason,
+    std::vector<std::pair<const char*, std::int64_t>> inputs, Millis now);
 // Ends the run in progress, or one that this term did not track.
 void endRun(Scheduler& scheduler, const TaskRef& ref, EndKind kind, int run, Millis now);
 // Earliest and latest reading of the worker's clock now.
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -23,21 +23,10 @@
         return occurrence;
     }
 
-    bool isStepDone(const Step& step, const StepProgress& progress)
-    {
-        return !step.isLasting && progress.done == step.count;
-    }
-
     void finishIfDone(Scheduler& scheduler, Job& job, Millis now)
     {
-        for (auto& [number, occurrence] : job.occurrences) {
-            if (occurrence.isDone)
-                continue;
-            bool isDone = true;
-            for (std::size_t i = 0; i < job.request.steps.size(); ++i)
-                isDone = isDone && isStepDone(job.request.steps[i], occurrence.steps[i]);
-            occurrence.isDone = isDone;
-        }
+        for (auto& [number, occurrence] : job.occurrences)
+            occurrence.isDone = isOccurrenceDone(job.request, occurrence);
         const bool isAllDone = std::all_of(
             job.occurrences.begin(), job.occurrences.end(), [](const auto& entry) { return entry.second.isDone; });
         if (isAllDone)
@@ -80,6 +69,16 @@
         scheduler.decisions.push_back(std::move(decision));
 }
 
+bool isOccurrenceDone(const JobRequest& request, const Occurrence& occurrence)
+{
+    for (std::size_t i = 0; i < request.steps.size(); ++i) {
+        const Step& step = request.steps[i];
+        if (step.isLasting || occurrence.steps[i].done != step.count)
+            return false;
+    }
+    return true;
+}
+
 bool holdsRun(const Task& task) { return task.host != nullptr; }
 
 void touch(Scheduler& scheduler, Job& job)
@@ -168,6 +167,11 @@
     return ref;
 }
 
+std::string nameOf(const TaskRef& ref)
+{
+    return taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index);
+}
+
 namespace {
 
     void countServing(Worker& worker, const Step& step, int change)
@@ -181,21 +185,27 @@
             worker.servingImages.erase(step.image);
     }
 
+    // change: 1 books the room of a task of the step, -1 gives it back.
+    void bookRoom(Worker& worker, const Step& step, int change)
+    {
+        const int cpu = change * step.cpuMillicores;
+        worker.memoryUsed += change * step.memoryMb;
+        worker.gpusUsed += change * step.gpus;
+        (step.isFilling ? worker.fillCpu : worker.cpuUsed) += cpu;
+        worker.servingCpu += step.latencyTargetMs > 0 ? cpu : 0;
+        worker.lastingCpu += step.isLasting && !step.isFilling ? cpu : 0;
+        countServing(worker, step, change);
+    }
+
 } // namespace
 
 void takeRoom(Scheduler& scheduler, Worker& worker, const TaskRef& ref)
 {
-    const std::string name = taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index);
-    if (!worker.tasks.emplace(name, ref).second)
+    if (!worker.tasks.emplace(nameOf(ref), ref).second)
         return;
     ref.task->worker = worker.entry.id;
     ref.task->host = &worker;
-    worker.memoryUsed += ref.step->memoryMb;
-    worker.gpusUsed += ref.step->gpus;
-    (ref.step->isFilling ? worker.fillCpu : worker.cpuUsed) += ref.step->cpuMillicores;
-    worker.servingCpu += ref.step->latencyTargetMs > 0 ? ref.step->cpuMillicores : 0;
-    countServing(worker, *ref.step, 1);
-    worker.lastingCpu += ref.step->isLasting && !ref.step->isFilling ? ref.step->cpuMillicores : 0;
+    bookRoom(worker, *ref.step, 1);
     if (!ref.job->hasStarted) {
         ref.job->hasStarted = true;
         setState(scheduler, *ref.job, JobState::Running, 0);
@@ -209,14 +219,22 @@
     Worker& worker = *ref.task->host;
     ref.task->worker.clear();
     ref.task->host = nullptr;
-    if (worker.tasks.erase(taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index)) == 0)
-        return;
-    worker.memoryUsed -= ref.step->memoryMb;
-    worker.gpusUsed -= ref.step->gpus;
-    (ref.step->isFilling ? worker.fillCpu : worker.cpuUsed) -= ref.step->cpuMillicores;
-    worker.servingCpu -= ref.step->latencyTargetMs > 0 ? ref.step->cpuMillicores : 0;
-    countServing(worker, *ref.step, -1);
-    worker.lastingCpu -= ref.step->isLasting && !ref.step->isFilling ? ref.step->cpuMillicores : 0;
+    if (worker.tasks.erase(nameOf(ref)) > 0)
+        bookRoom(worker, *ref.step, -1);
+}
+
+void orderStop(Scheduler& scheduler, Orders& orders, const TaskRef& ref, const std::string& reason,
+    std::vector<std::pair<const char*, std::int64_t>> inputs, Millis now)
+{
+    Task& task = *ref.task;
+    if (task.phase == TaskPhase::Running || task.phase == TaskPhase::Starting) {
+        task.phase = TaskPhase::Stopping;
+        task.since = now;
+    }
+    task.lastStopAt = now;
+    const std::string name = nameOf(ref);
+    orders.stops.push_back({ task.worker, name, task.run });
+    note(scheduler, { "stop", ref.job->request.id, name, task.worker, task.run, reason, std::move(inputs) });
 }
 
 void endRun(Scheduler& scheduler, const TaskRef& ref, EndKind kind, int run, Millis now)
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -12,12 +12,16 @@
 
 namespace {
 
-    constexpr double servingLoad = 0.45;          // share of its cpu that a serving task uses on average
-    constexpr double fillShare = 0.75;            // a filling task starts with at least this share of its cpu
-    constexpr Millis trialWaitMs = 1500;          // ms of waiting after which a disturbing pair is tried again
-    constexpr Millis trialGapMs = 700;            // ms between such trials on all workers together
-    constexpr Millis trialCalmMs = 4000;          // ms without a stop for interference before such a trial
-    constexpr double slowWorker = 1.8;            // slowness against the mean at which others are preferred
+    constexpr double servingLoad = 0.45; // share of its cpu that a serving task uses on average
+    constexpr double fillShare = 0.75;   // a filling task starts with at least this share of its cpu
+    constexpr Millis trialWaitMs = 1500; // ms of waiting after which a disturbing pair is tried again
+    constexpr Millis trialGapMs = 700;   // ms between such trials on all workers together
+    constexpr Millis trialCalmMs = 4000; // ms without a stop for interference before such a trial
+    constexpr double slowWorker = 1.8;   // slowness against the mean at which others are preferred
+    // Weights of a worker's score, against the share of its processors that is free.
+    constexpr double sameImageWeight = 2;         // of the share of its serving tasks with the same image
+    constexpr double dataRackWeight = 10;         // of being on the rack of the data: goes before all others
+    constexpr double slowWeight = 5;              // against a slow worker: goes before all but the rack
     constexpr Millis dataRackWaitMs = 1500;       // ms that a task waits for room on the rack of its data
     constexpr double shortDemandMemoryMs = 15000; // ms; decay of the remembered need of short tasks
     constexpr double shortShareLimit = 0.15;      // of a service's processors that are kept for short tasks at most
@@ -106,11 +110,12 @@
         double score = (step.isFilling ? fillRoom(worker) : capacity - worker.cpuUsed) / capacity;
         // Serving tasks of one image share workers: what disturbs them then leaves the other workers usable.
         if (step.latencyTargetMs > 0)
-            score += 2 * sameImageShare(worker, step) - std::min(1.0, disturbanceOf(planner.scheduler, worker, step));
+            score += sameImageWeight * sameImageShare(worker, step)
+                - std::min(1.0, disturbanceOf(planner.scheduler, worker, step));
         if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack))
-            score += 10;
+            score += dataRackWeight;
         if (worker.slowness > slowWorker * planner.meanSlowness)
-            score -= 5;
+            score -= slowWeight;
         return score - worker.failureScore;
     }
 
@@ -167,7 +172,7 @@
         task.startDeadlineAt = planner.now + static_cast<Millis>(wait) + scheduler.limits.leaseSlackMs;
         StartOrder order;
         order.worker = worker.entry.id;
-        order.task = taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index);
+        order.task = nameOf(ref);
         order.run = run;
         order.payload = ref.job->request.payload;
         order.checkpoint = task.checkpoint;
@@ -180,7 +185,8 @@
                     { "waitedMs", planner.now - ref.progress->readySince }, { "priority", ref.job->policy.priority },
                     { "millicores", ref.step->cpuMillicores }, { "isLasting", ref.step->isLasting ? 1 : 0 },
                     { "token", scheduler.token } } });
-        if (ref.step->isFilling && disturbance(scheduler, worker, *ref.step) > disturbanceLimit)
+        const auto level = planner.disturbances.find(&worker);
+        if (level != planner.disturbances.end() && level->second > disturbanceLimit)
             scheduler.trialAt = planner.now;
         takeRoom(scheduler, worker, ref);
         ++planner.stepOnWorker[worker.entry.id];
--- a/src/scheduler/pressure.cpp
+++ b/src/scheduler/pressure.cpp
@@ -54,15 +54,11 @@
             const bool isBlamed = added >= share * excess && ref.task->percent < nearlyDonePercent;
             if (!isBlamed && hotFor <= veryHotMs)
                 continue;
-            ref.task->phase = TaskPhase::Stopping;
-            ref.task->since = now;
-            ref.task->lastStopAt = now;
             worker.relievedAt = now;
-            orders.stops.push_back({ worker.entry.id, name, ref.task->run });
-            note(scheduler,
-                { "stop", ref.job->request.id, name, worker.entry.id, ref.task->run, "disturbs " + serving.step->image,
-                    { { "percent", ref.task->percent }, { "addedMs", static_cast<std::int64_t>(added) },
-                        { "readingMs", serving.task->reading }, { "targetMs", serving.step->latencyTargetMs } } });
+            orderStop(scheduler, orders, ref, "disturbs " + serving.step->image,
+                { { "percent", ref.task->percent }, { "addedMs", static_cast<std::int64_t>(added) },
+                    { "readingMs", serving.task->reading }, { "targetMs", serving.step->latencyTargetMs } },
+                now);
         }
     }
 
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -1,6 +1,9 @@
 // JSON of accepted jobs, of progress and of the known workers.
 #include "scheduler/record.h"
 
+#include "base/json.h"
+#include "scheduler/internal.h"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -18,8 +21,6 @@
     constexpr char openMark = '.';
 
     QString text(const std::string& value) { return QString::fromStdString(value); }
-    std::string text(const QJsonValue& value) { return value.toString().toStdString(); }
-
     QJsonObject stepToJson(const Step& step)
     {
         QJsonObject json;
@@ -76,11 +77,11 @@
         step.isSpeculative = json["isSpeculative"].toBool();
         step.isLasting = json["isLasting"].toBool();
         step.isFilling = json["isFilling"].toBool();
-        step.requiredLabel = text(json["requiredLabel"]);
-        step.dataRack = text(json["dataRack"]);
+        step.requiredLabel = base::textOf(json["requiredLabel"]);
+        step.dataRack = base::textOf(json["dataRack"]);
         step.maxPerWorker = json["maxPerWorker"].toInt();
         step.maxUnavailable = json["maxUnavailable"].toInt();
-        step.image = text(json["image"]);
+        step.image = base::textOf(json["image"]);
         step.latencyTargetMs = json["latencyTargetMs"].toInt();
         return step;
     }
@@ -95,8 +96,8 @@
     QueuePolicy policyFromJson(const QJsonObject& json)
     {
         QueuePolicy policy;
-        policy.name = text(json["queue"]);
-        policy.service = text(json["service"]);
+        policy.name = base::textOf(json["queue"]);
+        policy.service = base::textOf(json["service"]);
         policy.priority = json["priority"].toInt();
         policy.maxAttempts = json["maxAttempts"].toInt(1);
         policy.stretch = json["stretch"].toDouble(2);
@@ -105,14 +106,6 @@
         return policy;
     }
 
-    std::optional<QJsonObject> parseObject(const QByteArray& bytes)
-    {
-        const QJsonDocument document = QJsonDocument::fromJson(bytes);
-        if (!document.isObject())
-            return std::nullopt;
-        return document.object();
-    }
-
     char markOf(const Task& task)
     {
         if (task.phase == TaskPhase::Done)
@@ -177,16 +170,11 @@
             task.run = task.endedRun;
             for (const QJsonValue run : failures[key].toArray())
                 task.failedRuns.push_back(run.toInt());
-            task.checkpoint = text(checkpoints[key]);
+            task.checkpoint = base::textOf(checkpoints[key]);
         }
         return true;
     }
 
-    bool isStepDone(const Step& step, const StepProgress& progress)
-    {
-        return !step.isLasting && progress.done == step.count;
-    }
-
 } // namespace
 
 QByteArray encodeAccepted(const AcceptedJob& job)
@@ -206,12 +194,12 @@
 
 std::optional<AcceptedJob> decodeAccepted(const QByteArray& bytes)
 {
-    const std::optional<QJsonObject> json = parseObject(bytes);
+    const std::optional<QJsonObject> json = base::parseObject(bytes);
     if (!json || !(*json)["id"].isString() || !(*json)["steps"].isArray())
         return std::nullopt;
     AcceptedJob job;
-    job.request.id = text((*json)["id"]);
-    job.request.payload = text((*json)["payload"]);
+    job.request.id = base::textOf((*json)["id"]);
+    job.request.payload = base::textOf((*json)["payload"]);
     for (const QJsonValue value : (*json)["steps"].toArray()) {
         Step step = stepFromJson(value.toObject());
         const int index = static_cast<int>(job.request.steps.size());
@@ -248,16 +236,17 @@
 
 std::optional<JobState> decodeState(const QByteArray& bytes)
 {
-    const std::optional<QJsonObject> json = parseObject(bytes);
+    const std::optional<QJsonObject> json = base::parseObject(bytes);
     if (!json)
         return std::nullopt;
-    return base::valueOf(jobStateNames, text((*json)["state"]));
+    return base::valueOf(jobStateNames, base::textOf((*json)["state"]));
 }
 
 bool restoreProgress(Job& job, const QByteArray& bytes)
 {
-    const std::optional<QJsonObject> json = parseObject(bytes);
-    const std::optional<JobState> state = json ? base::valueOf(jobStateNames, text((*json)["state"])) : std::nullopt;
+    const std::optional<QJsonObject> json = base::parseObject(bytes);
+    const std::optional<JobState> state
+        = json ? base::valueOf(jobStateNames, base::textOf((*json)["state"])) : std::nullopt;
     if (!state)
         return false;
     job.state = job.committedState = *state;
@@ -270,13 +259,11 @@
         const QJsonArray steps = occurrences[QString::number(number)].toArray();
         if (steps.size() != static_cast<qsizetype>(occurrence.steps.size()))
             return false;
-        bool isDone = true;
         for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
             if (!restoreStep(occurrence.steps[i], steps[static_cast<qsizetype>(i)].toObject()))
                 return false;
-            isDone = isDone && isStepDone(job.request.steps[i], occurrence.steps[i]);
         }
-        occurrence.isDone = isDone;
+        occurrence.isDone = isOccurrenceDone(job.request, occurrence);
     }
     return true;
 }
@@ -305,12 +292,12 @@
     for (const QJsonValue value : document.array()) {
         const QJsonObject json = value.toObject();
         WorkerEntry entry;
-        entry.id = text(json["id"]);
-        entry.service = text(json["service"]);
-        entry.address = text(json["address"]);
-        entry.dataCentre = text(json["dataCentre"]);
+        entry.id = base::textOf(json["id"]);
+        entry.service = base::textOf(json["service"]);
+        entry.address = base::textOf(json["address"]);
+        entry.dataCentre = base::textOf(json["dataCentre"]);
         for (const QJsonValue label : json["labels"].toArray())
-            entry.labels.push_back(text(label));
+            entry.labels.push_back(base::textOf(label));
         entry.capacity = { json["cpuMillicores"].toInt(), json["memoryMb"].toInt(), json["gpus"].toInt() };
         entry.bornUnixMs = json["bornUnixMs"].toInteger();
         entries.push_back(std::move(entry));
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -30,24 +30,16 @@
         return longest;
     }
 
+    // Orders a stop, again after a while when it had no effect.
     void stopRun(Planner& planner, const TaskRef& ref, const std::string& reason)
     {
-        Task& task = *ref.task;
-        if (!holdsRun(task))
-            return;
-        if (task.phase == TaskPhase::Running || task.phase == TaskPhase::Starting) {
-            task.phase = TaskPhase::Stopping;
-            task.since = planner.now;
-            task.lastStopAt = 0;
-        }
-        if (task.lastStopAt > 0 && planner.now - task.lastStopAt < stopRetryMs)
+        const Task& task = *ref.task;
+        const bool isOrdered = task.phase != TaskPhase::Running && task.phase != TaskPhase::Starting
+            && task.lastStopAt > 0 && planner.now - task.lastStopAt < stopRetryMs;
+        if (!holdsRun(task) || isOrdered)
             return;
-        task.lastStopAt = planner.now;
-        const std::string name = taskName(ref.job->request.id, ref.occurrenceNumber, ref.stepNumber, ref.index);
-        planner.orders.stops.push_back({ task.worker, name, task.run });
-        note(planner.scheduler,
-            { "stop", ref.job->request.id, name, task.worker, task.run, reason,
-                { { "percent", task.percent }, { "quietMs", planner.now - task.progressAt } } });
+        orderStop(planner.scheduler, planner.orders, ref, reason,
+            { { "percent", task.percent }, { "quietMs", planner.now - task.progressAt } }, planner.now);
     }
 
     // A run on a draining worker moves when it cannot finish there.
