Learn interference as growth of ln(tail), keep scarce workers for images without a choice

The linear table blamed light pairs (430 of 1,200 stops), placed several disturbing fills because it weighed each alone, and let images with a choice take the few workers that others need.

Change - interference: one Kalman filter for each serving image over ln(tail); a pair of which little is known is tried on two workers. - Stops take the fills that cause most, and no more than the target needs. Placement adds up what is there. - colocation: a fill pays for workers that images with little choice need; serving tasks are packed. - Jobs past their deadline go behind those that can still reach it.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -325,7 +325,7 @@
 void DispatcherService::storeInterference()
 {
     const scheduler::Millis now = nowMs();
-    if (now - m_interferenceStoredAt < interferenceMs || m_scheduler->interference.slopes.empty())
+    if (now - m_interferenceStoredAt < interferenceMs || m_scheduler->interference.models.empty())
         return;
     m_interferenceStoredAt = now;
     const QByteArray table = scheduler::encodeInterference(m_scheduler->interference);
@@ -375,7 +375,7 @@
 {
     for (const scheduler::Decision& decision : m_scheduler->decisions) {
         std::vector<kernel::LogField> fields;
-        fields.reserve(decision.inputs.size() + 5);
+        fields.reserve(decision.inputs.size() + 6);
         if (!decision.job.empty())
             fields.emplace_back("job", decision.job);
         if (!decision.task.empty())
@@ -386,6 +386,8 @@
             fields.emplace_back("run", decision.run);
         for (const auto& [key, value] : decision.inputs)
             fields.emplace_back(key, value);
+        if (!decision.image.empty())
+            fields.emplace_back("image", decision.image);
         fields.emplace_back("outcome", decision.outcome);
         kernel::logEvent(kernel::LogLevel::Info, "dispatcher", decision.event, fields.data(), fields.size());
     }
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -141,8 +141,7 @@
 {
     const scheduler::Millis askedAt = nowMs();
     if (m_runtime.settings.adviceAddress.empty()) {
-        kernel::logEvent(
-            kernel::LogLevel::Error, "dispatcher", "approvalUnavailable", { { "step", question.step } });
+        kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "approvalUnavailable", { { "step", question.step } });
         scheduler::applyApproval(*m_scheduler, question, std::nullopt, askedAt, askedAt);
         return;
     }
--- a/src/scheduler/approval.cpp
+++ b/src/scheduler/approval.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-    constexpr Millis orderWayMs = 150;           // ms of a ticket's time that a start may need to arrive
+    constexpr Millis orderWayMs = 150;              // ms of a ticket's time that a start may need to arrive
     constexpr std::size_t workersPerQuestion = 100; // limit of the advice service
-    constexpr double spareFactor = 1.3;          // places asked for beyond those that the waiting tasks need
-    constexpr double shareGain = 0.1;            // weight of the newest answer in the share of approved workers
-    constexpr double leastShare = 0.05;          // bounds the length of questions when hardly any worker is approved
-    constexpr Millis failedQuestionMs = 200;     // ms until a question without an answer is asked again
+    constexpr double spareFactor = 1.3;             // places asked for beyond those that the waiting tasks need
+    constexpr double shareGain = 0.1;               // weight of the newest answer in the share of approved workers
+    constexpr double leastShare = 0.05;             // bounds the length of questions when hardly any worker is approved
+    constexpr Millis failedQuestionMs = 200;        // ms until a question without an answer is asked again
 
     std::string stepName(const Candidate& candidate)
     {
--- a/src/scheduler/interference.cpp
+++ b/src/scheduler/interference.cpp
@@ -1,113 +1,168 @@
-// Normalised least mean squares over the pairs of images that are present.
+// Kalman filters of the serving images.
 #include "scheduler/interference.h"
 
+#include "base/json.h"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <algorithm>
+#include <cmath>
 
 namespace lacewing::scheduler {
 
 namespace {
 
-    constexpr double aloneStartMs = 5;   // ms; a serving image that was never seen alone
-    constexpr double aloneGain = 0.1;    // weight of the newest reading without fills
-    constexpr double slopeGain = 0.4;    // share of the error that one reading corrects
-    constexpr double shareFloor = 0.004; // keeps the correction bounded when hardly any processor is used
-    constexpr double readingCapMs = 500; // higher readings say no more about a pair
-    constexpr double usedShare = 0.01;   // less use of a fill says nothing about it
-    constexpr double slopeMaxMs = 5000;  // ms for all processors of a worker
-    constexpr int knownReadings = 4;     // readings after which a pair counts as known
-
-} // namespace
+    constexpr double aloneStartMs = 10;        // ms; a serving image that was never seen
+    constexpr double aloneVariance = 1;        // of ln(tail alone) before the first reading
+    constexpr double slopeStart = 1.5;         // of a pair that was never seen
+    constexpr double slopeVariance = 9;        // of such a pair
+    constexpr double readingVariance = 0.2;    // of ln(reading): rough figures, and the serving tasks' own load
+    constexpr double slopeDrift = 0.001;       // variance that a slope gains with each reading of its serving image
+    constexpr double slopeDriftLimit = 1;      // variance above which a slope gains no more
+    constexpr double uncertainDeviation = 1.5; // half of what a pair starts with
+    constexpr double readingFloorMs = 1;       // keeps the logarithm finite
+    constexpr double usedShare = 0.01;         // less use of a fill says nothing about it
+    constexpr std::size_t maxFills = 64;       // filling images of one model; bounds the cost of a reading
 
-double aloneMs(const Interference& table, const std::string& servingImage)
-{
-    const auto found = table.aloneMs.find(servingImage);
-    return found == table.aloneMs.end() ? aloneStartMs : found->second;
-}
+    double& cell(ServingModel& model, std::size_t row, std::size_t column)
+    {
+        return model.covariance[row * model.estimates.size() + column];
+    }
 
-namespace {
+    // Adds a row and a column with the variance to the covariance.
+    std::size_t addEstimate(ServingModel& model, double mean, double variance)
+    {
+        const std::size_t size = model.estimates.size();
+        std::vector<double> covariance((size + 1) * (size + 1), 0.0);
+        for (std::size_t row = 0; row < size; ++row)
+            std::copy_n(model.covariance.begin() + static_cast<std::ptrdiff_t>(row * size), size,
+                covariance.begin() + static_cast<std::ptrdiff_t>(row * (size + 1)));
+        covariance.back() = variance;
+        model.covariance = std::move(covariance);
+        model.estimates.push_back(mean);
+        return size;
+    }
 
-    const Slope* findSlope(const Interference& table, const std::string& servingImage, const std::string& fillImage)
+    ServingModel& modelOf(Interference& table, const std::string& servingImage)
     {
-        const auto row = table.slopes.find(fillImage);
-        if (row == table.slopes.end())
-            return nullptr;
-        const auto found = row->second.find(servingImage);
-        return found == row->second.end() ? nullptr : &found->second;
+        ServingModel& model = table.models[servingImage];
+        if (model.estimates.empty())
+            addEstimate(model, std::log(aloneStartMs), aloneVariance);
+        return model;
     }
 
-} // namespace
+    void drift(ServingModel& model)
+    {
+        for (std::size_t i = 1; i < model.estimates.size(); ++i) {
+            double& variance = cell(model, i, i);
+            if (variance < slopeDriftLimit)
+                variance += slopeDrift;
+        }
+    }
 
-double addedMs(const Interference& table, const std::string& servingImage, const std::string& fillImage, double share)
-{
-    const Slope* slope = findSlope(table, servingImage, fillImage);
-    return slope ? slope->msPerShare * share : 0;
-}
+    // One step of the filter: the reading is the sum of the estimates, each times its weight, plus noise.
+    void update(ServingModel& model, const std::vector<double>& weights, double reading)
+    {
+        const std::size_t size = model.estimates.size();
+        std::vector<double> spread(size, 0.0); // covariance times weights
+        double predicted = 0;
+        double variance = readingVariance;
+        for (std::size_t i = 0; i < size; ++i) {
+            for (std::size_t k = 0; k < size; ++k)
+                spread[i] += cell(model, i, k) * weights[k];
+            predicted += model.estimates[i] * weights[i];
+        }
+        for (std::size_t i = 0; i < size; ++i)
+            variance += weights[i] * spread[i];
+        for (std::size_t i = 0; i < size; ++i) {
+            model.estimates[i] += spread[i] / variance * (reading - predicted);
+            if (i > 0)
+                model.estimates[i] = std::max(0.0, model.estimates[i]); // a fill never makes others faster
+            for (std::size_t k = 0; k < size; ++k)
+                cell(model, i, k) -= spread[i] * spread[k] / variance;
+        }
+    }
 
-const Slope* knownSlope(const Interference& table, const std::string& servingImage, const std::string& fillImage)
-{
-    const Slope* slope = findSlope(table, servingImage, fillImage);
-    return slope && slope->readings >= knownReadings ? slope : nullptr;
-}
+} // namespace
 
 void learn(Interference& table, const std::string& servingImage, double readingMs, const std::vector<FillUse>& fills)
 {
     if (readingMs <= 0)
         return;
-    const double reading = std::min(readingMs, readingCapMs);
-    double predicted = aloneMs(table, servingImage);
-    double energy = shareFloor;
-    bool isAlone = true;
+    ServingModel& model = modelOf(table, servingImage);
+    drift(model);
     for (const FillUse& fill : fills) {
-        if (fill.share < usedShare)
-            continue;
-        isAlone = false;
-        predicted += addedMs(table, servingImage, fill.image, fill.share);
-        energy += fill.share * fill.share;
-    }
-    const double error = reading - predicted;
-    if (isAlone) {
-        double& alone = table.aloneMs.try_emplace(servingImage, aloneStartMs).first->second;
-        alone += aloneGain * std::clamp(error, -alone, alone);
-        return;
+        if (fill.share >= usedShare && model.indices.count(fill.image) == 0 && model.indices.size() < maxFills)
+            model.indices[fill.image] = addEstimate(model, slopeStart, slopeVariance);
     }
+    std::vector<double> weights(model.estimates.size(), 0.0);
+    weights[0] = 1;
     for (const FillUse& fill : fills) {
-        if (fill.share < usedShare)
-            continue;
-        Slope& slope = table.slopes[fill.image][servingImage];
-        slope.msPerShare = std::clamp(slope.msPerShare + slopeGain * error * fill.share / energy, 0.0, slopeMaxMs);
-        ++slope.readings;
+        const auto index = model.indices.find(fill.image);
+        if (index != model.indices.end() && fill.share >= usedShare)
+            weights[index->second] = fill.share;
     }
+    update(model, weights, std::log(std::max(readingFloorMs, readingMs)));
+}
+
+double aloneMs(const Interference& table, const std::string& servingImage)
+{
+    const auto model = table.models.find(servingImage);
+    return model == table.models.end() ? aloneStartMs : std::exp(model->second.estimates.front());
+}
+
+Slope slopeOf(const Interference& table, const std::string& servingImage, const std::string& fillImage)
+{
+    const Slope unknown { slopeStart, std::sqrt(slopeVariance) };
+    const auto model = table.models.find(servingImage);
+    if (model == table.models.end())
+        return unknown;
+    const auto index = model->second.indices.find(fillImage);
+    if (index == model->second.indices.end())
+        return unknown;
+    const std::size_t i = index->second;
+    const double variance = model->second.covariance[i * model->second.estimates.size() + i];
+    return { model->second.estimates[i], std::sqrt(std::max(0.0, variance)) };
 }
 
+bool isUncertain(const Slope& slope) { return slope.deviation > uncertainDeviation; }
+
 QByteArray encodeInterference(const Interference& table)
 {
-    QJsonObject alone;
-    for (const auto& [image, ms] : table.aloneMs)
-        alone[QString::fromStdString(image)] = ms;
-    QJsonArray slopes;
-    for (const auto& [fill, row] : table.slopes) {
-        for (const auto& [serving, slope] : row)
-            slopes.append(QJsonArray {
-                QString::fromStdString(serving), QString::fromStdString(fill), slope.msPerShare, slope.readings });
+    QJsonObject json;
+    for (const auto& [image, model] : table.models) {
+        QJsonObject slopes;
+        for (const auto& [fill, index] : model.indices) {
+            const Slope slope = slopeOf(table, image, fill);
+            slopes[QString::fromStdString(fill)] = QJsonArray { slope.mean, slope.deviation };
+        }
+        json[QString::fromStdString(image)]
+            = QJsonObject { { "logAloneMs", model.estimates.front() }, { "slopes", slopes } };
     }
-    return QJsonDocument(QJsonObject { { "aloneMs", alone }, { "slopes", slopes } }).toJson(QJsonDocument::Compact);
+    return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
 bool decodeInterference(Interference& table, const QByteArray& bytes)
 {
-    const QJsonDocument document = QJsonDocument::fromJson(bytes);
-    const QJsonObject json = document.object();
-    if (!document.isObject() || !json["aloneMs"].isObject() || !json["slopes"].isArray())
+    const std::optional<QJsonObject> json = base::parseObject(bytes);
+    if (!json)
         return false;
-    const QJsonObject alone = json["aloneMs"].toObject();
-    for (auto it = alone.begin(); it != alone.end(); ++it)
-        table.aloneMs[it.key().toStdString()] = it.value().toDouble();
-    for (const QJsonValue row : json["slopes"].toArray())
-        table.slopes[row[1].toString().toStdString()][row[0].toString().toStdString()]
-            = { row[2].toDouble(), row[3].toInt() };
+    Interference decoded;
+    for (auto it = json->begin(); it != json->end(); ++it) {
+        const QJsonValue entry = it.value();
+        if (!entry["logAloneMs"].isDouble() || !entry["slopes"].isObject())
+            return false;
+        ServingModel& model = decoded.models[it.key().toStdString()];
+        addEstimate(model, entry["logAloneMs"].toDouble(), aloneVariance);
+        const QJsonObject slopes = entry["slopes"].toObject();
+        for (auto slope = slopes.begin(); slope != slopes.end(); ++slope) {
+            const double deviation = slope.value()[1].toDouble();
+            model.indices[slope.key().toStdString()]
+                = addEstimate(model, std::max(0.0, slope.value()[0].toDouble()), deviation * deviation);
+        }
+    }
+    table = std::move(decoded);
     return true;
 }
 
--- a/src/scheduler/interference.h
+++ b/src/scheduler/interference.h
@@ -1,8 +1,11 @@
 // What filling tasks do to the serving tasks beside them, learned from the workers' late and rough readings.
 //
-// The effect depends on the pair of images. It is modelled as linear: the tail latency of a serving task is that of its
-// image alone plus, for each filling image, a slope times the share of the worker's processors that it uses. One table
-// serves all workers, so that a pair is learned once.
+// The effect depends on the pair of images, and a tail latency grows faster than the load that causes it. It is
+// modelled as linear in the logarithm: ln(tail) = ln(tail alone) + sum over filling images of a slope times the share
+// of the worker's processors that the image uses. One table serves all workers, so that a pair is learned once.
+//
+// Each serving image has a Kalman filter over its slopes. The covariance tells filling images that ran side by side
+// apart as soon as one of them is seen without the other, and says which pairs are not known yet.
 //
 // Pure; the table is part of the scheduler's state and is stored for the next term.
 #pragma once
@@ -15,14 +18,15 @@
 
 namespace lacewing::scheduler {
 
-struct Slope {
-    double msPerShare = 0; // added tail latency when the image used all processors of a worker
-    int readings = 0;      // that it was learned from
+// Estimates for one serving image. Index 0 is ln(tail alone, ms); the others are slopes of filling images.
+struct ServingModel {
+    std::map<std::string, std::size_t> indices; // by filling image
+    std::vector<double> estimates;
+    std::vector<double> covariance; // row by row, symmetric
 };
 
 struct Interference {
-    std::map<std::string, double> aloneMs;                      // by serving image
-    std::map<std::string, std::map<std::string, Slope>> slopes; // by filling image, then by serving image
+    std::map<std::string, ServingModel> models; // by serving image
 };
 
 // Use of one filling image on a worker, as a share of the worker's processors.
@@ -31,14 +35,19 @@
     double share = 0;
 };
 
-// Takes one reading of a serving task, made while the fills used their shares.
+// Slope of a pair: growth of ln(tail) when the image used all processors of a worker.
+struct Slope {
+    double mean = 0;
+    double deviation = 0; // standard deviation of the estimate
+};
+
+// Takes one reading of a serving image on a worker, made while the fills used their shares.
 void learn(Interference& table, const std::string& servingImage, double readingMs, const std::vector<FillUse>& fills);
 
 double aloneMs(const Interference& table, const std::string& servingImage);
-// Tail latency that a share of the filling image adds to a serving task.
-double addedMs(const Interference& table, const std::string& servingImage, const std::string& fillImage, double share);
-// Slope of a pair that has been seen together often enough; nullptr for any other.
-const Slope* knownSlope(const Interference& table, const std::string& servingImage, const std::string& fillImage);
+Slope slopeOf(const Interference& table, const std::string& servingImage, const std::string& fillImage);
+// True while too little is known of the pair to rely on its slope.
+bool isUncertain(const Slope& slope);
 
 QByteArray encodeInterference(const Interference& table);
 // False when the bytes do not decode; the table is left as it was.
--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -26,15 +26,21 @@
 void accountWorkers(Scheduler& scheduler, Millis now);
 bool holdsRun(const Task& task);
 void note(Scheduler& scheduler, Decision decision);
-// Level of disturbance that is assumed of a pair of images that was not seen together yet; 1 reaches the target.
-constexpr double unknownPairLevel = 0.3;
-constexpr double disturbanceLimit = 0.8; // of the way to a serving task's target; more is not placed
 // A worker without serving tasks ranks between one with the same image and one with others.
 constexpr double emptyWorkerShare = 0.5;
 
-// What a filling task would do to the serving tasks on the worker; 1 takes the worst of them to its target.
-double disturbance(const Scheduler& scheduler, const Worker& worker, const Step& fill);
-// What the filling tasks on the worker would do to a serving task.
+// What one serving image on a worker bears: growth of ln(tail).
+struct ServingRoom {
+    std::string image;
+    double room = 0;   // until the target is reached
+    double growth = 0; // by the filling tasks that are there
+};
+
+double servingRoom(const Scheduler& scheduler, const std::string& servingImage, int targetMs);
+std::vector<ServingRoom> servingRooms(const Scheduler& scheduler, const Worker& worker);
+// Growth of a serving image's ln(tail) by one more filling task, on the safe side once the pair is known.
+double growthBy(const Scheduler& scheduler, const Worker& worker, const std::string& servingImage, const Step& fill);
+// What the filling tasks on the worker would do to a serving task; 1 takes it to its target.
 double disturbanceOf(const Scheduler& scheduler, const Worker& worker, const Step& serving);
 // Share of the worker's serving tasks that have the image.
 double sameImageShare(const Worker& worker, const Step& serving);
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -234,7 +234,8 @@
     task.lastStopAt = now;
     const std::string name = nameOf(ref);
     orders.stops.push_back({ task.worker, name, task.run });
-    note(scheduler, { "stop", ref.job->request.id, name, task.worker, task.run, reason, std::move(inputs) });
+    note(scheduler,
+        { "stop", ref.job->request.id, name, task.worker, task.run, reason, std::move(inputs), ref.step->image });
 }
 
 void endRun(Scheduler& scheduler, const TaskRef& ref, EndKind kind, int run, Millis now)
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -1,8 +1,10 @@
 // Placement: which waiting task starts where.
 //
-// Order of waiting tasks: priority of the queue, then the job's own deadline (its longest chain times the allowed
-// stretch). A task that fits nowhere does not hold back smaller ones behind it.
+// Order of waiting tasks: priority of the queue, then jobs that can still reach their deadline (the longest chain times
+// the allowed stretch) before those that cannot, then the deadline itself. A task that fits nowhere does not hold back
+// smaller ones behind it.
 #include "scheduler/approval.h"
+#include "scheduler/colocation.h"
 #include "scheduler/planner.h"
 
 #include <algorithm>
@@ -13,15 +15,13 @@
 
 namespace {
 
-    constexpr double servingLoad = 0.45; // share of its cpu that a serving task uses on average
-    constexpr double fillShare = 0.75;   // a filling task starts with at least this share of its cpu
-    constexpr Millis trialWaitMs = 1500; // ms of waiting after which a disturbing pair is tried again
-    constexpr Millis trialGapMs = 700;   // ms between such trials on all workers together
-    constexpr Millis trialCalmMs = 4000; // ms without a stop for interference before such a trial
-    constexpr double slowWorker = 1.8;   // slowness against the mean at which others are preferred
+    constexpr double fillShare = 0.75; // a filling task starts with at least this share of its cpu
+    constexpr double slowWorker = 1.8; // slowness against the mean at which others are preferred
     // Weights of a worker's score, against the share of its processors that is free.
     constexpr double sameImageWeight = 2;         // of the share of its serving tasks with the same image
     constexpr double dataRackWeight = 10;         // of being on the rack of the data: goes before all others
+    constexpr double disturbanceWeight = 2;       // of the level of disturbance that a filling task would cause
+    constexpr double scarcityWeight = 1;          // of how much other filling images need the worker
     constexpr double slowWeight = 5;              // against a slow worker: goes before all but the rack
     constexpr Millis dataRackWaitMs = 1500;       // ms that a task waits for room on the rack of its data
     constexpr double shortDemandMemoryMs = 15000; // ms; decay of the remembered need of short tasks
@@ -83,13 +83,6 @@
         return count == planner.stepOnWorker.end() || count->second < ref.step->maxPerWorker;
     }
 
-    // Millicores that filling tasks may still use.
-    double fillRoom(const Worker& worker)
-    {
-        const double used = worker.cpuUsed - worker.servingCpu * (1 - servingLoad);
-        return worker.entry.capacity.cpuMillicores - used - worker.fillCpu;
-    }
-
     bool fits(const Worker& worker, const Step& step)
     {
         const Capacity& capacity = worker.entry.capacity;
@@ -101,16 +94,20 @@
     }
 
     // Higher is better.
-    double scoreOf(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    double scoreOf(Planner& planner, const Worker& worker, const TaskRef& ref)
     {
         const Step& step = *ref.step;
         const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
-        // Tasks spread over what is free, filling ones over what is idle.
+        // Tasks spread over what is free, filling ones over what is idle; serving ones are packed.
         double score = (step.isFilling ? fillRoom(worker) : capacity - worker.cpuUsed) / capacity;
+        if (step.latencyTargetMs > 0)
+            score = -score;
         // Serving tasks of one image share workers: what disturbs them then leaves the other workers usable.
         if (step.latencyTargetMs > 0)
             score += sameImageWeight * sameImageShare(worker, step)
                 - std::min(1.0, disturbanceOf(planner.scheduler, worker, step));
+        if (step.isFilling)
+            score -= scarcityWeight * scarcity(planner, worker);
         if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack))
             score += dataRackWeight;
         if (worker.slowness > slowWorker * planner.meanSlowness)
@@ -118,17 +115,6 @@
         return score - worker.failureScore;
     }
 
-    // A table that was learned wrong would never be corrected if the pair were never tried again: a filling task that
-    // has waited long may try, on a worker that was calm for a while.
-    double allowedDisturbance(const Planner& planner, const Worker& worker, const TaskRef& ref)
-    {
-        const Millis waited = planner.now - std::max(ref.task->since, ref.progress->readySince);
-        const bool isTrialDue = planner.now - planner.scheduler.trialAt >= trialGapMs;
-        if (!isTrialDue || waited < trialWaitMs || planner.now - worker.relievedAt < trialCalmMs)
-            return disturbanceLimit;
-        return disturbanceLimit * static_cast<double>(waited) / trialWaitMs;
-    }
-
     Worker* chooseWorker(Planner& planner, const TaskRef& ref, const std::string& rack)
     {
         Worker* best = nullptr;
@@ -139,13 +125,10 @@
                 continue;
             double score = scoreOf(planner, worker, ref);
             if (ref.step->isFilling && worker.servingCpu > 0) {
-                const auto [cached, isNew] = planner.disturbances.try_emplace(&worker, 0);
-                if (isNew)
-                    cached->second = disturbance(planner.scheduler, worker, *ref.step);
-                const double level = cached->second;
-                if (level > allowedDisturbance(planner, worker, ref))
+                const double level = disturbance(planner, worker, *ref.step);
+                if (level > disturbanceLimit(planner, worker, ref))
                     continue;
-                score -= level;
+                score -= disturbanceWeight * level;
             }
             if (!best || score > bestScore) {
                 best = &worker;
@@ -185,10 +168,10 @@
                     { "reportAgeMs", planner.now - worker.reportedAt },
                     { "waitedMs", planner.now - ref.progress->readySince }, { "priority", ref.job->policy.priority },
                     { "millicores", ref.step->cpuMillicores }, { "isLasting", ref.step->isLasting ? 1 : 0 },
-                    { "token", scheduler.token } } });
-        const auto level = planner.disturbances.find(&worker);
-        if (level != planner.disturbances.end() && level->second > disturbanceLimit)
-            scheduler.trialAt = planner.now;
+                    { "token", scheduler.token } },
+                ref.step->image });
+        if (ref.step->isFilling && worker.servingCpu > 0)
+            countFill(planner, worker, *ref.step);
         takeRoom(scheduler, worker, ref);
         ++planner.stepOnWorker[worker.entry.id];
         ++scheduler.starts;
@@ -198,7 +181,6 @@
     void countStep(Planner& planner, const Candidate& candidate)
     {
         planner.stepOnWorker.clear();
-        planner.disturbances.clear();
         const StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
         for (const Task& task : progress.tasks) {
             if (holdsRun(task))
@@ -374,7 +356,7 @@
 
 Orders plan(Scheduler& scheduler, Millis now, std::int64_t nowUnixMs)
 {
-    Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {}, {}, {} };
+    Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {}, {}, {}, {}, false, {} };
     accountWorkers(scheduler, now);
     std::vector<std::string> finished;
     for (const std::string& id : scheduler.active) {
@@ -390,13 +372,14 @@
     if (now >= scheduler.validUntil || !scheduler.hasWorkerList)
         return std::move(planner.orders);
     updateShortDemand(planner);
+    updateFillDemand(planner);
     double sum = 0;
     for (const auto& [id, worker] : scheduler.workers)
         sum += worker.slowness;
     planner.meanSlowness = scheduler.workers.empty() ? 1 : sum / static_cast<double>(scheduler.workers.size());
     std::sort(planner.candidates.begin(), planner.candidates.end(), [](const Candidate& a, const Candidate& b) {
-        return std::tuple(!a.isRestart, a.job->policy.priority, a.deadline, a.job->acceptedUnixMs)
-            < std::tuple(!b.isRestart, b.job->policy.priority, b.deadline, b.job->acceptedUnixMs);
+        return std::tuple(!a.isRestart, a.job->policy.priority, a.timeliness, a.deadlineUnixMs, a.job->request.id)
+            < std::tuple(!b.isRestart, b.job->policy.priority, b.timeliness, b.deadlineUnixMs, b.job->request.id);
     });
     for (const Candidate& candidate : planner.candidates)
         placeStep(planner, candidate);
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -5,12 +5,20 @@
 
 namespace lacewing::scheduler {
 
+// What a job can still reach; a job that cannot reach its deadline goes behind those that can.
+enum class Timeliness {
+    InTime,
+    Late,     // past its deadline, of use up to lateFactor times the allowed time
+    Hopeless, // later than that; must finish all the same
+};
+
 struct Candidate {
     Job* job = nullptr;
     Occurrence* occurrence = nullptr;
     int occurrenceNumber = 0;
     int stepNumber = 0;
-    Millis deadline = 0;    // of the job
+    std::int64_t deadlineUnixMs = 0; // of the job; for lasting jobs of their start
+    Timeliness timeliness = Timeliness::InTime;
     bool isRestart = false; // lasting tasks that ran before: their users wait
 };
 
@@ -29,9 +37,12 @@
     Orders orders;
     std::vector<Candidate> candidates;
     double meanSlowness = 1;
-    std::map<std::string, int> stepOnWorker;      // tasks of the step in hand on each worker
-    std::map<std::string, Room> rooms;            // by service
-    std::map<const Worker*, double> disturbances; // by the step in hand, when it fills
+    std::map<std::string, int> stepOnWorker;                        // tasks of the step in hand on each worker
+    std::map<std::string, Room> rooms;                              // by service
+    std::map<const Worker*, std::vector<ServingRoom>> servingRooms; // as of this plan
+    std::map<std::pair<std::string, std::string>, int> trials;      // workers by pair of serving and filling image
+    bool hasTrials = false;                                         // trials are counted
+    std::map<const Worker*, double> scarcities;                     // as of this plan
 };
 
 TaskRef refOf(const Candidate& candidate, int index);
--- a/src/scheduler/pressure.cpp
+++ b/src/scheduler/pressure.cpp
@@ -1,10 +1,11 @@
 // Serving tasks first: learns from their readings and stops the filling tasks that push them over their targets.
 //
-// A disturbing pair of images costs many times the target, so slowing the filling task down is not enough: it is
-// stopped, keeps its checkpoint, and starts again beside images that it does not disturb.
+// A filling task that is stopped keeps its checkpoint and starts again beside images that it does not disturb. Those
+// that cause most are stopped first, and no more of them than the target needs.
 #include "scheduler/internal.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lacewing::scheduler {
 
@@ -12,14 +13,15 @@
 
     constexpr Millis readingWindowMs = 500;  // ms that a reading covers
     constexpr Millis settleMs = 1000;        // ms after a stop until readings of the worker count again
-    constexpr double blameShare = 0.25;      // part of the excess that a filling task must cause to be stopped
     constexpr double nearlyDonePercent = 85; // a filling task that ends soon is left alone
+    constexpr double reliefMargin = 0.2;     // of ln(tail): aims below the target, because readings are rough
+    constexpr double leastBlame = 0.12;      // of ln(tail): a filling task that adds less is not stopped early
     constexpr double calmRatio = 0.9;        // of the target; readings are rough, so a worker near it stays hot
-    // A worker whose serving tasks stay over their targets: blame is spread over several fills or not learned yet.
-    constexpr double hotBlameShare = 0.05;  // part of the excess that counts after half the time to full relief
-    constexpr Millis firstReportMs = 1100;  // ms; longest wait for the report that first shows a target missed
-    constexpr Millis reliefMarginMs = 600;  // ms; wait for the next report of a hot worker, and the way of the order
-    constexpr Millis leastReliefMs = 500;   // ms; one reading may be an outlier
+    constexpr double leastRoom = 0.2;        // of ln(tail): for serving images that are near their target by themselves
+    // A worker whose serving tasks stay over their targets: the blame is not learned yet.
+    constexpr Millis firstReportMs = 1100; // ms; longest wait for the report that first shows a target missed
+    constexpr Millis reliefMarginMs = 600; // ms; wait for the next report of a hot worker, and the way of the order
+    constexpr Millis leastReliefMs = 500;  // ms; one reading may be an outlier
 
     // Time over target, as reports show it, after which every filling task on the worker is stopped.
     Millis fullReliefMs(const Limits& limits)
@@ -28,13 +30,17 @@
         return std::max(leastReliefMs, limits.impactMs - spent);
     }
 
+    double shareOf(const Worker& worker, int millicores)
+    {
+        return millicores / static_cast<double>(std::max(1, worker.entry.capacity.cpuMillicores));
+    }
+
     std::vector<FillUse> fillUses(const Worker& worker)
     {
         std::map<std::string, double> shares;
-        const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
         for (const auto& [name, ref] : worker.tasks) {
             if (ref.step->isFilling)
-                shares[ref.step->image] += ref.task->reading / capacity;
+                shares[ref.step->image] += shareOf(worker, ref.task->reading);
         }
         std::vector<FillUse> uses;
         uses.reserve(shares.size());
@@ -49,47 +55,65 @@
             && now - ref.task->since > readingWindowMs;
     }
 
-    // Tail latency against the target.
-    double pressureOf(const TaskRef& serving)
-    {
-        return static_cast<double>(serving.task->reading) / serving.step->latencyTargetMs;
-    }
+    // Readings of one serving image on one worker. Its tasks share all causes, so they count as one reading.
+    struct ImageReading {
+        double logSum = 0;
+        int tasks = 0;
+        double pressure = 0; // highest reading against its target
+    };
 
-    // Highest pressure on the worker.
-    double learnReadings(Scheduler& scheduler, const Worker& worker, Millis now)
+    std::map<std::string, ImageReading> readServing(const Worker& worker, Millis now)
     {
-        const std::vector<FillUse> uses = fillUses(worker);
-        double highest = 0;
+        std::map<std::string, ImageReading> readings;
         for (const auto& [name, ref] : worker.tasks) {
-            if (!isServing(ref, now))
+            if (!isServing(ref, now) || ref.task->reading <= 0)
                 continue;
-            highest = std::max(highest, pressureOf(ref));
-            learn(scheduler.interference, ref.step->image, ref.task->reading, uses);
+            ImageReading& reading = readings[ref.step->image];
+            reading.logSum += std::log(ref.task->reading);
+            ++reading.tasks;
+            reading.pressure
+                = std::max(reading.pressure, static_cast<double>(ref.task->reading) / ref.step->latencyTargetMs);
         }
-        return highest;
+        return readings;
     }
 
-    void stopDisturbing(Scheduler& scheduler, Worker& worker, const TaskRef& serving, Orders& orders, Millis now)
+    struct Blame {
+        TaskRef ref;
+        double growth = 0; // of ln(tail), that the filling task causes
+    };
+
+    std::vector<Blame> blameOf(const Scheduler& scheduler, const Worker& worker, const std::string& servingImage)
     {
-        const double excess = serving.task->reading - serving.step->latencyTargetMs;
-        const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
-        const Millis hotFor = now - worker.hotSince;
-        const Millis fullRelief = fullReliefMs(scheduler.limits);
-        const double share = hotFor > fullRelief / 2 ? hotBlameShare : blameShare;
+        std::vector<Blame> blamed;
         for (const auto& [name, ref] : worker.tasks) {
             const bool isRunning = ref.task->phase == TaskPhase::Running || ref.task->phase == TaskPhase::Starting;
             if (!ref.step->isFilling || !isRunning)
                 continue;
-            const double added
-                = addedMs(scheduler.interference, serving.step->image, ref.step->image, ref.task->reading / capacity);
-            const bool isBlamed = added >= share * excess && ref.task->percent < nearlyDonePercent;
-            if (!isBlamed && hotFor < fullRelief)
+            const double share = shareOf(worker, std::max(ref.task->reading, ref.step->cpuMillicores));
+            blamed.push_back({ ref, slopeOf(scheduler.interference, servingImage, ref.step->image).mean * share });
+        }
+        std::sort(blamed.begin(), blamed.end(), [](const Blame& a, const Blame& b) { return a.growth > b.growth; });
+        return blamed;
+    }
+
+    void relieve(Scheduler& scheduler, Worker& worker, const std::string& servingImage, double pressure, Orders& orders,
+        Millis now)
+    {
+        const Millis hotFor = now - worker.hotSince;
+        const bool isFullRelief = hotFor >= fullReliefMs(scheduler.limits);
+        const double needed = std::log(pressure) + reliefMargin;
+        double relieved = 0;
+        for (const Blame& blame : blameOf(scheduler, worker, servingImage)) {
+            const bool isEnough = relieved >= needed || blame.growth < leastBlame;
+            const bool isNearlyDone = blame.ref.task->percent >= nearlyDonePercent;
+            if (!isFullRelief && (isEnough || isNearlyDone))
                 continue;
+            relieved += blame.growth;
             worker.relievedAt = now;
-            orderStop(scheduler, orders, ref, "disturbs " + serving.step->image,
-                { { "percent", ref.task->percent }, { "addedMs", static_cast<std::int64_t>(added) },
-                    { "readingMs", serving.task->reading }, { "targetMs", serving.step->latencyTargetMs },
-                    { "hotMs", hotFor } },
+            orderStop(scheduler, orders, blame.ref, "disturbs " + servingImage,
+                { { "percent", blame.ref.task->percent },
+                    { "growthPercent", static_cast<std::int64_t>(100 * blame.growth) },
+                    { "pressurePercent", static_cast<std::int64_t>(100 * pressure) }, { "hotMs", hotFor } },
                 now);
         }
     }
@@ -104,7 +128,13 @@
         if (!isDue)
             continue;
         worker.learnedAt = worker.reportedAt;
-        worker.pressure = learnReadings(scheduler, worker, now);
+        worker.pressure = 0;
+        const std::vector<FillUse> uses = fillUses(worker);
+        const std::map<std::string, ImageReading> readings = readServing(worker, now);
+        for (const auto& [image, reading] : readings) {
+            learn(scheduler.interference, image, std::exp(reading.logSum / reading.tasks), uses);
+            worker.pressure = std::max(worker.pressure, reading.pressure);
+        }
         if (worker.pressure <= calmRatio)
             worker.hotSince = 0;
         else if (worker.pressure > 1 && worker.hotSince == 0)
@@ -114,37 +144,51 @@
         const bool isFullRelief = now - worker.hotSince >= fullReliefMs(scheduler.limits);
         if (!isFullRelief && now - worker.relievedAt < settleMs)
             continue;
-        for (const auto& [name, ref] : worker.tasks) {
-            if (isServing(ref, now) && pressureOf(ref) > (isFullRelief ? calmRatio : 1))
-                stopDisturbing(scheduler, worker, ref, orders, now);
+        for (const auto& [image, reading] : readings) {
+            if (reading.pressure > (isFullRelief ? calmRatio : 1))
+                relieve(scheduler, worker, image, reading.pressure, orders, now);
         }
     }
 }
 
-double disturbance(const Scheduler& scheduler, const Worker& worker, const Step& fill)
+double servingRoom(const Scheduler& scheduler, const std::string& servingImage, int targetMs)
+{
+    return std::max(leastRoom, std::log(targetMs / aloneMs(scheduler.interference, servingImage)));
+}
+
+std::vector<ServingRoom> servingRooms(const Scheduler& scheduler, const Worker& worker)
 {
-    double worst = 0;
-    const double share = fill.cpuMillicores / static_cast<double>(std::max(1, worker.entry.capacity.cpuMillicores));
+    std::vector<ServingRoom> rooms;
     for (const auto& [image, serving] : worker.servingImages) {
-        const double room = std::max(1.0, serving.targetMs - aloneMs(scheduler.interference, image));
-        const Slope* slope = knownSlope(scheduler.interference, image, fill.image);
-        worst = std::max(worst, slope ? slope->msPerShare * share / room : unknownPairLevel);
+        ServingRoom entry;
+        entry.image = image;
+        entry.room = servingRoom(scheduler, image, serving.targetMs);
+        for (const auto& [name, ref] : worker.tasks) {
+            if (ref.step->isFilling && ref.task->phase != TaskPhase::Stopping)
+                entry.growth += slopeOf(scheduler.interference, image, ref.step->image).mean
+                    * shareOf(worker, ref.step->cpuMillicores);
+        }
+        rooms.push_back(std::move(entry));
     }
-    return worst;
+    return rooms;
+}
+
+double growthBy(const Scheduler& scheduler, const Worker& worker, const std::string& servingImage, const Step& fill)
+{
+    const Slope slope = slopeOf(scheduler.interference, servingImage, fill.image);
+    return slope.mean * shareOf(worker, fill.cpuMillicores);
 }
 
 double disturbanceOf(const Scheduler& scheduler, const Worker& worker, const Step& serving)
 {
-    double worst = 0;
-    const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
-    const double room = std::max(1.0, serving.latencyTargetMs - aloneMs(scheduler.interference, serving.image));
+    const double room = servingRoom(scheduler, serving.image, serving.latencyTargetMs);
+    double growth = 0;
     for (const auto& [name, ref] : worker.tasks) {
         if (ref.step->isFilling)
-            worst = std::max(worst,
-                addedMs(scheduler.interference, serving.image, ref.step->image, ref.step->cpuMillicores / capacity)
-                    / room);
+            growth += slopeOf(scheduler.interference, serving.image, ref.step->image).mean
+                * shareOf(worker, ref.step->cpuMillicores);
     }
-    return worst;
+    return growth / room;
 }
 
 double sameImageShare(const Worker& worker, const Step& serving)
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -12,6 +12,7 @@
     constexpr Millis lastingStartupMs = 4000; // ms; a lasting task that is still starting up is restarted elsewhere
     constexpr Millis freshReportMs = 2500;    // ms; older reports say nothing about progress
     constexpr Millis stalledWorkerMs = 4000;  // ms without new tasks for a worker whose task stood still
+    constexpr Millis lateFactor = 3;          // times the allowed time that a late job is still of use (platform)
     constexpr int renewedTermGap = 1;         // run numbers left out for starts of an earlier term that were lost
 
     Millis longestChainMs(const JobRequest& request)
@@ -95,6 +96,16 @@
         }
     }
 
+    // Estimates of the steps that follow are too rough to count them in.
+    Timeliness timelinessOf(Millis age, Millis allowed, const Step& step)
+    {
+        if (step.isLasting)
+            return Timeliness::InTime;
+        if (age > lateFactor * allowed)
+            return Timeliness::Hopeless;
+        return age > allowed ? Timeliness::Late : Timeliness::InTime;
+    }
+
     bool isReady(const Occurrence& occurrence, const JobRequest& request, const Step& step)
     {
         return std::all_of(step.after.begin(), step.after.end(), [&](int before) {
@@ -108,7 +119,7 @@
         const auto index = static_cast<std::size_t>(stepNumber);
         const Step& step = job.request.steps[index];
         StepProgress& progress = occurrence.steps[index];
-        Candidate candidate { &job, &occurrence, occurrenceNumber, stepNumber, 0, false };
+        Candidate candidate { &job, &occurrence, occurrenceNumber, stepNumber };
         bool hasWaiting = false;
         bool hasRun = false;
         for (int i = 0; i < step.count; ++i) {
@@ -126,11 +137,14 @@
             return;
         if (progress.readySince == 0)
             progress.readySince = planner.now;
-        const auto allowed = static_cast<Millis>(static_cast<double>(longestChainMs(job.request)) * job.policy.stretch);
+        const Millis chain = longestChainMs(job.request);
+        const auto allowed = static_cast<Millis>(static_cast<double>(chain) * job.policy.stretch) + job.policy.goalMs;
+        const std::int64_t begun = std::max(job.acceptedUnixMs, occurrence.dueUnixMs);
         candidate.isRestart = step.isLasting
             && std::any_of(progress.tasks.begin(), progress.tasks.end(),
                 [](const Task& task) { return task.phase == TaskPhase::Waiting && task.run > 0; });
-        candidate.deadline = job.acceptedAt + allowed + job.policy.goalMs;
+        candidate.deadlineUnixMs = begun + allowed;
+        candidate.timeliness = timelinessOf(planner.nowUnixMs - begun, allowed, step);
         planner.candidates.push_back(candidate);
     }
 
@@ -157,7 +171,7 @@
         const bool isDue = occurrence.dueUnixMs <= planner.nowUnixMs;
         for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
             if (isFinal(job.state)) {
-                const Candidate candidate { &job, &occurrence, number, static_cast<int>(i), 0, false };
+                const Candidate candidate { &job, &occurrence, number, static_cast<int>(i) };
                 for (int index = 0; index < job.request.steps[i].count; ++index)
                     stopRun(planner, refOf(candidate, index), "job has ended");
             } else if (isDue) {
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -210,6 +210,7 @@
     int run = 0;
     std::string outcome;
     std::vector<std::pair<const char*, std::int64_t>> inputs;
+    std::string image = {}; // of the task, where it matters
 };
 
 struct Orders {
@@ -225,6 +226,11 @@
 
 // --- State ---
 
+struct FillDemand {
+    double millicores = 0; // that tasks of the image lately ran or waited with
+    double scarcity = 0;   // demand against the processors that the image may use
+};
+
 struct Scheduler {
     Limits limits;
     Configuration configuration;
@@ -233,7 +239,6 @@
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
     std::set<std::string> active; // jobs that are not final, or not committed as such
     Interference interference;
-    Millis trialAt = 0;          // last start of a filling task beside an image that it is believed to disturb
     std::set<std::string> dirty; // jobs whose record has to be stored
     // --- Approval of workers ---
     bool hasQuestion = false;   // one is on its way to the advice service
@@ -248,6 +253,10 @@
     // --- For the services ---
     std::vector<Decision> decisions;
     std::vector<JobChange> changes; // committed states, in order
+    // --- Demand for processors that serving tasks leave unused ---
+    std::map<std::string, FillDemand> fillDemand; // by filling image
+    Millis fillDemandAt = 0;
+    Millis trialAt = 0; // last start of a filling task beside an image that it is believed to disturb
     // --- Room kept for short tasks ---
     std::map<std::string, double> shortDemand; // by service: millicores that short tasks lately ran or waited with
     Millis shortDemandAt = 0;
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -52,7 +52,7 @@
     std::int64_t clockOffset = 0;
     Millis cutUntil = 0;
     std::map<std::string, Millis> tickets; // end of validity, by ticket
-    std::map<std::string, int> readings; // by task: tail latency of a serving one, millicores of any other
+    std::map<std::string, int> readings;   // by task: tail latency of a serving one, millicores of any other
 };
 
 struct LateOrder {
