Hand a term over with what it knows, to the daemon that was started last

Loads timed out behind each other (2 s until a term was loaded), requests were refused.

Change - A resigned leader names the peer that was started last, tells the others for up to 600 ms, and leaves a record of where its tasks are (Placements).

Ruled out: processor time (leader at 0.034 of 0.1 core).

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -18,6 +18,7 @@
     constexpr int retryMs = 250;                       // ms after a failed call to the store
     constexpr int watchWaitMs = 2000; // ms; a silent connection is noticed within this and the store's margin
     constexpr int watchGapMs = 40;    // ms between watch calls, which gathers jobs that arrive together
+    constexpr qsizetype longestRecordBytes = 700000; // the store's limit of a value, less its encoding as text
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction, the term's own entries off
 
     bool endsWith(const std::string& text, const std::string& suffix)
@@ -73,6 +74,7 @@
     m_scheduler = std::make_unique<scheduler::Scheduler>();
     m_scheduler->limits = toLimits(m_runtime.settings);
     m_generation = std::make_shared<int>(0);
+    m_loadGeneration = m_generation;
     m_isLoaded = false;
     if (m_configuration->isLoaded())
         scheduler::setConfiguration(*m_scheduler, m_configuration->current());
@@ -85,6 +87,7 @@
 {
     m_tick.stop();
     m_generation.reset();
+    m_loadGeneration.reset();
     m_isLoaded = false;
     m_isStoring = false;
     m_isListingWorkers = false;
@@ -103,46 +106,87 @@
     });
 }
 
+// Nobody else writes progress, workers or placements in this term, so that all may be read at once.
 void DispatcherService::load()
 {
-    const std::weak_ptr<int> generation = m_generation;
-    m_runtime.store->read(
-        storeKeys::workers, [this, generation](const base::Result<platform::Item, platform::StoreError>& result) {
+    m_loadsLeft = 4;
+    m_placements.reset();
+    loadItem(storeKeys::workers, [this](const QByteArray& bytes) {
+        const auto workers = scheduler::decodeWorkers(bytes);
+        if (workers)
+            scheduler::rememberWorkers(*m_scheduler, *workers, nowMs());
+        return workers.has_value();
+    });
+    loadItem(storeKeys::placements, [this](const QByteArray& bytes) {
+        m_placements = scheduler::decodePlacements(bytes);
+        return m_placements.has_value();
+    });
+    loadList(storeKeys::acceptedPrefix, m_accepted);
+    loadList(storeKeys::progressPrefix, m_progress);
+}
+
+// Begins all loads anew when one fails.
+void DispatcherService::retryLoad()
+{
+    m_loadGeneration = std::make_shared<int>(0);
+    later(retryMs, [this] { load(); });
+}
+
+void DispatcherService::finishLoad()
+{
+    if (--m_loadsLeft == 0)
+        finishLoading();
+}
+
+void DispatcherService::loadItem(const std::string& key, std::function<bool(const QByteArray&)> apply)
+{
+    m_runtime.store->read(key,
+        [this, generation = std::weak_ptr<int>(m_loadGeneration), key, apply = std::move(apply)](
+            const base::Result<platform::Item, platform::StoreError>& result) {
             if (generation.expired())
                 return;
             if (result.has_error() && result.error().code != platform::StoreCode::Missing) {
-                later(retryMs, [this] { load(); });
+                retryLoad();
                 return;
             }
-            if (result.has_value()) {
-                const auto workers = scheduler::decodeWorkers(result.value().value);
-                if (workers)
-                    scheduler::rememberWorkers(*m_scheduler, *workers, nowMs());
-                else
-                    kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "workersRecordRefused", {});
-            }
-            // The jobs before their progress: a job that is accepted in between has none.
-            loadList(storeKeys::acceptedPrefix, m_accepted,
-                [this] { loadList(storeKeys::progressPrefix, m_progress, [this] { finishLoading(); }); });
+            if (result.has_value() && !apply(result.value().value))
+                kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "recordRefused",
+                    { { "key", key }, { "revision", result.value().revision } });
+            finishLoad();
         });
 }
 
-void DispatcherService::loadList(const std::string& prefix, platform::ItemList& list, std::function<void()> next)
+void DispatcherService::loadList(const std::string& prefix, platform::ItemList& list)
 {
     m_runtime.store->list(prefix, platform::Freshness::Linearizable,
-        [this, generation = std::weak_ptr<int>(m_generation), &list, next = std::move(next)](
+        [this, generation = std::weak_ptr<int>(m_loadGeneration), &list](
             const base::Result<platform::ItemList, platform::StoreError>& result) {
             if (generation.expired())
                 return;
             if (result.has_error()) {
-                later(retryMs, [this] { load(); });
+                retryLoad();
                 return;
             }
             list = result.value();
-            next();
+            finishLoad();
         });
 }
 
+std::vector<platform::Write> DispatcherService::lastRecords() const
+{
+    const auto placements = m_isLoaded ? scheduler::placements(*m_scheduler) : std::nullopt;
+    if (!placements)
+        return {};
+    const QByteArray record = scheduler::encodePlacements(*placements);
+    if (record.size() > longestRecordBytes) {
+        kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "placementsTooLong",
+            { { "bytes", static_cast<std::int64_t>(record.size()) } });
+        return {};
+    }
+    return { { storeKeys::placements, record },
+        { storeKeys::workers, scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler)) } };
+}
+
 void DispatcherService::finishLoading()
 {
     const scheduler::Millis now = nowMs();
@@ -163,6 +207,8 @@
         applyState(*m_table, found->first, found->second->committedState, now);
     }
     scheduler::takeOver(*m_scheduler, m_term->token(), now);
+    if (m_placements && m_placements->token == m_term->state().replacedToken)
+        scheduler::applyPlacements(*m_scheduler, *m_placements, now);
     for (const platform::Item& item : m_accepted.items)
         applyAccepted(item, true);
     m_jobsRevision = m_accepted.revision;
@@ -173,6 +219,7 @@
             { "revision", m_jobsRevision } });
     m_accepted = {};
     m_progress = {};
+    m_placements.reset();
     m_isLoaded = true;
     m_workersListedAt = 0;
     m_interferenceStoredAt = now;
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -27,6 +27,8 @@
     void start();
     // State of the term, or nullptr when this daemon does not schedule or is still loading.
     const scheduler::Scheduler* scheduler() const { return m_isLoaded ? m_scheduler.get() : nullptr; }
+    // Records that let the next term begin at once; no order may follow.
+    std::vector<platform::Write> lastRecords() const;
     // Committed states since the beginning of the term, in order.
     const std::vector<scheduler::JobChange>& feed() const { return m_feed; }
 
@@ -45,8 +47,11 @@
     // Runs the action after a while, unless the term has ended by then.
     void later(int ms, std::function<void()> action);
     void load();
-    // Reads a list into a member, then goes on; begins anew when the store fails.
-    void loadList(const std::string& prefix, platform::ItemList& list, std::function<void()> next);
+    // `apply` returns false when the record does not decode.
+    void loadItem(const std::string& key, std::function<bool(const QByteArray&)> apply);
+    void loadList(const std::string& prefix, platform::ItemList& list);
+    void retryLoad();
+    void finishLoad();
     void finishLoading();
 
     // --- Store ---
@@ -87,6 +92,9 @@
     bool m_isLoaded = false;
     platform::ItemList m_accepted; // while loading
     platform::ItemList m_progress; // while loading
+    std::optional<scheduler::Placements> m_placements;
+    int m_loadsLeft = 0;
+    std::shared_ptr<int> m_loadGeneration; // expires with each new attempt
     std::int64_t m_jobsRevision = 0;
     std::map<std::string, Link> m_links;
     std::unique_ptr<platform::AdviceLink> m_advice; // made at the first question
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -65,7 +65,8 @@
         m_deadline = nowMs() + m_runtime.settings.bounds.graceMs - stopMarginMs;
         auto* term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
         term->state().isStopping = true;
-        term->resign("planned stop", [this] { m_hasResigned = true; });
+        const auto* dispatcher = kernel::find<DispatcherService>(m_runtime.kernel, serviceNames::dispatcher);
+        term->resign("planned stop", dispatcher->lastRecords(), [this] { m_hasResigned = true; });
         kernel::beginStopAll(m_runtime.kernel);
         m_timer.start(idleCheckMs);
     }
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -45,6 +45,7 @@
 namespace storeKeys {
     inline const std::string term = "lacewing/term";
     inline const std::string workers = "lacewing/workers";           // known workers, for the next term
+    inline const std::string placements = "lacewing/placements";     // of a term that was given up
     inline const std::string interference = "lacewing/interference"; // learned effects between images
     inline const std::string acceptedPrefix = "lacewing/in/";        // accepted jobs by id, and requests to cancel them
     inline const std::string cancelSuffix = "/cancel";               // after the key of an accepted job
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -10,14 +10,17 @@
 
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <algorithm>
 
 namespace lacewing::daemon {
 
 namespace {
 
-    constexpr int requestTimeoutMs = 600;      // ms; below the time after which the term may be taken over
-    constexpr int failuresUntilRedial = 2;     // a silent connection is replaced after so many lost answers
-    constexpr int changesPerReply = 500;       // job states in one answer
+    constexpr int requestTimeoutMs = 600; // ms; below the time after which the term may be taken over
+    constexpr scheduler::Millis tellMs
+        = 600;                             // ms that a resigned daemon stays to say so; above two periods of messages
+    constexpr int failuresUntilRedial = 2; // a silent connection is replaced after so many lost answers
+    constexpr int changesPerReply = 500;   // job states in one answer
     constexpr scheduler::Millis probeMs = 400; // ms between reads of the store on behalf of a leader that has lost it
 
     peer::PeerLimits peerLimits()
@@ -56,6 +59,15 @@
     m_server.reset();
 }
 
+bool SyncService::isIdle() const
+{
+    if (m_term->resignation().isEmpty() || nowMs() - m_term->resignedAt() >= tellMs)
+        return true;
+    return std::all_of(m_sent.begin(), m_sent.end(), [this](const auto& entry) {
+        return m_told.count(entry.first) > 0 || m_term->resignedAt() - entry.second.sentAt >= tellMs;
+    });
+}
+
 // --- Follower ---
 
 void SyncService::tick()
@@ -90,15 +102,16 @@
     const platform::StoreHealth& health = m_runtime.store->health();
     const QJsonObject request { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
         { "lastReply", static_cast<qint64>(m_lastReply) }, { "feedTerm", static_cast<qint64>(m_feedTerm) },
-        { "feedHave", static_cast<qint64>(m_feedHave) },
+        { "feedHave", static_cast<qint64>(m_feedHave) }, { "incarnation", static_cast<qint64>(m_runtime.incarnation) },
         { "storeAgeMs", static_cast<qint64>(health.answeredAt > 0 ? now - health.answeredAt : -1) },
         { "isStopping", m_runtime.isStopping } };
     m_client->request(QJsonDocument(request).toJson(QJsonDocument::Compact),
-        [this, now](const base::Result<QByteArray, peer::PeerError>& result) {
+        [this, asked = Asked { now, m_term->state().record->leader, m_term->state().record->incarnation }](
+            const base::Result<QByteArray, peer::PeerError>& result) {
             m_isAsking = false;
             if (result.has_value()) {
                 m_failures = 0;
-                applyReply(QJsonDocument::fromJson(result.value()).object(), now);
+                applyReply(QJsonDocument::fromJson(result.value()).object(), asked);
                 return;
             }
             if (m_hasContact)
@@ -111,16 +124,20 @@
         });
 }
 
-void SyncService::applyReply(const QJsonObject& reply, scheduler::Millis sentAt)
+void SyncService::applyReply(const QJsonObject& reply, const Asked& asked)
 {
     election::Election& state = m_term->state();
-    if (m_term->isLeader() || !state.record)
-        return;
-    const bool isSameProcess = reply["incarnation"].toInteger() == state.record->incarnation
-        && base::textOf(reply["daemon"]) == state.record->leader;
+    if (m_term->isLeader() || !election::isLedBy(state, asked.leader, asked.incarnation))
+        return; // another daemon has been elected since
+    const bool isSameProcess
+        = reply["incarnation"].toInteger() == asked.incarnation && base::textOf(reply["daemon"]) == asked.leader;
     if (!reply["isLeader"].toBool() || !isSameProcess) {
         m_hasContact = false;
-        m_term->leaderIsDead();
+        const auto resignation = election::decodeRecord(base::textOf(reply["resignation"]).c_str());
+        if (isSameProcess && resignation)
+            election::observe(state, resignation, reply["revision"].toInteger(), nowMs());
+        else
+            election::observeLeaderDeath(state, asked.leader, asked.incarnation);
         return;
     }
     const scheduler::Millis now = nowMs();
@@ -135,7 +152,7 @@
                 { "token", reply["token"].toInteger() } });
     m_hasContact = true;
     if (base::textOf(reply["successor"]) == m_runtime.settings.daemon) {
-        m_term->leaderIsDead();
+        election::observeLeaderDeath(state, asked.leader, asked.incarnation);
         return;
     }
     if (reply["hasLostStore"].toBool())
@@ -152,7 +169,7 @@
     m_table->pending.clear();
     for (auto it = pending.begin(); it != pending.end(); ++it)
         m_table->pending[it.key().toStdString()] = it.value().toInt();
-    m_table->freshAt = sentAt;
+    m_table->freshAt = asked.at;
 }
 
 void SyncService::probeStore()
@@ -173,16 +190,23 @@
     const scheduler::Millis now = nowMs();
     QJsonObject reply { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
         { "incarnation", static_cast<qint64>(m_runtime.incarnation) }, { "isLeader", m_term->isLeader() } };
+    if (!m_term->isLeader() && !m_term->resignation().isEmpty()) {
+        reply["resignation"] = QString::fromUtf8(m_term->resignation());
+        reply["revision"] = static_cast<qint64>(m_term->resignationRevision());
+        m_told.insert(daemon);
+    }
     if (!m_term->isLeader() || daemon.empty())
         return QJsonDocument(reply).toJson(QJsonDocument::Compact);
     election::Election& state = m_term->state();
     Reply& last = m_sent[daemon];
     const bool isLastReceived = last.number > 0 && request["lastReply"].toInteger() == last.number;
     const std::int64_t storeAge = request["storeAgeMs"].toInteger(-1);
-    if (request["isStopping"].toBool())
+    if (request["isStopping"].toBool()) {
         election::forgetPeer(state, daemon);
-    else
+    } else {
         election::hearPeer(state, daemon, isLastReceived ? last.sentAt : 0, storeAge < 0 ? 0 : now - storeAge, now);
+        state.peers[daemon].incarnation = request["incarnation"].toInteger();
+    }
     last = { ++m_replies, now };
     reply["number"] = static_cast<qint64>(last.number);
     reply["revision"] = static_cast<qint64>(state.revision);
@@ -229,6 +253,7 @@
     entry.name = serviceNames::sync;
     entry.dependsOn = { serviceNames::term, serviceNames::dispatcher, serviceNames::jobTable };
     entry.start = [service] { return service->start(); };
+    entry.isIdle = [service] { return service->isIdle(); };
     entry.stop = [service] { service->stop(); };
     kernel::registerService(runtime.kernel, std::move(entry)).assume_value();
 }
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -12,6 +12,7 @@
 #include <QTimer>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace lacewing::daemon {
@@ -27,8 +28,17 @@
     // Empty when started; otherwise the cause.
     std::string start();
     void stop();
+    // False while daemons still have to be told that this one has resigned.
+    bool isIdle() const;
 
 private:
+    // The leader's process that a message was sent to.
+    struct Asked {
+        scheduler::Millis at = 0;
+        std::string leader;
+        std::int64_t incarnation = 0;
+    };
+
     struct Reply {
         std::int64_t number = 0;
         scheduler::Millis sentAt = 0;
@@ -36,7 +46,7 @@
 
     void tick();
     void ask();
-    void applyReply(const QJsonObject& reply, scheduler::Millis sentAt);
+    void applyReply(const QJsonObject& reply, const Asked& asked);
     void probeStore();
     QByteArray answer(const QByteArray& request);
     void addChanges(QJsonObject& reply, std::int64_t term, std::int64_t have) const;
@@ -62,6 +72,7 @@
     // --- As the scheduling daemon ---
     std::int64_t m_replies = 0;
     std::map<std::string, Reply> m_sent; // last answer by daemon
+    std::set<std::string> m_told;        // daemons that have been sent the resignation
 };
 
 void registerSyncService(Runtime& runtime);
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -67,11 +67,13 @@
     m_isBusy = true;
     const scheduler::Millis sentAt = nowMs();
     m_election.renewTriedAt = sentAt;
-    const election::Record record = election::recordToWrite(m_election, isResigning);
+    const election::Record record = election::recordToWrite(m_election, isResigning, sentAt);
     platform::Transaction transaction;
     transaction.conditions.push_back({ storeKeys::term, m_election.revision });
     transaction.writes.push_back({ storeKeys::term, election::encodeRecord(record) });
     std::size_t commits = 0;
+    if (isResigning)
+        transaction.writes.insert(transaction.writes.end(), m_lastWrites.begin(), m_lastWrites.end());
     if (isLeader()) {
         m_committedAt = sentAt;
         for (const Commit& commit : m_commits) {
@@ -98,6 +100,9 @@
                     kernel::logEvent(kernel::LogLevel::Info, "term", "elected", { { "token", token() } });
                     m_onElected();
                 } else if (wasLeader && !isLeader()) {
+                    m_resignation = election::encodeRecord(record);
+                    m_resignationRevision = result.value();
+                    m_resignedAt = nowMs();
                     lose("resigned");
                 }
             } else if (result.error().code == platform::StoreCode::Conflict) {
@@ -162,13 +167,14 @@
     m_onLost();
 }
 
-void TermService::resign(const std::string& reason, std::function<void()> done)
+void TermService::resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done)
 {
     if (!isLeader() || m_resigned) {
         done();
         return;
     }
     m_resigned = std::move(done);
+    m_lastWrites = std::move(writes);
     kernel::logEvent(kernel::LogLevel::Info, "term", "resigning", { { "reason", reason }, { "token", token() } });
     QTimer::singleShot(resignWaitMs, this, [this] {
         if (!m_resigned)
@@ -192,8 +198,6 @@
         m_election.renewTriedAt = 0; // the next write shows it
 }
 
-void TermService::leaderIsDead() { election::observeLeaderDeath(m_election); }
-
 void registerTermService(Runtime& runtime)
 {
     auto service = std::make_shared<TermService>(runtime);
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -33,14 +33,17 @@
     // the records are dropped with it.
     void commit(std::vector<platform::Write> writes, std::function<void()> callback);
 
-    // Gives the term up; `done` is called when the record says so, or when that cannot be reached.
-    void resign(const std::string& reason, std::function<void()> done);
+    // Gives the term up, with last records in the same transaction; `done` is called when the record says so, or when
+    // that cannot be reached.
+    void resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done);
+    // The record with which this process has resigned, for daemons that ask; empty: it has not.
+    const QByteArray& resignation() const { return m_resignation; }
+    std::int64_t resignationRevision() const { return m_resignationRevision; }
+    scheduler::Millis resignedAt() const { return m_resignedAt; }
     // Stops leading at once, in favour of a daemon that is told so in the same message.
     void handOver() { lose("handed over"); }
     // Another process is known to hold a higher token.
     void suspectLoss();
-    // The leader's process is known not to lead any more.
-    void leaderIsDead();
 
     void onElected(std::function<void()> callback) { m_onElected = std::move(callback); }
     void onLost(std::function<void()> callback) { m_onLost = std::move(callback); }
@@ -63,6 +66,10 @@
     QTimer m_timer;
     bool m_isBusy = false;            // an election call is in flight
     std::function<void()> m_resigned; // set while resigning
+    std::vector<platform::Write> m_lastWrites;
+    QByteArray m_resignation;
+    std::int64_t m_resignationRevision = 0;
+    scheduler::Millis m_resignedAt = 0;
     std::deque<Commit> m_commits;
     scheduler::Millis m_committedAt = 0;
     std::function<void()> m_onElected;
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -17,7 +17,8 @@
         { "incarnation", static_cast<qint64>(record.incarnation) },
         { "peerAddress", QString::fromStdString(record.peerAddress) },
         { "sequence", static_cast<qint64>(record.sequence) }, { "token", static_cast<qint64>(record.token) },
-        { "isResigned", record.isResigned }, { "members", members } };
+        { "isResigned", record.isResigned }, { "successor", QString::fromStdString(record.successor) },
+        { "members", members } };
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
@@ -34,6 +35,7 @@
     record.sequence = json["sequence"].toInteger();
     record.token = json["token"].toInteger();
     record.isResigned = json["isResigned"].toBool();
+    record.successor = json["successor"].toString().toStdString();
     for (const QJsonValue member : json["members"].toArray())
         record.members.insert(member.toString().toStdString());
     return record;
@@ -45,6 +47,21 @@
         && record->sequence == sequence;
 }
 
+namespace {
+
+    bool isFree(const Election& election, Millis now)
+    {
+        const std::optional<Record>& record = election.record;
+        if (!record || election.isLeaderDead)
+            return true;
+        const bool isFormerSelf = record->leader == election.self && record->incarnation != election.incarnation;
+        const bool isInTurn = record->successor.empty() || record->successor == election.self
+            || now - election.changedAt >= election.limits.successorMs;
+        return isFormerSelf || (record->isResigned && isInTurn);
+    }
+
+} // namespace
+
 Action nextAction(const Election& election, Millis now)
 {
     const Limits& limits = election.limits;
@@ -54,10 +71,8 @@
     }
     const bool isMissing = now - election.contactAt >= limits.contactMs || election.contactAt == 0;
     if (election.isKnown && !election.isStopping) {
-        const bool isFree = !election.record || election.record->isResigned || election.isLeaderDead
-            || (election.record->leader == election.self && election.record->incarnation != election.incarnation);
         const bool isSilent = now - std::max(election.changedAt, election.contactAt) >= limits.takeoverMs && isMissing;
-        if ((isFree || isSilent) && now - election.renewTriedAt >= limits.pollMs)
+        if ((isFree(election, now) || isSilent) && now - election.renewTriedAt >= limits.pollMs)
             return Action::TakeOver;
     }
     if ((isMissing || !election.isKnown) && now - election.polledAt >= limits.pollMs)
@@ -65,7 +80,7 @@
     return Action::None;
 }
 
-Record recordToWrite(Election& election, bool isResigning)
+Record recordToWrite(Election& election, bool isResigning, Millis now)
 {
     Record record;
     record.leader = election.self;
@@ -74,6 +89,8 @@
     record.sequence = ++election.sequence;
     record.token = election.role == Role::Leader ? election.token : 0;
     record.isResigned = isResigning;
+    if (isResigning)
+        record.successor = preferredSuccessor(election, now).value_or(std::string());
     record.members = election.members;
     record.members.insert(election.self);
     return record;
@@ -96,6 +113,8 @@
         election.record = record;
         election.revision = revision;
         election.changedAt = now;
+        if (record && record->isResigned)
+            election.renewTriedAt = 0; // an attempt that came too early does not hold the next one back
         if (record)
             election.members.insert(record->members.begin(), record->members.end());
     }
@@ -113,7 +132,16 @@
     }
 }
 
-void observeLeaderDeath(Election& election) { election.isLeaderDead = true; }
+bool isLedBy(const Election& election, const std::string& leader, std::int64_t incarnation)
+{
+    return election.record && election.record->leader == leader && election.record->incarnation == incarnation;
+}
+
+void observeLeaderDeath(Election& election, const std::string& leader, std::int64_t incarnation)
+{
+    if (isLedBy(election, leader, incarnation))
+        election.isLeaderDead = true;
+}
 
 void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now)
 {
@@ -121,6 +149,7 @@
         stepDown(election);
     } else if (election.role == Role::Follower) {
         election.role = Role::Leader;
+        election.replacedToken = election.record && election.record->isResigned ? election.record->token : 0;
         election.token = revision;
         election.peers.clear();
         // Each of them may take over, whether it has been heard of in this term or not.
@@ -185,6 +214,19 @@
 
 void forgetPeer(Election& election, const std::string& name) { election.peers.erase(name); }
 
+std::optional<std::string> preferredSuccessor(const Election& election, Millis now)
+{
+    const auto isSuitable = [&](const Peer& peer) {
+        return now - peer.heardAt < election.limits.contactMs && now - peer.storeOkAt < election.limits.validityMs;
+    };
+    const std::pair<const std::string, Peer>* best = nullptr;
+    for (const auto& entry : election.peers) {
+        if (isSuitable(entry.second) && (!best || entry.second.incarnation > best->second.incarnation))
+            best = &entry;
+    }
+    return best ? std::optional(best->first) : std::nullopt;
+}
+
 std::optional<std::string> successor(const Election& election, Millis failingSince, Millis now)
 {
     const bool hasLostStore = failingSince > 0 && now - failingSince >= election.limits.handOverMs;
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -37,6 +37,7 @@
     Millis contactMs = 700;      // a leader that was not heard of for so long is looked for in the store
     Millis pollMs = 300;         // between reads of the record while the leader is missing
     Millis peerMemoryMs = 30000; // a daemon that was not heard of for so long is gone and promises nothing
+    Millis successorMs = 600;    // a successor that does not take over within this time is passed over
     Millis handOverMs = 900;     // a leader without the store for so long hands over to a daemon that reaches it
 };
 
@@ -47,7 +48,8 @@
     std::string peerAddress;       // HOST:PORT for other daemons
     std::int64_t sequence = 0;     // rises with each write of the process
     std::int64_t token = 0;        // 0 in the first write of a term, whose revision is the token
-    bool isResigned = false;       // the leader has stopped: anyone may take over at once
+    bool isResigned = false;       // the leader has stopped: the successor may take over at once
+    std::string successor;         // of a resigned leader; empty: anyone
     std::set<std::string> members; // daemons that the leader knows, itself included
 };
 
@@ -76,6 +78,7 @@
     Millis heardAt = 0;    // last message
     Millis promisedAt = 0; // it will not take over before promisedAt + takeoverMs
     Millis storeOkAt = 0;  // last time that it reached the store, by its own word
+    std::int64_t incarnation = 0;
 };
 
 struct Election {
@@ -99,15 +102,16 @@
     Role role = Role::Follower;
     std::int64_t token = 0;
     std::int64_t sequence = 0;
-    Millis renewSentAt = 0;  // of the last successful renewal
-    Millis renewTriedAt = 0; // of the last attempt
-    bool hasLapsed = false;  // the right to act ended since the last renewal: promises alone do not bring it back
+    Millis renewSentAt = 0;         // of the last successful renewal
+    Millis renewTriedAt = 0;        // of the last attempt
+    std::int64_t replacedToken = 0; // of the resigned term before this one; 0: it was not resigned
+    bool hasLapsed = false; // the right to act ended since the last renewal: promises alone do not bring it back
     std::map<std::string, Peer> peers;
 };
 
 // Next thing to do; the caller has no election call in flight.
 Action nextAction(const Election& election, Millis now);
-Record recordToWrite(Election& election, bool isResigning = false);
+Record recordToWrite(Election& election, bool isResigning, Millis now);
 
 // The store holds this record (nullopt: none) at the revision.
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
@@ -115,8 +119,11 @@
 void observeContact(Election& election, std::int64_t revision, const std::set<std::string>& members, Millis now);
 // Daemons that the leader has heard of lately, or that earlier leaders knew; itself included.
 std::set<std::string> knownMembers(const Election& election, Millis now);
-// A process that answers under the leader's address does not lead.
-void observeLeaderDeath(Election& election);
+// A process that answers under the address of this leader's process does not lead. Of no effect when the record names
+// another leader by now.
+void observeLeaderDeath(Election& election, const std::string& leader, std::int64_t incarnation);
+// True while the record names this leader's process.
+bool isLedBy(const Election& election, const std::string& leader, std::int64_t incarnation);
 // Own write of the record, sent at sentAt, succeeded at the revision.
 void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now);
 // An earlier write of this leader stands at the revision, as a write sent at sentAt has shown.
@@ -133,6 +140,9 @@
 void forgetPeer(Election& election, const std::string& peer);
 // Daemon to hand the term to, because it reaches the store and this one has been failing to since `failingSince` (0: it
 // has not). A renewal that is merely late, on a busy machine, is no reason.
+// Daemon to resign in favour of: the one that was started last, because planned stops come in series and it has had its
+// turn.
+std::optional<std::string> preferredSuccessor(const Election& election, Millis now);
 std::optional<std::string> successor(const Election& election, Millis failingSince, Millis now);
 
 } // namespace lacewing::election
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -7,13 +7,15 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <QtEndian>
 #include <algorithm>
 
 namespace lacewing::scheduler {
 
 namespace {
 
-    constexpr int maxTasksPerStep = 100000; // more is no record of this project
+    constexpr int maxTasksPerStep = 100000;                 // more is no record of this project
+    constexpr quint32 maxPlacementBytes = 32 * 1024 * 1024; // uncompressed; some 500,000 tasks
 
     // Characters of the string that holds a step's tasks.
     constexpr char doneMark = 'd';
@@ -270,6 +272,36 @@
     return true;
 }
 
+QByteArray encodePlacements(const Placements& placements)
+{
+    std::map<std::string, QJsonArray> byWorker;
+    for (const Placement& placement : placements.tasks)
+        byWorker[placement.worker].append(QJsonArray { text(placement.task), placement.run });
+    QJsonObject workers;
+    for (const auto& [worker, tasks] : byWorker)
+        workers[text(worker)] = tasks;
+    const QJsonObject json { { "token", static_cast<qint64>(placements.token) }, { "workers", workers } };
+    return qCompress(QJsonDocument(json).toJson(QJsonDocument::Compact));
+}
+
+std::optional<Placements> decodePlacements(const QByteArray& bytes)
+{
+    constexpr qsizetype lengthBytes = 4; // of the uncompressed text, before the compressed one
+    if (bytes.size() < lengthBytes || qFromBigEndian<quint32>(bytes.constData()) > maxPlacementBytes)
+        return std::nullopt;
+    const std::optional<QJsonObject> json = base::parseObject(qUncompress(bytes));
+    if (!json || !(*json)["token"].isDouble() || !(*json)["workers"].isObject())
+        return std::nullopt;
+    Placements placements;
+    placements.token = (*json)["token"].toInteger();
+    const QJsonObject workers = (*json)["workers"].toObject();
+    for (auto it = workers.begin(); it != workers.end(); ++it) {
+        for (const QJsonValue row : it.value().toArray())
+            placements.tasks.push_back({ base::textOf(row[0]), it.key().toStdString(), row[1].toInt() });
+    }
+    return placements;
+}
+
 QByteArray encodeWorkers(const std::vector<WorkerEntry>& entries)
 {
     QJsonArray json;
--- a/src/scheduler/record.h
+++ b/src/scheduler/record.h
@@ -1,7 +1,8 @@
 // Stored form of jobs, in the project's own JSON.
 //
 // Two records a job: what was accepted (written once, by the daemon that accepted it) and its progress (written by the
-// daemon that schedules). Readers accept records of other writers: a record that does not decode is reported, not used.
+// daemon that schedules). A daemon that gives its term up leaves a record of where the tasks are. Readers accept
+// records of other writers: a record that does not decode is reported, not used.
 #pragma once
 
 #include "scheduler/scheduler.h"
@@ -25,6 +26,10 @@
 // State in a progress record, without decoding the rest into a job.
 std::optional<JobState> decodeState(const QByteArray& bytes);
 
+// Compressed; grows with the tasks that run.
+QByteArray encodePlacements(const Placements& placements);
+std::optional<Placements> decodePlacements(const QByteArray& bytes);
+
 QByteArray encodeWorkers(const std::vector<WorkerEntry>& entries);
 std::optional<std::vector<WorkerEntry>> decodeWorkers(const QByteArray& bytes);
 
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -96,6 +96,17 @@
         }
     }
 
+    // True when no run of an earlier term can be left: a report under this term's token would have shown it, and the
+    // worker refuses orders of earlier terms from then on.
+    bool isSettled(const Scheduler& scheduler, const Task& task)
+    {
+        if (scheduler.isAccounted || task.suspectWorker.empty())
+            return scheduler.isAccounted;
+        const auto worker = scheduler.workers.find(task.suspectWorker);
+        return worker != scheduler.workers.end()
+            && (worker->second.contact == Contact::Held || worker->second.isExpired);
+    }
+
     // Estimates of the steps that follow are too rough to count them in.
     Timeliness timelinessOf(Millis age, Millis allowed, const Step& step)
     {
@@ -124,8 +135,9 @@
         bool hasRun = false;
         for (int i = 0; i < step.count; ++i) {
             const TaskRef ref = refOf(candidate, i);
-            if (ref.task->phase == TaskPhase::Unknown && planner.scheduler.isAccounted) {
+            if (ref.task->phase == TaskPhase::Unknown && isSettled(planner.scheduler, *ref.task)) {
                 ref.task->phase = TaskPhase::Waiting;
+                ref.task->suspectWorker.clear();
                 ref.task->since = planner.now;
                 ref.task->run = std::max(ref.task->run, ref.task->endedRun) + renewedTermGap;
             }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -79,6 +79,8 @@
     bool isConfirmed = false;   // the worker has said that it runs
     Millis lastStopAt = 0;
     std::string failedWorker; // where the last failure happened
+    // --- At the beginning of a term ---
+    std::string suspectWorker; // the only worker that may hold a run or an end of the task; empty: any may
 };
 
 // What the advice service said of a worker and a step. Only the ticket expires.
@@ -157,6 +159,7 @@
 struct UnacknowledgedEnd {
     std::int64_t number = 0;
     std::string job;
+    std::string task;
     std::uint64_t version = 0; // of the job's record that contains the end
 };
 
@@ -219,6 +222,18 @@
     std::optional<ApprovalQuestion> question; // one at a time: the next one follows its answer
 };
 
+// Where the tasks of a term were when it was given up: every other open task has neither a run nor an unstored end.
+struct Placement {
+    std::string task;
+    std::string worker;
+    int run = 0;
+};
+
+struct Placements {
+    std::int64_t token = 0; // of the term that was given up
+    std::vector<Placement> tasks;
+};
+
 struct JobChange {
     std::string id;
     JobState state = JobState::Queued;
@@ -269,6 +284,10 @@
 // Begins a term under the token. Jobs must have been added with their stored progress. Workers of earlier terms are
 // added by setWorkers and rememberWorkers.
 void takeOver(Scheduler& scheduler, std::int64_t token, Millis now);
+// What the term knows when it is given up; nullopt while it does not know where all tasks are. No order may follow.
+std::optional<Placements> placements(const Scheduler& scheduler);
+// After takeOver: the term before this one was given up with these placements.
+void applyPlacements(Scheduler& scheduler, const Placements& placements, Millis now);
 void setConfiguration(Scheduler& scheduler, Configuration configuration);
 void setWithdrawn(Scheduler& scheduler, std::set<std::string> dataCentres);
 void setWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -92,6 +92,7 @@
                         { "failures", static_cast<std::int64_t>(task.failedRuns.size()) } } });
             endRun(scheduler, *ref, end.kind, end.run, now);
             pending.job = ref->job->request.id;
+            pending.task = end.task;
             pending.version = ref->job->version;
         }
         worker.strays.erase(end.task);
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -37,7 +37,7 @@
 void writeRecord(Cell& cell, Election& election, Millis now)
 {
     election.renewTriedAt = now;
-    const Record record = recordToWrite(election);
+    const Record record = recordToWrite(election, false, 0);
     if (cell.revision == election.revision) {
         cell.record = record;
         cell.revision += 1;
@@ -76,7 +76,7 @@
     if (isZoneCut && follower.zone != leader.zone)
         return;
     if (leader.election.role != Role::Leader) {
-        observeLeaderDeath(follower.election);
+        observeLeaderDeath(follower.election, follower.election.record->leader, follower.election.record->incarnation);
         return;
     }
     hearPeer(leader.election, follower.election.self, follower.lastReplyAt, now, now);
@@ -93,6 +93,8 @@
     CPPUNIT_TEST(busyLeaderDoesNotHandOver);
     CPPUNIT_TEST(recordsOfOthersAreNotTrusted);
     CPPUNIT_TEST(neverTwoActingLeaders);
+    CPPUNIT_TEST(lateNewsOfAFormerLeaderDoNotEndTheTermOfTheNext);
+    CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,16 +173,67 @@
         CPPUNIT_ASSERT(successor(a.election, 2000, 3000) == std::optional<std::string>("b"));
     }
 
+    // Guards against a take-over of a term that has just begun: the answer of a process that came back under the former
+    // leader's address arrives after the record names the next one (standard day trouble-2, three leaders in 20 ms).
+    void lateNewsOfAFormerLeaderDoNotEndTheTermOfTheNext()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        Daemon b = makeDaemon("b");
+        Daemon c = makeDaemon("c");
+        act(cell, a, 1000);
+        observe(c.election, cell.record, cell.revision, 1100);
+        observeContact(c.election, cell.revision, {}, 1100);
+        cell.record->isResigned = true;
+        observe(b.election, cell.record, cell.revision, 1200);
+        act(cell, b, 1500);
+        CPPUNIT_ASSERT(b.election.role == Role::Leader);
+        observe(c.election, cell.record, cell.revision, 1600);
+        observeLeaderDeath(c.election, "a", 1);
+        CPPUNIT_ASSERT(nextAction(c.election, 1700) != Action::TakeOver);
+        observeLeaderDeath(c.election, "b", 1);
+        CPPUNIT_ASSERT(nextAction(c.election, 1700) == Action::TakeOver);
+    }
+
+    // Guards against a series of planned stops in which the term goes to the daemon that is stopped next, and against a
+    // term that waits for a successor that is gone (standard day trouble-2).
+    void resignedLeadersNameTheDaemonThatWasStartedLast()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        act(cell, a, 1000);
+        for (const char* name : { "b", "c", "d" })
+            hearPeer(a.election, name, 1400, 1400, 1400);
+        a.election.peers["b"].incarnation = 10;
+        a.election.peers["c"].incarnation = 30;
+        a.election.peers["d"].incarnation = 40;
+        a.election.peers["d"].storeOkAt = -5000; // does not reach the store
+        const Record record = recordToWrite(a.election, true, 1500);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), record.successor);
+        const std::int64_t token = a.election.token;
+        applyWritten(a.election, record, 7, 1500, 1500);
+        CPPUNIT_ASSERT(a.election.role == Role::Follower);
+        Daemon b = makeDaemon("b");
+        Daemon c = makeDaemon("c");
+        observe(b.election, record, 7, 1500);
+        observe(c.election, record, 7, 1500);
+        CPPUNIT_ASSERT(nextAction(b.election, 1510) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(c.election, 1510) == Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(b.election, 1500 + b.election.limits.successorMs) == Action::TakeOver);
+        applyWritten(c.election, recordToWrite(c.election, false, 1510), 8, 1510, 1510);
+        CPPUNIT_ASSERT_EQUAL(token, c.election.replacedToken);
+    }
+
     // Guards against bytes of another writer being taken for a record.
     void recordsOfOthersAreNotTrusted()
     {
         CPPUNIT_ASSERT(!decodeRecord("{"));
         CPPUNIT_ASSERT(!decodeRecord("[1]"));
         CPPUNIT_ASSERT(!decodeRecord("{\"leader\":7}"));
-        Record record { "a", 1, "127.0.0.1:1", 2, 3, true, { "a", "b" } };
+        Record record { "a", 1, "127.0.0.1:1", 2, 3, true, "b", { "a", "b" } };
         const auto copy = decodeRecord(encodeRecord(record));
-        CPPUNIT_ASSERT(
-            copy && copy->leader == "a" && copy->token == 3 && copy->isResigned && copy->members.count("b") == 1);
+        CPPUNIT_ASSERT(copy && copy->leader == "a" && copy->token == 3 && copy->successor == "b" && copy->isResigned
+            && copy->members.count("b") == 1);
     }
 
     // Random cuts of daemons and zones, freezes and restarts (hunted day trouble-1, seed 539847510921). A
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -38,6 +38,8 @@
     CPPUNIT_TEST(disturbingPairsAreLearnedAndSeparated);
     CPPUNIT_TEST(fillsLeaveBeforeTheImpactBound);
     CPPUNIT_TEST(unansweredStartsKeepTheirPlaceWhileTheyAreStopped);
+    CPPUNIT_TEST(plannedTermChangesHoldNothingUp);
+    CPPUNIT_TEST(unstoredEndsStayUnknownOverPlannedTermChanges);
     CPPUNIT_TEST(onlyApprovedWorkersAreUsed);
     CPPUNIT_TEST(randomFaultsBreakNoPromise);
     CPPUNIT_TEST_SUITE_END();
@@ -304,6 +306,42 @@
         }
     }
 
+    // Guards against jobs that wait for the lease of a worker behind a cut, which cannot hold any of their tasks, after
+    // a planned stop of the scheduling daemon (standard day trouble-2).
+    void plannedTermChangesHoldNothingUp()
+    {
+        World world(1, 4);
+        world.submit("running", { plainStep(4, 3000, 60000) });
+        world.run(500);
+        world.submit("waiting", { plainStep(4, 2000, 300) });
+        world.worker(0).cutUntil = world.now() + 60000;
+        world.resignTerm();
+        world.run(1000);
+        CPPUNIT_ASSERT(world.committedState("waiting") == JobState::Completed);
+        world.run(10000); // the lease of the worker behind the cut has run out
+        int starts = 0;
+        for (int i = 0; i < 4; ++i)
+            starts += world.starts(scheduler::taskName("running", 0, 0, i));
+        CPPUNIT_ASSERT_EQUAL(5, starts);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
+    // Guards against a second run of a task whose end was read by the former term and not stored.
+    void unstoredEndsStayUnknownOverPlannedTermChanges()
+    {
+        World world(1, 2);
+        world.faults.isStoreAway = true;
+        world.submit("job", { plainStep(1, 1000, 300) });
+        world.run(800);
+        const int busy = world.worker(0).ended.empty() ? 1 : 0;
+        world.worker(busy).cutUntil = world.now() + 2000;
+        world.resignTerm();
+        world.faults.isStoreAway = false;
+        world.run(4000);
+        CPPUNIT_ASSERT_EQUAL(1, world.starts("job.0.0.0"));
+        CPPUNIT_ASSERT(world.committedState("job") == JobState::Completed);
+    }
+
     // Guards against starts without a valid ticket, and against jobs that never start because answers of the advice
     // service were lost, tickets ran out, or a worker was born again.
     void onlyApprovedWorkersAreUsed()
@@ -336,7 +374,7 @@
     {
         for (std::uint64_t seed = 1; seed <= 60; ++seed) {
             World world(seed, 8);
-            world.faults = { 0.1, 0.05, 0.1, 0.1, 0.1, 0.002, 0.001, 0.01, false };
+            world.faults = { 0.1, 0.05, 0.1, 0.1, 0.1, 0.002, 0.001, 0.005, 0.02, false };
             for (int i = 0; i < 12; ++i) {
                 Step second = plainStep(4, 1500, 700);
                 second.after = { 0 };
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -117,6 +117,16 @@
     scheduler::setWithdrawn(*m_scheduler, m_withdrawn);
 }
 
+void World::resignTerm()
+{
+    const auto placements = scheduler::placements(*m_scheduler);
+    const QByteArray record = placements ? scheduler::encodePlacements(*placements) : QByteArray();
+    m_knownWorkers = scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler));
+    replaceTerm();
+    if (const auto stored = scheduler::decodePlacements(record))
+        scheduler::applyPlacements(*m_scheduler, *stored, m_now);
+}
+
 void World::end(SimWorker& worker, const std::string& task, EndKind kind)
 {
     const SimRun run = worker.running.at(task);
@@ -326,6 +336,8 @@
     }
     if (base::chance(m_rng, faults.termPerStep))
         replaceTerm();
+    if (base::chance(m_rng, faults.resignPerStep))
+        resignTerm();
     std::vector<LateOrder> due;
     std::copy_if(
         m_late.begin(), m_late.end(), std::back_inserter(due), [&](const LateOrder& late) { return late.at <= m_now; });
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -30,6 +30,7 @@
     double cutPerStep = 0;    // chance in each step that a worker is cut off for a while
     double crashPerStep = 0;  // chance in each step that a worker is born again
     double termPerStep = 0;   // chance in each step that the term ends and another one begins
+    double resignPerStep = 0; // chance in each step that the term is given up and another one begins
     bool isStoreAway = false; // commits do not succeed
 };
 
@@ -87,6 +88,8 @@
     void step(Millis length = 50);
     void run(Millis length, Millis stepLength = 50);
     void replaceTerm();
+    // The term is given up: its placements are stored for the next one.
+    void resignTerm();
 
     // --- State ---
     scheduler::Scheduler& scheduler() { return *m_scheduler; }
