Serve the operators' configuration, jobs and service-level data again

In force: data centres that are out, beside those that the platform's operator evacuates, and the objectives of services. The scheduling daemon follows the key and tells the others.

--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -5,6 +5,7 @@
 #include "daemon/dispatcher_service.h"
 #include "daemon/gateway_service.h"
 #include "daemon/job_table.h"
+#include "daemon/policy_service.h"
 #include "daemon/term_service.h"
 #include "http/problem.h"
 #include "kernel/log.h"
@@ -86,6 +87,7 @@
 {
     m_configuration = kernel::find<ConfigurationService>(m_runtime.kernel, serviceNames::configuration);
     m_dispatcher = kernel::find<DispatcherService>(m_runtime.kernel, serviceNames::dispatcher);
+    m_policy = kernel::find<PolicyService>(m_runtime.kernel, serviceNames::policy);
     m_term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
     m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
     m_gateway = kernel::find<GatewayService>(m_runtime.kernel, serviceNames::gateway);
@@ -130,9 +132,19 @@
     } else if (request.method == "GET" && request.path == jobsPath) {
         responder.respond(jobList(request));
     } else if (request.method == "GET" && request.path.startsWith(jobsPath + '/')) {
-        responder.respond(jobDetails(request.path.mid(jobsPath.size() + 1).toStdString()));
+        responder.respond(jobDetails(jobIdOf(request.path.mid(jobsPath.size() + 1).toStdString())));
     } else if (request.method == "DELETE" && request.path.startsWith(jobsPath + '/')) {
-        m_gateway->cancelJob(request.path.mid(jobsPath.size() + 1).toStdString(), responder);
+        m_gateway->cancelJob(jobIdOf(request.path.mid(jobsPath.size() + 1).toStdString()), responder);
+    } else if (request.method == "POST" && request.path == jobsPath) {
+        m_gateway->submitForOperator(request.body, responder);
+    } else if (request.method == "GET" && request.path == "/v1/config") {
+        responder.respond(m_policy->show());
+    } else if (request.method == "GET" && request.path == "/v1/config/history") {
+        m_policy->showHistory(responder);
+    } else if (request.method == "POST" && request.path == "/v1/config") {
+        m_policy->apply(request.body, responder);
+    } else if (request.method == "GET" && request.path == "/v1/slo") {
+        responder.respond(slo());
     } else if (request.method == "GET" && request.path == "/healthz") {
         responder.respond(http::textResponse(200, "ok\n"));
     } else if (request.method == "PUT" && request.path == "/v1/loglevel") {
@@ -153,7 +165,9 @@
     QJsonObject object { { "daemon", toQString(m_runtime.settings.daemon) },
         { "dataCentre", toQString(m_runtime.settings.dataCentre) }, { "version", LACEWING_VERSION },
         { "state", readiness }, { "upSeconds", (base::wallClockMs() - m_runtime.incarnation) / 1000.0 },
-        { "revision", m_configuration->isLoaded() ? static_cast<qint64>(m_configuration->current().version) : -1 },
+        { "revision", static_cast<qint64>(m_policy->revision()) },
+        { "platformVersion",
+            m_configuration->isLoaded() ? static_cast<qint64>(m_configuration->current().version) : -1 },
         { "confirmed", isStoreReachable(m_runtime) },
         { "evidence", "scheduled by " + (state.record ? toQString(state.record->leader) : QString("nobody")) },
         { "store", QJsonObject { { "access", isStoreReachable(m_runtime) } } },
@@ -166,8 +180,8 @@
     for (const std::string& dataCentre : m_configuration->withdrawn())
         withdrawn.append(toQString(dataCentre));
     object["withdrawn"] = withdrawn;
+    object["members"] = members();
     if (const scheduler::Scheduler* scheduler = m_dispatcher->scheduler()) {
-        object["members"] = members();
         object["endpoints"] = workers(*scheduler);
         object["batch"] = QJsonObject { { "shards", QJsonArray { term(*scheduler) } } };
     }
@@ -178,11 +192,17 @@
 {
     const scheduler::Millis now = nowMs();
     QJsonArray list;
-    for (const auto& [name, peer] : m_term->state().peers)
-        list.append(QJsonObject { { "name", toQString(name) },
-            { "state", now - peer.heardAt < memberSilenceMs ? "alive" : "silent" },
-            { "storeAccess", peer.storeOkAt > 0 && now - peer.storeOkAt < memberSilenceMs },
-            { "heardMsAgo", static_cast<qint64>(now - peer.heardAt) } });
+    for (const auto& [name, revision] : m_policy->memberRevisions()) {
+        QJsonObject member { { "name", toQString(name) }, { "state", "alive" },
+            { "revision", static_cast<qint64>(revision) } };
+        const auto peer = m_term->state().peers.find(name); // only the scheduling daemon hears of the others itself
+        if (peer != m_term->state().peers.end()) {
+            member["state"] = now - peer->second.heardAt < memberSilenceMs ? "alive" : "silent";
+            member["storeAccess"] = peer->second.storeOkAt > 0 && now - peer->second.storeOkAt < memberSilenceMs;
+            member["heardMsAgo"] = static_cast<qint64>(now - peer->second.heardAt);
+        }
+        list.append(member);
+    }
     return list;
 }
 
@@ -220,6 +240,13 @@
         { "isAccounted", scheduler.isAccounted }, { "open", static_cast<qint64>(scheduler.active.size()) } };
 }
 
+http::Response AdminService::slo() const
+{
+    return json(
+        base::toJson(base::sloAnswer(m_runtime.metrics, m_runtime.settings.daemon, m_runtime.settings.dataCentre,
+            m_policy->objectives(), m_startedAt, base::monotonicNow(), base::wallClockMs())));
+}
+
 http::Response AdminService::setLevel(const QByteArray& body)
 {
     const QString name = QJsonDocument::fromJson(body).object()["level"].toString();
@@ -308,7 +335,7 @@
     kernel::Service entry;
     entry.name = serviceNames::admin;
     entry.dependsOn = { serviceNames::configuration, serviceNames::dispatcher, serviceNames::term,
-        serviceNames::jobTable, serviceNames::gateway };
+        serviceNames::jobTable, serviceNames::gateway, serviceNames::policy };
     entry.start = [service] { return service->start(); };
     entry.stop = [service] { service->stop(); };
     kernel::registerService(runtime.kernel, std::move(entry)).assume_value();
--- a/src/daemon/admin_service.h
+++ b/src/daemon/admin_service.h
@@ -17,6 +17,7 @@
 class ConfigurationService;
 class DispatcherService;
 class GatewayService;
+class PolicyService;
 class TermService;
 struct JobTable;
 
@@ -38,16 +39,19 @@
     http::Response jobList(const http::Request& request) const;
     http::Response jobDetails(const std::string& id) const;
     http::Response metrics() const;
+    http::Response slo() const;
 
     Runtime& m_runtime;
     std::function<void()> m_beginDrain;
     ConfigurationService* m_configuration = nullptr;
     DispatcherService* m_dispatcher = nullptr;
+    PolicyService* m_policy = nullptr;
     TermService* m_term = nullptr;
     GatewayService* m_gateway = nullptr;
     JobTable* m_table = nullptr;
     std::unique_ptr<http::Server> m_readiness;
     std::unique_ptr<http::Server> m_admin;
+    const base::TimePoint m_startedAt = base::monotonicNow();
     bool m_wasReady = false;
 };
 
--- a/src/daemon/configuration_service.cpp
+++ b/src/daemon/configuration_service.cpp
@@ -111,6 +111,21 @@
     m_current = std::move(decoded);
 }
 
+std::set<std::string> ConfigurationService::withdrawn() const
+{
+    std::set<std::string> all = m_withdrawn;
+    all.insert(m_withdrawnByPolicy.begin(), m_withdrawnByPolicy.end());
+    return all;
+}
+
+void ConfigurationService::setWithdrawnByPolicy(std::set<std::string> dataCentres)
+{
+    if (dataCentres == m_withdrawnByPolicy)
+        return;
+    m_withdrawnByPolicy = std::move(dataCentres);
+    notify();
+}
+
 void ConfigurationService::notify()
 {
     for (const auto& listener : m_listeners)
--- a/src/daemon/configuration_service.h
+++ b/src/daemon/configuration_service.h
@@ -25,7 +25,9 @@
     bool isLoaded() const { return m_current.has_value(); }
     // Valid after isLoaded().
     const scheduler::Configuration& current() const { return *m_current; }
-    const std::set<std::string>& withdrawn() const { return m_withdrawn; }
+    // Data centres that are out, by the operator's keys or by the product's own configuration.
+    std::set<std::string> withdrawn() const;
+    void setWithdrawnByPolicy(std::set<std::string> dataCentres);
     // Queue of a request by host and longest matching prefix; nullptr when there is none.
     const scheduler::Queue* findQueue(const std::string& host, const std::string& path) const;
     // Called after each change, for as long as the service lives.
@@ -42,6 +44,7 @@
     std::optional<scheduler::Configuration> m_current;
     std::int64_t m_revision = 0; // of the store, up to which changes were applied
     std::set<std::string> m_withdrawn;
+    std::set<std::string> m_withdrawnByPolicy;
     std::vector<std::function<void()>> m_listeners;
 };
 
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -1,12 +1,17 @@
 // Routing of job requests, group commit of accepted jobs, answers from the table of known states.
 #include "daemon/gateway_service.h"
 
+#include "base/hash.h"
+#include "base/json.h"
 #include "daemon/configuration_service.h"
 #include "daemon/job_table.h"
+#include "http/problem.h"
 #include "kernel/log.h"
 #include "platform/documents.h"
 #include "scheduler/record.h"
 
+#include <QJsonDocument>
+#include <QJsonObject>
 #include <algorithm>
 
 namespace lacewing::daemon {
@@ -125,20 +130,34 @@
         respond(responder, refusal(400, QByteArray::fromStdString(job.error())), "submit", id, job.error());
         return;
     }
-    if (!isStoreReachable(m_runtime)) {
-        respond(responder, refusal(503, "the store does not answer"), "submit", id, "store unreachable");
-        return;
-    }
     Submission submission;
-    submission.id = id;
-    submission.record = scheduler::encodeAccepted({ std::move(job.value()), queue.policy, base::wallClockMs() });
+    submission.answer = "{}";
     submission.responder = responder;
     submission.receivedAt = nowMs();
     submission.deadline = deadlineOf(request, submission.receivedAt);
+    enqueue(queue, std::move(job.value()), std::move(submission));
+}
+
+void GatewayService::enqueue(const scheduler::Queue& queue, scheduler::JobRequest job, Submission submission)
+{
+    submission.id = job.id;
+    submission.sloKey = { queue.policy.service, queue.policy.name };
+    if (!isStoreReachable(m_runtime)) {
+        giveUp(submission, "store unreachable");
+        return;
+    }
+    submission.record = scheduler::encodeAccepted({ std::move(job), queue.policy, base::wallClockMs() });
     m_submissions.push_back(std::move(submission));
     storeSubmissions();
 }
 
+void GatewayService::recordSlo(const Submission& submission, base::RequestResult result)
+{
+    m_runtime.metrics.recordRequest(submission.sloKey, base::milliseconds(nowMs() - submission.receivedAt), result,
+        m_runtime.latencyObjective ? m_runtime.latencyObjective(submission.sloKey.service) : std::nullopt,
+        base::monotonicNow());
+}
+
 void GatewayService::storeSubmissions()
 {
     const scheduler::Millis now = nowMs();
@@ -214,11 +233,13 @@
     applyState(*m_table, submission.id, scheduler::JobState::Queued, now);
     m_runtime.metrics.latency("lacewing_accept_seconds", "Time from a job request to its acceptance.")
         .record(base::milliseconds(now - submission.receivedAt));
-    respond(submission.responder, http::jsonResponse(200, "{}"), "submit", submission.id, how);
+    recordSlo(submission, base::RequestResult::Answered);
+    respond(submission.responder, http::jsonResponse(200, submission.answer), "submit", submission.id, how);
 }
 
 void GatewayService::giveUp(const Submission& submission, const std::string& reason)
 {
+    recordSlo(submission, base::RequestResult::Failed);
     if (submission.isUncertain)
         respond(submission.responder, refusal(504, "the outcome is unknown, ask again with the same id"), "submit",
             submission.id, "unknown: " + reason);
@@ -226,6 +247,67 @@
         respond(submission.responder, refusal(503, "not accepted"), "submit", submission.id, "not stored: " + reason);
 }
 
+std::string jobIdOf(const std::string& identity)
+{
+    constexpr int digits = 16;
+    if (platform::isJobId(QByteArray::fromStdString(identity)))
+        return identity;
+    return QString::number(base::stableHash(identity), 16).rightJustified(digits, QLatin1Char('0')).toStdString();
+}
+
+void GatewayService::submitForOperator(const QByteArray& body, const http::Responder& responder)
+{
+    const auto refuse = [&responder](const char* field, const char* detail) {
+        responder.respond(
+            http::ProblemBuilder(400, "invalidField").field(field).detail(detail).executedNo().response());
+    };
+    const std::optional<QJsonObject> json = base::parseObject(body);
+    if (!json || !m_configuration->isLoaded()) {
+        responder.respond(http::ProblemBuilder(json ? 503 : 400, json ? "notReady" : "badRequest")
+                              .detail(json ? "no configuration yet" : "the body is not a JSON object")
+                              .executedNo()
+                              .response());
+        return;
+    }
+    const std::string team = base::textOf((*json)["team"]);
+    const std::string service = base::textOf((*json)["service"]);
+    const std::vector<scheduler::Queue>& queues = m_configuration->current().queues;
+    const auto queue = std::find_if(queues.begin(), queues.end(), [&](const scheduler::Queue& candidate) {
+        return candidate.policy.name == team && candidate.policy.service == service;
+    });
+    if (queue == queues.end()) {
+        refuse("team", "no queue has the name of the team and serves the service");
+        return;
+    }
+    const std::string identity = base::textOf((*json)["id"]);
+    const QJsonObject resources = (*json)["resources"].toObject();
+    scheduler::Step step;
+    step.cpuMillicores = resources["cpuMilli"].toInt();
+    step.memoryMb = resources["memoryMb"].toInt();
+    step.gpus = resources["accelerators"].toInt();
+    step.estimateMs = (*json)["durationMs"].toInt();
+    step.isLasting = base::textOf((*json)["class"]) == "watch";
+    if (identity.empty() || step.cpuMillicores <= 0 || step.memoryMb < 0 || step.estimateMs <= 0) {
+        refuse("resources", "id, resources and durationMs must be there and positive");
+        return;
+    }
+    if ((*json).contains("dataCentre")) {
+        refuse("dataCentre", "a job cannot be bound to a data centre");
+        return;
+    }
+    scheduler::JobRequest job;
+    job.id = jobIdOf(identity);
+    job.payload = base::textOf((*json)["payload"]);
+    job.steps.push_back(step);
+    Submission submission;
+    submission.answer = QJsonDocument(QJsonObject { { "id", QString::fromStdString(job.id) }, { "state", "queued" } })
+                            .toJson(QJsonDocument::Compact);
+    submission.responder = responder;
+    submission.receivedAt = nowMs();
+    submission.deadline = submission.receivedAt + holdMs;
+    enqueue(*queue, std::move(job), std::move(submission));
+}
+
 // --- State ---
 
 void GatewayService::answerState(const std::string& id, const http::Responder& responder)
--- a/src/daemon/gateway_service.h
+++ b/src/daemon/gateway_service.h
@@ -20,6 +20,9 @@
 class ConfigurationService;
 struct JobTable;
 
+// Identity of a job in the store: 16 hexadecimal digits. Any other one that an operator chose is hashed to that form.
+std::string jobIdOf(const std::string& identity);
+
 class GatewayService : public QObject {
 public:
     explicit GatewayService(Runtime& runtime);
@@ -30,11 +33,15 @@
     void stop() { m_server.reset(); }
     // Also for operators.
     void cancelJob(const std::string& id, const http::Responder& responder);
+    // Hands in a job of one task that an operator describes; the answer names its identity.
+    void submitForOperator(const QByteArray& body, const http::Responder& responder);
 
 private:
     struct Submission {
         std::string id;
         QByteArray record;
+        QByteArray answer; // body of the acceptance
+        base::SloKey sloKey;
         http::Responder responder;
         scheduler::Millis receivedAt = 0;
         scheduler::Millis deadline = 0;
@@ -44,6 +51,9 @@
     void handle(const http::Request& request, const http::Responder& responder);
     void submit(const scheduler::Queue& queue, const std::string& id, const http::Request& request,
         const http::Responder& responder);
+    void enqueue(const scheduler::Queue& queue, scheduler::JobRequest job, Submission submission);
+    // Counts an answered or refused job request for the objectives of its service.
+    void recordSlo(const Submission& submission, base::RequestResult result);
     void storeSubmissions();
     void applyStored(std::vector<Submission> batch, const base::Result<std::int64_t, platform::StoreError>& result);
     void accept(const Submission& submission, const char* how);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,6 +9,7 @@
 #include "daemon/dispatcher_service.h"
 #include "daemon/gateway_service.h"
 #include "daemon/job_table.h"
+#include "daemon/policy_service.h"
 #include "daemon/runtime.h"
 #include "daemon/settings.h"
 #include "daemon/sync_service.h"
@@ -142,6 +143,7 @@
     };
     kernel::registerService(runtime.kernel, std::move(tableEntry)).assume_value();
     registerConfigurationService(runtime);
+    registerPolicyService(runtime);
     registerTermService(runtime);
     registerDispatcherService(runtime);
     registerSyncService(runtime);
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -9,7 +9,9 @@
 #include "platform/store.h"
 #include "scheduler/types.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
 
 namespace lacewing::daemon {
 
@@ -21,6 +23,8 @@
     base::Metrics metrics;
     kernel::Kernel kernel;
     std::unique_ptr<platform::Store> store;
+    // Latency objective in force of a service, for the counts of GET /v1/slo.
+    std::function<std::optional<base::Duration>(const std::string& service)> latencyObjective;
     bool isStopping = false;
 };
 
@@ -33,6 +37,7 @@
 // Names under which the services publish themselves.
 namespace serviceNames {
     inline const std::string configuration = "configuration";
+    inline const std::string policy = "policy";
     inline const std::string jobTable = "jobTable";
     inline const std::string term = "term";
     inline const std::string dispatcher = "dispatcher";
@@ -44,12 +49,15 @@
 // Keys of the project in the store.
 namespace storeKeys {
     inline const std::string term = "lacewing/term";
-    inline const std::string workers = "lacewing/workers";           // known workers, for the next term
-    inline const std::string placements = "lacewing/placements";     // of a term that was given up
-    inline const std::string interference = "lacewing/interference"; // learned effects between images
-    inline const std::string acceptedPrefix = "lacewing/in/";        // accepted jobs by id, and requests to cancel them
-    inline const std::string cancelSuffix = "/cancel";               // after the key of an accepted job
-    inline const std::string progressPrefix = "lacewing/jobs/";      // progress by id, written by the scheduling daemon
+    inline const std::string workers = "lacewing/workers";               // known workers, for the next term
+    inline const std::string placements = "lacewing/placements";         // of a term that was given up
+    inline const std::string root = "lacewing/";                         // of the keys that src/config names
+    inline const std::string policy = "lacewing/config/current";         // the product's own configuration
+    inline const std::string policyHistory = "lacewing/config/history/"; // one entry for each revision
+    inline const std::string interference = "lacewing/interference";     // learned effects between images
+    inline const std::string acceptedPrefix = "lacewing/in/";   // accepted jobs by id, and requests to cancel them
+    inline const std::string cancelSuffix = "/cancel";          // after the key of an accepted job
+    inline const std::string progressPrefix = "lacewing/jobs/"; // progress by id, written by the scheduling daemon
 } // namespace storeKeys
 
 } // namespace lacewing::daemon
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -5,6 +5,7 @@
 #include "daemon/configuration_service.h"
 #include "daemon/dispatcher_service.h"
 #include "daemon/job_table.h"
+#include "daemon/policy_service.h"
 #include "daemon/term_service.h"
 #include "kernel/log.h"
 
@@ -42,6 +43,7 @@
 {
     m_term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
     m_dispatcher = kernel::find<DispatcherService>(m_runtime.kernel, serviceNames::dispatcher);
+    m_policy = kernel::find<PolicyService>(m_runtime.kernel, serviceNames::policy);
     m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
     auto server = peer::Server::listen(m_runtime.settings.peerAddress, peerLimits(),
         [this](const QByteArray& request, const peer::ReplyFunction& reply) { reply(answer(request)); });
@@ -73,6 +75,7 @@
 void SyncService::tick()
 {
     const election::Election& state = m_term->state();
+    m_policy->setFollowing(m_term->isLeader());
     if (m_term->isLeader()) {
         m_client.reset();
         m_clientAddress.clear();
@@ -104,7 +107,7 @@
         { "lastReply", static_cast<qint64>(m_lastReply) }, { "feedTerm", static_cast<qint64>(m_feedTerm) },
         { "feedHave", static_cast<qint64>(m_feedHave) }, { "incarnation", static_cast<qint64>(m_runtime.incarnation) },
         { "storeAgeMs", static_cast<qint64>(health.answeredAt > 0 ? now - health.answeredAt : -1) },
-        { "isStopping", m_runtime.isStopping } };
+        { "isStopping", m_runtime.isStopping }, { "policyRevision", static_cast<qint64>(m_policy->revision()) } };
     m_client->request(QJsonDocument(request).toJson(QJsonDocument::Compact),
         [this, asked = Asked { now, m_term->state().record->leader, m_term->state().record->incarnation }](
             const base::Result<QByteArray, peer::PeerError>& result) {
@@ -157,6 +160,13 @@
     }
     if (reply["hasLostStore"].toBool())
         probeStore();
+    m_policy->memberRevisions().clear();
+    const QJsonObject revisions = reply["policyRevisions"].toObject();
+    for (auto it = revisions.begin(); it != revisions.end(); ++it) {
+        const auto revision = static_cast<base::Revision>(it.value().toInteger());
+        m_policy->memberRevisions()[it.key().toStdString()] = revision;
+        m_policy->learnRevision(revision);
+    }
     if (!reply["isLoaded"].toBool())
         return;
     m_feedTerm = reply["token"].toInteger();
@@ -212,9 +222,17 @@
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
     QJsonArray members;
-    for (const std::string& member : election::knownMembers(state, now))
+    const std::set<std::string> known = election::knownMembers(state, now);
+    for (const std::string& member : known)
         members.append(QString::fromStdString(member));
     reply["members"] = members;
+    m_policy->memberRevisions()[daemon] = static_cast<base::Revision>(request["policyRevision"].toInteger());
+    m_policy->memberRevisions()[m_runtime.settings.daemon] = m_policy->revision();
+    std::erase_if(m_policy->memberRevisions(), [&](const auto& entry) { return known.count(entry.first) == 0; });
+    QJsonObject revisions;
+    for (const std::string& member : known)
+        revisions[QString::fromStdString(member)] = static_cast<qint64>(m_policy->memberRevisions()[member]);
+    reply["policyRevisions"] = revisions;
     reply["hasLostStore"] = !isStoreReachable(m_runtime);
     if (election::successor(state, m_runtime.store->health().failingSince, now) == daemon) {
         kernel::logEvent(kernel::LogLevel::Warning, "sync", "handOver",
@@ -251,7 +269,7 @@
     auto service = std::make_shared<SyncService>(runtime);
     kernel::Service entry;
     entry.name = serviceNames::sync;
-    entry.dependsOn = { serviceNames::term, serviceNames::dispatcher, serviceNames::jobTable };
+    entry.dependsOn = { serviceNames::term, serviceNames::dispatcher, serviceNames::jobTable, serviceNames::policy };
     entry.start = [service] { return service->start(); };
     entry.isIdle = [service] { return service->isIdle(); };
     entry.stop = [service] { service->stop(); };
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -18,6 +18,7 @@
 namespace lacewing::daemon {
 
 class DispatcherService;
+class PolicyService;
 class TermService;
 struct JobTable;
 
@@ -54,6 +55,7 @@
     Runtime& m_runtime;
     TermService* m_term = nullptr;
     DispatcherService* m_dispatcher = nullptr;
+    PolicyService* m_policy = nullptr;
     JobTable* m_table = nullptr;
     std::unique_ptr<peer::Server> m_server;
     QTimer m_timer;
