Skip shapes that found no worker in a plan, pause plans in proportion to their length

Change: workers in use are collected once a plan by service; a step that asks for the same as one that found no worker, and for no less, is not looked at again in that plan; the next plan that reports ask for waits twice as long as the last one took.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -15,7 +15,10 @@
     constexpr int tickMs = 50;                         // ms; resolution of the periods of this service
     constexpr scheduler::Millis interferenceMs = 3000; // ms between writes of the learned interference
     constexpr int planGapMs = 15;                      // ms; reports that arrive together lead to one plan
-    constexpr int retryMs = 250;                       // ms after a failed call to the store
+    constexpr scheduler::Millis planPauseFactor
+        = 2; // times the duration of a plan until the next one that reports ask for
+    constexpr scheduler::Millis longestPauseMs = 100; // ms; twice the period of plans without reports
+    constexpr int retryMs = 250;                      // ms after a failed call to the store
     constexpr int watchWaitMs = 2000; // ms; a silent connection is noticed within this and the store's margin
     constexpr int watchGapMs = 40;    // ms between watch calls, which gathers jobs that arrive together
     constexpr qsizetype longestRecordBytes = 700000; // the store's limit of a value, less its encoding as text
@@ -399,7 +402,7 @@
     if (m_isPlanQueued || !m_isLoaded)
         return;
     m_isPlanQueued = true;
-    QTimer::singleShot(planGapMs, this, [this] {
+    QTimer::singleShot(std::max(planGapMs, m_planPauseMs), this, [this] {
         m_isPlanQueued = false;
         runPlan();
     });
@@ -411,7 +414,10 @@
         return;
     m_scheduler->validUntil = m_runtime.isStopping ? 0 : m_term->validUntil();
     m_scheduler->validUntil = m_configuration->isLoaded() ? m_scheduler->validUntil : 0;
-    carryOut(scheduler::plan(*m_scheduler, nowMs(), base::wallClockMs()));
+    const scheduler::Millis begun = nowMs();
+    const scheduler::Orders orders = scheduler::plan(*m_scheduler, begun, base::wallClockMs());
+    m_planPauseMs = static_cast<int>(std::min<scheduler::Millis>(longestPauseMs, planPauseFactor * (nowMs() - begun)));
+    carryOut(orders);
     updateTable();
     storeInterference();
     storeProgress();
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -102,6 +102,7 @@
     std::string m_storedWorkers; // ids in the stored list of workers
     bool m_isStoring = false;
     bool m_isPlanQueued = false;
+    int m_planPauseMs = 0; // leaves processor time for calls when plans take long
 
     QTimer m_tick;
     scheduler::Millis m_workersListedAt = 0;
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -69,10 +69,7 @@
 
     bool mayUse(const Planner& planner, const Worker& worker, const TaskRef& ref)
     {
-        const Scheduler& scheduler = planner.scheduler;
         const std::string& id = worker.entry.id;
-        if (!isUsable(scheduler, worker) || worker.entry.service != ref.job->policy.service)
-            return false;
         if (worker.avoidUntil > planner.now || worker.fullUntil > planner.now || ref.task->failedWorker == id)
             return false;
         if (!ref.step->requiredLabel.empty() && !hasLabel(worker.entry, ref.step->requiredLabel))
@@ -119,9 +116,10 @@
     {
         Worker* best = nullptr;
         double bestScore = 0;
-        for (auto& [id, worker] : planner.scheduler.workers) {
-            if (!mayUse(planner, worker, ref) || !fits(worker, *ref.step) || !isApproved(ref, id, planner.now)
-                || (!rack.empty() && !hasLabel(worker.entry, rack)))
+        for (Worker* candidate : planner.usable[ref.job->policy.service]) {
+            Worker& worker = *candidate;
+            if (!fits(worker, *ref.step) || !mayUse(planner, worker, ref)
+                || !isApproved(ref, worker.entry.id, planner.now) || (!rack.empty() && !hasLabel(worker.entry, rack)))
                 continue;
             double score = scoreOf(planner, worker, ref);
             if (ref.step->isFilling && worker.servingCpu > 0) {
@@ -173,7 +171,8 @@
         if (ref.step->isFilling && worker.servingCpu > 0)
             countFill(planner, worker, *ref.step);
         takeRoom(scheduler, worker, ref);
-        ++planner.stepOnWorker[worker.entry.id];
+        if (ref.step->maxPerWorker > 0)
+            ++planner.stepOnWorker[worker.entry.id];
         ++scheduler.starts;
         planner.orders.starts.push_back(std::move(order));
     }
@@ -181,6 +180,8 @@
     void countStep(Planner& planner, const Candidate& candidate)
     {
         planner.stepOnWorker.clear();
+        if (candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)].maxPerWorker <= 0)
+            return;
         const StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
         for (const Task& task : progress.tasks) {
             if (holdsRun(task))
@@ -245,11 +246,13 @@
             if (!worker)
                 break;
             takeRoom(planner.scheduler, *worker, ref);
-            ++planner.stepOnWorker[worker->entry.id];
+            if (step.maxPerWorker > 0)
+                ++planner.stepOnWorker[worker->entry.id];
             placed.push_back({ i, worker });
         }
         for (const Placed& member : placed) {
-            --planner.stepOnWorker[member.worker->entry.id];
+            if (step.maxPerWorker > 0)
+                --planner.stepOnWorker[member.worker->entry.id];
             releaseRoom(refOf(candidate, member.index));
         }
         candidate.job->hasStarted = hadStarted;
@@ -263,10 +266,30 @@
         return true;
     }
 
+    // Steps with a limit for each worker, racks to choose from, or approvals may fail for reasons of their own.
+    bool hasOwnReasons(const Candidate& candidate, const Step& step)
+    {
+        return step.maxPerWorker > 0 || step.isSameRack || !step.dataRack.empty()
+            || candidate.job->policy.approval.isNeeded;
+    }
+
+    bool isUnplaced(const Planner& planner, const Candidate& candidate, const Step& step)
+    {
+        return std::any_of(planner.unplaced.begin(), planner.unplaced.end(), [&](const UnplacedShape& shape) {
+            const Step& other = *shape.step;
+            const bool isSameKind = step.isFilling == other.isFilling && step.image == other.image
+                && step.requiredLabel == other.requiredLabel && *shape.service == candidate.job->policy.service;
+            return isSameKind && step.cpuMillicores >= other.cpuMillicores && step.memoryMb >= other.memoryMb
+                && step.gpus >= other.gpus;
+        });
+    }
+
     void placeStep(Planner& planner, const Candidate& candidate)
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
         StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
+        if (isUnplaced(planner, candidate, step))
+            return;
         countStep(planner, candidate);
         const std::vector<std::string> racks = racksFor(planner, candidate, step);
         if (step.isGang) {
@@ -296,8 +319,11 @@
             const bool isAway = worker && !step.dataRack.empty() && !hasLabel(worker->entry, step.dataRack);
             if (isAway && planner.now - progress.readySince < dataRackWaitMs)
                 continue;
-            if (!worker)
-                return; // the other tasks of the step have the same shape
+            if (!worker) { // the other tasks of the step have the same shape
+                if (!hasOwnReasons(candidate, step))
+                    planner.unplaced.push_back({ &candidate.job->policy.service, &step });
+                return;
+            }
             startOn(planner, ref, *worker, std::max(ref.task->run, ref.task->endedRun) + 1);
             if (step.isLasting)
                 planner.rooms[ref.job->policy.service].lasting += step.cpuMillicores;
@@ -426,7 +452,7 @@
 
 Orders plan(Scheduler& scheduler, Millis now, std::int64_t nowUnixMs)
 {
-    Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {}, {}, {}, {}, false, {} };
+    Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {}, {}, {}, {}, false, {}, {}, {} };
     accountWorkers(scheduler, now);
     std::vector<std::string> finished;
     for (const std::string& id : scheduler.active) {
@@ -441,6 +467,10 @@
     relievePressure(scheduler, planner.orders, now);
     if (now >= scheduler.validUntil || !scheduler.hasWorkerList)
         return std::move(planner.orders);
+    for (auto& [id, worker] : scheduler.workers) {
+        if (isUsable(scheduler, worker))
+            planner.usable[worker.entry.service].push_back(&worker);
+    }
     updateShortDemand(planner);
     updateFillDemand(planner);
     double sum = 0;
@@ -455,7 +485,8 @@
         placeStep(planner, candidate);
     planner.stepOnWorker.clear();
     planner.orders.question = nextQuestion(planner, [&](const Worker& worker, const TaskRef& ref) {
-        const bool isPossible = mayUse(planner, worker, ref) && fits(worker, *ref.step);
+        const bool isPossible = isUsable(scheduler, worker) && worker.entry.service == ref.job->policy.service
+            && fits(worker, *ref.step) && mayUse(planner, worker, ref);
         return isPossible ? std::optional(scoreOf(planner, worker, ref)) : std::nullopt;
     });
     scheduler.hasQuestion = scheduler.hasQuestion || planner.orders.question.has_value();
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -30,6 +30,12 @@
     double shortWaiting = 0;
 };
 
+// A task that found no worker in this plan: tasks that ask for the same and for no less need not look again.
+struct UnplacedShape {
+    const std::string* service = nullptr;
+    const Step* step = nullptr;
+};
+
 struct Planner {
     Scheduler& scheduler;
     Millis now;
@@ -42,7 +48,9 @@
     std::map<const Worker*, std::vector<ServingRoom>> servingRooms; // as of this plan
     std::map<std::pair<std::string, std::string>, int> trials;      // workers by pair of serving and filling image
     bool hasTrials = false;                                         // trials are counted
-    std::map<const Worker*, double> scarcities;                     // as of this plan
+    std::map<std::string, std::vector<Worker*>> usable;             // by service
+    std::vector<UnplacedShape> unplaced;
+    std::map<const Worker*, double> scarcities; // as of this plan
 };
 
 TaskRef refOf(const Candidate& candidate, int index);
