Remove the records of jobs that ended long ago

Change: the time of a job's end is in its record; after twice the time for which its state is promised the records are removed in the transaction that renews the term, up to 40 jobs/s. Changes of states that daemons may ask for are bounded.

Test: endedJobsExpireAfterTheirTime.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -18,9 +18,12 @@
     constexpr scheduler::Millis planPauseFactor
         = 2; // times the duration of a plan until the next one that reports ask for
     constexpr scheduler::Millis longestPauseMs = 100; // ms; twice the period of plans without reports
-    constexpr int retryMs = 250;                      // ms after a failed call to the store
-    constexpr int watchWaitMs = 2000; // ms; a silent connection is noticed within this and the store's margin
-    constexpr int watchGapMs = 40;    // ms between watch calls, which gathers jobs that arrive together
+    constexpr scheduler::Millis expiredPeriodMs
+        = 200; // ms between removals of old records; 40 jobs/s, above the target's peak
+    constexpr std::size_t longestFeed = 100000; // changes of states that other daemons may still ask for; some 5 MB
+    constexpr int retryMs = 250;                // ms after a failed call to the store
+    constexpr int watchWaitMs = 2000;           // ms; a silent connection is noticed within this and the store's margin
+    constexpr int watchGapMs = 40;              // ms between watch calls, which gathers jobs that arrive together
     constexpr qsizetype longestRecordBytes = 700000; // the store's limit of a value, less its encoding as text
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction, the term's own entries off
 
@@ -97,6 +100,8 @@
     m_links.clear();
     m_advice.reset();
     m_feed.clear();
+    m_feedBegin = 0;
+    m_isRemoving = false;
     m_storedWorkers.clear();
     m_scheduler.reset();
 }
@@ -258,6 +263,8 @@
             return;
         kernel::logEvent(
             kernel::LogLevel::Info, "dispatcher", "cancelSeen", { { "job", id }, { "revision", item.revision } });
+        if (const auto job = m_scheduler->jobs.find(id); job != m_scheduler->jobs.end())
+            job->second->hasCancelRequest = true;
         scheduler::cancelJob(*m_scheduler, id, nowMs());
         return;
     }
@@ -359,6 +366,11 @@
         m_feed.push_back(change);
     }
     m_scheduler->changes.clear();
+    if (m_feed.size() > longestFeed) {
+        const auto half = static_cast<std::ptrdiff_t>(longestFeed / 2);
+        m_feed.erase(m_feed.begin(), m_feed.begin() + half);
+        m_feedBegin += half;
+    }
 }
 
 // Callers of this daemon are answered from the same table as those of the others.
@@ -383,6 +395,37 @@
     m_term->commit({ { storeKeys::interference, table } }, [] {});
 }
 
+void DispatcherService::removeExpired()
+{
+    const scheduler::Millis now = nowMs();
+    if (m_isRemoving || now - m_expiredAt < expiredPeriodMs)
+        return;
+    m_expiredAt = now;
+    constexpr std::size_t keysPerJob = 3;
+    const std::vector<std::string> jobs = scheduler::expiredJobs(*m_scheduler, base::wallClockMs(),
+        statusMemoryFactor * m_runtime.settings.bounds.statusMs, TermService::removalsPerCommit / keysPerJob);
+    if (jobs.empty())
+        return;
+    std::vector<std::string> keys;
+    for (const std::string& id : jobs) {
+        keys.push_back(storeKeys::acceptedPrefix + id);
+        keys.push_back(storeKeys::progressPrefix + id);
+        if (m_scheduler->jobs.at(id)->hasCancelRequest)
+            keys.push_back(storeKeys::acceptedPrefix + id + storeKeys::cancelSuffix);
+    }
+    m_isRemoving = true;
+    m_term->remove(std::move(keys), [this, generation = std::weak_ptr<int>(m_generation), jobs] {
+        if (generation.expired())
+            return;
+        m_isRemoving = false;
+        for (const std::string& id : jobs)
+            scheduler::forgetJob(*m_scheduler, id);
+        kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "jobsRemoved",
+            { { "jobs", static_cast<std::int64_t>(jobs.size()) },
+                { "kept", static_cast<std::int64_t>(m_scheduler->jobs.size()) } });
+    });
+}
+
 // The next term must know the workers that may hold runs of this one, also those that are not announced any more.
 void DispatcherService::storeWorkers()
 {
@@ -420,6 +463,7 @@
     carryOut(orders);
     updateTable();
     storeInterference();
+    removeExpired();
     storeProgress();
     logDecisions();
 }
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -29,8 +29,9 @@
     const scheduler::Scheduler* scheduler() const { return m_isLoaded ? m_scheduler.get() : nullptr; }
     // Records that let the next term begin at once; no order may follow.
     std::vector<platform::Write> lastRecords() const;
-    // Committed states since the beginning of the term, in order.
+    // Committed states of the term, in order; the oldest ones are dropped.
     const std::vector<scheduler::JobChange>& feed() const { return m_feed; }
+    std::int64_t feedBegin() const { return m_feedBegin; }
 
 private:
     struct Link {
@@ -63,6 +64,8 @@
     void storeProgress();
     void storeWorkers();
     void storeInterference();
+    // Removes the records of jobs that ended long ago.
+    void removeExpired();
     void loadInterference();
 
     // --- Workers ---
@@ -99,6 +102,9 @@
     std::map<std::string, Link> m_links;
     std::unique_ptr<platform::AdviceLink> m_advice; // made at the first question
     std::vector<scheduler::JobChange> m_feed;
+    std::int64_t m_feedBegin = 0; // position of its first entry in the term
+    scheduler::Millis m_expiredAt = 0;
+    bool m_isRemoving = false;
     std::string m_storedWorkers; // ids in the stored list of workers
     bool m_isStoring = false;
     bool m_isPlanQueued = false;
--- a/src/daemon/job_table.h
+++ b/src/daemon/job_table.h
@@ -30,6 +30,9 @@
         entry->second = { state, now };
 }
 
+// Times that the state of an ended job is kept beyond the promised time: daemons learn of an end at different moments.
+constexpr std::int64_t statusMemoryFactor = 2;
+
 // Forgets final jobs that nobody may ask for any more.
 inline void forgetOldJobs(JobTable& table, scheduler::Millis keepMs, scheduler::Millis now)
 {
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -34,10 +34,9 @@
 enum class ExitCode { Stopped = 0, SettingsRefused = 1, Usage = 2, StartFailed = 3, DrainTimeout = 4 };
 
 constexpr int idleCheckMs = 20;
-constexpr int stopMarginMs = 1000;             // ms left before the platform kills the process
-constexpr int logFlushMs = 50;                 // ms between writes of collected log lines
-constexpr int forgetJobsMs = 10000;            // ms between looks for states that nobody may ask for any more
-constexpr std::int64_t statusMemoryFactor = 2; // times the promised time; daemons learn of an end at different moments
+constexpr int stopMarginMs = 1000;  // ms left before the platform kills the process
+constexpr int logFlushMs = 50;      // ms between writes of collected log lines
+constexpr int forgetJobsMs = 10000; // ms between looks for states that nobody may ask for any more
 
 int signalPipe[2] = { -1, -1 };
 
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -251,13 +251,15 @@
 void SyncService::addChanges(QJsonObject& reply, std::int64_t term, std::int64_t have) const
 {
     const std::vector<scheduler::JobChange>& feed = m_dispatcher->feed();
-    std::size_t position = term == m_term->token() ? static_cast<std::size_t>(std::max<std::int64_t>(0, have)) : 0;
+    const std::int64_t begin = m_dispatcher->feedBegin();
+    std::size_t position
+        = term == m_term->token() ? static_cast<std::size_t>(std::max<std::int64_t>(0, have - begin)) : 0;
     QJsonArray changes;
     for (; position < feed.size() && changes.size() < changesPerReply; ++position)
         changes.append(QJsonArray { QString::fromStdString(feed[position].id),
             QLatin1String(nameOf(scheduler::jobStateNames, feed[position].state)) });
     reply["changes"] = changes;
-    reply["next"] = static_cast<qint64>(position);
+    reply["next"] = static_cast<qint64>(begin + static_cast<std::int64_t>(position));
     QJsonObject pending;
     for (const auto& [queue, jobs] : scheduler::pendingJobs(*m_dispatcher->scheduler()))
         pending[QString::fromStdString(queue)] = jobs;
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -77,10 +77,12 @@
     if (isLeader()) {
         m_committedAt = sentAt;
         for (const Commit& commit : m_commits) {
-            if (transaction.writes.size() + commit.writes.size() > writesPerCommit + 1)
+            const std::size_t entries = transaction.writes.size() + transaction.removals.size();
+            if (entries + commit.writes.size() + commit.removals.size() > writesPerCommit + 1)
                 break;
             ++commits;
             transaction.writes.insert(transaction.writes.end(), commit.writes.begin(), commit.writes.end());
+            transaction.removals.insert(transaction.removals.end(), commit.removals.begin(), commit.removals.end());
         }
     }
     m_runtime.store->commit(
@@ -157,6 +159,12 @@
     tick();
 }
 
+void TermService::remove(std::vector<std::string> keys, std::function<void()> callback)
+{
+    m_commits.push_back({ {}, std::move(keys), std::move(callback) });
+    tick();
+}
+
 void TermService::lose(const std::string& reason)
 {
     kernel::logEvent(kernel::LogLevel::Warning, "term", "termEnded",
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -32,6 +32,9 @@
     // Writes records in this term; the callback tells whether they are in the store. Never called after the term ended:
     // the records are dropped with it.
     void commit(std::vector<platform::Write> writes, std::function<void()> callback);
+    // Removes records in this term; at most removalsPerCommit of them.
+    void remove(std::vector<std::string> keys, std::function<void()> callback);
+    static constexpr std::size_t removalsPerCommit = 24;
 
     // Gives the term up, with last records in the same transaction; `done` is called when the record says so, or when
     // that cannot be reached.
@@ -51,6 +54,7 @@
 private:
     struct Commit {
         std::vector<platform::Write> writes;
+        std::vector<std::string> removals;
         std::function<void()> callback;
     };
 
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -308,6 +308,24 @@
     }
 }
 
+std::vector<std::string> expiredJobs(Scheduler& scheduler, std::int64_t nowUnixMs, Millis keepMs, std::size_t limit)
+{
+    std::vector<std::string> expired;
+    for (auto& [id, job] : scheduler.jobs) {
+        if (expired.size() >= limit)
+            break;
+        if (!isFinal(job->committedState) || scheduler.active.count(id) > 0 || scheduler.dirty.count(id) > 0)
+            continue;
+        if (job->endedUnixMs == 0) // counts from the first sight
+            job->endedUnixMs = nowUnixMs;
+        if (nowUnixMs - job->endedUnixMs >= keepMs)
+            expired.push_back(id);
+    }
+    return expired;
+}
+
+void forgetJob(Scheduler& scheduler, const std::string& id) { scheduler.jobs.erase(id); }
+
 std::map<std::string, int> pendingJobs(const Scheduler& scheduler)
 {
     std::map<std::string, int> pending;
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -457,6 +457,8 @@
     std::vector<std::string> finished;
     for (const std::string& id : scheduler.active) {
         Job& job = *scheduler.jobs.at(id);
+        if (isFinal(job.state) && job.endedUnixMs == 0)
+            job.endedUnixMs = nowUnixMs;
         reviewJob(planner, job);
         if (isFinal(job.committedState) && !hasRuns(job))
             finished.push_back(id);
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -224,7 +224,8 @@
 QByteArray encodeProgress(const Job& job)
 {
     QJsonObject json { { "state", QLatin1String(nameOf(jobStateNames, job.state)) },
-        { "version", static_cast<qint64>(job.version) }, { "hasStarted", job.hasStarted } };
+        { "version", static_cast<qint64>(job.version) }, { "hasStarted", job.hasStarted },
+        { "endedUnixMs", static_cast<qint64>(job.endedUnixMs) } };
     if (!isFinal(job.state)) { // a final job needs no details: nothing of it starts again
         QJsonObject occurrences;
         for (const auto& [number, occurrence] : job.occurrences) {
@@ -256,6 +257,7 @@
     job.state = job.committedState = *state;
     job.version = job.committedVersion = static_cast<std::uint64_t>((*json)["version"].toInteger());
     job.hasStarted = (*json)["hasStarted"].toBool();
+    job.endedUnixMs = (*json)["endedUnixMs"].toInteger();
     if (isFinal(*state))
         return true;
     const QJsonObject occurrences = (*json)["occurrences"].toObject();
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -115,6 +115,8 @@
     std::uint64_t version = 0;          // rises with each change that has to be stored
     std::uint64_t committedVersion = 0; // never above version
     JobState committedState = JobState::Queued;
+    bool hasCancelRequest = false; // the store holds one
+    std::int64_t endedUnixMs = 0;  // 0: has not ended, or ended before a record of the time
 };
 
 // A task with everything above it. Pointers stay valid as long as the job exists.
@@ -329,6 +331,11 @@
 // The record of the job at that version is in the store.
 void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state);
 
+// Jobs whose end is in the store for at least keepMs: their records may be removed. At most `limit`.
+std::vector<std::string> expiredJobs(Scheduler& scheduler, std::int64_t nowUnixMs, Millis keepMs, std::size_t limit);
+// The records of the job were removed.
+void forgetJob(Scheduler& scheduler, const std::string& id);
+
 // --- Queries ---
 
 std::string taskName(const std::string& job, int occurrence, int step, int index);
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(unansweredStartsKeepTheirPlaceWhileTheyAreStopped);
     CPPUNIT_TEST(plannedTermChangesHoldNothingUp);
     CPPUNIT_TEST(unstoredEndsStayUnknownOverPlannedTermChanges);
+    CPPUNIT_TEST(endedJobsExpireAfterTheirTime);
     CPPUNIT_TEST(onlyApprovedWorkersAreUsed);
     CPPUNIT_TEST(randomFaultsBreakNoPromise);
     CPPUNIT_TEST_SUITE_END();
@@ -342,6 +343,26 @@
         CPPUNIT_ASSERT(world.committedState("job") == JobState::Completed);
     }
 
+    // Guards against a store that grows for ever, and against a job that is forgotten while callers may ask for it.
+    void endedJobsExpireAfterTheirTime()
+    {
+        World world(1, 2);
+        world.submit("done", { plainStep(1, 1000, 300) });
+        world.submit("open", { lastingStep(1, 1000, "image") });
+        world.run(1000);
+        auto& state = world.scheduler();
+        CPPUNIT_ASSERT(scheduler::expiredJobs(state, world.now() + 5000, 240000, 8).empty());
+        world.replaceTerm(); // the time of the end is in the record
+        world.run(2000);
+        auto& next = world.scheduler();
+        CPPUNIT_ASSERT(scheduler::expiredJobs(next, world.now() + 230000, 240000, 8).empty());
+        const std::vector<std::string> expired = scheduler::expiredJobs(next, world.now() + 240000, 240000, 8);
+        CPPUNIT_ASSERT(expired == std::vector<std::string> { "done" });
+        scheduler::forgetJob(next, "done");
+        world.run(1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), next.jobs.size());
+    }
+
     // Guards against starts without a valid ticket, and against jobs that never start because answers of the advice
     // service were lost, tickets ran out, or a worker was born again.
     void onlyApprovedWorkersAreUsed()
