Let daemons with more processor time take a free term first

Change: daemons tell their processor share; a daemon clearly weaker than the strongest one lets it go first for 0.4 s, the very first term goes by the share, and a resigned leader prefers the strongest peer.

Test: strongerDaemonsGoFirst.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -106,6 +106,7 @@
     const QJsonObject request { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
         { "lastReply", static_cast<qint64>(m_lastReply) }, { "feedTerm", static_cast<qint64>(m_feedTerm) },
         { "feedHave", static_cast<qint64>(m_feedHave) }, { "incarnation", static_cast<qint64>(m_runtime.incarnation) },
+        { "processorShare", m_runtime.settings.processorShare },
         { "storeAgeMs", static_cast<qint64>(health.answeredAt > 0 ? now - health.answeredAt : -1) },
         { "isStopping", m_runtime.isStopping }, { "policyRevision", static_cast<qint64>(m_policy->revision()) } };
     m_client->request(QJsonDocument(request).toJson(QJsonDocument::Compact),
@@ -154,6 +155,7 @@
             { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
                 { "token", reply["token"].toInteger() } });
     m_hasContact = true;
+    state.largestShare = reply["largestShare"].toDouble();
     if (base::textOf(reply["successor"]) == m_runtime.settings.daemon) {
         election::observeLeaderDeath(state, asked.leader, asked.incarnation);
         return;
@@ -216,6 +218,7 @@
     } else {
         election::hearPeer(state, daemon, isLastReceived ? last.sentAt : 0, storeAge < 0 ? 0 : now - storeAge, now);
         state.peers[daemon].incarnation = request["incarnation"].toInteger();
+        state.peers[daemon].processorShare = request["processorShare"].toDouble();
     }
     last = { ++m_replies, now };
     reply["number"] = static_cast<qint64>(last.number);
@@ -226,6 +229,10 @@
     for (const std::string& member : known)
         members.append(QString::fromStdString(member));
     reply["members"] = members;
+    double largestShare = 0; // of those that may follow this daemon
+    for (const auto& [name, peer] : state.peers)
+        largestShare = std::max(largestShare, peer.processorShare);
+    reply["largestShare"] = largestShare;
     m_policy->memberRevisions()[daemon] = static_cast<base::Revision>(request["policyRevision"].toInteger());
     m_policy->memberRevisions()[m_runtime.settings.daemon] = m_policy->revision();
     std::erase_if(m_policy->memberRevisions(), [&](const auto& entry) { return known.count(entry.first) == 0; });
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -20,6 +20,7 @@
     m_election.self = runtime.settings.daemon;
     m_election.incarnation = runtime.incarnation;
     m_election.peerAddress = runtime.settings.peerAddress;
+    m_election.processorShare = runtime.settings.processorShare;
     m_election.limits.renewMs = runtime.settings.renewMs;
     QObject::connect(&m_timer, &QTimer::timeout, this, [this] { tick(); });
 }
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -49,10 +49,22 @@
 
 namespace {
 
+    constexpr double clearlyStronger = 1.25; // ratio of processor time; smaller differences are not worth a delay
+
+    Millis headStart(const Election& election)
+    {
+        return election.largestShare > clearlyStronger * election.processorShare ? election.limits.strongerFirstMs : 0;
+    }
+
     bool isFree(const Election& election, Millis now)
     {
         const std::optional<Record>& record = election.record;
-        if (!record || election.isLeaderDead)
+        if (!record) {
+            const double missing = 1 - std::min(1.0, election.processorShare);
+            const double delay = missing * static_cast<double>(election.limits.firstTermMs);
+            return now - election.changedAt >= static_cast<Millis>(delay);
+        }
+        if (election.isLeaderDead)
             return true;
         const bool isFormerSelf = record->leader == election.self && record->incarnation != election.incarnation;
         const bool isInTurn = record->successor.empty() || record->successor == election.self
@@ -71,7 +83,9 @@
     }
     const bool isMissing = now - election.contactAt >= limits.contactMs || election.contactAt == 0;
     if (election.isKnown && !election.isStopping) {
-        const bool isSilent = now - std::max(election.changedAt, election.contactAt) >= limits.takeoverMs && isMissing;
+        const bool isSilent
+            = now - std::max(election.changedAt, election.contactAt) >= limits.takeoverMs + headStart(election)
+            && isMissing;
         if ((isFree(election, now) || isSilent) && now - election.renewTriedAt >= limits.pollMs)
             return Action::TakeOver;
     }
@@ -221,7 +235,8 @@
     };
     const std::pair<const std::string, Peer>* best = nullptr;
     for (const auto& entry : election.peers) {
-        if (isSuitable(entry.second) && (!best || entry.second.incarnation > best->second.incarnation))
+        const auto rank = [](const Peer& peer) { return std::pair(peer.processorShare, peer.incarnation); };
+        if (isSuitable(entry.second) && (!best || rank(entry.second) > rank(best->second)))
             best = &entry;
     }
     return best ? std::optional(best->first) : std::nullopt;
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -9,6 +9,9 @@
 // While the leader does not reach the store, it goes on as long as every daemon that it knows promises, by answering in
 // time, not to take over. A daemon that is in touch with the leader does not take over.
 //
+// Scheduling takes more processor time than following. Daemons with clearly less of it than the strongest one let it go
+// first when a term is free.
+//
 // Pure: the caller reads clocks and carries out the actions.
 //
 // Invariants
@@ -31,14 +34,16 @@
 using Millis = std::int64_t; // of the daemon's boot-time clock
 
 struct Limits {
-    Millis renewMs = 500;        // between renewals
-    Millis validityMs = 1500;    // trust in the last renewal; above two renewals and a lost answer
-    Millis takeoverMs = 1800;    // validityMs and a margin for different clock rates
-    Millis contactMs = 700;      // a leader that was not heard of for so long is looked for in the store
-    Millis pollMs = 300;         // between reads of the record while the leader is missing
-    Millis peerMemoryMs = 30000; // a daemon that was not heard of for so long is gone and promises nothing
-    Millis successorMs = 600;    // a successor that does not take over within this time is passed over
-    Millis handOverMs = 900;     // a leader without the store for so long hands over to a daemon that reaches it
+    Millis renewMs = 500;         // between renewals
+    Millis validityMs = 1500;     // trust in the last renewal; above two renewals and a lost answer
+    Millis takeoverMs = 1800;     // validityMs and a margin for different clock rates
+    Millis contactMs = 700;       // a leader that was not heard of for so long is looked for in the store
+    Millis pollMs = 300;          // between reads of the record while the leader is missing
+    Millis peerMemoryMs = 30000;  // a daemon that was not heard of for so long is gone and promises nothing
+    Millis strongerFirstMs = 400; // head start of daemons with clearly more processor time; above a message and a write
+    Millis firstTermMs = 1000;    // head start of a whole core when there has been no term yet
+    Millis successorMs = 600;     // a successor that does not take over within this time is passed over
+    Millis handOverMs = 900;      // a leader without the store for so long hands over to a daemon that reaches it
 };
 
 // The record. `sequence` tells the writer's own writes apart after a lost answer.
@@ -79,6 +84,7 @@
     Millis promisedAt = 0; // it will not take over before promisedAt + takeoverMs
     Millis storeOkAt = 0;  // last time that it reached the store, by its own word
     std::int64_t incarnation = 0;
+    double processorShare = 0; // cores
 };
 
 struct Election {
@@ -86,6 +92,7 @@
     std::string self;
     std::int64_t incarnation = 0;
     std::string peerAddress;
+    double processorShare = 1; // cores that this daemon may use
     Limits limits;
     // --- Record as last seen ---
     bool isKnown = false; // the record, or its absence, has been seen
@@ -96,6 +103,7 @@
     // --- Follower ---
     Millis contactAt = 0;          // last answer of the leader
     std::set<std::string> members; // daemons that leaders have named; any of them may take over
+    double largestShare = 0;       // cores of the strongest of them; 0: not told
     bool isLeaderDead = false;     // the leader's process is known to have ended or to have stopped leading
     bool isStopping = false;       // takes nothing over
     // --- Leader ---
@@ -140,8 +148,8 @@
 void forgetPeer(Election& election, const std::string& peer);
 // Daemon to hand the term to, because it reaches the store and this one has been failing to since `failingSince` (0: it
 // has not). A renewal that is merely late, on a busy machine, is no reason.
-// Daemon to resign in favour of: the one that was started last, because planned stops come in series and it has had its
-// turn.
+// Daemon to resign in favour of: the strongest, and of equals the one that was started last, because planned stops come
+// in series and it has had its turn.
 std::optional<std::string> preferredSuccessor(const Election& election, Millis now);
 std::optional<std::string> successor(const Election& election, Millis failingSince, Millis now);
 
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(recordsOfOthersAreNotTrusted);
     CPPUNIT_TEST(neverTwoActingLeaders);
     CPPUNIT_TEST(lateNewsOfAFormerLeaderDoNotEndTheTermOfTheNext);
+    CPPUNIT_TEST(strongerDaemonsGoFirst);
     CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
     CPPUNIT_TEST_SUITE_END();
 
@@ -195,6 +196,30 @@
         CPPUNIT_ASSERT(nextAction(c.election, 1700) == Action::TakeOver);
     }
 
+    // Guards against a term on one of the smallest machines while a larger one is there (grown quiet day: the leader
+    // needs 0.3 of a core, the smallest machines have 0.069).
+    void strongerDaemonsGoFirst()
+    {
+        Daemon weak = makeDaemon("weak");
+        Daemon strong = makeDaemon("strong");
+        weak.election.processorShare = 0.07;
+        strong.election.processorShare = 0.5;
+        for (Daemon* daemon : { &weak, &strong })
+            observe(daemon->election, std::nullopt, 0, 1000);
+        CPPUNIT_ASSERT(nextAction(weak.election, 1600) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(strong.election, 1600) == Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, 2000) == Action::TakeOver); // alone, it goes on
+        const Record record { "gone", 1, "127.0.0.1:1", 1, 3, false, "", { "weak", "strong" } };
+        for (Daemon* daemon : { &weak, &strong }) {
+            observe(daemon->election, record, 5, 3000);
+            daemon->election.largestShare = 0.5;
+        }
+        const Millis silent = 3000 + weak.election.limits.takeoverMs;
+        CPPUNIT_ASSERT(nextAction(weak.election, silent) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(strong.election, silent) == Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, silent + weak.election.limits.strongerFirstMs) == Action::TakeOver);
+    }
+
     // Guards against a series of planned stops in which the term goes to the daemon that is stopped next, and against a
     // term that waits for a successor that is gone (standard day trouble-2).
     void resignedLeadersNameTheDaemonThatWasStartedLast()
