--- a/packaging/lacewingctl.bash
+++ b/packaging/lacewingctl.bash
@@ -18,7 +18,7 @@
         return
         ;;
     --state)
-        COMPREPLY=($(compgen -W "queued planned running unknown transferring finished failed cancelled" -- "$current"))
+        COMPREPLY=($(compgen -W "queued running finished failed cancelled" -- "$current"))
         return
         ;;
     --to)
@@ -62,11 +62,11 @@
     "config history") options="--limit --changes" ;;
     "config schema") ;;
     "job submit")
-        options="--team --service --class --cpu-milli --memory-mb --accelerators --duration-ms --data-centre --id --file"
+        options="--team --service --class --cpu-milli --memory-mb --accelerators --duration-ms --id --file"
         options+=" --wait --wait-timeout-s"
         ;;
-    "job status") options="--events" ;;
-    "job list") options="--team --state" ;;
+    "job status") ;;
+    "job list") options="--state" ;;
     "job cancel") ;;
     "status") options="--all" ;;
     "drain") options="--yes --wait --wait-timeout-s" ;;
--- a/src/ctl/job_commands.cpp
+++ b/src/ctl/job_commands.cpp
@@ -6,6 +6,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QUrl>
+#include <algorithm>
 #include <istream>
 #include <iterator>
 #include <optional>
@@ -16,7 +17,7 @@
 namespace {
 
     constexpr int waitPollMs = 1000;
-    // While a job moves between shards, or its daemon is replaced, it may be unknown for some seconds.
+    // A daemon that has just started does not know every job yet.
     constexpr int unknownLimitMs = 30'000;
 
     QByteArray jobPath(const std::string& id)
@@ -43,13 +44,13 @@
 
     void addSubmitOptions(cxxopts::Options& options)
     {
-        options.add_options()("team", "team that the job counts for", cxxopts::value<std::string>(), "NAME")("service",
-            "service that the job belongs to", cxxopts::value<std::string>(),
-            "NAME")("class", "urgent, batch or watch (default batch)", cxxopts::value<std::string>(), "CLASS")(
-            "cpu-milli", "processors in 1/1000 core", cxxopts::value<std::int64_t>(), "N")("memory-mb", "memory in MB",
-            cxxopts::value<std::int64_t>(), "N")("accelerators", "accelerators", cxxopts::value<std::int64_t>(), "N")(
-            "duration-ms", "expected run time in ms", cxxopts::value<std::int64_t>(), "N")(
-            "data-centre", "only in this data centre", cxxopts::value<std::string>(), "NAME")("id",
+        options.add_options()("team", "team that the job counts for", cxxopts::value<std::string>(), "NAME")(
+            "service", "service that the job belongs to", cxxopts::value<std::string>(), "NAME")("class",
+            "batch (default), or watch for a job that runs until it is cancelled", cxxopts::value<std::string>(),
+            "CLASS")("cpu-milli", "processors in 1/1000 core", cxxopts::value<std::int64_t>(), "N")("memory-mb",
+            "memory in MB", cxxopts::value<std::int64_t>(),
+            "N")("accelerators", "accelerators", cxxopts::value<std::int64_t>(), "N")(
+            "duration-ms", "expected run time in ms", cxxopts::value<std::int64_t>(), "N")("id",
             "identity of the job; a repeat with the same content is recognised", cxxopts::value<std::string>(),
             "ID")("file", "read the job as JSON from a file, or from standard input with '-'; options replace its keys",
             cxxopts::value<std::string>(), "FILE")("wait", "wait until the job has ended")(
@@ -95,11 +96,13 @@
 
     std::string progressText(const QJsonObject& job)
     {
-        std::string text = textOf(job, "id") + " " + textOf(job, "state");
-        if (numberOf(job, "attempt") > 1)
-            text += ", attempt " + std::to_string(numberOf(job, "attempt"));
-        return text + ", " + durationText(numberOf(job, "progressMs")) + " of "
-            + durationText(numberOf(job, "durationMs"));
+        const std::string text = textOf(job, "id") + " " + textOf(job, "state");
+        const QJsonArray tasks = job["tasks"].toArray();
+        if (tasks.isEmpty()) // the daemon that was asked does not schedule
+            return text;
+        const auto done = std::count_if(
+            tasks.begin(), tasks.end(), [](const QJsonValue& task) { return task["phase"].toString() == "done"; });
+        return text + ", " + std::to_string(done) + " of " + std::to_string(tasks.size()) + " tasks done";
     }
 
     ExitCode finishWait(Context& context, const QJsonObject& job)
@@ -152,7 +155,6 @@
         setText(context, *job, "team", "team");
         setText(context, *job, "service", "service");
         setText(context, *job, "class", "class");
-        setText(context, *job, "data-centre", "dataCentre");
         setText(context, *job, "id", "id");
         setNumber(context, *job, "duration-ms", "durationMs");
         QJsonObject resources = (*job)["resources"].toObject();
@@ -194,21 +196,13 @@
 
     // --- status ---
 
-    void addStatusOptions(cxxopts::Options& options) { options.add_options()("events", "print the events of the job"); }
-
     ExitCode runStatus(Context& context)
     {
         const std::string& id = context.arguments[0];
         const Answer answer = call(context.client, { "GET", jobPath(id) });
         if (!isSuccess(answer))
             return failFor(context, answer);
-        QJsonObject job = answer.body;
-        if (context.options.count("events") > 0) {
-            const Answer events = call(context.client, { "GET", jobPath(id) + "/events?cursor=0&wait=0" });
-            if (!isSuccess(events))
-                return failFor(context, events);
-            job["events"] = events.body["events"];
-        }
+        const QJsonObject job = answer.body;
         if (context.isJson) {
             printJson(context, job);
             return ExitCode::Ok;
@@ -226,28 +220,19 @@
         addText("class", textOf(job, "class"));
         addText("team", textOf(job, "team"));
         addText("service", textOf(job, "service"));
-        addText("data centre", textOf(job, "dataCentre"));
-        addText("shard", textOf(job, "shard"));
-        addText("worker", textOf(job, "worker"));
-        addText("attempt", std::to_string(numberOf(job, "attempt")));
-        addText("evictions", std::to_string(numberOf(job, "evictions")));
-        addText(
-            "progress", durationText(numberOf(job, "progressMs")) + " of " + durationText(numberOf(job, "durationMs")));
-        addText("resources",
-            std::to_string(numberOf(resources, "cpuMilli")) + " cpuMilli, "
-                + std::to_string(numberOf(resources, "memoryMb")) + " memoryMb, "
-                + std::to_string(numberOf(resources, "accelerators")) + " accelerators");
         context.environment.out << render(table, context.environment.hasColor);
-        if (!job.contains("events"))
+        if (!job.contains("tasks")) // only the scheduling daemon knows them
             return ExitCode::Ok;
-        Table events;
-        events.header = { "EVENT", "TEXT" };
-        events.numbers = { 0 };
-        for (const auto& value : job["events"].toArray()) {
-            const QJsonObject event = value.toObject();
-            events.rows.push_back({ std::to_string(numberOf(event, "cursor")), textOf(event, "text") });
+        Table tasks;
+        tasks.header = { "TASK", "PHASE", "RUN", "FAILURES", "WORKER", "PERCENT" };
+        tasks.numbers = { 2, 3, 5 };
+        for (const auto& value : job["tasks"].toArray()) {
+            const QJsonObject task = value.toObject();
+            tasks.rows.push_back({ textOf(task, "task"), textOf(task, "phase"), std::to_string(numberOf(task, "run")),
+                std::to_string(numberOf(task, "failures")), textOf(task, "worker"),
+                std::to_string(numberOf(task, "percent")) });
         }
-        context.environment.out << "\n" << render(events, context.environment.hasColor);
+        context.environment.out << "\n" << render(tasks, context.environment.hasColor);
         return ExitCode::Ok;
     }
 
@@ -255,20 +240,16 @@
 
     void addListOptions(cxxopts::Options& options)
     {
-        options.add_options()("team", "only jobs of this team", cxxopts::value<std::string>(), "NAME")("state",
-            "only jobs in this state: queued, planned, running, unknown, transferring, finished, failed, cancelled",
+        options.add_options()("state", "only jobs in this state: queued, running, finished, failed, cancelled",
             cxxopts::value<std::string>(), "STATE");
     }
 
     ExitCode runList(Context& context)
     {
         QByteArray query;
-        for (const char* key : { "team", "state" }) {
-            if (context.options.count(key) == 0)
-                continue;
-            const QString value = QString::fromStdString(context.options[key].as<std::string>());
-            query += QByteArray(query.isEmpty() ? "?" : "&") + key + "=" + QUrl::toPercentEncoding(value);
-        }
+        if (context.options.count("state") > 0)
+            query = "?state="
+                + QUrl::toPercentEncoding(QString::fromStdString(context.options["state"].as<std::string>()));
         const Answer answer = call(context.client, { "GET", "/v1/jobs" + query });
         if (!isSuccess(answer))
             return failFor(context, answer);
@@ -277,21 +258,13 @@
             return ExitCode::Ok;
         }
         Table table;
-        table.header = { "JOB", "TEAM", "CLASS", "STATE", "ATTEMPT", "PROGRESS", "WORKER", "REASON" };
-        table.numbers = { 4, 5 };
+        table.header = { "JOB", "STATE" };
         for (const auto& value : answer.body["jobs"].toArray()) {
             const QJsonObject job = value.toObject();
             const std::string state = textOf(job, "state");
-            table.rows.push_back({ textOf(job, "id"), textOf(job, "team"), textOf(job, "class"),
-                Cell(state, colorOf(state)), std::to_string(numberOf(job, "attempt")),
-                durationText(numberOf(job, "progressMs")), textOf(job, "worker"), textOf(job, "reason") });
+            table.rows.push_back({ textOf(job, "id"), Cell(state, colorOf(state)) });
         }
         context.environment.out << render(table, context.environment.hasColor);
-        for (const auto& value : answer.body["unreachable"].toArray()) {
-            context.environment.err << colored("warning: ", Color::Yellow, context.environment.hasColor)
-                                    << "the list is incomplete, no answer from "
-                                    << printable(value.toString().toStdString()) << "\n";
-        }
         return ExitCode::Ok;
     }
 
@@ -332,19 +305,18 @@
     .name = "status",
     .arguments = "ID",
     .summary = "show one job",
-    .examples = "lacewingctl job status nightly-2026-12-04\nlacewingctl job status nightly-2026-12-04 --events --json",
+    .examples = "lacewingctl job status nightly-2026-12-04\nlacewingctl job status nightly-2026-12-04 --json",
     .minimumArguments = 1,
     .maximumArguments = 1,
     .needsDaemon = true,
-    .addOptions = addStatusOptions,
     .run = runStatus,
 };
 
 const Command jobListCommand {
     .group = "job",
     .name = "list",
-    .summary = "list jobs of all shards",
-    .examples = "lacewingctl job list --team reports --state running\nlacewingctl job list --json",
+    .summary = "list the jobs that the daemon knows",
+    .examples = "lacewingctl job list --state running\nlacewingctl job list --json",
     .needsDaemon = true,
     .addOptions = addListOptions,
     .run = runList,
--- a/src/ctl/operation_commands.cpp
+++ b/src/ctl/operation_commands.cpp
@@ -95,7 +95,7 @@
             const QJsonObject shard = value.toObject();
             const QJsonObject jobs = shard["jobs"].toObject();
             std::vector<Cell> row { textOf(shard, "key"), numberText(shard, "epoch") };
-            for (const char* state : { "queued", "planned", "running", "unknown", "finished", "failed" })
+            for (const char* state : { "queued", "running", "finished", "failed" })
                 row.emplace_back(numberText(jobs, state));
             table.rows.push_back(std::move(row));
         }
@@ -318,7 +318,7 @@
 
 const Command statusCommand {
     .name = "status",
-    .summary = "show a daemon, its peers, data centres, endpoints and shards",
+    .summary = "show a daemon, its peers, and on the scheduling daemon workers and term",
     .examples = "lacewingctl --daemon 10.0.0.1:8080 status\nlacewingctl status --all\nlacewingctl status --json",
     .needsDaemon = true,
     .addOptions = addStatusOptions,
@@ -327,7 +327,7 @@
 
 const Command drainCommand {
     .name = "drain",
-    .summary = "stop one daemon gracefully: it finishes its requests and gives its slots and shards back",
+    .summary = "stop one daemon gracefully: it gives its term up and finishes its requests",
     .examples
     = "lacewingctl --daemon 10.0.0.1:8080 drain --wait\nlacewingctl --daemon 10.0.0.1:8080 drain --yes --json",
     .needsDaemon = true,
--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -183,7 +183,11 @@
     object["members"] = members();
     if (const scheduler::Scheduler* scheduler = m_dispatcher->scheduler()) {
         object["endpoints"] = workers(*scheduler);
-        object["batch"] = QJsonObject { { "shards", QJsonArray { term(*scheduler) } } };
+        object["batch"] = QJsonObject { { "starts", static_cast<qint64>(scheduler->starts) },
+            { "finished", static_cast<qint64>(scheduler->doneTasks) },
+            { "evictions", static_cast<qint64>(scheduler->evictions) },
+            { "failures", static_cast<qint64>(scheduler->failedRuns) }, { "takeovers", 1 },
+            { "shards", QJsonArray { term(*scheduler) } } };
     }
     return json(object);
 }
@@ -322,6 +326,12 @@
     if (const scheduler::Scheduler* scheduler = m_dispatcher->scheduler()) {
         gauge("lacewing_open_jobs", "Jobs that have not ended.", static_cast<double>(scheduler->active.size()));
         gauge("lacewing_starts", "Starts ordered in this term.", static_cast<double>(scheduler->starts));
+        gauge(
+            "lacewing_done_tasks", "Tasks that ended as done in this term.", static_cast<double>(scheduler->doneTasks));
+        gauge("lacewing_failed_runs", "Runs that ended as failed in this term.",
+            static_cast<double>(scheduler->failedRuns));
+        gauge("lacewing_evictions", "Runs that were stopped though their job goes on.",
+            static_cast<double>(scheduler->evictions));
         gauge("lacewing_rejected_starts", "Starts refused for want of room.",
             static_cast<double>(scheduler->rejectedStarts));
     }
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -408,10 +408,11 @@
         return;
     std::vector<std::string> keys;
     for (const std::string& id : jobs) {
-        keys.push_back(storeKeys::acceptedPrefix + id);
+        const std::string accepted = storeKeys::acceptedPrefix + id;
+        keys.push_back(accepted);
         keys.push_back(storeKeys::progressPrefix + id);
         if (m_scheduler->jobs.at(id)->hasCancelRequest)
-            keys.push_back(storeKeys::acceptedPrefix + id + storeKeys::cancelSuffix);
+            keys.push_back(accepted + storeKeys::cancelSuffix);
     }
     m_isRemoving = true;
     m_term->remove(std::move(keys), [this, generation = std::weak_ptr<int>(m_generation), jobs] {
--- a/src/daemon/policy_service.cpp
+++ b/src/daemon/policy_service.cpp
@@ -212,7 +212,7 @@
     return http::jsonResponse(200, QByteArray::fromStdString(text.value()));
 }
 
-void PolicyService::showHistory(const http::Responder& responder)
+void PolicyService::showHistory(const http::Responder& responder) const
 {
     m_runtime.store->list(storeKeys::policyHistory, platform::Freshness::Linearizable,
         [responder](const base::Result<platform::ItemList, platform::StoreError>& result) {
--- a/src/daemon/policy_service.h
+++ b/src/daemon/policy_service.h
@@ -40,7 +40,7 @@
 
     // --- Operators' interface ---
     http::Response show() const;
-    void showHistory(const http::Responder& responder);
+    void showHistory(const http::Responder& responder) const;
     void apply(const QByteArray& body, const http::Responder& responder);
 
 private:
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -255,7 +255,10 @@
     touch(scheduler, job);
     if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed)
         return;
+    scheduler.failedRuns += isNewFailure ? 1 : 0;
+    scheduler.evictions += kind == EndKind::Stopped && !isFinal(job.state) ? 1 : 0;
     if (kind == EndKind::Done && !ref.step->isLasting) {
+        ++scheduler.doneTasks;
         completeTask(*ref.progress, task);
         if (ref.step->isGang) { // one end stands for all members
             for (Task& member : ref.progress->tasks)
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -279,6 +279,9 @@
     Millis shortDemandAt = 0;
     std::uint64_t starts = 0;
     std::uint64_t rejectedStarts = 0;
+    std::uint64_t doneTasks = 0;
+    std::uint64_t failedRuns = 0;
+    std::uint64_t evictions = 0; // runs that were stopped though their job goes on
 };
 
 // --- What the store says ---
