--- a/src/ctl/job_commands.cpp
+++ b/src/ctl/job_commands.cpp
@@ -96,7 +96,7 @@
 
     std::string progressText(const QJsonObject& job)
     {
-        const std::string text = textOf(job, "id") + " " + textOf(job, "state");
+        std::string text = textOf(job, "id") + " " + textOf(job, "state");
         const QJsonArray tasks = job["tasks"].toArray();
         if (tasks.isEmpty()) // the daemon that was asked does not schedule
             return text;
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -1,5 +1,5 @@
-// Term of the scheduling daemon: loading, following jobs, storing progress. The calls to workers are in
-// dispatcher_workers.cpp.
+// Term of the scheduling daemon: following jobs, storing progress. Loading is in dispatcher_load.cpp, the calls to
+// workers in dispatcher_workers.cpp.
 #include "daemon/dispatcher_service.h"
 
 #include "daemon/configuration_service.h"
@@ -24,7 +24,6 @@
     constexpr int retryMs = 250;                // ms after a failed call to the store
     constexpr int watchWaitMs = 2000;           // ms; a silent connection is noticed within this and the store's margin
     constexpr int watchGapMs = 40;              // ms between watch calls, which gathers jobs that arrive together
-    constexpr qsizetype longestRecordBytes = 700000; // the store's limit of a value, less its encoding as text
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction, the term's own entries off
 
     bool endsWith(const std::string& text, const std::string& suffix)
@@ -63,6 +62,7 @@
         scheduler::setWithdrawn(*m_scheduler, m_configuration->withdrawn());
         planSoon();
     });
+    m_tick.setInterval(tickMs);
     QObject::connect(&m_tick, &QTimer::timeout, this, [this] {
         if (!m_isLoaded)
             return;
@@ -114,142 +114,6 @@
     });
 }
 
-// Nobody else writes progress, workers or placements in this term, so that all may be read at once.
-void DispatcherService::load()
-{
-    m_loadsLeft = 4;
-    m_placements.reset();
-    loadItem(storeKeys::workers, [this](const QByteArray& bytes) {
-        const auto workers = scheduler::decodeWorkers(bytes);
-        if (workers)
-            scheduler::rememberWorkers(*m_scheduler, *workers, nowMs());
-        return workers.has_value();
-    });
-    loadItem(storeKeys::placements, [this](const QByteArray& bytes) {
-        m_placements = scheduler::decodePlacements(bytes);
-        return m_placements.has_value();
-    });
-    loadList(storeKeys::acceptedPrefix, m_accepted);
-    loadList(storeKeys::progressPrefix, m_progress);
-}
-
-// Begins all loads anew when one fails.
-void DispatcherService::retryLoad()
-{
-    m_loadGeneration = std::make_shared<int>(0);
-    later(retryMs, [this] { load(); });
-}
-
-void DispatcherService::finishLoad()
-{
-    if (--m_loadsLeft == 0)
-        finishLoading();
-}
-
-void DispatcherService::loadItem(const std::string& key, std::function<bool(const QByteArray&)> apply)
-{
-    m_runtime.store->read(key,
-        [this, generation = std::weak_ptr<int>(m_loadGeneration), key, apply = std::move(apply)](
-            const base::Result<platform::Item, platform::StoreError>& result) {
-            if (generation.expired())
-                return;
-            if (result.has_error() && result.error().code != platform::StoreCode::Missing) {
-                retryLoad();
-                return;
-            }
-            if (result.has_value() && !apply(result.value().value))
-                kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "recordRefused",
-                    { { "key", key }, { "revision", result.value().revision } });
-            finishLoad();
-        });
-}
-
-void DispatcherService::loadList(const std::string& prefix, platform::ItemList& list)
-{
-    m_runtime.store->list(prefix, platform::Freshness::Linearizable,
-        [this, generation = std::weak_ptr<int>(m_loadGeneration), &list](
-            const base::Result<platform::ItemList, platform::StoreError>& result) {
-            if (generation.expired())
-                return;
-            if (result.has_error()) {
-                retryLoad();
-                return;
-            }
-            list = result.value();
-            finishLoad();
-        });
-}
-
-std::vector<platform::Write> DispatcherService::lastRecords() const
-{
-    const auto placements = m_isLoaded ? scheduler::placements(*m_scheduler) : std::nullopt;
-    if (!placements)
-        return {};
-    const QByteArray record = scheduler::encodePlacements(*placements);
-    if (record.size() > longestRecordBytes) {
-        kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "placementsTooLong",
-            { { "bytes", static_cast<std::int64_t>(record.size()) } });
-        return {};
-    }
-    return { { storeKeys::placements, record },
-        { storeKeys::workers, scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler)) } };
-}
-
-void DispatcherService::finishLoading()
-{
-    const scheduler::Millis now = nowMs();
-    // Jobs that were accepted before this term may have runs of an earlier one.
-    for (const platform::Item& item : m_accepted.items) {
-        if (item.createdRevision < m_term->token())
-            applyAccepted(item, false);
-    }
-    for (const platform::Item& item : m_progress.items) {
-        const auto found = m_scheduler->jobs.find(item.key.substr(storeKeys::progressPrefix.size()));
-        if (found == m_scheduler->jobs.end())
-            continue;
-        if (!scheduler::restoreProgress(*found->second, item.value))
-            kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "progressRefused", { { "job", found->first } });
-        if (scheduler::isFinal(found->second->state))
-            m_scheduler->active.erase(found->first);
-        m_feed.push_back({ found->first, found->second->committedState });
-        applyState(*m_table, found->first, found->second->committedState, now);
-    }
-    scheduler::takeOver(*m_scheduler, m_term->token(), now);
-    if (m_placements && m_placements->token == m_term->state().replacedToken)
-        scheduler::applyPlacements(*m_scheduler, *m_placements, now);
-    for (const platform::Item& item : m_accepted.items)
-        applyAccepted(item, true);
-    m_jobsRevision = m_accepted.revision;
-    kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "termLoaded",
-        { { "token", m_term->token() }, { "jobs", static_cast<std::int64_t>(m_scheduler->jobs.size()) },
-            { "open", static_cast<std::int64_t>(m_scheduler->active.size()) },
-            { "rememberedWorkers", static_cast<std::int64_t>(m_scheduler->workers.size()) },
-            { "revision", m_jobsRevision } });
-    m_accepted = {};
-    m_progress = {};
-    m_placements.reset();
-    m_isLoaded = true;
-    m_workersListedAt = 0;
-    m_interferenceStoredAt = now;
-    loadInterference();
-    watchJobs();
-    listWorkers();
-    m_tick.start(tickMs);
-}
-
-// Not needed for a correct start: the table only improves the choice of workers.
-void DispatcherService::loadInterference()
-{
-    const std::weak_ptr<int> generation = m_generation;
-    m_runtime.store->read(
-        storeKeys::interference, [this, generation](const base::Result<platform::Item, platform::StoreError>& result) {
-            if (generation.expired() || result.has_error())
-                return;
-            if (!scheduler::decodeInterference(m_scheduler->interference, result.value().value))
-                kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "interferenceRefused", {});
-        });
-}
-
 // --- Jobs ---
 
 void DispatcherService::applyAccepted(const platform::Item& item, bool isNewInTerm)
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -330,8 +330,6 @@
         }
     }
 
-    const std::string ambiguousWorker = "*"; // no id of a worker
-
 } // namespace
 
 bool isUsable(const Scheduler& scheduler, const Worker& worker)
@@ -364,92 +362,6 @@
     scheduler.withdrawn = std::move(dataCentres);
 }
 
-void takeOver(Scheduler& scheduler, std::int64_t token, Millis now)
-{
-    scheduler.token = token;
-    scheduler.termStartedAt = now;
-    scheduler.isAccounted = false;
-    scheduler.hasWorkerList = false;
-    for (auto& [id, job] : scheduler.jobs) {
-        for (auto& [number, occurrence] : job->occurrences) {
-            for (StepProgress& progress : occurrence.steps) {
-                for (Task& task : progress.tasks) {
-                    if (task.phase != TaskPhase::Done && task.phase != TaskPhase::Failed)
-                        task.phase = TaskPhase::Unknown;
-                    task.suspectWorker.clear();
-                }
-            }
-        }
-    }
-}
-
-std::optional<Placements> placements(const Scheduler& scheduler)
-{
-    Placements result;
-    result.token = scheduler.token;
-    for (const std::string& id : scheduler.active) {
-        const Job& job = *scheduler.jobs.at(id);
-        if (isFinal(job.committedState))
-            continue;
-        for (const auto& [number, occurrence] : job.occurrences) {
-            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-                const std::vector<Task>& tasks = occurrence.steps[step].tasks;
-                for (std::size_t i = 0; i < tasks.size(); ++i) {
-                    const Task& task = tasks[i];
-                    const bool isUnknown = task.phase == TaskPhase::Unknown;
-                    if (isUnknown && task.suspectWorker.empty())
-                        return std::nullopt;
-                    if (isUnknown || holdsRun(task))
-                        result.tasks.push_back({ taskName(id, number, static_cast<int>(step), static_cast<int>(i)),
-                            isUnknown ? task.suspectWorker : task.worker, task.run });
-                }
-            }
-        }
-    }
-    for (const auto& [id, worker] : scheduler.workers) {
-        for (const UnacknowledgedEnd& end : worker.unacknowledged) {
-            const auto job = scheduler.jobs.find(end.job);
-            if (job != scheduler.jobs.end() && job->second->committedVersion < end.version)
-                result.tasks.push_back({ end.task, id, 0 });
-        }
-    }
-    return result;
-}
-
-void applyPlacements(Scheduler& scheduler, const Placements& placements, Millis now)
-{
-    for (const Placement& placement : placements.tasks) {
-        const std::optional<TaskRef> ref = findTask(scheduler, placement.task);
-        if (!ref || ref->task->phase != TaskPhase::Unknown)
-            continue;
-        Task& task = *ref->task;
-        // A run on one worker and an end on another: both have to report.
-        const bool isElsewhere = !task.suspectWorker.empty() && task.suspectWorker != placement.worker;
-        task.suspectWorker = isElsewhere ? ambiguousWorker : placement.worker;
-        task.run = std::max(task.run, placement.run);
-    }
-    int free = 0;
-    for (const std::string& id : scheduler.active) {
-        for (auto& [number, occurrence] : scheduler.jobs.at(id)->occurrences) {
-            for (StepProgress& progress : occurrence.steps) {
-                for (Task& task : progress.tasks) {
-                    if (task.phase == TaskPhase::Unknown && task.suspectWorker.empty()) {
-                        task.phase = TaskPhase::Waiting;
-                        task.since = now;
-                        ++free;
-                    } else if (task.suspectWorker == ambiguousWorker) {
-                        task.suspectWorker.clear();
-                    }
-                }
-            }
-        }
-    }
-    note(scheduler,
-        { "placementsApplied", {}, {}, {}, 0, "tasks that were nowhere may start",
-            { { "formerToken", placements.token }, { "placed", static_cast<int>(placements.tasks.size()) },
-                { "free", free } } });
-}
-
 Orders plan(Scheduler& scheduler, Millis now, std::int64_t nowUnixMs)
 {
     Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {}, {}, {}, {}, false, {}, {}, {} };
