Bound the table of interference, take the demand of a filling image by its own size

Cause: images that will never run again stayed in the filters for ever, and after 64 filling images new ones were not learned; the demand for scarce workers assumed one size for all filling tasks.

Change: a full filter drops the filling image not seen for longest, the table the serving image; FillDemand::perTask.

Test: interferenceStaysBounded.

--- a/src/scheduler/colocation.cpp
+++ b/src/scheduler/colocation.cpp
@@ -7,16 +7,15 @@
 
 namespace {
 
-    constexpr double servingLoad = 0.45;        // share of its cpu that a serving task uses on average
-    constexpr double calmLimit = 0.35;          // of the way to a serving task's target; leaves room for its own load
-    constexpr Millis trialWaitMs = 1500;        // of waiting after which a task may try a worker that it disturbs
-    constexpr Millis trialGapMs = 1400;         // between such trials on all workers together
-    constexpr Millis trialCalmMs = 4000;        // without a stop for interference on the worker before such a trial
-    constexpr int trialWorkers = 2;             // on which a pair of which little is known is tried at a time
-    constexpr Millis demandPeriodMs = 500;      // between refreshes of the demand
-    constexpr double demandGain = 0.3;          // weight of the newest demand
-    constexpr double scarcityLimit = 2;         // a higher price changes nothing any more
-    constexpr int typicalFillMillicores = 1800; // of a filling image of which no task is known
+    constexpr double servingLoad = 0.45;   // share of its cpu that a serving task uses on average
+    constexpr double calmLimit = 0.35;     // of the way to a serving task's target; leaves room for its own load
+    constexpr Millis trialWaitMs = 1500;   // of waiting after which a task may try a worker that it disturbs
+    constexpr Millis trialGapMs = 1400;    // between such trials on all workers together
+    constexpr Millis trialCalmMs = 4000;   // without a stop for interference on the worker before such a trial
+    constexpr int trialWorkers = 2;        // on which a pair of which little is known is tried at a time
+    constexpr Millis demandPeriodMs = 500; // between refreshes of the demand
+    constexpr double demandGain = 0.3;     // weight of the newest demand
+    constexpr double scarcityLimit = 2;    // a higher price changes nothing any more
 
     // Counts the workers on which each pair of images is together.
     void countTrials(Planner& planner)
@@ -54,24 +53,34 @@
     }
 
     // True when a task of the image alone would not disturb the serving tasks on the worker.
-    bool isCompatible(const Scheduler& scheduler, const Worker& worker, const std::string& image, int millicores)
+    bool isCompatible(const Scheduler& scheduler, const Worker& worker, const std::string& image, double millicores)
     {
         Step step;
         step.image = image;
-        step.cpuMillicores = millicores;
+        step.cpuMillicores = static_cast<int>(millicores);
         return std::all_of(worker.servingImages.begin(), worker.servingImages.end(), [&](const auto& serving) {
             return growthBy(scheduler, worker, serving.first, step)
                 <= calmLimit * servingRoom(scheduler, serving.first, serving.second.targetMs);
         });
     }
 
-    std::map<std::string, double> currentDemand(const Planner& planner)
+    struct Demand {
+        double millicores = 0;
+        int tasks = 0;
+    };
+
+    std::map<std::string, Demand> currentDemand(const Planner& planner)
     {
-        std::map<std::string, double> demand;
+        std::map<std::string, Demand> demand;
+        const auto add = [&demand](const Step& step) {
+            Demand& entry = demand[step.image];
+            entry.millicores += step.cpuMillicores;
+            ++entry.tasks;
+        };
         for (const auto& [id, worker] : planner.scheduler.workers) {
             for (const auto& [name, ref] : worker.tasks) {
                 if (ref.step->isFilling)
-                    demand[ref.step->image] += ref.step->cpuMillicores;
+                    add(*ref.step);
             }
         }
         for (const Candidate& candidate : planner.candidates) {
@@ -79,8 +88,10 @@
             const Step& step = candidate.job->request.steps[index];
             if (!step.isFilling)
                 continue;
-            for (const Task& task : candidate.occurrence->steps[index].tasks)
-                demand[step.image] += task.phase == TaskPhase::Waiting ? step.cpuMillicores : 0;
+            for (const Task& task : candidate.occurrence->steps[index].tasks) {
+                if (task.phase == TaskPhase::Waiting)
+                    add(step);
+            }
         }
         return demand;
     }
@@ -130,7 +141,7 @@
     if (!isNew)
         return entry->second;
     for (const auto& [image, demand] : planner.scheduler.fillDemand) {
-        if (demand.scarcity > entry->second && isCompatible(planner.scheduler, worker, image, typicalFillMillicores))
+        if (demand.scarcity > entry->second && isCompatible(planner.scheduler, worker, image, demand.perTask))
             entry->second = demand.scarcity;
     }
     return entry->second;
@@ -142,17 +153,19 @@
     if (planner.now - scheduler.fillDemandAt < demandPeriodMs)
         return;
     scheduler.fillDemandAt = planner.now;
-    const std::map<std::string, double> current = currentDemand(planner);
-    for (const auto& [image, millicores] : current)
+    const std::map<std::string, Demand> current = currentDemand(planner);
+    for (const auto& [image, wanted] : current)
         scheduler.fillDemand.try_emplace(image);
     for (auto it = scheduler.fillDemand.begin(); it != scheduler.fillDemand.end();) {
         auto& [image, demand] = *it;
         const auto found = current.find(image);
-        const double wanted = found == current.end() ? 0 : found->second;
-        demand.millicores += demandGain * (wanted - demand.millicores);
+        const Demand wanted = found == current.end() ? Demand {} : found->second;
+        if (wanted.tasks > 0)
+            demand.perTask = wanted.millicores / wanted.tasks;
+        demand.millicores += demandGain * (wanted.millicores - demand.millicores);
         double supply = 1;
         for (const auto& [id, worker] : scheduler.workers) {
-            if (isUsable(scheduler, worker) && isCompatible(scheduler, worker, image, typicalFillMillicores))
+            if (isUsable(scheduler, worker) && isCompatible(scheduler, worker, image, demand.perTask))
                 supply += std::max(0.0, fillRoom(worker) + worker.fillCpu);
         }
         demand.scarcity = std::min(scarcityLimit, demand.millicores / supply);
--- a/src/scheduler/interference.cpp
+++ b/src/scheduler/interference.cpp
@@ -24,6 +24,7 @@
     constexpr double readingFloorMs = 1;       // keeps the logarithm finite
     constexpr double usedShare = 0.01;         // less use of a fill says nothing about it
     constexpr std::size_t maxFills = 64;       // filling images of one model; bounds the cost of a reading
+    constexpr std::size_t maxModels = 64;      // serving images; bounds the memory and the record
 
     double& cell(ServingModel& model, std::size_t row, std::size_t column)
     {
@@ -41,11 +42,32 @@
         covariance.back() = variance;
         model.covariance = std::move(covariance);
         model.estimates.push_back(mean);
+        model.seenAt.push_back(0);
         return size;
     }
 
+    // Index of a filling image that is new to the model; takes the place of the one not seen for longest when it is
+    // full.
+    std::size_t addFill(ServingModel& model, const std::string& image)
+    {
+        if (model.indices.size() < maxFills)
+            return model.indices[image] = addEstimate(model, slopeStart, slopeVariance);
+        const auto oldest = std::min_element(model.indices.begin(), model.indices.end(),
+            [&](const auto& a, const auto& b) { return model.seenAt[a.second] < model.seenAt[b.second]; });
+        const std::size_t index = oldest->second;
+        model.indices.erase(oldest);
+        for (std::size_t i = 0; i < model.estimates.size(); ++i)
+            cell(model, index, i) = cell(model, i, index) = 0;
+        cell(model, index, index) = slopeVariance;
+        model.estimates[index] = slopeStart;
+        return model.indices[image] = index;
+    }
+
     ServingModel& modelOf(Interference& table, const std::string& servingImage)
     {
+        if (table.models.size() >= maxModels && table.models.count(servingImage) == 0)
+            table.models.erase(std::min_element(table.models.begin(), table.models.end(),
+                [](const auto& a, const auto& b) { return a.second.learnedAt < b.second.learnedAt; }));
         ServingModel& model = table.models[servingImage];
         if (model.estimates.empty())
             addEstimate(model, std::log(aloneStartMs), aloneVariance);
@@ -92,9 +114,13 @@
         return;
     ServingModel& model = modelOf(table, servingImage);
     drift(model);
+    model.learnedAt = ++table.readings;
     for (const FillUse& fill : fills) {
-        if (fill.share >= usedShare && model.indices.count(fill.image) == 0 && model.indices.size() < maxFills)
-            model.indices[fill.image] = addEstimate(model, slopeStart, slopeVariance);
+        if (fill.share < usedShare)
+            continue;
+        const auto known = model.indices.find(fill.image);
+        const std::size_t index = known == model.indices.end() ? addFill(model, fill.image) : known->second;
+        model.seenAt[index] = table.readings;
     }
     std::vector<double> weights(model.estimates.size(), 0.0);
     weights[0] = 1;
--- a/src/scheduler/interference.h
+++ b/src/scheduler/interference.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <QByteArray>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -22,11 +23,14 @@
 struct ServingModel {
     std::map<std::string, std::size_t> indices; // by filling image
     std::vector<double> estimates;
-    std::vector<double> covariance; // row by row, symmetric
+    std::vector<double> covariance;    // row by row, symmetric
+    std::vector<std::uint64_t> seenAt; // by index: reading in which the filling image was last seen
+    std::uint64_t learnedAt = 0;       // last reading of the serving image
 };
 
 struct Interference {
     std::map<std::string, ServingModel> models; // by serving image
+    std::uint64_t readings = 0;                 // that were learned from; the order in which images were seen
 };
 
 // Use of one filling image on a worker, as a share of the worker's processors.
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -245,6 +245,7 @@
 
 struct FillDemand {
     double millicores = 0; // that tasks of the image lately ran or waited with
+    double perTask = 0;    // millicores that one of them asks for, on the mean
     double scarcity = 0;   // demand against the processors that the image may use
 };
 
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(lastingRestartsIgnoreTheRoomForShortTasks);
     CPPUNIT_TEST(endsAreAcknowledgedAfterTheCommit);
     CPPUNIT_TEST(disturbingPairsAreLearnedAndSeparated);
+    CPPUNIT_TEST(interferenceStaysBounded);
     CPPUNIT_TEST(fillsLeaveBeforeTheImpactBound);
     CPPUNIT_TEST(unansweredStartsKeepTheirPlaceWhileTheyAreStopped);
     CPPUNIT_TEST(plannedTermChangesHoldNothingUp);
@@ -247,6 +248,24 @@
         CPPUNIT_ASSERT(scheduler::slopeOf(copy, "serving", "loud").mean > 6);
     }
 
+    // Guards against a table that grows with every image that ever ran, or that forgets the images in use for it.
+    void interferenceStaysBounded()
+    {
+        scheduler::Interference table;
+        for (int i = 0; i < 400; ++i) {
+            scheduler::learn(table, "serving", 8 * std::exp(8 * 0.15), { { "loud", 0.15 } });
+            scheduler::learn(table, "serving", 8, { { "image" + std::to_string(i), 0.1 } });
+            scheduler::learn(table, "serving" + std::to_string(i), 8, {});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(64), table.models.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(64), table.models.at("serving").indices.size());
+        CPPUNIT_ASSERT(scheduler::slopeOf(table, "serving", "loud").mean > 6);
+        CPPUNIT_ASSERT(scheduler::isUncertain(scheduler::slopeOf(table, "serving", "image0")));
+        scheduler::Interference copy;
+        CPPUNIT_ASSERT(scheduler::decodeInterference(copy, scheduler::encodeInterference(table)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(64), copy.models.size());
+    }
+
     // Guards against a serving task that stays over its target, while its rough readings swing around it, beside fills
     // that are not blamed (hunted day trouble-2, seed 296745499103).
     void fillsLeaveBeforeTheImpactBound()
