Collect the usable workers of a plan once, merge the two conditions for serving tasks

Cause, found by reading the change again: the plan collected the workers in use by service and then asked each of them a second time for the room of short tasks; the score of a worker asked twice in a row whether the task serves; job status kept a variable of the table that it no longer prints.

Change: the room of short tasks is summed over what the plan has collected. Behaviour stays as it is.

--- a/src/ctl/job_commands.cpp
+++ b/src/ctl/job_commands.cpp
@@ -207,7 +207,6 @@
             printJson(context, job);
             return ExitCode::Ok;
         }
-        const QJsonObject resources = job["resources"].toObject();
         Table table;
         table.header = { "JOB", textOf(job, "id") };
         const std::string state = textOf(job, "state");
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -41,13 +41,13 @@
                 planner.rooms[candidate.job->policy.service].shortWaiting
                     += task.phase == TaskPhase::Waiting ? step.cpuMillicores : 0;
         }
-        for (const auto& [id, worker] : scheduler.workers) {
-            if (!isUsable(scheduler, worker))
-                continue;
-            Room& room = planner.rooms[worker.entry.service];
-            room.capacity += worker.entry.capacity.cpuMillicores;
-            room.lasting += worker.lastingCpu;
-            room.shortRunning += worker.cpuUsed - worker.lastingCpu;
+        for (const auto& [service, workers] : planner.usable) {
+            Room& room = planner.rooms[service];
+            for (const Worker* worker : workers) {
+                room.capacity += worker->entry.capacity.cpuMillicores;
+                room.lasting += worker->lastingCpu;
+                room.shortRunning += worker->cpuUsed - worker->lastingCpu;
+            }
         }
         const auto passed = static_cast<double>(planner.now - scheduler.shortDemandAt);
         scheduler.shortDemandAt = planner.now;
@@ -95,14 +95,13 @@
     {
         const Step& step = *ref.step;
         const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
-        // Tasks spread over what is free, filling ones over what is idle; serving ones are packed.
+        // Tasks spread over what is free, filling ones over what is idle.
         double score = (step.isFilling ? fillRoom(worker) : capacity - worker.cpuUsed) / capacity;
+        // Serving tasks are packed, and those of one image share workers: what disturbs them then leaves the other
+        // workers usable.
         if (step.latencyTargetMs > 0)
-            score = -score;
-        // Serving tasks of one image share workers: what disturbs them then leaves the other workers usable.
-        if (step.latencyTargetMs > 0)
-            score += sameImageWeight * sameImageShare(worker, step)
-                - std::min(1.0, disturbanceOf(planner.scheduler, worker, step));
+            score = sameImageWeight * sameImageShare(worker, step)
+                - std::min(1.0, disturbanceOf(planner.scheduler, worker, step)) - score;
         if (step.isFilling)
             score -= scarcityWeight * scarcity(planner, worker);
         if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack))
