Log where the scheduling daemon's time goes and how long orders wait

Neither logs nor metrics could tell a daemon that is out of processor time from workers that do not answer: an order that was given up in the daemon's own queue and one that a worker never answered had the same line.

- One line `load` a second while a daemon schedules: processor time, longest lag of the event loop, time by activity, answered and lost orders, longest wait of an order before its first byte; the same as metrics.
- `startAnswered` tells attempt, wait, status and age; `stopUnanswered` is new: lost stops left no trace.

--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -136,6 +136,7 @@
     loadInterference();
     watchJobs();
     listWorkers();
+    m_load.start();
     m_tick.start();
 }
 
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -44,6 +44,7 @@
 
 DispatcherService::DispatcherService(Runtime& runtime)
     : m_runtime(runtime)
+    , m_load(runtime.metrics)
 {
 }
 
@@ -66,6 +67,7 @@
     QObject::connect(&m_tick, &QTimer::timeout, this, [this] {
         if (!m_isLoaded)
             return;
+        m_load.tick(base::milliseconds(tickMs));
         renewDue();
         if (!m_isListingWorkers && nowMs() - m_workersListedAt >= m_runtime.settings.workerListMs)
             listWorkers();
@@ -201,6 +203,7 @@
         std::uint64_t version = 0;
         scheduler::JobState state = scheduler::JobState::Queued;
     };
+    const ActivityScope scope(m_load, Activity::Progress);
     std::vector<platform::Write> writes;
     std::vector<Stored> stored;
     for (const std::string& id : scheduler::takeCommit(*m_scheduler, recordsPerCommit)) {
@@ -323,7 +326,12 @@
     m_scheduler->validUntil = m_runtime.isStopping ? 0 : m_term->validUntil();
     m_scheduler->validUntil = m_configuration->isLoaded() ? m_scheduler->validUntil : 0;
     const scheduler::Millis begun = nowMs();
-    const scheduler::Orders orders = scheduler::plan(*m_scheduler, begun, base::wallClockMs());
+    scheduler::Orders orders;
+    {
+        const ActivityScope scope(m_load, Activity::Plan);
+        orders = scheduler::plan(*m_scheduler, begun, base::wallClockMs());
+    }
+    ++m_load.counts().plans;
     m_planPauseMs = static_cast<int>(std::min<scheduler::Millis>(longestPauseMs, planPauseFactor * (nowMs() - begun)));
     carryOut(orders);
     updateTable();
@@ -335,6 +343,7 @@
 
 void DispatcherService::logDecisions()
 {
+    const ActivityScope scope(m_load, Activity::Log);
     for (const scheduler::Decision& decision : m_scheduler->decisions) {
         std::vector<kernel::LogField> fields;
         fields.reserve(decision.inputs.size() + 6);
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -2,6 +2,7 @@
 // workers, carries out the plan and stores progress. Idle in every other daemon.
 #pragma once
 
+#include "daemon/load_watch.h"
 #include "daemon/runtime.h"
 #include "daemon/term_service.h"
 #include "platform/advice_link.h"
@@ -75,6 +76,7 @@
         const base::Result<scheduler::WorkerReport, platform::LinkError>& result, scheduler::Millis sentAt,
         bool isLook);
     void carryOut(const scheduler::Orders& orders);
+    void sendStop(const scheduler::StopOrder& order);
     void sendStart(const scheduler::StartOrder& order, int attempt);
     void ask(const scheduler::ApprovalQuestion& question);
 
@@ -115,6 +117,7 @@
     bool m_isListingWorkers = false;
     scheduler::Millis m_interferenceStoredAt = 0;
     http::ChannelCounters m_traffic; // with workers
+    LoadWatch m_load;
 };
 
 void registerDispatcherService(Runtime& runtime);
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -97,6 +97,8 @@
     Link& link = found->second;
     const scheduler::Millis now = nowMs();
     link.isRenewing = false;
+    ++(result.has_value() ? m_load.counts().renewals : m_load.counts().renewalFailures);
+    const ActivityScope scope(m_load, Activity::Reports);
     if (m_scheduler->workers.count(id) == 0) // forgotten while the call was on its way
         return;
     if (result.has_value()) {
@@ -127,10 +129,9 @@
 
 void DispatcherService::carryOut(const scheduler::Orders& orders)
 {
-    for (const scheduler::StopOrder& order : orders.stops) {
-        if (const auto link = m_links.find(order.worker); link != m_links.end())
-            link->second.calls->stop(m_term->token(), order, [](bool) {});
-    }
+    const ActivityScope scope(m_load, Activity::Orders);
+    for (const scheduler::StopOrder& order : orders.stops)
+        sendStop(order);
     for (const scheduler::StartOrder& order : orders.starts)
         sendStart(order, 1);
     if (orders.question)
@@ -157,6 +158,26 @@
         });
 }
 
+// A stop that is lost is ordered again by a later plan.
+void DispatcherService::sendStop(const scheduler::StopOrder& order)
+{
+    const auto link = m_links.find(order.worker);
+    if (link == m_links.end())
+        return;
+    const std::weak_ptr<int> generation = m_generation;
+    link->second.calls->stop(m_term->token(), order, [this, generation, order](const platform::StopAnswer& answer) {
+        if (generation.expired())
+            return;
+        m_load.recordOrderWait(answer.waitedMs);
+        ++(answer.isAnswered ? m_load.counts().stopsAnswered : m_load.counts().stopsLost);
+        if (!answer.isAnswered)
+            kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "stopUnanswered",
+                { { "job", order.task.substr(0, order.task.find('.')) }, { "task", order.task },
+                    { "worker", order.worker }, { "run", order.run }, { "waitedMs", answer.waitedMs },
+                    { "outcome", std::string(base::nameOf(http::failureNames, answer.failure)) } });
+    });
+}
+
 void DispatcherService::sendStart(const scheduler::StartOrder& order, int attempt)
 {
     const auto link = m_links.find(order.worker);
@@ -164,29 +185,37 @@
         scheduler::applyStart(*m_scheduler, order, scheduler::StartOutcome::Refused, nowMs());
         return;
     }
+    const scheduler::Millis sentAt = nowMs();
     const std::weak_ptr<int> generation = m_generation;
-    link->second.calls->start(m_term->token(), order, [this, generation, order, attempt](platform::StartAnswer answer) {
-        if (generation.expired())
-            return;
-        const scheduler::Millis now = nowMs();
-        scheduler::StartOutcome outcome = answer.outcome;
-        if (answer.clockMs > 0 && outcome != scheduler::StartOutcome::OtherLife)
-            scheduler::applyClock(*m_scheduler, order.worker, answer.clockMs, now);
-        if (outcome == scheduler::StartOutcome::Unknown && attempt < startAttempts) {
-            sendStart(order, attempt + 1);
-            return;
-        }
-        // A refusal of the second attempt says nothing about the first.
-        const bool isSettled
-            = outcome == scheduler::StartOutcome::Started || outcome == scheduler::StartOutcome::OtherLife;
-        if (attempt > 1 && !isSettled)
-            outcome = scheduler::StartOutcome::Unknown;
-        if (outcome == scheduler::StartOutcome::Fenced)
-            m_term->suspectLoss();
-        scheduler::applyStart(*m_scheduler, order, outcome, now);
-        if (outcome != scheduler::StartOutcome::Started)
-            planSoon();
-    });
+    link->second.calls->start(
+        m_term->token(), order, [this, generation, order, attempt, sentAt](platform::StartAnswer answer) {
+            if (generation.expired())
+                return;
+            const scheduler::Millis now = nowMs();
+            scheduler::StartOutcome outcome = answer.outcome;
+            const bool isLost = answer.failure != http::Failure::None;
+            m_load.recordOrderWait(answer.waitedMs);
+            ++(isLost ? m_load.counts().startsLost : m_load.counts().startsAnswered);
+            m_load.counts().startsUnsent += isLost && outcome == scheduler::StartOutcome::Refused ? 1 : 0;
+            if (answer.clockMs > 0 && outcome != scheduler::StartOutcome::OtherLife)
+                scheduler::applyClock(*m_scheduler, order.worker, answer.clockMs, now);
+            if (outcome == scheduler::StartOutcome::Unknown && attempt < startAttempts) {
+                sendStart(order, attempt + 1);
+                return;
+            }
+            // A refusal of the second attempt says nothing about the first.
+            const bool isSettled
+                = outcome == scheduler::StartOutcome::Started || outcome == scheduler::StartOutcome::OtherLife;
+            if (attempt > 1 && !isSettled)
+                outcome = scheduler::StartOutcome::Unknown;
+            if (outcome == scheduler::StartOutcome::Fenced)
+                m_term->suspectLoss();
+            scheduler::applyStart(*m_scheduler, order, outcome, now,
+                { { "attempt", attempt }, { "waitedMs", answer.waitedMs }, { "status", answer.status },
+                    { "ageMs", now - sentAt } });
+            if (outcome != scheduler::StartOutcome::Started)
+                planSoon();
+        });
 }
 
 } // namespace lacewing::daemon
--- /dev/null
+++ b/src/daemon/load_watch.h
@@ -0,0 +1,86 @@
+// Where the time of the scheduling daemon goes, and how late its event loop and its orders are: one log line and a set of
+// metrics a second.
+//
+// A daemon that is late handles answers late, so that time-outs on its side say nothing about the worker.
+#pragma once
+
+#include "base/metrics.h"
+#include "base/names.h"
+#include "base/time.h"
+#include "scheduler/types.h"
+
+#include <array>
+#include <cstddef>
+
+namespace lacewing::daemon {
+
+// Parts of the work that are told apart; the rest of the processor time is input, output and everything else.
+enum class Activity { Plan, Reports, Orders, Progress, Log };
+
+constexpr base::EnumNames<Activity, 5> activityNames { {
+    { Activity::Plan, "plan" },
+    { Activity::Reports, "reports" },
+    { Activity::Orders, "orders" },
+    { Activity::Progress, "progress" },
+    { Activity::Log, "log" },
+} };
+
+// Counts of one second.
+struct LoadCounts {
+    base::Duration longestLag {}; // of a periodic timer behind its time
+    std::array<base::Duration, activityNames.size()> activities {};
+    int plans = 0;
+    int renewals = 0;        // answered
+    int renewalFailures = 0; // not answered in time
+    int startsAnswered = 0;
+    int startsLost = 0;   // without an answer, or never sent
+    int startsUnsent = 0; // part of startsLost: gave up before the first byte was written
+    int stopsAnswered = 0;
+    int stopsLost = 0;          // without an answer, or never sent
+    int longestOrderWaitMs = 0; // from the plan until the first byte was written
+};
+
+class LoadWatch {
+public:
+    explicit LoadWatch(base::Metrics& metrics);
+
+    // A term begins.
+    void start();
+    // Called every `period` by the event loop.
+    void tick(base::Duration period);
+
+    LoadCounts& counts() { return m_counts; }
+    void recordOrderWait(int waitedMs);
+    void add(Activity activity, base::Duration time);
+
+private:
+    void report(base::TimePoint now);
+
+    base::Metrics& m_metrics;
+    LoadCounts m_counts;
+    base::TimePoint m_tickedAt {};
+    base::TimePoint m_reportedAt {};
+    base::Duration m_processorTime {}; // of the process, at the last report
+};
+
+// Adds the time of its scope to an activity.
+class ActivityScope {
+public:
+    ActivityScope(LoadWatch& watch, Activity activity)
+        : m_watch(watch)
+        , m_activity(activity)
+        , m_begun(base::monotonicNow())
+    {
+    }
+    ~ActivityScope() { m_watch.add(m_activity, base::monotonicNow() - m_begun); }
+
+    ActivityScope(const ActivityScope&) = delete;
+    ActivityScope& operator=(const ActivityScope&) = delete;
+
+private:
+    LoadWatch& m_watch;
+    Activity m_activity;
+    base::TimePoint m_begun;
+};
+
+} // namespace lacewing::daemon
--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -17,6 +17,8 @@
         ChannelRequest request;
         ClientCallback callback;
         base::TimePoint deadline;
+        base::TimePoint queuedAt;
+        base::TimePoint writtenAt = {}; // of the first byte
     };
 
     QByteArray encode(const ChannelRequest& request, const QByteArray& authority)
@@ -64,6 +66,7 @@
         if (socket->state() != QAbstractSocket::ConnectedState)
             return;
         isBusy = true;
+        queue.front().writtenAt = base::monotonicNow();
         const ChannelRequest& request = queue.front().request;
         ClientLimits parserLimits;
         parserLimits.responseBodyBytes = limits.responseBodyBytes;
@@ -191,6 +194,8 @@
     {
         if (close)
             dropSocket();
+        const base::TimePoint waitedUntil = isBusy ? queue.front().writtenAt : base::monotonicNow();
+        result.waitedMs = static_cast<int>(base::toMilliseconds(waitedUntil - queue.front().queuedAt));
         isBusy = false;
         const Exchange exchange = std::move(queue.front());
         queue.pop_front();
@@ -242,8 +247,9 @@
             Qt::QueuedConnection);
         return;
     }
-    const base::TimePoint deadline = base::monotonicNow() + base::milliseconds(request.timeoutMs);
-    state->queue.push_back({ std::move(request), std::move(callback), deadline });
+    const base::TimePoint now = base::monotonicNow();
+    const base::TimePoint deadline = now + base::milliseconds(request.timeoutMs);
+    state->queue.push_back({ std::move(request), std::move(callback), deadline, now });
     if (state->queue.size() == 1)
         QMetaObject::invokeMethod(
             state, [state] { state->pump(); }, Qt::QueuedConnection);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -79,6 +79,7 @@
     Failure failure = Failure::None;
     BytesSent bytesSent = BytesSent::Some;
     QByteArray detail; // for logs
+    int waitedMs = 0;  // ms from send() until the first byte was written; of a kept connection only
 
     bool ok() const { return failure == Failure::None; }
 };
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -316,7 +316,9 @@
 void applyReport(
     Scheduler& scheduler, const std::string& worker, const WorkerReport& report, Millis sentAt, Millis now);
 void loseContact(Scheduler& scheduler, const std::string& worker, Millis now);
-void applyStart(Scheduler& scheduler, const StartOrder& order, StartOutcome outcome, Millis now);
+// `inputs` go into the log line of an answer other than Started.
+void applyStart(Scheduler& scheduler, const StartOrder& order, StartOutcome outcome, Millis now,
+    std::vector<std::pair<const char*, std::int64_t>> inputs = {});
 // The answer to a question of a plan; nullopt: none came.
 void applyApproval(Scheduler& scheduler, const ApprovalQuestion& question, const std::optional<ApprovalAnswer>& answer,
     Millis askedAt, Millis now);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -362,14 +362,15 @@
     worker.contact = Contact::New;
 }
 
-void applyStart(Scheduler& scheduler, const StartOrder& order, StartOutcome outcome, Millis now)
+void applyStart(Scheduler& scheduler, const StartOrder& order, StartOutcome outcome, Millis now,
+    std::vector<std::pair<const char*, std::int64_t>> inputs)
 {
     const auto worker = scheduler.workers.find(order.worker);
     const std::optional<TaskRef> ref = findTask(scheduler, order.task);
     if (outcome != StartOutcome::Started)
         note(scheduler,
             { "startAnswered", ref ? ref->job->request.id : "", order.task, order.worker, order.run,
-                std::string(nameOf(startOutcomeNames, outcome)), {} });
+                std::string(nameOf(startOutcomeNames, outcome)), std::move(inputs) });
     if (outcome == StartOutcome::OtherLife) {
         forgetRuns(scheduler, order.worker, now);
         return;
