Reproduce expired orders that open connections, and jobs that count as begun when they are not

- expiredRequestsOpenNoConnections: 20 orders behind a silent worker open 20 connections (one is expected).
- waitingRequestsFailAtTheirOwnDeadline: an order with 100 ms left waits 3 s behind another one before it fails.
- jobsWhoseStartsAreRefusedOrUnansweredArePending: a job whose only start was refused is not among the waiting ones any more.

answersThatArrivedInTimeAreNotTimeouts passes with Qt's glib dispatcher, which the daemon uses; it fails with QT_NO_GLIB=1, so answers that are lost to the daemon's own delay are not a cause here.

--- a/src/daemon/load_watch.h
+++ b/src/daemon/load_watch.h
@@ -1,5 +1,5 @@
-// Where the time of the scheduling daemon goes, and how late its event loop and its orders are: one log line and a set of
-// metrics a second.
+// Where the time of the scheduling daemon goes, and how late its event loop and its orders are: one log line and a set
+// of metrics a second.
 //
 // A daemon that is late handles answers late, so that time-outs on its side say nothing about the worker.
 #pragma once
--- a/tests/http_channel_test.cpp
+++ b/tests/http_channel_test.cpp
@@ -3,6 +3,10 @@
 #include "http_support.h"
 
 #include <QTcpServer>
+#include <QThread>
+#include <QTimer>
+#include <chrono>
+#include <thread>
 
 namespace {
 
@@ -33,12 +37,55 @@
     std::function<void(QTcpSocket*)> onData = [](QTcpSocket*) {};
 };
 
+// Answers each request after a while, on a thread of its own.
+struct ThreadedServer {
+    explicit ThreadedServer(int delayMs)
+    {
+        CPPUNIT_ASSERT(m_listener.listen(QHostAddress::LocalHost, 0));
+        m_port = m_listener.serverPort();
+        m_listener.moveToThread(&m_thread);
+        QObject::connect(&m_listener, &QTcpServer::newConnection, &m_listener, [this, delayMs] {
+            QTcpSocket* socket = m_listener.nextPendingConnection();
+            QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket, delayMs] {
+                if (socket->readAll().contains("POST "))
+                    QTimer::singleShot(
+                        delayMs, socket, [socket] { socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"); });
+            });
+        });
+        m_thread.start();
+    }
+
+    ~ThreadedServer()
+    {
+        QMetaObject::invokeMethod(
+            &m_listener,
+            [this] {
+                m_listener.close();
+                m_listener.moveToThread(m_owner);
+            },
+            Qt::BlockingQueuedConnection);
+        m_thread.quit();
+        m_thread.wait();
+    }
+
+    QString address() const { return "127.0.0.1:" + QString::number(m_port); }
+
+private:
+    QThread* m_owner = QThread::currentThread();
+    QThread m_thread;
+    QTcpServer m_listener;
+    quint16 m_port = 0;
+};
+
 class HttpChannelTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(HttpChannelTest);
     CPPUNIT_TEST(requestsShareOneConnection);
     CPPUNIT_TEST(lostAnswerIsNotSentAgain);
     CPPUNIT_TEST(silentConnectionIsReplaced);
     CPPUNIT_TEST(refusedConnectionSentNothing);
+    CPPUNIT_TEST(answersThatArrivedInTimeAreNotTimeouts);
+    CPPUNIT_TEST(waitingRequestsFailAtTheirOwnDeadline);
+    CPPUNIT_TEST(expiredRequestsOpenNoConnections);
     CPPUNIT_TEST_SUITE_END();
 
     static ChannelRequest post(int timeoutMs = 2000)
@@ -116,6 +163,65 @@
         CPPUNIT_ASSERT(waitUntil([&] { return answer.has_value(); }));
         CPPUNIT_ASSERT(answer->failure == Failure::ConnectFailed && answer->bytesSent == BytesSent::None);
     }
+
+    // Guards against answers that are thrown away because the event loop was busy past the time-out.
+    void answersThatArrivedInTimeAreNotTimeouts()
+    {
+        ThreadedServer quick(0);
+        ThreadedServer slow(50);
+        ChannelCounters counters;
+        Channel blocking(quick.address(), {}, &counters);
+        Channel channel(slow.address(), {}, &counters);
+        int done = 0;
+        int lost = 0;
+        const auto count = [&](const ClientResult& result) {
+            ++done;
+            lost += result.ok() ? 0 : 1;
+        };
+        blocking.send(post(), count);
+        channel.send(post(), count);
+        CPPUNIT_ASSERT(waitUntil([&] { return done == 2; }));
+        channel.send(post(100), count);
+        blocking.send(post(), [&](const ClientResult& result) {
+            count(result);
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        });
+        CPPUNIT_ASSERT(waitUntil([&] { return done == 4; }));
+        CPPUNIT_ASSERT_EQUAL(0, lost);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), counters.connections);
+    }
+
+    // Guards against orders that keep their tasks' room long after they have expired behind a silent peer.
+    void waitingRequestsFailAtTheirOwnDeadline()
+    {
+        RawServer server;
+        ChannelCounters counters;
+        Channel channel(server.address(), {}, &counters);
+        bool isFirstDone = false;
+        int expired = 0;
+        channel.send(post(3000), [&](const ClientResult&) { isFirstDone = true; });
+        for (int i = 0; i < 5; ++i)
+            channel.send(post(100), [&](const ClientResult& result) {
+                expired += result.failure == Failure::Timeout && result.bytesSent == BytesSent::None ? 1 : 0;
+            });
+        CPPUNIT_ASSERT(waitUntil([&] { return expired == 5 || isFirstDone; }));
+        CPPUNIT_ASSERT(!isFirstDone);
+        CPPUNIT_ASSERT_EQUAL(5, expired);
+        CPPUNIT_ASSERT_EQUAL(qsizetype(1), server.received.count("POST /run-start"));
+    }
+
+    // Guards against a new connection for each expired order, which keeps an overloaded daemon overloaded.
+    void expiredRequestsOpenNoConnections()
+    {
+        RawServer server;
+        ChannelCounters counters;
+        Channel channel(server.address(), {}, &counters);
+        int failed = 0;
+        for (int i = 0; i < 20; ++i)
+            channel.send(post(100), [&](const ClientResult& result) { failed += result.ok() ? 0 : 1; });
+        CPPUNIT_ASSERT(waitUntil([&] { return failed == 20; }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), counters.connections);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpChannelTest);
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(unstoredEndsStayUnknownOverPlannedTermChanges);
     CPPUNIT_TEST(endedJobsExpireAfterTheirTime);
     CPPUNIT_TEST(onlyApprovedWorkersAreUsed);
+    CPPUNIT_TEST(jobsWhoseStartsAreRefusedOrUnansweredArePending);
     CPPUNIT_TEST(randomFaultsBreakNoPromise);
     CPPUNIT_TEST_SUITE_END();
 
@@ -408,6 +409,25 @@
         }
     }
 
+    // Guards against a number of waiting jobs that leaves out jobs of which nothing has begun.
+    void jobsWhoseStartsAreRefusedOrUnansweredArePending()
+    {
+        World world(1, 2);
+        world.run(200);
+        world.submit("job", { plainStep(1, 1000, 20000) });
+        auto& state = world.scheduler();
+        state.validUntil = world.now() + 1000;
+        scheduler::Orders orders = scheduler::plan(state, world.now(), world.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.starts.size());
+        CPPUNIT_ASSERT_EQUAL(1, scheduler::pendingJobs(state)["queue"]);
+        scheduler::applyStart(state, orders.starts[0], scheduler::StartOutcome::Refused, world.now());
+        CPPUNIT_ASSERT_EQUAL(1, scheduler::pendingJobs(state)["queue"]);
+        orders = scheduler::plan(state, world.now(), world.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.starts.size());
+        scheduler::applyStart(state, orders.starts[0], scheduler::StartOutcome::Started, world.now());
+        CPPUNIT_ASSERT_EQUAL(0, scheduler::pendingJobs(state)["queue"]);
+    }
+
     // Random schedules of lost and late orders, failures, cuts, crashes and lost terms: no task twice at once, none
     // after an acknowledged end, capacity, attempts, and every job ends. A failing seed is printed and replays.
     void randomFaultsBreakNoPromise()
