Fail orders that wait at their own deadline, without opening a connection

Callers saw tasks of cancelled jobs run on and too little served (UNASKED, SHORT) on the grown deployments. Orders that waited for their turn at a worker expired only when they got to the front, one in each turn of the event loop, and each of them opened a new connection before it failed.

A channel now watches the first deadline of all its requests. One that expires while it waits fails at once as not sent and leaves the connection as it is; an attempt to connect that fails, fails all that wait for it.

--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -5,9 +5,12 @@
 #include "http/answer.h"
 
 #include <QNetworkProxy>
+#include <QPointer>
 #include <QTcpSocket>
 #include <QTimer>
+#include <algorithm>
 #include <deque>
+#include <vector>
 
 namespace lacewing::http {
 
@@ -59,6 +62,10 @@
     {
         if (isBusy || queue.empty())
             return;
+        if (base::monotonicNow() >= queue.front().deadline) { // nothing is sent for it
+            armTimer();
+            return;
+        }
         if (!socket) {
             openSocket();
             return;
@@ -105,13 +112,16 @@
         socket = nullptr;
     }
 
+    // Until the first deadline, of the request in progress or of one that waits.
     void armTimer()
     {
         if (queue.empty()) {
             timer.stop();
             return;
         }
-        base::TimePoint due = queue.front().deadline;
+        const auto first = std::min_element(
+            queue.begin(), queue.end(), [](const Exchange& a, const Exchange& b) { return a.deadline < b.deadline; });
+        base::TimePoint due = first->deadline;
         if (socket && socket->state() != QAbstractSocket::ConnectedState)
             due = std::min(due, connectStarted + base::milliseconds(limits.connectTimeoutMs));
         const auto left = base::toMilliseconds(due - base::monotonicNow()) + 1;
@@ -123,16 +133,48 @@
         if (queue.empty())
             return;
         const base::TimePoint now = base::monotonicNow();
-        if (now >= queue.front().deadline) {
-            fail(isBusy ? Failure::Timeout : Failure::ConnectFailed, "no complete answer in time");
+        if (isBusy && now >= queue.front().deadline) {
+            fail(Failure::Timeout, "no complete answer in time");
             return;
         }
         const bool isConnecting = socket && socket->state() != QAbstractSocket::ConnectedState;
         if (isConnecting && now >= connectStarted + base::milliseconds(limits.connectTimeoutMs)) {
-            fail(Failure::ConnectFailed, "no connection in time");
+            failConnection("no connection in time");
             return;
         }
+        failWaiting(Failure::Timeout, "its turn did not come in time",
+            [now](const Exchange& exchange) { return now >= exchange.deadline; });
+    }
+
+    // Fails the waiting requests that the predicate selects. Nothing was sent of them, so the connection is not in
+    // doubt.
+    template <typename Predicate> void failWaiting(Failure failure, const QByteArray& detail, Predicate isSelected)
+    {
+        const base::TimePoint now = base::monotonicNow();
+        std::vector<Exchange> failed;
+        const auto kept = std::stable_partition(queue.begin() + (isBusy ? 1 : 0), queue.end(),
+            [&](const Exchange& exchange) { return !isSelected(exchange); });
+        std::move(kept, queue.end(), std::back_inserter(failed));
+        queue.erase(kept, queue.end());
         armTimer();
+        const QPointer<State> self(this); // a callback may destroy the channel
+        for (const Exchange& exchange : failed) {
+            if (!self)
+                return;
+            ++counters->failures;
+            ClientResult result;
+            result.failure = failure;
+            result.bytesSent = BytesSent::None;
+            result.detail = detail;
+            result.waitedMs = static_cast<int>(base::toMilliseconds(now - exchange.queuedAt));
+            exchange.callback(std::move(result));
+        }
+    }
+
+    void failConnection(const QByteArray& detail)
+    {
+        dropSocket();
+        failWaiting(Failure::ConnectFailed, detail, [](const Exchange&) { return true; });
     }
 
     void onReadable()
@@ -163,7 +205,7 @@
         }
         const bool wasConnecting = socket->state() != QAbstractSocket::ConnectedState;
         if (wasConnecting && !queue.empty()) {
-            fail(Failure::ConnectFailed, socket->errorString().toUtf8());
+            failConnection(socket->errorString().toUtf8());
             return;
         }
         dropSocket();
@@ -215,7 +257,7 @@
     QByteArray authority;
     HostAndPort target;
     QTcpSocket* socket = nullptr;
-    std::deque<Exchange> queue; // the front is in progress when isBusy
+    std::deque<Exchange> queue; // the front is in progress when isBusy; the others have not been sent
     bool isBusy = false;
     AnswerParser parser;
     base::TimePoint connectStarted;
@@ -250,7 +292,9 @@
     const base::TimePoint now = base::monotonicNow();
     const base::TimePoint deadline = now + base::milliseconds(request.timeoutMs);
     state->queue.push_back({ std::move(request), std::move(callback), deadline, now });
-    if (state->queue.size() == 1)
+    if (state->queue.size() > 1)
+        state->armTimer();
+    else
         QMetaObject::invokeMethod(
             state, [state] { state->pump(); }, Qt::QueuedConnection);
 }
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -2,7 +2,8 @@
 //
 // A new connection to a worker costs a handshake, so a channel keeps its connection and reconnects when it is lost. A
 // request that fails or times out closes the connection: its answer could otherwise be read as that of the next
-// request. Nothing is sent a second time by the channel; repeating a request is the caller's decision.
+// request. Nothing is sent a second time by the channel; repeating a request is the caller's decision. A request that
+// times out while it waits for its turn was not sent and leaves the connection as it is.
 //
 // A channel belongs to one thread (the one with the event loop). Callbacks run on it, never inside send().
 #pragma once
--- a/tests/http_channel_test.cpp
+++ b/tests/http_channel_test.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(answersThatArrivedInTimeAreNotTimeouts);
     CPPUNIT_TEST(waitingRequestsFailAtTheirOwnDeadline);
     CPPUNIT_TEST(expiredRequestsOpenNoConnections);
+    CPPUNIT_TEST(refusedConnectionIsTriedOnceForAllThatWait);
     CPPUNIT_TEST_SUITE_END();
 
     static ChannelRequest post(int timeoutMs = 2000)
@@ -222,6 +223,25 @@
         CPPUNIT_ASSERT(waitUntil([&] { return failed == 20; }));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), counters.connections);
     }
+
+    // Guards against a connection attempt for each order that waits for a worker that is down.
+    void refusedConnectionIsTriedOnceForAllThatWait()
+    {
+        QString address;
+        {
+            RawServer server;
+            address = server.address();
+        }
+        ChannelCounters counters;
+        Channel channel(address, {}, &counters);
+        int refused = 0;
+        for (int i = 0; i < 20; ++i)
+            channel.send(post(), [&](const ClientResult& result) {
+                refused += result.failure == Failure::ConnectFailed && result.bytesSent == BytesSent::None ? 1 : 0;
+            });
+        CPPUNIT_ASSERT(waitUntil([&] { return refused == 20; }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), counters.connections);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpChannelTest);
