Count a job as begun when a worker says so, not when its first start is ordered

At least 16 of the 23 jobs had orders that were all refused in the daemon's own queue.

The mark that a job has started was set when room was booked for its first start and stayed when the start came to nothing. It is now set by a worker's answer, its list of running tasks or its list of ends, and the state `running` with it.

--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -8,8 +8,10 @@
 // Marks the job's record for storing.
 void touch(Scheduler& scheduler, Job& job);
 void setState(Scheduler& scheduler, Job& job, JobState state, Millis now);
+// A worker has said that it runs or ran a task of the job.
+void noteStarted(Scheduler& scheduler, Job& job, Millis now);
 // Books and releases the room of a run; a task that holds room names its worker.
-void takeRoom(Scheduler& scheduler, Worker& worker, const TaskRef& ref);
+void takeRoom(Worker& worker, const TaskRef& ref);
 void releaseRoom(const TaskRef& ref);
 // Name of the task in orders and reports.
 std::string nameOf(const TaskRef& ref);
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -100,6 +100,14 @@
     }
 }
 
+void noteStarted(Scheduler& scheduler, Job& job, Millis now)
+{
+    if (job.hasStarted)
+        return;
+    job.hasStarted = true;
+    setState(scheduler, job, JobState::Running, now);
+}
+
 Job& addJob(Scheduler& scheduler, JobRequest request, QueuePolicy policy, std::int64_t acceptedUnixMs, Millis now)
 {
     auto& slot = scheduler.jobs[request.id];
@@ -199,17 +207,13 @@
 
 } // namespace
 
-void takeRoom(Scheduler& scheduler, Worker& worker, const TaskRef& ref)
+void takeRoom(Worker& worker, const TaskRef& ref)
 {
     if (!worker.tasks.emplace(nameOf(ref), ref).second)
         return;
     ref.task->worker = worker.entry.id;
     ref.task->host = &worker;
     bookRoom(worker, *ref.step, 1);
-    if (!ref.job->hasStarted) {
-        ref.job->hasStarted = true;
-        setState(scheduler, *ref.job, JobState::Running, 0);
-    }
 }
 
 void releaseRoom(const TaskRef& ref)
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -169,7 +169,7 @@
                 ref.step->image });
         if (ref.step->isFilling && worker.servingCpu > 0)
             countFill(planner, worker, *ref.step);
-        takeRoom(scheduler, worker, ref);
+        takeRoom(worker, ref);
         if (ref.step->maxPerWorker > 0)
             ++planner.stepOnWorker[worker.entry.id];
         ++scheduler.starts;
@@ -231,8 +231,6 @@
     bool placeGang(Planner& planner, const Candidate& candidate, const std::string& rack)
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
-        const bool hadStarted = candidate.job->hasStarted;
-        candidate.job->hasStarted = true; // takeRoom must not change the job before the gang is whole
         std::vector<Placed> placed;
         int run = 0;
         std::string checkpoint;
@@ -244,7 +242,7 @@
             Worker* worker = chooseWorker(planner, ref, rack);
             if (!worker)
                 break;
-            takeRoom(planner.scheduler, *worker, ref);
+            takeRoom(*worker, ref);
             if (step.maxPerWorker > 0)
                 ++planner.stepOnWorker[worker->entry.id];
             placed.push_back({ i, worker });
@@ -254,7 +252,6 @@
                 --planner.stepOnWorker[member.worker->entry.id];
             releaseRoom(refOf(candidate, member.index));
         }
-        candidate.job->hasStarted = hadStarted;
         if (static_cast<int>(placed.size()) < step.count)
             return false;
         for (const Placed& member : placed) {
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -110,7 +110,7 @@
     std::int64_t acceptedUnixMs = 0;
     JobState state = JobState::Queued;
     std::map<int, Occurrence> occurrences; // by number
-    bool hasStarted = false;               // any task was started
+    bool hasStarted = false;               // a worker has said that it runs or ran a task; an order alone is no start
     // --- Store ---
     std::uint64_t version = 0;          // rises with each change that has to be stored
     std::uint64_t committedVersion = 0; // never above version
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -83,6 +83,7 @@
             const bool isTracked = task.worker == worker.entry.id && task.run == end.run;
             if (!end.checkpoint.empty() && !isEnded(task))
                 task.checkpoint = end.checkpoint;
+            noteStarted(scheduler, *ref->job, now);
             if (isTracked)
                 learnFromEnd(scheduler, worker, *ref, end, now);
             note(scheduler,
@@ -110,7 +111,7 @@
         task.startedAt = 0;
         task.percent = row.percent;
         task.progressAt = now;
-        takeRoom(scheduler, worker, ref);
+        takeRoom(worker, ref);
         note(scheduler,
             { "taskAdopted", ref.job->request.id, row.task, worker.entry.id, row.run, "running",
                 { { "percent", row.percent } } });
@@ -134,6 +135,7 @@
             return;
         }
         task.isConfirmed = true;
+        noteStarted(scheduler, *ref->job, now);
         if (task.phase == TaskPhase::Starting) {
             task.phase = TaskPhase::Running;
             task.since = now;
@@ -379,6 +381,8 @@
         return;
     Task& task = *ref->task;
     task.isConfirmed = task.isConfirmed || outcome == StartOutcome::Started;
+    if (outcome == StartOutcome::Started)
+        noteStarted(scheduler, *ref->job, now);
     if (task.phase != TaskPhase::Starting)
         return;
     switch (outcome) {
