Do not blame a worker for an order that expired in the daemon

The outcome `unsent` is new: the task waits again and nothing is held against the worker. An order that expires while the connection is not made still counts as refused.

--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -196,7 +196,7 @@
             const bool isLost = answer.failure != http::Failure::None;
             m_load.recordOrderWait(answer.waitedMs);
             ++(isLost ? m_load.counts().startsLost : m_load.counts().startsAnswered);
-            m_load.counts().startsUnsent += isLost && outcome == scheduler::StartOutcome::Refused ? 1 : 0;
+            m_load.counts().startsUnsent += outcome == scheduler::StartOutcome::Unsent ? 1 : 0;
             if (answer.clockMs > 0 && outcome != scheduler::StartOutcome::OtherLife)
                 scheduler::applyClock(*m_scheduler, order.worker, answer.clockMs, now);
             if (outcome == scheduler::StartOutcome::Unknown && attempt < startAttempts) {
--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -142,7 +142,7 @@
             failConnection("no connection in time");
             return;
         }
-        failWaiting(Failure::Timeout, "its turn did not come in time",
+        failWaiting(isConnecting ? Failure::ConnectFailed : Failure::Timeout, "its turn did not come in time",
             [now](const Exchange& exchange) { return now >= exchange.deadline; });
     }
 
--- a/src/scheduler/types.h
+++ b/src/scheduler/types.h
@@ -207,11 +207,12 @@
     NoRoom,
     NoTicket,
     OtherLife, // another life of the worker answered
-    Refused,   // unhealthy or malformed; nothing was done
+    Refused,   // unhealthy, malformed, or no connection; nothing was done
+    Unsent,    // expired in this daemon before a byte was sent; says nothing about the worker
     Unknown,   // no answer: may be carried out until the deadline
 };
 
-constexpr base::EnumNames<StartOutcome, 9> startOutcomeNames { {
+constexpr base::EnumNames<StartOutcome, 10> startOutcomeNames { {
     { StartOutcome::Started, "started" },
     { StartOutcome::Fenced, "fenced" },
     { StartOutcome::Outdated, "outdated" },
@@ -220,6 +221,7 @@
     { StartOutcome::NoTicket, "noTicket" },
     { StartOutcome::OtherLife, "otherLife" },
     { StartOutcome::Refused, "refused" },
+    { StartOutcome::Unsent, "unsent" },
     { StartOutcome::Unknown, "unknown" },
 } };
 
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -407,6 +407,7 @@
     case StartOutcome::NoTicket: // asked about anew
         ref->progress->approvals.erase(order.worker);
         break;
+    case StartOutcome::Unsent:
     case StartOutcome::Fenced:
     case StartOutcome::Late:
     case StartOutcome::OtherLife:
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(endedJobsExpireAfterTheirTime);
     CPPUNIT_TEST(onlyApprovedWorkersAreUsed);
     CPPUNIT_TEST(jobsWhoseStartsAreRefusedOrUnansweredArePending);
+    CPPUNIT_TEST(unsentOrdersDoNotKeepWorkersEmpty);
     CPPUNIT_TEST(randomFaultsBreakNoPromise);
     CPPUNIT_TEST_SUITE_END();
 
@@ -428,6 +429,20 @@
         CPPUNIT_ASSERT_EQUAL(0, scheduler::pendingJobs(state)["queue"]);
     }
 
+    // Guards against workers that get no tasks because orders for them expired in the daemon.
+    void unsentOrdersDoNotKeepWorkersEmpty()
+    {
+        World world(1, 1);
+        world.run(200);
+        world.submit("job", { plainStep(1, 1000, 20000) });
+        auto& state = world.scheduler();
+        state.validUntil = world.now() + 1000;
+        const scheduler::Orders orders = scheduler::plan(state, world.now(), world.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.starts.size());
+        scheduler::applyStart(state, orders.starts[0], scheduler::StartOutcome::Unsent, world.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler::plan(state, world.now(), world.now()).starts.size());
+    }
+
     // Random schedules of lost and late orders, failures, cuts, crashes and lost terms: no task twice at once, none
     // after an acknowledged end, capacity, attempts, and every job ends. A failing seed is printed and replays.
     void randomFaultsBreakNoPromise()
