Let the strongest daemon follow when a term ends

Daemons that learned from the former leader that it does not lead any more took over at once, whatever their size, ahead of the successor that it had named; and the named one was the first by name.

- the successor of a leader that has lost the store is the strongest peer that reaches it, as for planned stops;
- news of a leader's end frees the term for clearly stronger daemons first (`observeLeaderDeath`), and at once only for the daemon that the leader named (`observeSuccession`);
- a successor that does not take over is passed over by the stronger ones first.

A resignation while another one is in progress waits for it, in place of reporting success at once, and only its own time-out ends it.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -141,7 +141,7 @@
         if (isSameProcess && resignation)
             election::observe(state, resignation, reply["revision"].toInteger(), nowMs());
         else
-            election::observeLeaderDeath(state, asked.leader, asked.incarnation);
+            election::observeLeaderDeath(state, asked.leader, asked.incarnation, nowMs());
         return;
     }
     const scheduler::Millis now = nowMs();
@@ -157,7 +157,7 @@
     m_hasContact = true;
     state.largestShare = reply["largestShare"].toDouble();
     if (base::textOf(reply["successor"]) == m_runtime.settings.daemon) {
-        election::observeLeaderDeath(state, asked.leader, asked.incarnation);
+        election::observeSuccession(state, asked.leader, asked.incarnation, now);
         return;
     }
     if (reply["hasLostStore"].toBool())
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -100,8 +100,7 @@
                 for (const Commit& commit : written)
                     commit.callback();
                 if (!wasLeader && isLeader()) {
-                    kernel::logEvent(kernel::LogLevel::Info, "term", "elected", { { "token", token() } });
-                    m_onElected();
+                    beginTerm(false);
                 } else if (wasLeader && !isLeader()) {
                     m_resignation = election::encodeRecord(record);
                     m_resignationRevision = result.value();
@@ -135,9 +134,7 @@
     }
     if (isOwn && !isLeader() && record->token == 0 && !record->isResigned) { // own take-over, whose answer was lost
         election::applyWritten(m_election, *record, revision, sentAt, nowMs());
-        kernel::logEvent(
-            kernel::LogLevel::Info, "term", "elected", { { "token", token() }, { "afterLostAnswer", true } });
-        m_onElected();
+        beginTerm(true);
         return;
     }
     if (isLeader())
@@ -145,6 +142,15 @@
     election::observe(m_election, record, revision, nowMs());
 }
 
+void TermService::beginTerm(bool isAfterLostAnswer)
+{
+    kernel::logEvent(kernel::LogLevel::Info, "term", "elected",
+        { { "token", token() }, { "processorPercent", static_cast<std::int64_t>(100 * m_election.processorShare) },
+            { "afterLostAnswer", isAfterLostAnswer } });
+    m_resignation.clear();
+    m_onElected();
+}
+
 void TermService::commit(std::vector<platform::Write> writes, std::function<void()> callback)
 {
     for (std::size_t begin = 0; begin < writes.size(); begin += writesPerCommit) {
@@ -178,15 +184,23 @@
 
 void TermService::resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done)
 {
-    if (!isLeader() || m_resigned) {
+    if (!isLeader()) {
         done();
         return;
     }
+    if (m_resigned) { // for another reason
+        m_resigned = [first = std::move(m_resigned), done = std::move(done)] {
+            first();
+            done();
+        };
+        return;
+    }
     m_resigned = std::move(done);
+    m_resigningSince = nowMs();
     m_lastWrites = std::move(writes);
     kernel::logEvent(kernel::LogLevel::Info, "term", "resigning", { { "reason", reason }, { "token", token() } });
     QTimer::singleShot(resignWaitMs, this, [this] {
-        if (!m_resigned)
+        if (!m_resigned || nowMs() - m_resigningSince < resignWaitMs)
             return;
         lose("resigned without the store");
         finishResigning();
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -39,6 +39,7 @@
     // Gives the term up, with last records in the same transaction; `done` is called when the record says so, or when
     // that cannot be reached.
     void resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done);
+    bool isResigning() const { return m_resigned != nullptr; }
     // The record with which this process has resigned, for daemons that ask; empty: it has not.
     const QByteArray& resignation() const { return m_resignation; }
     std::int64_t resignationRevision() const { return m_resignationRevision; }
@@ -62,6 +63,7 @@
     void readRecord();
     void write(bool isResigning);
     void finishResigning();
+    void beginTerm(bool isAfterLostAnswer);
     void applyConflict(const std::vector<platform::Item>& current, scheduler::Millis sentAt);
     void lose(const std::string& reason);
 
@@ -70,6 +72,7 @@
     QTimer m_timer;
     bool m_isBusy = false;            // an election call is in flight
     std::function<void()> m_resigned; // set while resigning
+    scheduler::Millis m_resigningSince = 0;
     std::vector<platform::Write> m_lastWrites;
     QByteArray m_resignation;
     std::int64_t m_resignationRevision = 0;
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -64,11 +64,11 @@
             const double delay = missing * static_cast<double>(election.limits.firstTermMs);
             return now - election.changedAt >= static_cast<Millis>(delay);
         }
-        if (election.isLeaderDead)
-            return true;
+        if (election.freeFrom > 0)
+            return now >= election.freeFrom;
         const bool isFormerSelf = record->leader == election.self && record->incarnation != election.incarnation;
         const bool isInTurn = record->successor.empty() || record->successor == election.self
-            || now - election.changedAt >= election.limits.successorMs;
+            || now - election.changedAt >= election.limits.successorMs + headStart(election);
         return isFormerSelf || (record->isResigned && isInTurn);
     }
 
@@ -123,7 +123,7 @@
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
 {
     if (!election.isKnown || revision > election.revision || (revision == 0 && election.revision != 0)) {
-        election.isLeaderDead = false; // somebody wrote it since: the same process may lead again
+        election.freeFrom = 0; // somebody wrote it since: the same process may lead again
         election.record = record;
         election.revision = revision;
         election.changedAt = now;
@@ -139,7 +139,7 @@
 {
     election.members = members;
     election.contactAt = now;
-    election.isLeaderDead = false;
+    election.freeFrom = 0;
     if (revision > election.revision) {
         election.revision = revision;
         election.changedAt = now;
@@ -151,10 +151,16 @@
     return election.record && election.record->leader == leader && election.record->incarnation == incarnation;
 }
 
-void observeLeaderDeath(Election& election, const std::string& leader, std::int64_t incarnation)
+void observeLeaderDeath(Election& election, const std::string& leader, std::int64_t incarnation, Millis now)
+{
+    if (isLedBy(election, leader, incarnation) && election.freeFrom == 0)
+        election.freeFrom = now + headStart(election);
+}
+
+void observeSuccession(Election& election, const std::string& leader, std::int64_t incarnation, Millis now)
 {
     if (isLedBy(election, leader, incarnation))
-        election.isLeaderDead = true;
+        election.freeFrom = now;
 }
 
 void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now)
@@ -177,7 +183,7 @@
     election.revision = revision;
     election.changedAt = now;
     election.isKnown = true;
-    election.isLeaderDead = false;
+    election.freeFrom = 0;
     election.renewSentAt = sentAt;
     election.hasLapsed = false;
 }
@@ -228,18 +234,40 @@
 
 void forgetPeer(Election& election, const std::string& name) { election.peers.erase(name); }
 
-std::optional<std::string> preferredSuccessor(const Election& election, Millis now)
-{
-    const auto isSuitable = [&](const Peer& peer) {
-        return now - peer.heardAt < election.limits.contactMs && now - peer.storeOkAt < election.limits.validityMs;
-    };
-    const std::pair<const std::string, Peer>* best = nullptr;
-    for (const auto& entry : election.peers) {
+namespace {
+
+    // The strongest of the suitable peers in touch; of equals the one that was started last.
+    template <typename Predicate>
+    const std::pair<const std::string, Peer>* strongestPeer(const Election& election, Millis now, Predicate isSuitable)
+    {
         const auto rank = [](const Peer& peer) { return std::pair(peer.processorShare, peer.incarnation); };
-        if (isSuitable(entry.second) && (!best || rank(entry.second) > rank(best->second)))
-            best = &entry;
+        const std::pair<const std::string, Peer>* best = nullptr;
+        for (const auto& entry : election.peers) {
+            const bool isInTouch = now - entry.second.heardAt < election.limits.contactMs;
+            if (isInTouch && isSuitable(entry.second) && (!best || rank(entry.second) > rank(best->second)))
+                best = &entry;
+        }
+        return best;
+    }
+
+    const std::pair<const std::string, Peer>* preferredPeer(const Election& election, Millis now)
+    {
+        return strongestPeer(
+            election, now, [&](const Peer& peer) { return now - peer.storeOkAt < election.limits.validityMs; });
     }
-    return best ? std::optional(best->first) : std::nullopt;
+
+} // namespace
+
+std::optional<std::string> preferredSuccessor(const Election& election, Millis now)
+{
+    const auto* peer = preferredPeer(election, now);
+    return peer ? std::optional(peer->first) : std::nullopt;
+}
+
+bool hasStrongerSuccessor(const Election& election, Millis now)
+{
+    const auto* peer = preferredPeer(election, now);
+    return peer && peer->second.processorShare > clearlyStronger * election.processorShare;
 }
 
 std::optional<std::string> successor(const Election& election, Millis failingSince, Millis now)
@@ -247,12 +275,9 @@
     const bool hasLostStore = failingSince > 0 && now - failingSince >= election.limits.handOverMs;
     if (election.role != Role::Leader || !hasLostStore)
         return std::nullopt;
-    for (const auto& [name, peer] : election.peers) {
-        const bool isInTouch = now - peer.heardAt < election.limits.contactMs;
-        if (isInTouch && peer.storeOkAt > failingSince)
-            return name;
-    }
-    return std::nullopt;
+    const auto* peer
+        = strongestPeer(election, now, [&](const Peer& candidate) { return candidate.storeOkAt > failingSince; });
+    return peer ? std::optional(peer->first) : std::nullopt;
 }
 
 } // namespace lacewing::election
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -104,7 +104,7 @@
     Millis contactAt = 0;          // last answer of the leader
     std::set<std::string> members; // daemons that leaders have named; any of them may take over
     double largestShare = 0;       // cores of the strongest of them; 0: not told
-    bool isLeaderDead = false;     // the leader's process is known to have ended or to have stopped leading
+    Millis freeFrom = 0;           // the leader's process does not lead any more: the term is free then; 0: it may lead
     bool isStopping = false;       // takes nothing over
     // --- Leader ---
     Role role = Role::Follower;
@@ -127,9 +127,11 @@
 void observeContact(Election& election, std::int64_t revision, const std::set<std::string>& members, Millis now);
 // Daemons that the leader has heard of lately, or that earlier leaders knew; itself included.
 std::set<std::string> knownMembers(const Election& election, Millis now);
-// A process that answers under the address of this leader's process does not lead. Of no effect when the record names
-// another leader by now.
-void observeLeaderDeath(Election& election, const std::string& leader, std::int64_t incarnation);
+// A process that answers under the address of this leader's process does not lead: the term is free, for clearly
+// stronger daemons first. Of no effect when the record names another leader by now.
+void observeLeaderDeath(Election& election, const std::string& leader, std::int64_t incarnation, Millis now);
+// The leader has handed the term to this daemon. Of no effect when the record names another leader by now.
+void observeSuccession(Election& election, const std::string& leader, std::int64_t incarnation, Millis now);
 // True while the record names this leader's process.
 bool isLedBy(const Election& election, const std::string& leader, std::int64_t incarnation);
 // Own write of the record, sent at sentAt, succeeded at the revision.
@@ -146,11 +148,13 @@
 // A daemon sent a message; `promisedAt` is when the last answer that it has received was given.
 void hearPeer(Election& election, const std::string& peer, Millis promisedAt, Millis storeOkAt, Millis now);
 void forgetPeer(Election& election, const std::string& peer);
-// Daemon to hand the term to, because it reaches the store and this one has been failing to since `failingSince` (0: it
-// has not). A renewal that is merely late, on a busy machine, is no reason.
 // Daemon to resign in favour of: the strongest, and of equals the one that was started last, because planned stops come
 // in series and it has had its turn.
 std::optional<std::string> preferredSuccessor(const Election& election, Millis now);
+// True when a daemon with clearly more processor time could take the term over.
+bool hasStrongerSuccessor(const Election& election, Millis now);
+// Daemon to hand the term to, because it reaches the store and this one has been failing to since `failingSince` (0: it
+// has not): the strongest of them. A renewal that is merely late, on a busy machine, is no reason.
 std::optional<std::string> successor(const Election& election, Millis failingSince, Millis now);
 
 } // namespace lacewing::election
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -76,7 +76,8 @@
     if (isZoneCut && follower.zone != leader.zone)
         return;
     if (leader.election.role != Role::Leader) {
-        observeLeaderDeath(follower.election, follower.election.record->leader, follower.election.record->incarnation);
+        observeLeaderDeath(
+            follower.election, follower.election.record->leader, follower.election.record->incarnation, now);
         return;
     }
     hearPeer(leader.election, follower.election.self, follower.lastReplyAt, now, now);
@@ -95,6 +96,8 @@
     CPPUNIT_TEST(neverTwoActingLeaders);
     CPPUNIT_TEST(lateNewsOfAFormerLeaderDoNotEndTheTermOfTheNext);
     CPPUNIT_TEST(strongerDaemonsGoFirst);
+    CPPUNIT_TEST(weakDaemonsDoNotSnatchATermThatIsHandedOver);
+    CPPUNIT_TEST(weakLeadersKnowAStrongerSuccessor);
     CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
     CPPUNIT_TEST_SUITE_END();
 
@@ -190,9 +193,9 @@
         act(cell, b, 1500);
         CPPUNIT_ASSERT(b.election.role == Role::Leader);
         observe(c.election, cell.record, cell.revision, 1600);
-        observeLeaderDeath(c.election, "a", 1);
+        observeLeaderDeath(c.election, "a", 1, 1650);
         CPPUNIT_ASSERT(nextAction(c.election, 1700) != Action::TakeOver);
-        observeLeaderDeath(c.election, "b", 1);
+        observeLeaderDeath(c.election, "b", 1, 1650);
         CPPUNIT_ASSERT(nextAction(c.election, 1700) == Action::TakeOver);
     }
 
@@ -220,6 +223,54 @@
         CPPUNIT_ASSERT(nextAction(weak.election, silent + weak.election.limits.strongerFirstMs) == Action::TakeOver);
     }
 
+    // Guards against a term on one of the smallest machines because it asked the former leader first.
+    void weakDaemonsDoNotSnatchATermThatIsHandedOver()
+    {
+        Cell cell;
+        Daemon leader = makeDaemon("leader");
+        act(cell, leader, 1000);
+        act(cell, leader, 1500);
+        CPPUNIT_ASSERT(leader.election.role == Role::Leader);
+        for (const auto& [name, share] : std::map<std::string, double> { { "a-weak", 0.1 }, { "strong", 0.5 } }) {
+            hearPeer(leader.election, name, 3000, 3000, 3000);
+            leader.election.peers[name].processorShare = share;
+        }
+        const auto named = successor(leader.election, 1500, 3000);
+        CPPUNIT_ASSERT(named.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("strong"), *named);
+        Daemon weak = makeDaemon("a-weak");
+        Daemon strong = makeDaemon("strong");
+        weak.election.processorShare = 0.1;
+        for (Daemon* daemon : { &weak, &strong }) {
+            daemon->election.largestShare = 0.5;
+            observe(daemon->election, cell.record, cell.revision, 1100);
+            observeContact(daemon->election, cell.revision, {}, 2900);
+        }
+        observeLeaderDeath(weak.election, "leader", 1, 3000);
+        observeSuccession(strong.election, "leader", 1, 3000);
+        CPPUNIT_ASSERT(nextAction(weak.election, 3010) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(strong.election, 3010) == Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, 3000 + weak.election.limits.strongerFirstMs) == Action::TakeOver);
+    }
+
+    // Guards against a weak daemon that keeps the term it took while the stronger ones were away.
+    void weakLeadersKnowAStrongerSuccessor()
+    {
+        Cell cell;
+        Daemon leader = makeDaemon("leader");
+        leader.election.processorShare = 0.1;
+        act(cell, leader, 1000);
+        act(cell, leader, 2000);
+        CPPUNIT_ASSERT(leader.election.role == Role::Leader);
+        hearPeer(leader.election, "equal", 2900, 2900, 2900);
+        leader.election.peers["equal"].processorShare = 0.1;
+        CPPUNIT_ASSERT(!hasStrongerSuccessor(leader.election, 3000));
+        hearPeer(leader.election, "strong", 2900, 2900, 2900);
+        leader.election.peers["strong"].processorShare = 0.5;
+        CPPUNIT_ASSERT(hasStrongerSuccessor(leader.election, 3000));
+        CPPUNIT_ASSERT(!hasStrongerSuccessor(leader.election, 9000)); // not heard of lately
+    }
+
     // Guards against a series of planned stops in which the term goes to the daemon that is stopped next, and against a
     // term that waits for a successor that is gone (standard day trouble-2).
     void resignedLeadersNameTheDaemonThatWasStartedLast()
