Order no more starts than the daemon can send, plan for a third of the time at most

- `OrderWindow` bounds the starts under way.
It grows while orders are answered within 100 ms and shrinks when they take longer or expire, so that it follows the processor time that the daemon has.
What has no place in it waits in the plan, in its order of importance, where it costs nothing and does not expire.
- A plan is followed by a pause of twice the time that it and its orders took; the periodic one no longer goes without it.
- Behind with its orders, the daemon asks each worker for reports less often; each tells more ends.

ordersOfASlowDaemonDoNotExpire fails when ends of unsent orders do not shrink the window (1,000 expired, 0 expected); the three other tests of the window bound both ways.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -15,9 +15,8 @@
     constexpr int tickMs = 50;                         // ms; resolution of the periods of this service
     constexpr scheduler::Millis interferenceMs = 3000; // ms between writes of the learned interference
     constexpr int planGapMs = 15;                      // ms; reports that arrive together lead to one plan
-    constexpr scheduler::Millis planPauseFactor
-        = 2; // times the duration of a plan until the next one that reports ask for
-    constexpr scheduler::Millis longestPauseMs = 100; // ms; twice the period of plans without reports
+    constexpr scheduler::Millis planPauseFactor = 2;   // times the duration of a plan until the next one
+    constexpr scheduler::Millis longestPauseMs = 500;  // ms; stops of cancelled jobs wait no longer for a plan
     constexpr scheduler::Millis expiredPeriodMs
         = 200; // ms between removals of old records; 40 jobs/s, above the target's peak
     constexpr std::size_t longestFeed = 100000; // changes of states that other daemons may still ask for; some 5 MB
@@ -81,6 +80,8 @@
 {
     m_scheduler = std::make_unique<scheduler::Scheduler>();
     m_scheduler->limits = toLimits(m_runtime.settings);
+    m_nextPlanAt = 0;
+    m_window = {};
     m_generation = std::make_shared<int>(0);
     m_loadGeneration = m_generation;
     m_isLoaded = false;
@@ -313,7 +314,8 @@
     if (m_isPlanQueued || !m_isLoaded)
         return;
     m_isPlanQueued = true;
-    QTimer::singleShot(std::max(planGapMs, m_planPauseMs), this, [this] {
+    const scheduler::Millis pauseMs = m_nextPlanAt - nowMs();
+    QTimer::singleShot(static_cast<int>(std::max<scheduler::Millis>(planGapMs, pauseMs)), this, [this] {
         m_isPlanQueued = false;
         runPlan();
     });
@@ -321,24 +323,28 @@
 
 void DispatcherService::runPlan()
 {
-    if (!m_isLoaded)
+    if (!m_isLoaded || nowMs() < m_nextPlanAt)
         return;
     m_scheduler->validUntil = m_runtime.isStopping ? 0 : m_term->validUntil();
     m_scheduler->validUntil = m_configuration->isLoaded() ? m_scheduler->validUntil : 0;
     const scheduler::Millis begun = nowMs();
+    m_scheduler->startLimit = scheduler::openStarts(m_window, begun);
     scheduler::Orders orders;
     {
         const ActivityScope scope(m_load, Activity::Plan);
         orders = scheduler::plan(*m_scheduler, begun, base::wallClockMs());
     }
     ++m_load.counts().plans;
-    m_planPauseMs = static_cast<int>(std::min<scheduler::Millis>(longestPauseMs, planPauseFactor * (nowMs() - begun)));
+    m_load.counts().startWindow = static_cast<int>(m_window.size);
+    m_load.counts().startAgeMs = static_cast<int>(m_window.ageMs);
     carryOut(orders);
     updateTable();
     storeInterference();
     removeExpired();
     storeProgress();
     logDecisions();
+    const scheduler::Millis ended = nowMs();
+    m_nextPlanAt = ended + std::min(longestPauseMs, planPauseFactor * (ended - begun));
 }
 
 void DispatcherService::logDecisions()
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -7,6 +7,7 @@
 #include "daemon/term_service.h"
 #include "platform/advice_link.h"
 #include "platform/worker_link.h"
+#include "scheduler/order_window.h"
 #include "scheduler/scheduler.h"
 
 #include <QObject>
@@ -77,7 +78,7 @@
         bool isLook);
     void carryOut(const scheduler::Orders& orders);
     void sendStop(const scheduler::StopOrder& order);
-    void sendStart(const scheduler::StartOrder& order, int attempt);
+    void sendStart(const scheduler::StartOrder& order, std::uint64_t number, int attempt);
     void ask(const scheduler::ApprovalQuestion& question);
 
     void planSoon();
@@ -110,7 +111,8 @@
     std::string m_storedWorkers; // ids in the stored list of workers
     bool m_isStoring = false;
     bool m_isPlanQueued = false;
-    int m_planPauseMs = 0; // leaves processor time for calls when plans take long
+    scheduler::Millis m_nextPlanAt = 0; // leaves processor time for calls when plans take long
+    scheduler::OrderWindow m_window;
 
     QTimer m_tick;
     scheduler::Millis m_workersListedAt = 0;
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -104,7 +104,8 @@
     if (result.has_value()) {
         link.failures = 0;
         scheduler::applyReport(*m_scheduler, id, result.value(), sentAt, now);
-        link.nextRenewalAt = now + m_runtime.settings.leaseGapMs;
+        // Behind with its orders, the daemon asks for fewer reports with more ends each.
+        link.nextRenewalAt = now + m_runtime.settings.leaseGapMs + static_cast<scheduler::Millis>(m_window.ageMs);
         planSoon();
         if (isLook) // it told the clock; the lease is still to be renewed
             renew(id, link);
@@ -133,7 +134,7 @@
     for (const scheduler::StopOrder& order : orders.stops)
         sendStop(order);
     for (const scheduler::StartOrder& order : orders.starts)
-        sendStart(order, 1);
+        sendStart(order, scheduler::recordOrder(m_window, nowMs()), 1);
     if (orders.question)
         ask(*orders.question);
 }
@@ -178,29 +179,32 @@
     });
 }
 
-void DispatcherService::sendStart(const scheduler::StartOrder& order, int attempt)
+void DispatcherService::sendStart(const scheduler::StartOrder& order, std::uint64_t number, int attempt)
 {
+    const scheduler::Millis sentAt = nowMs();
     const auto link = m_links.find(order.worker);
     if (link == m_links.end()) {
-        scheduler::applyStart(*m_scheduler, order, scheduler::StartOutcome::Refused, nowMs());
+        scheduler::recordEnd(m_window, number, sentAt, true, sentAt);
+        scheduler::applyStart(*m_scheduler, order,
+            attempt > 1 ? scheduler::StartOutcome::Unknown : scheduler::StartOutcome::Refused, sentAt);
         return;
     }
-    const scheduler::Millis sentAt = nowMs();
     const std::weak_ptr<int> generation = m_generation;
     link->second.calls->start(
-        m_term->token(), order, [this, generation, order, attempt, sentAt](platform::StartAnswer answer) {
+        m_term->token(), order, [this, generation, order, number, attempt, sentAt](platform::StartAnswer answer) {
             if (generation.expired())
                 return;
             const scheduler::Millis now = nowMs();
             scheduler::StartOutcome outcome = answer.outcome;
             const bool isLost = answer.failure != http::Failure::None;
+            scheduler::recordEnd(m_window, number, sentAt, isLost && outcome != scheduler::StartOutcome::Unsent, now);
             m_load.recordOrderWait(answer.waitedMs);
             ++(isLost ? m_load.counts().startsLost : m_load.counts().startsAnswered);
             m_load.counts().startsUnsent += outcome == scheduler::StartOutcome::Unsent ? 1 : 0;
             if (answer.clockMs > 0 && outcome != scheduler::StartOutcome::OtherLife)
                 scheduler::applyClock(*m_scheduler, order.worker, answer.clockMs, now);
             if (outcome == scheduler::StartOutcome::Unknown && attempt < startAttempts) {
-                sendStart(order, attempt + 1);
+                sendStart(order, number, attempt + 1);
                 return;
             }
             // A refusal of the second attempt says nothing about the first.
--- a/src/daemon/load_watch.h
+++ b/src/daemon/load_watch.h
@@ -37,6 +37,8 @@
     int startsUnsent = 0; // part of startsLost: gave up before the first byte was written
     int stopsAnswered = 0;
     int stopsLost = 0;          // without an answer, or never sent
+    int startWindow = 0;        // starts that may be under way
+    int startAgeMs = 0;         // smoothed time from a start to its answer
     int longestOrderWaitMs = 0; // from the plan until the first byte was written
 };
 
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -280,6 +280,11 @@
         });
     }
 
+    bool isLimitReached(const Planner& planner)
+    {
+        return static_cast<int>(planner.orders.starts.size()) >= planner.scheduler.startLimit;
+    }
+
     void placeStep(Planner& planner, const Candidate& candidate)
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
@@ -297,6 +302,8 @@
         }
         for (int i = 0; i < step.count; ++i) {
             const TaskRef ref = refOf(candidate, i);
+            if (isLimitReached(planner))
+                return;
             if (ref.task->phase != TaskPhase::Waiting)
                 continue;
             const bool isFirstRun = ref.task->run == 0;
@@ -391,8 +398,11 @@
         return std::tuple(!a.isRestart, a.job->policy.priority, a.timeliness, a.deadlineUnixMs, a.job->request.id)
             < std::tuple(!b.isRestart, b.job->policy.priority, b.timeliness, b.deadlineUnixMs, b.job->request.id);
     });
-    for (const Candidate& candidate : planner.candidates)
+    for (const Candidate& candidate : planner.candidates) {
+        if (isLimitReached(planner))
+            break;
         placeStep(planner, candidate);
+    }
     planner.stepOnWorker.clear();
     planner.orders.question = nextQuestion(planner, [&](const Worker& worker, const TaskRef& ref) {
         const bool isPossible = isUsable(scheduler, worker) && worker.entry.service == ref.job->policy.service
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -24,6 +24,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -265,7 +266,8 @@
     // --- Term ---
     std::int64_t token = 0;
     Millis termStartedAt = 0;
-    Millis validUntil = 0;      // nothing starts after this
+    Millis validUntil = 0;                            // nothing starts after this
+    int startLimit = std::numeric_limits<int>::max(); // starts that the next plan may order; a gang may go beyond
     bool isAccounted = false;   // every worker has reported or expired: unknown tasks may be placed
     bool hasWorkerList = false; // the list of workers was read in this term
     // --- For the services ---
--- /dev/null
+++ b/tests/order_window_test.cpp
@@ -0,0 +1,121 @@
+// Tests of the bound on starts under way: a slow daemon orders less, a quick one is not held back.
+#include "scheduler/order_window.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+
+namespace {
+
+using namespace lacewing::scheduler;
+
+// A daemon that handles so many starts each millisecond, in order, and drops those older than 400 ms unsent.
+struct SlowDaemon {
+    double perMs = 0;
+    int backlogFromOthers = 0; // starts that it has to handle first
+    int handled = 0;
+    int expired = 0;
+    OrderWindow window;
+
+    void run(Millis length)
+    {
+        const Millis end = m_now + length;
+        for (; m_now < end; ++m_now) {
+            if (m_now % 20 == 0) {
+                for (int i = openStarts(window, m_now); i > 0; --i)
+                    m_queue.push_back({ recordOrder(window, m_now), m_now });
+            }
+            for (m_work += perMs; m_work >= 1; m_work -= 1)
+                handleNext();
+        }
+    }
+
+private:
+    struct Queued {
+        std::uint64_t number;
+        Millis at;
+    };
+
+    void handleNext()
+    {
+        if (backlogFromOthers > 0) {
+            --backlogFromOthers;
+            return;
+        }
+        if (m_queue.empty())
+            return;
+        const Queued next = m_queue.front();
+        m_queue.pop_front();
+        constexpr Millis timeoutMs = 400;
+        const bool isExpired = m_now - next.at >= timeoutMs;
+        ++(isExpired ? expired : handled);
+        recordEnd(window, next.number, next.at, false, m_now);
+    }
+
+    std::deque<Queued> m_queue;
+    Millis m_now = 1000;
+    double m_work = 0;
+};
+
+class OrderWindowTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(OrderWindowTest);
+    CPPUNIT_TEST(ordersOfASlowDaemonDoNotExpire);
+    CPPUNIT_TEST(overloadEndsWithItsCause);
+    CPPUNIT_TEST(quickDaemonsAreNotHeldBack);
+    CPPUNIT_TEST(silentWorkersDoNotCloseTheWindow);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a daemon that orders more than it can send.
+    void ordersOfASlowDaemonDoNotExpire()
+    {
+        SlowDaemon daemon;
+        daemon.perMs = 0.05;
+        daemon.run(5000);
+        const int before = daemon.expired;
+        daemon.run(20000);
+        CPPUNIT_ASSERT_EQUAL(0, daemon.expired - before);
+        CPPUNIT_ASSERT(daemon.handled > 0.9 * 25000 * daemon.perMs);
+    }
+
+    // Guards against an overload that stays when its cause is gone.
+    void overloadEndsWithItsCause()
+    {
+        SlowDaemon daemon;
+        daemon.perMs = 0.5;
+        daemon.run(5000);
+        daemon.backlogFromOthers = 1000;
+        daemon.run(4000);
+        const int expired = daemon.expired;
+        const int handled = daemon.handled;
+        daemon.run(5000);
+        CPPUNIT_ASSERT_EQUAL(0, daemon.expired - expired);
+        CPPUNIT_ASSERT(daemon.handled - handled > 0.9 * 5000 * daemon.perMs);
+    }
+
+    // Guards against a window that holds back a daemon with time to spare.
+    void quickDaemonsAreNotHeldBack()
+    {
+        SlowDaemon daemon;
+        daemon.perMs = 5;
+        daemon.run(5000);
+        const int handled = daemon.handled;
+        daemon.run(5000);
+        CPPUNIT_ASSERT(daemon.handled - handled > 0.9 * 5000 * daemon.perMs);
+    }
+
+    // Guards against starts that wait because some workers do not answer.
+    void silentWorkersDoNotCloseTheWindow()
+    {
+        OrderWindow window;
+        Millis now = 1000;
+        const int open = openStarts(window, now);
+        for (int i = 0; i < open; ++i)
+            recordOrder(window, now);
+        CPPUNIT_ASSERT_EQUAL(0, openStarts(window, now + 100));
+        CPPUNIT_ASSERT_EQUAL(open, openStarts(window, now + 1000));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OrderWindowTest);
+
+} // namespace
