Give the term to a clearly stronger daemon once it is there

A leader that knows where all tasks are looks once a second for a peer with clearly more processor time that reaches the store, and resigns in its favour as for a planned stop, with the placements of its tasks. Equals never give way to each other.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -20,9 +20,10 @@
     constexpr scheduler::Millis expiredPeriodMs
         = 200; // ms between removals of old records; 40 jobs/s, above the target's peak
     constexpr std::size_t longestFeed = 100000; // changes of states that other daemons may still ask for; some 5 MB
-    constexpr int retryMs = 250;                // ms after a failed call to the store
-    constexpr int watchWaitMs = 2000;           // ms; a silent connection is noticed within this and the store's margin
-    constexpr int watchGapMs = 40;              // ms between watch calls, which gathers jobs that arrive together
+    constexpr scheduler::Millis strongerPeriodMs = 1000; // ms between looks for a stronger daemon
+    constexpr int retryMs = 250;                         // ms after a failed call to the store
+    constexpr int watchWaitMs = 2000; // ms; a silent connection is noticed within this and the store's margin
+    constexpr int watchGapMs = 40;    // ms between watch calls, which gathers jobs that arrive together
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction, the term's own entries off
 
     bool endsWith(const std::string& text, const std::string& suffix)
@@ -67,6 +68,7 @@
         if (!m_isLoaded)
             return;
         m_load.tick(base::milliseconds(tickMs));
+        resignForStronger();
         renewDue();
         if (!m_isListingWorkers && nowMs() - m_workersListedAt >= m_runtime.settings.workerListMs)
             listWorkers();
@@ -81,6 +83,7 @@
     m_scheduler = std::make_unique<scheduler::Scheduler>();
     m_scheduler->limits = toLimits(m_runtime.settings);
     m_nextPlanAt = 0;
+    m_strongerSoughtAt = nowMs();
     m_window = {};
     m_generation = std::make_shared<int>(0);
     m_loadGeneration = m_generation;
@@ -117,6 +120,21 @@
     });
 }
 
+// A planned change of the term costs a fraction of a second, a leader without enough processor time each second of its
+// term.
+void DispatcherService::resignForStronger()
+{
+    const scheduler::Millis now = nowMs();
+    if (m_term->isResigning() || !m_scheduler->isAccounted || now - m_strongerSoughtAt < strongerPeriodMs)
+        return;
+    m_strongerSoughtAt = now;
+    if (!election::hasStrongerSuccessor(m_term->state(), now))
+        return;
+    std::vector<platform::Write> records = lastRecords();
+    if (!records.empty())
+        m_term->resign("a stronger daemon is there", std::move(records), [] {});
+}
+
 // --- Jobs ---
 
 void DispatcherService::applyAccepted(const platform::Item& item, bool isNewInTerm)
@@ -325,7 +343,7 @@
 {
     if (!m_isLoaded || nowMs() < m_nextPlanAt)
         return;
-    m_scheduler->validUntil = m_runtime.isStopping ? 0 : m_term->validUntil();
+    m_scheduler->validUntil = m_runtime.isStopping || m_term->isResigning() ? 0 : m_term->validUntil();
     m_scheduler->validUntil = m_configuration->isLoaded() ? m_scheduler->validUntil : 0;
     const scheduler::Millis begun = nowMs();
     m_scheduler->startLimit = scheduler::openStarts(m_window, begun);
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -69,6 +69,8 @@
     // Removes the records of jobs that ended long ago.
     void removeExpired();
     void loadInterference();
+    // Gives the term to a daemon with clearly more processor time, once this term knows where all tasks are.
+    void resignForStronger();
 
     // --- Workers ---
     void renewDue();
@@ -113,6 +115,7 @@
     bool m_isPlanQueued = false;
     scheduler::Millis m_nextPlanAt = 0; // leaves processor time for calls when plans take long
     scheduler::OrderWindow m_window;
+    scheduler::Millis m_strongerSoughtAt = 0;
 
     QTimer m_tick;
     scheduler::Millis m_workersListedAt = 0;
