Send the list of members only to daemons that lack it

Cause: each of the 44 followers of a grown deployment asks five times a second, and each answer held two lists of all daemons, encoded and parsed anew, and a count of the waiting jobs over all open jobs.

Change: the list has a version (process, term, number). A follower names the version that it holds; an answer without the list means exactly that one, and a follower that does not hold it takes the answer for no contact. The list is encoded once for each change, the waiting jobs are counted at most every 50 ms; the answer tells the age of the count, so that followers still know how old their numbers are. Daemons of the former version get the whole list.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -23,6 +23,8 @@
     constexpr int failuresUntilRedial = 2; // a silent connection is replaced after so many lost answers
     constexpr int changesPerReply = 500;   // job states in one answer
     constexpr scheduler::Millis probeMs = 400; // ms between reads of the store on behalf of a leader that has lost it
+    constexpr scheduler::Millis pendingMs
+        = 50; // ms between counts of waiting jobs; the period of this daemon's own table
 
     peer::PeerLimits peerLimits()
     {
@@ -31,6 +33,14 @@
         return limits;
     }
 
+    // A JSON object and further members as text.
+    QByteArray encodeReply(const QJsonObject& reply, const QByteArray& members)
+    {
+        QByteArray text = QJsonDocument(reply).toJson(QJsonDocument::Compact);
+        text.chop(1); // the closing brace
+        return text + ',' + members + '}';
+    }
+
 } // namespace
 
 SyncService::SyncService(Runtime& runtime)
@@ -108,7 +118,8 @@
         { "feedHave", static_cast<qint64>(m_feedHave) }, { "incarnation", static_cast<qint64>(m_runtime.incarnation) },
         { "processorShare", m_runtime.settings.processorShare },
         { "storeAgeMs", static_cast<qint64>(health.answeredAt > 0 ? now - health.answeredAt : -1) },
-        { "isStopping", m_runtime.isStopping }, { "policyRevision", static_cast<qint64>(m_policy->revision()) } };
+        { "isStopping", m_runtime.isStopping }, { "policyRevision", static_cast<qint64>(m_policy->revision()) },
+        { "membersHave", encodeVersion(m_copy.version()) } };
     m_client->request(QJsonDocument(request).toJson(QJsonDocument::Compact),
         [this, asked = Asked { now, m_term->state().record->leader, m_term->state().record->incarnation }](
             const base::Result<QByteArray, peer::PeerError>& result) {
@@ -144,12 +155,15 @@
             election::observeLeaderDeath(state, asked.leader, asked.incarnation);
         return;
     }
+    if (!m_copy.apply(reply)) {
+        kernel::logEvent(kernel::LogLevel::Error, "sync", "replyRefused",
+            { { "address", m_clientAddress },
+                { "detail", "the answer refers to a list of members that is not known" } });
+        return; // its number is not confirmed, so that the leader does not count on a promise
+    }
     const scheduler::Millis now = nowMs();
     m_lastReply = reply["number"].toInteger();
-    std::set<std::string> members;
-    for (const QJsonValue member : reply["members"].toArray())
-        members.insert(base::textOf(member));
-    election::observeContact(state, reply["revision"].toInteger(), members, now);
+    election::observeContact(state, reply["revision"].toInteger(), m_copy.names(), now);
     if (!m_hasContact)
         kernel::logEvent(kernel::LogLevel::Info, "sync", "dependencyRegained",
             { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
@@ -162,13 +176,9 @@
     }
     if (reply["hasLostStore"].toBool())
         probeStore();
-    m_policy->memberRevisions().clear();
-    const QJsonObject revisions = reply["policyRevisions"].toObject();
-    for (auto it = revisions.begin(); it != revisions.end(); ++it) {
-        const auto revision = static_cast<base::Revision>(it.value().toInteger());
-        m_policy->memberRevisions()[it.key().toStdString()] = revision;
+    m_policy->memberRevisions() = m_copy.revisions();
+    for (const auto& [member, revision] : m_copy.revisions())
         m_policy->learnRevision(revision);
-    }
     if (!reply["isLoaded"].toBool())
         return;
     m_feedTerm = reply["token"].toInteger();
@@ -181,7 +191,7 @@
     m_table->pending.clear();
     for (auto it = pending.begin(); it != pending.end(); ++it)
         m_table->pending[it.key().toStdString()] = it.value().toInt();
-    m_table->freshAt = asked.at;
+    m_table->freshAt = asked.at - reply["pendingAgeMs"].toInteger();
 }
 
 void SyncService::probeStore()
@@ -224,22 +234,12 @@
     reply["number"] = static_cast<qint64>(last.number);
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
-    QJsonArray members;
-    const std::set<std::string> known = election::knownMembers(state, now);
-    for (const std::string& member : known)
-        members.append(QString::fromStdString(member));
-    reply["members"] = members;
     double largestShare = 0; // of those that may follow this daemon
     for (const auto& [name, peer] : state.peers)
         largestShare = std::max(largestShare, peer.processorShare);
     reply["largestShare"] = largestShare;
-    m_policy->memberRevisions()[daemon] = static_cast<base::Revision>(request["policyRevision"].toInteger());
-    m_policy->memberRevisions()[m_runtime.settings.daemon] = m_policy->revision();
-    std::erase_if(m_policy->memberRevisions(), [&](const auto& entry) { return known.count(entry.first) == 0; });
-    QJsonObject revisions;
-    for (const std::string& member : known)
-        revisions[QString::fromStdString(member)] = static_cast<qint64>(m_policy->memberRevisions()[member]);
-    reply["policyRevisions"] = revisions;
+    updateMembers(daemon, request, now);
+    const QByteArray members = m_members.encodeFor(decodeVersion(request["membersHave"]));
     reply["hasLostStore"] = !isStoreReachable(m_runtime);
     if (election::successor(state, m_runtime.store->health().failingSince, now) == daemon) {
         kernel::logEvent(kernel::LogLevel::Warning, "sync", "handOver",
@@ -247,12 +247,41 @@
                 { "successorStoreAgeMs", storeAge } });
         reply["successor"] = QString::fromStdString(daemon);
         m_term->handOver();
-        return QJsonDocument(reply).toJson(QJsonDocument::Compact);
+        return encodeReply(reply, members);
     }
     reply["isLoaded"] = m_dispatcher->scheduler() != nullptr;
-    if (m_dispatcher->scheduler())
-        addChanges(reply, request["feedTerm"].toInteger(), request["feedHave"].toInteger());
-    return QJsonDocument(reply).toJson(QJsonDocument::Compact);
+    if (!m_dispatcher->scheduler())
+        return encodeReply(reply, members);
+    addChanges(reply, request["feedTerm"].toInteger(), request["feedHave"].toInteger());
+    updatePending(now);
+    reply["pendingAgeMs"] = static_cast<qint64>(now - m_pendingAt);
+    return encodeReply(reply, members + ',' + m_pending);
+}
+
+void SyncService::updateMembers(const std::string& daemon, const QJsonObject& request, scheduler::Millis now)
+{
+    const election::Election& state = m_term->state();
+    MemberRevisions& revisions = m_policy->memberRevisions();
+    revisions[daemon] = static_cast<base::Revision>(request["policyRevision"].toInteger());
+    revisions[m_runtime.settings.daemon] = m_policy->revision();
+    const std::set<std::string> known = election::knownMembers(state, now);
+    std::erase_if(revisions, [&known](const auto& entry) { return known.count(entry.first) == 0; });
+    for (const std::string& member : known)
+        revisions.try_emplace(member, 0); // not told yet
+    m_members.update(m_runtime.incarnation, state.token, revisions);
+}
+
+void SyncService::updatePending(scheduler::Millis now)
+{
+    if (m_pendingTerm == m_term->token() && now - m_pendingAt < pendingMs)
+        return;
+    m_pendingTerm = m_term->token();
+    m_pendingAt = now;
+    QJsonObject pending;
+    for (const auto& [queue, jobs] : scheduler::pendingJobs(*m_dispatcher->scheduler()))
+        pending[QString::fromStdString(queue)] = jobs;
+    const QByteArray text = QJsonDocument(QJsonObject { { "pending", pending } }).toJson(QJsonDocument::Compact);
+    m_pending = text.mid(1, text.size() - 2);
 }
 
 void SyncService::addChanges(QJsonObject& reply, std::int64_t term, std::int64_t have) const
@@ -267,10 +296,6 @@
             QLatin1String(nameOf(scheduler::jobStateNames, feed[position].state)) });
     reply["changes"] = changes;
     reply["next"] = static_cast<qint64>(begin + static_cast<std::int64_t>(position));
-    QJsonObject pending;
-    for (const auto& [queue, jobs] : scheduler::pendingJobs(*m_dispatcher->scheduler()))
-        pending[QString::fromStdString(queue)] = jobs;
-    reply["pending"] = pending;
 }
 
 void registerSyncService(Runtime& runtime)
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -4,6 +4,7 @@
 // answers come (see election/election.h). It also carries the hand-over of the term to a daemon that reaches the store.
 #pragma once
 
+#include "daemon/member_list.h"
 #include "daemon/runtime.h"
 #include "peer/peer.h"
 
@@ -50,6 +51,8 @@
     void applyReply(const QJsonObject& reply, const Asked& asked);
     void probeStore();
     QByteArray answer(const QByteArray& request);
+    void updateMembers(const std::string& daemon, const QJsonObject& request, scheduler::Millis now);
+    void updatePending(scheduler::Millis now);
     void addChanges(QJsonObject& reply, std::int64_t term, std::int64_t have) const;
 
     Runtime& m_runtime;
@@ -68,6 +71,7 @@
     std::int64_t m_lastReply = 0; // number of the last answer received
     std::int64_t m_feedTerm = 0;
     std::int64_t m_feedHave = 0;
+    MemberCopy m_copy; // of the leader's list
     bool m_hasContact = false;
     scheduler::Millis m_probedAt = 0;
 
@@ -75,6 +79,10 @@
     std::int64_t m_replies = 0;
     std::map<std::string, Reply> m_sent; // last answer by daemon
     std::set<std::string> m_told;        // daemons that have been sent the resignation
+    MemberList m_members;
+    QByteArray m_pending; // numbers of waiting jobs by queue, as a member of the answer
+    std::int64_t m_pendingTerm = 0;
+    scheduler::Millis m_pendingAt = 0;
 };
 
 void registerSyncService(Runtime& runtime);
