Add a cache of decoded worker entries

Cause: the scheduling daemon lists the entries of all workers once a second and decodes each of them, although only the heartbeat has changed in most.

Change: WorkerEntryCache compares an entry with the same worker's last one and decodes it again when more than the numbers of seq and clock_ms differ. The dispatcher does not use it yet.

--- a/tests/platform_documents_test.cpp
+++ b/tests/platform_documents_test.cpp
@@ -1,4 +1,5 @@
 // Tests of the adapter's decoders: every field ends up where it belongs, and foreign bytes are refused.
+#include "base/rng.h"
 #include "platform/documents.h"
 #include "scheduler/record.h"
 
@@ -9,10 +10,29 @@
 using namespace lacewing;
 using namespace lacewing::platform;
 
+QByteArray workerText(const QByteArray& address, qint64 sequence, const QByteArray& state = "ready")
+{
+    return R"({"address":")" + address + R"(","backend":"pool","born":99,"capacity":{"cpu":16000,"mem_mb":32768},)"
+        + R"("clock_ms":)" + QByteArray::number(1000 * sequence + 7) + R"(,"labels":["a","r1"],"machine":"m",)"
+        + R"("remaining_ms":0,"seq":)" + QByteArray::number(sequence) + R"(,"state":")" + state + R"(","zone":"z"})";
+}
+
+bool isEqual(const std::optional<scheduler::WorkerEntry>& a, const std::optional<scheduler::WorkerEntry>& b)
+{
+    if (!a || !b)
+        return !a && !b;
+    return a->id == b->id && a->service == b->service && a->address == b->address && a->dataCentre == b->dataCentre
+        && a->machine == b->machine && a->labels == b->labels && a->capacity.cpuMillicores == b->capacity.cpuMillicores
+        && a->capacity.memoryMb == b->capacity.memoryMb && a->capacity.gpus == b->capacity.gpus
+        && a->bornUnixMs == b->bornUnixMs && a->isDraining == b->isDraining && a->remainingMs == b->remainingMs;
+}
+
 class PlatformDocumentsTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PlatformDocumentsTest);
     CPPUNIT_TEST(configurationIsDecoded);
     CPPUNIT_TEST(workerEntriesOfOtherWritersAreRefused);
+    CPPUNIT_TEST(changedEntriesAreDecodedAgain);
+    CPPUNIT_TEST(cachedEntriesEqualDecodedOnesForAnyBytes);
     CPPUNIT_TEST(everyFieldOfAJobIsDecodedAndStored);
     CPPUNIT_TEST(badJobsAreRefusedWithAReason);
     CPPUNIT_TEST(jobIdsAreSixteenHexadecimalDigits);
@@ -95,6 +115,76 @@
         CPPUNIT_ASSERT(decodeJob("0123456789abcdef", longSpec).has_error());
     }
 
+    // Guards against placing work by an entry that has changed, gone away, come back or been overwritten.
+    void changedEntriesAreDecodedAgain()
+    {
+        WorkerEntryCache cache;
+        const auto check = [&cache](const std::string& id, const QByteArray& bytes) {
+            const std::optional<scheduler::WorkerEntry> plain = decodeWorker(id, bytes);
+            CPPUNIT_ASSERT_MESSAGE(bytes.toStdString(), isEqual(plain, cache.decode(id, bytes)));
+            return plain.has_value();
+        };
+        CPPUNIT_ASSERT(check("i-1", workerText("h:1", 9)));
+        CPPUNIT_ASSERT(check("i-2", workerText("h:2", 9)));
+        cache.endList();
+        CPPUNIT_ASSERT(check("i-1", workerText("h:1", 10)));
+        CPPUNIT_ASSERT(check("i-1", workerText("h:2", 10)));
+        CPPUNIT_ASSERT(check("i-1", workerText("h:2", 11, "draining")));
+        cache.endList();
+        CPPUNIT_ASSERT(check("i-2", workerText("h:3", 11))); // away from one list
+        CPPUNIT_ASSERT(!check("i-1", "garbage"));
+        CPPUNIT_ASSERT(!check("i-1", ""));
+        CPPUNIT_ASSERT(check("i-1", workerText("h:2", 12)));
+        QByteArray other = workerText("h:2", 12);
+        other.replace("\"seq\":12", "\"seq\":012"); // no valid JSON
+        CPPUNIT_ASSERT(!check("i-1", other));
+        CPPUNIT_ASSERT(!check("i-1", other));
+        CPPUNIT_ASSERT(check("i-1", workerText("h:2", 12)));
+        other = workerText("h:2", 12);
+        other.replace("\"seq\":12", "\"seq\":\"12\"");
+        CPPUNIT_ASSERT(check("i-1", other));
+        for (const char* address : { "h\\\",\\\"seq\\\":1,", "h\\\",\\\"seq\\\":2,", "h\\\\", "\\\"seq\\\":3" })
+            CPPUNIT_ASSERT(check("i-1", workerText(address, 13)));
+        QByteArray capacity = workerText("h:2", 13);
+        capacity.replace("\"cpu\":16000", "\"cpu\":8000");
+        CPPUNIT_ASSERT(check("i-1", capacity));
+    }
+
+    // Guards against taking one entry for another on the ground of a comparison that reads JSON differently.
+    void cachedEntriesEqualDecodedOnesForAnyBytes()
+    {
+        const std::vector<QByteArray> pieces { "\"", "\\", "\"seq\":", "\"clock_ms\":", "1", "0", "-", ".5", "e9", ",",
+            "}", "{", "[", "]", " ", "\n", "99999999999999999999", "\"seq\"", "seq", "\"cpu\":", QByteArray(1, '\0'),
+            "\xff" };
+        for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+            base::Rng rng(seed);
+            WorkerEntryCache cache;
+            QByteArray bytes = workerText("h:1", 1);
+            for (int i = 0; i < 100; ++i) {
+                const auto at = static_cast<qsizetype>(base::below(rng, static_cast<std::uint64_t>(bytes.size()) + 1));
+                const QByteArray& piece = pieces[base::below(rng, pieces.size())];
+                switch (base::below(rng, 4)) {
+                case 0:
+                    bytes = workerText("h:1", static_cast<qint64>(base::below(rng, 3000)));
+                    break;
+                case 1:
+                    bytes.insert(at, piece);
+                    break;
+                case 2:
+                    bytes.remove(at, 1);
+                    break;
+                default: {
+                    const qsizetype number = bytes.indexOf("\"seq\":", at);
+                    if (number >= 0)
+                        bytes.insert(number + 6, piece);
+                }
+                }
+                CPPUNIT_ASSERT_MESSAGE(
+                    bytes.toStdString(), isEqual(decodeWorker("i-1", bytes), cache.decode("i-1", bytes)));
+            }
+        }
+    }
+
     void jobIdsAreSixteenHexadecimalDigits()
     {
         CPPUNIT_ASSERT(isJobId("0123456789abcdef"));
