Test the form of progress records and any content of them

Cause: a faster encoder of these records was weighed; nothing tested the form that daemons of other versions read, nor texts that need escapes.

Change: two tests.

--- a/tests/platform_documents_test.cpp
+++ b/tests/platform_documents_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/documents.h"
 #include "scheduler/record.h"
 
+#include <QJsonDocument>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace {
@@ -37,6 +38,8 @@
     CPPUNIT_TEST(badJobsAreRefusedWithAReason);
     CPPUNIT_TEST(jobIdsAreSixteenHexadecimalDigits);
     CPPUNIT_TEST(progressSurvivesTheRecord);
+    CPPUNIT_TEST(progressRecordsKeepTheirForm);
+    CPPUNIT_TEST(anyProgressSurvivesTheRecord);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -220,6 +223,82 @@
         CPPUNIT_ASSERT(!scheduler::decodeAccepted("{\"id\":\"j\",\"steps\":[{\"count\":-1}]}"));
         CPPUNIT_ASSERT(!scheduler::decodeAccepted("{\"id\":\"j\",\"steps\":[{\"count\":1,\"after\":[0]}]}"));
     }
+
+    // Guards against records that a daemon of another version does not read.
+    void progressRecordsKeepTheirForm()
+    {
+        scheduler::Scheduler state;
+        scheduler::JobRequest request;
+        request.id = "0123456789abcdef";
+        request.steps.resize(2);
+        request.steps[0].count = 4;
+        request.steps[1].count = 1;
+        scheduler::Job& job = scheduler::addJob(state, request, {}, 0, 0);
+        auto& tasks = job.occurrences.at(0).steps.at(0).tasks;
+        tasks[0].phase = scheduler::TaskPhase::Done;
+        tasks[0].endedRun = 1;
+        tasks[1].phase = scheduler::TaskPhase::Failed;
+        tasks[1].endedRun = 4;
+        tasks[1].failedRuns = { 2, 4 };
+        tasks[2].failedRuns = { 1 };
+        tasks[2].checkpoint = "a\"b\\\n\xc3\xa4";
+        tasks[3].endedRun = 12;
+        tasks[3].checkpoint = "00000bb87a21d94b";
+        job.version = 9;
+        job.hasStarted = true;
+        const auto parsed = [](const QByteArray& bytes) { return QJsonDocument::fromJson(bytes); };
+        const QByteArray expected = R"({"state":")" + QByteArray(nameOf(scheduler::jobStateNames, job.state).data())
+            + R"(","version":9,"hasStarted":true,"endedUnixMs":0,"occurrences":{"0":[{"tasks":"df..",)"
+            + R"("endedRuns":{"1":4,"3":12},"failedRuns":{"1":[2,4],"2":[1]},)"
+            + "\"checkpoints\":{\"2\":\"a\\\"b\\\\\\n\xc3\xa4\",\"3\":\"00000bb87a21d94b\"}},{\"tasks\":\".\"}]}}";
+        CPPUNIT_ASSERT(parsed(expected).isObject());
+        CPPUNIT_ASSERT_EQUAL(
+            parsed(expected).toJson().toStdString(), parsed(scheduler::encodeProgress(job)).toJson().toStdString());
+        job.state = scheduler::JobState::Completed;
+        job.endedUnixMs = 1764857165123;
+        CPPUNIT_ASSERT_EQUAL(
+            parsed(R"({"state":"completed","version":9,"hasStarted":true,"endedUnixMs":1764857165123})")
+                .toJson()
+                .toStdString(),
+            parsed(scheduler::encodeProgress(job)).toJson().toStdString());
+    }
+
+    // Guards against checkpoints and run numbers that are written in a way that is read differently.
+    void anyProgressSurvivesTheRecord()
+    {
+        for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+            base::Rng rng(seed);
+            scheduler::Scheduler state;
+            scheduler::JobRequest request;
+            request.id = "0123456789abcdef";
+            request.steps.resize(1 + base::below(rng, 3));
+            for (scheduler::Step& step : request.steps)
+                step.count = 1 + static_cast<int>(base::below(rng, 25));
+            scheduler::Job& job = scheduler::addJob(state, request, {}, 0, 0);
+            for (scheduler::StepProgress& step : job.occurrences.at(0).steps) {
+                for (scheduler::Task& task : step.tasks) {
+                    task.phase = base::chance(rng, 0.2) ? scheduler::TaskPhase::Failed : scheduler::TaskPhase::Waiting;
+                    task.endedRun = base::chance(rng, 0.5) ? static_cast<int>(base::below(rng, 1000)) : 0;
+                    for (std::uint64_t i = base::below(rng, 3); i > 0; --i)
+                        task.failedRuns.push_back(static_cast<int>(base::below(rng, 1000)));
+                    for (std::uint64_t i = base::below(rng, 8); i > 0; --i)
+                        task.checkpoint += static_cast<char>(base::below(rng, 128)); // control characters included
+                }
+            }
+            scheduler::Scheduler next;
+            scheduler::Job& copy = scheduler::addJob(next, request, {}, 0, 0);
+            CPPUNIT_ASSERT(scheduler::restoreProgress(copy, scheduler::encodeProgress(job)));
+            for (std::size_t i = 0; i < request.steps.size(); ++i) {
+                const auto& tasks = job.occurrences.at(0).steps[i].tasks;
+                const auto& restored = copy.occurrences.at(0).steps[i].tasks;
+                for (std::size_t k = 0; k < tasks.size(); ++k) {
+                    CPPUNIT_ASSERT(restored[k].phase == tasks[k].phase && restored[k].endedRun == tasks[k].endedRun);
+                    CPPUNIT_ASSERT(restored[k].failedRuns == tasks[k].failedRuns);
+                    CPPUNIT_ASSERT(restored[k].checkpoint == tasks[k].checkpoint);
+                }
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDocumentsTest);
