Encode the changes of jobs' states as text

Cause: each change is encoded once for each of the other daemons, and most of that time went into JSON values that are thrown away.

Change: the changes are written as text; ids that need escapes go through Qt's encoder.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -4,6 +4,7 @@
 #include "base/json.h"
 #include "daemon/configuration_service.h"
 #include "daemon/dispatcher_service.h"
+#include "daemon/job_changes.h"
 #include "daemon/job_table.h"
 #include "daemon/policy_service.h"
 #include "daemon/term_service.h"
@@ -12,6 +13,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <algorithm>
+#include <span>
 
 namespace lacewing::daemon {
 
@@ -21,8 +23,8 @@
     constexpr scheduler::Millis tellMs
         = 600;                             // ms that a resigned daemon stays to say so; above two periods of messages
     constexpr int failuresUntilRedial = 2; // a silent connection is replaced after so many lost answers
-    constexpr int changesPerReply = 500;   // job states in one answer
-    constexpr scheduler::Millis probeMs = 400; // ms between reads of the store on behalf of a leader that has lost it
+    constexpr std::size_t changesPerReply = 500; // job states in one answer
+    constexpr scheduler::Millis probeMs = 400;   // ms between reads of the store on behalf of a leader that has lost it
     constexpr scheduler::Millis pendingMs
         = 50; // ms between counts of waiting jobs; the period of this daemon's own table
 
@@ -252,10 +254,11 @@
     reply["isLoaded"] = m_dispatcher->scheduler() != nullptr;
     if (!m_dispatcher->scheduler())
         return encodeReply(reply, members);
-    addChanges(reply, request["feedTerm"].toInteger(), request["feedHave"].toInteger());
+    const QByteArray changes
+        = encodeNewChanges(reply, request["feedTerm"].toInteger(), request["feedHave"].toInteger());
     updatePending(now);
     reply["pendingAgeMs"] = static_cast<qint64>(now - m_pendingAt);
-    return encodeReply(reply, members + ',' + m_pending);
+    return encodeReply(reply, members + ",\"changes\":" + changes + ',' + m_pending);
 }
 
 void SyncService::updateMembers(const std::string& daemon, const QJsonObject& request, scheduler::Millis now)
@@ -284,18 +287,15 @@
     m_pending = text.mid(1, text.size() - 2);
 }
 
-void SyncService::addChanges(QJsonObject& reply, std::int64_t term, std::int64_t have) const
+QByteArray SyncService::encodeNewChanges(QJsonObject& reply, std::int64_t term, std::int64_t have) const
 {
-    const std::vector<scheduler::JobChange>& feed = m_dispatcher->feed();
+    const std::span<const scheduler::JobChange> feed = m_dispatcher->feed();
     const std::int64_t begin = m_dispatcher->feedBegin();
-    std::size_t position
-        = term == m_term->token() ? static_cast<std::size_t>(std::max<std::int64_t>(0, have - begin)) : 0;
-    QJsonArray changes;
-    for (; position < feed.size() && changes.size() < changesPerReply; ++position)
-        changes.append(QJsonArray { QString::fromStdString(feed[position].id),
-            QLatin1String(nameOf(scheduler::jobStateNames, feed[position].state)) });
-    reply["changes"] = changes;
-    reply["next"] = static_cast<qint64>(begin + static_cast<std::int64_t>(position));
+    const std::int64_t wanted = term == m_term->token() ? std::max<std::int64_t>(0, have - begin) : 0;
+    const std::size_t position = std::min(static_cast<std::size_t>(wanted), feed.size());
+    const std::size_t count = std::min(changesPerReply, feed.size() - position);
+    reply["next"] = static_cast<qint64>(begin + wanted + static_cast<std::int64_t>(count));
+    return encodeChanges(feed.subspan(position, count));
 }
 
 void registerSyncService(Runtime& runtime)
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -53,7 +53,8 @@
     QByteArray answer(const QByteArray& request);
     void updateMembers(const std::string& daemon, const QJsonObject& request, scheduler::Millis now);
     void updatePending(scheduler::Millis now);
-    void addChanges(QJsonObject& reply, std::int64_t term, std::int64_t have) const;
+    // The changes that a daemon with this position in the feed of a term lacks; adds its next position to the reply.
+    QByteArray encodeNewChanges(QJsonObject& reply, std::int64_t term, std::int64_t have) const;
 
     Runtime& m_runtime;
     TermService* m_term = nullptr;
--- /dev/null
+++ b/tests/daemon_job_changes_test.cpp
@@ -0,0 +1,54 @@
+// Tests of the changes of states between daemons.
+#include "base/rng.h"
+#include "daemon/job_changes.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace lacewing;
+using namespace lacewing::daemon;
+
+class DaemonJobChangesTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DaemonJobChangesTest);
+    CPPUNIT_TEST(changesKeepTheirForm);
+    CPPUNIT_TEST(anyIdIsEncodedAsQtDoes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against changes that daemons of another version do not read.
+    void changesKeepTheirForm()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("[]"), encodeChanges({}).toStdString());
+        const std::vector<scheduler::JobChange> changes { { "0123456789abcdef", scheduler::JobState::Queued },
+            { "nightly-1", scheduler::JobState::Running } };
+        CPPUNIT_ASSERT_EQUAL(std::string(R"([["0123456789abcdef","queued"],["nightly-1","running"]])"),
+            encodeChanges(changes).toStdString());
+    }
+
+    // Guards against ids that break the answer or are read as another id.
+    void anyIdIsEncodedAsQtDoes()
+    {
+        for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+            base::Rng rng(seed);
+            std::vector<scheduler::JobChange> changes(base::below(rng, 5));
+            QJsonArray expected;
+            for (scheduler::JobChange& change : changes) {
+                const std::uint64_t values = base::chance(rng, 0.5) ? 128 : 256; // bytes; above 127 no valid UTF-8
+                for (std::uint64_t i = base::below(rng, 20); i > 0; --i)
+                    change.id += static_cast<char>(base::below(rng, values));
+                change.state = scheduler::jobStateNames[base::below(rng, scheduler::jobStateNames.size())].first;
+                expected.append(QJsonArray {
+                    QString::fromStdString(change.id), QLatin1String(nameOf(scheduler::jobStateNames, change.state)) });
+            }
+            CPPUNIT_ASSERT_EQUAL(QJsonDocument(expected).toJson(QJsonDocument::Compact).toStdString(),
+                encodeChanges(changes).toStdString());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DaemonJobChangesTest);
+
+} // namespace
