--- a/src/daemon/member_list.h
+++ b/src/daemon/member_list.h
@@ -36,7 +36,8 @@
 class MemberList {
 public:
     void update(std::int64_t incarnation, std::int64_t token, const MemberRevisions& members);
-    // After the first update(): members of a JSON object, without braces, for a follower that has the list of this version.
+    // After the first update(): members of a JSON object, without braces, for a follower that has the list of this
+    // version.
     QByteArray encodeFor(const MembersVersion& held) const;
 
 private:
