--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -6,6 +6,7 @@
 #include "daemon/runtime.h"
 #include "daemon/term_service.h"
 #include "platform/advice_link.h"
+#include "platform/documents.h"
 #include "platform/worker_link.h"
 #include "scheduler/order_window.h"
 #include "scheduler/scheduler.h"
@@ -120,6 +121,7 @@
     QTimer m_tick;
     scheduler::Millis m_workersListedAt = 0;
     bool m_isListingWorkers = false;
+    platform::WorkerEntryCache m_workerEntries;
     scheduler::Millis m_interferenceStoredAt = 0;
     http::ChannelCounters m_traffic; // with workers
     LoadWatch m_load;
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -31,12 +31,13 @@
             std::vector<scheduler::WorkerEntry> entries;
             for (const platform::Item& item : result.value().items) {
                 const std::string id = item.key.substr(platform::workersPrefix.size());
-                if (auto entry = platform::decodeWorker(id, item.value))
-                    entries.push_back(std::move(*entry));
+                if (const auto& entry = m_workerEntries.decode(id, item.value))
+                    entries.push_back(*entry);
                 else
                     kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "workerEntryRefused",
                         { { "worker", id }, { "revision", item.revision } });
             }
+            m_workerEntries.endList();
             scheduler::setWorkers(*m_scheduler, entries, nowMs());
             storeWorkers();
             renewDue();
