Rate workers once for each shape of task and keep image pairs by number in a plan

Cause: a plan compared strings for every pair of task and worker: slopes by the names of two images, scarcity and serving rooms by look-ups in maps, racks by copies of their names; it sorted candidates by job ids, and it reviewed every task of every open job. Change: images get numbers for one plan, and slopes, uncertainty, trials and rooms are kept by these numbers. Usable workers are collected for each service with the room that is left. Tasks of one shape share the ratings of the workers; only those of workers whose tasks changed are made anew, at the same moment as before, because rooms, scarcity and trials are kept as of their first use. Candidates are sorted by the rank of their job instead of its id. Steps keep a count of the runs that they hold, so that steps that are done or not ready are skipped.

--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -29,19 +29,10 @@
 // A worker without serving tasks ranks between one with the same image and one with others.
 constexpr double emptyWorkerShare = 0.5;
 
-// What one serving image on a worker bears: growth of ln(tail).
-struct ServingRoom {
-    std::string image;
-    double room = 0;   // until the target is reached
-    double growth = 0; // by the filling tasks that are there
-};
-
+// Growth of ln(tail) that takes a serving image to its target.
 double servingRoom(const Scheduler& scheduler, const std::string& servingImage, int targetMs);
-std::vector<ServingRoom> servingRooms(const Scheduler& scheduler, const Worker& worker);
-// Growth of a serving image's ln(tail) by one more filling task, on the safe side once the pair is known.
-double growthBy(const Scheduler& scheduler, const Worker& worker, const std::string& servingImage, const Step& fill);
-// What the filling tasks on the worker would do to a serving task; 1 takes it to its target.
-double disturbanceOf(const Scheduler& scheduler, const Worker& worker, const Step& serving);
+// Share of the worker's processors.
+double shareOf(const Worker& worker, int millicores);
 // Share of the worker's serving tasks that have the image.
 double sameImageShare(const Worker& worker, const Step& serving);
 // Learns from the newest readings and stops filling tasks that push serving tasks over their targets.
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -203,6 +203,7 @@
 {
     if (!worker.tasks.emplace(nameOf(ref), ref).second)
         return;
+    ref.progress->held += holdsRun(*ref.task) ? 0 : 1;
     ref.task->worker = worker.entry.id;
     ref.task->host = &worker;
     bookRoom(worker, *ref.step, 1);
@@ -219,6 +220,7 @@
     Worker& worker = *ref.task->host;
     ref.task->worker.clear();
     ref.task->host = nullptr;
+    --ref.progress->held;
     if (worker.tasks.erase(nameOf(ref)) > 0)
         bookRoom(worker, *ref.step, -1);
 }
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 
 namespace lacewing::scheduler {
@@ -34,19 +35,17 @@
         Scheduler& scheduler = planner.scheduler;
         for (const Candidate& candidate : planner.candidates) {
             const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
-            if (step.isFilling || step.isLasting)
-                continue;
-            const StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
-            for (const Task& task : progress.tasks)
+            if (!step.isFilling && !step.isLasting)
                 planner.rooms[candidate.job->policy.service].shortWaiting
-                    += task.phase == TaskPhase::Waiting ? step.cpuMillicores : 0;
+                    += static_cast<double>(candidate.waiting) * step.cpuMillicores;
         }
-        for (const auto& [service, workers] : planner.usable) {
-            Room& room = planner.rooms[service];
-            for (const Worker* worker : workers) {
-                room.capacity += worker->entry.capacity.cpuMillicores;
-                room.lasting += worker->lastingCpu;
-                room.shortRunning += worker->cpuUsed - worker->lastingCpu;
+        for (const Pool& pool : planner.pools) {
+            Room& room = planner.rooms[pool.service];
+            for (const PlannedWorker& planned : pool.workers) {
+                const Worker& worker = *planned.worker;
+                room.capacity += worker.entry.capacity.cpuMillicores;
+                room.lasting += worker.lastingCpu;
+                room.shortRunning += worker.cpuUsed - worker.lastingCpu;
             }
         }
         const auto passed = static_cast<double>(planner.now - scheduler.shortDemandAt);
@@ -67,43 +66,50 @@
         return room->second.lasting + ref.step->cpuMillicores + kept <= room->second.capacity;
     }
 
+    // Whether the task may run on a worker that fits its step.
     bool mayUse(const Planner& planner, const Worker& worker, const TaskRef& ref)
     {
-        const std::string& id = worker.entry.id;
-        if (worker.avoidUntil > planner.now || worker.fullUntil > planner.now || ref.task->failedWorker == id)
-            return false;
-        if (!ref.step->requiredLabel.empty() && !hasLabel(worker.entry, ref.step->requiredLabel))
+        if (!ref.task->failedWorker.empty() && ref.task->failedWorker == worker.entry.id)
             return false;
         if (ref.step->maxPerWorker <= 0)
             return true;
-        const auto count = planner.stepOnWorker.find(id);
+        const auto count = planner.stepOnWorker.find(&worker);
         return count == planner.stepOnWorker.end() || count->second < ref.step->maxPerWorker;
     }
 
-    bool fits(const Worker& worker, const Step& step)
+    void updateRoom(PlannedWorker& planned)
     {
+        const Worker& worker = *planned.worker;
         const Capacity& capacity = worker.entry.capacity;
-        if (worker.memoryUsed + step.memoryMb > capacity.memoryMb || worker.gpusUsed + step.gpus > capacity.gpus)
+        planned.cpu = capacity.cpuMillicores - worker.cpuUsed;
+        planned.memory = capacity.memoryMb - worker.memoryUsed;
+        planned.gpus = capacity.gpus - worker.gpusUsed;
+        planned.fillCpu = worker.hotSince == 0 ? fillRoom(worker) : -std::numeric_limits<double>::infinity();
+    }
+
+    bool fits(const PlannedWorker& planned, const Step& step)
+    {
+        if (!planned.isOpen || step.memoryMb > planned.memory || step.gpus > planned.gpus)
             return false;
-        if (step.isFilling)
-            return worker.hotSince == 0 && fillRoom(worker) >= step.cpuMillicores * fillShare;
-        return worker.cpuUsed + step.cpuMillicores <= capacity.cpuMillicores;
+        const bool hasCpu
+            = step.isFilling ? planned.fillCpu >= step.cpuMillicores * fillShare : step.cpuMillicores <= planned.cpu;
+        return hasCpu && (step.requiredLabel.empty() || hasLabel(planned.worker->entry, step.requiredLabel));
     }
 
     // Higher is better.
-    double scoreOf(Planner& planner, const Worker& worker, const TaskRef& ref)
+    double scoreOf(Planner& planner, PlannedWorker& planned, const Step& step)
     {
-        const Step& step = *ref.step;
+        const Worker& worker = *planned.worker;
         const double capacity = std::max(1, worker.entry.capacity.cpuMillicores);
         // Tasks spread over what is free, filling ones over what is idle.
         double score = (step.isFilling ? fillRoom(worker) : capacity - worker.cpuUsed) / capacity;
         // Serving tasks are packed, and those of one image share workers: what disturbs them then leaves the other
         // workers usable.
         if (step.latencyTargetMs > 0)
-            score = sameImageWeight * sameImageShare(worker, step)
-                - std::min(1.0, disturbanceOf(planner.scheduler, worker, step)) - score;
+            score = sameImageWeight * sameImageShare(worker, step) - std::min(1.0, disturbanceOf(planner, worker, step))
+                - score;
         if (step.isFilling)
-            score -= scarcityWeight * scarcity(planner, worker);
+            score -= scarcityWeight * scarcity(planner, planned);
         if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack))
             score += dataRackWeight;
         if (worker.slowness > slowWorker * planner.meanSlowness)
@@ -111,33 +117,151 @@
         return score - worker.failureScore;
     }
 
-    Worker* chooseWorker(Planner& planner, const TaskRef& ref, const std::string& rack)
+    Pool& poolOf(Planner& planner, const std::string& service)
     {
-        Worker* best = nullptr;
-        double bestScore = 0;
-        for (Worker* candidate : planner.usable[ref.job->policy.service]) {
-            Worker& worker = *candidate;
-            if (!fits(worker, *ref.step) || !mayUse(planner, worker, ref)
-                || !isApproved(ref, worker.entry.id, planner.now) || (!rack.empty() && !hasLabel(worker.entry, rack)))
+        const auto found = std::find_if(
+            planner.pools.begin(), planner.pools.end(), [&](const Pool& pool) { return pool.service == service; });
+        if (found != planner.pools.end())
+            return *found;
+        Pool& pool = planner.pools.emplace_back();
+        pool.service = service;
+        return pool;
+    }
+
+    // Apart from their images.
+    bool isSameShape(const Step& a, const Step& b)
+    {
+        return a.isFilling == b.isFilling && a.cpuMillicores == b.cpuMillicores && a.memoryMb == b.memoryMb
+            && a.gpus == b.gpus && a.latencyTargetMs == b.latencyTargetMs && a.dataRack == b.dataRack
+            && a.requiredLabel == b.requiredLabel;
+    }
+
+    // Ratings of the workers of a pool for tasks like those of the step.
+    Shape& shapeOf(Pool& pool, const Step& step, std::size_t image)
+    {
+        const auto found = std::find_if(pool.shapes.begin(), pool.shapes.end(),
+            [&](const Shape& shape) { return shape.image == image && isSameShape(*shape.step, step); });
+        if (found != pool.shapes.end())
+            return *found;
+        Shape& shape = pool.shapes.emplace_back();
+        shape.step = &step;
+        shape.image = image;
+        shape.rated.resize(pool.workers.size());
+        for (std::uint32_t i = 0; i < pool.workers.size(); ++i) {
+            shape.rated[i].isFitting = fits(pool.workers[i], step);
+            if (shape.rated[i].isFitting)
+                shape.fitting.push_back(i);
+        }
+        shape.seenChanges = pool.changes.size();
+        return shape;
+    }
+
+    // Drops ratings of workers whose tasks have changed since.
+    void refresh(const Pool& pool, Shape& shape)
+    {
+        for (; shape.seenChanges < pool.changes.size(); ++shape.seenChanges) {
+            const std::uint32_t position = pool.changes[shape.seenChanges];
+            RatedWorker& rated = shape.rated[position];
+            const bool wasFitting = rated.isFitting;
+            rated = {};
+            rated.isFitting = fits(pool.workers[position], *shape.step);
+            if (rated.isFitting == wasFitting)
                 continue;
-            double score = scoreOf(planner, worker, ref);
-            if (ref.step->isFilling && worker.servingCpu > 0) {
-                const double level = disturbance(planner, worker, *ref.step);
-                if (level > disturbanceLimit(planner, worker, ref))
-                    continue;
-                score -= disturbanceWeight * level;
-            }
-            if (!best || score > bestScore) {
-                best = &worker;
-                bestScore = score;
+            const auto place = std::lower_bound(shape.fitting.begin(), shape.fitting.end(), position);
+            if (rated.isFitting)
+                shape.fitting.insert(place, position);
+            else
+                shape.fitting.erase(place);
+        }
+    }
+
+    void rate(Planner& planner, const Shape& shape, PlannedWorker& planned, RatedWorker& rated)
+    {
+        const Worker& worker = *planned.worker;
+        rated.score = scoreOf(planner, planned, *shape.step);
+        rated.hasLevel = shape.step->isFilling && worker.servingCpu > 0;
+        if (rated.hasLevel) {
+            rated.level = disturbance(planner, planned, *shape.step, shape.image);
+            rated.trialVersion = planner.images.trialVersion;
+            rated.score -= disturbanceWeight * rated.level;
+        }
+        rated.isRated = true;
+    }
+
+    const std::vector<std::uint32_t>& workersWithLabel(Pool& pool, const std::string& label)
+    {
+        if (pool.labelled.empty()) {
+            for (std::uint32_t i = 0; i < pool.workers.size(); ++i) {
+                for (const std::string& own : pool.workers[i].worker->entry.labels) {
+                    std::vector<std::uint32_t>& positions = pool.labelled[own];
+                    if (positions.empty() || positions.back() != i)
+                        positions.push_back(i);
+                }
             }
         }
+        return pool.labelled[label];
+    }
+
+    // Best worker for the task among those that fit its shape; `rack` is empty for any rack.
+    //
+    // A worker is rated only when the task may use it: some of what the rating looks up is kept as of its first use in
+    // the plan.
+    PlannedWorker* chooseWorker(Planner& planner, Pool& pool, Shape& shape, const TaskRef& ref, const std::string& rack)
+    {
+        refresh(pool, shape);
+        if (shape.fitting.empty())
+            return nullptr;
+        const bool isPicky = !ref.task->failedWorker.empty() || ref.step->maxPerWorker > 0;
+        const bool needsApproval = ref.job->policy.approval.isNeeded;
+        PlannedWorker* best = nullptr;
+        double bestScore = 0;
+        for (const std::uint32_t position : rack.empty() ? shape.fitting : workersWithLabel(pool, rack)) {
+            RatedWorker& rated = shape.rated[position];
+            if (!rated.isFitting)
+                continue;
+            PlannedWorker& planned = pool.workers[position];
+            const Worker& worker = *planned.worker;
+            if ((isPicky && !mayUse(planner, worker, ref))
+                || (needsApproval && !isApproved(ref, worker.entry.id, planner.now)))
+                continue;
+            if (!rated.isRated || (rated.hasLevel && rated.trialVersion != planner.images.trialVersion))
+                rate(planner, shape, planned, rated);
+            if (best && rated.score <= bestScore)
+                continue;
+            if (rated.hasLevel && rated.level > disturbanceLimit(planner, worker, ref))
+                continue;
+            best = &planned;
+            bestScore = rated.score;
+        }
         return best;
     }
 
-    void startOn(Planner& planner, const TaskRef& ref, Worker& worker, int run)
+    void noteChange(Pool& pool, PlannedWorker& planned)
+    {
+        updateRoom(planned);
+        pool.changes.push_back(static_cast<std::uint32_t>(&planned - pool.workers.data()));
+    }
+
+    void book(Planner& planner, Pool& pool, PlannedWorker& planned, const TaskRef& ref)
+    {
+        takeRoom(planner.scheduler, *planned.worker, ref);
+        noteChange(pool, planned);
+        if (ref.step->maxPerWorker > 0)
+            ++planner.stepOnWorker[planned.worker];
+    }
+
+    void unbook(Planner& planner, Pool& pool, PlannedWorker& planned, const TaskRef& ref)
+    {
+        releaseRoom(ref);
+        noteChange(pool, planned);
+        if (ref.step->maxPerWorker > 0)
+            --planner.stepOnWorker[planned.worker];
+    }
+
+    void startOn(Planner& planner, Pool& pool, const TaskRef& ref, PlannedWorker& planned, int run)
     {
         Scheduler& scheduler = planner.scheduler;
+        Worker& worker = *planned.worker;
         Task& task = *ref.task;
         task.phase = TaskPhase::Starting;
         task.run = run;
@@ -168,10 +292,8 @@
                     { "token", scheduler.token } },
                 ref.step->image });
         if (ref.step->isFilling && worker.servingCpu > 0)
-            countFill(planner, worker, *ref.step);
-        takeRoom(scheduler, worker, ref);
-        if (ref.step->maxPerWorker > 0)
-            ++planner.stepOnWorker[worker.entry.id];
+            countFill(planner, planned, *ref.step);
+        book(planner, pool, planned, ref);
         ++scheduler.starts;
         planner.orders.starts.push_back(std::move(order));
     }
@@ -184,7 +306,7 @@
         const StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
         for (const Task& task : progress.tasks) {
             if (holdsRun(task))
-                ++planner.stepOnWorker[task.worker];
+                ++planner.stepOnWorker[task.host];
         }
     }
 
@@ -193,8 +315,17 @@
         return worker.entry.labels.empty() ? std::string() : worker.entry.labels.back();
     }
 
+    const std::map<std::string, std::vector<const Worker*>>& workersOnRack(Planner& planner)
+    {
+        if (planner.workersOnRack.empty()) {
+            for (const auto& [id, worker] : planner.scheduler.workers)
+                planner.workersOnRack[rackOf(worker)].push_back(&worker);
+        }
+        return planner.workersOnRack;
+    }
+
     // Racks to try for a step whose tasks should stay together, best first; "" stands for any rack.
-    std::vector<std::string> racksFor(const Planner& planner, const Candidate& candidate, const Step& step)
+    std::vector<std::string> racksFor(Planner& planner, const Candidate& candidate, const Step& step)
     {
         if (!step.isSameRack)
             return { "" };
@@ -203,19 +334,18 @@
             if (found != planner.scheduler.workers.end())
                 return { rackOf(found->second), "" };
         }
-        std::map<std::string, double> free;
-        for (const auto& [id, worker] : planner.scheduler.workers)
-            free[rackOf(worker)]
-                += step.isFilling ? fillRoom(worker) : worker.entry.capacity.cpuMillicores - worker.cpuUsed;
-        std::vector<std::pair<double, std::string>> sorted;
-        sorted.reserve(free.size());
-        for (const auto& [rack, room] : free)
+        std::vector<std::pair<double, std::string_view>> sorted;
+        for (const auto& [rack, workers] : workersOnRack(planner)) {
+            double room = 0;
+            for (const Worker* worker : workers)
+                room += step.isFilling ? fillRoom(*worker) : worker->entry.capacity.cpuMillicores - worker->cpuUsed;
             sorted.emplace_back(room + (rack == step.dataRack ? 1e9 : 0), rack);
+        }
         std::sort(sorted.rbegin(), sorted.rend());
         std::vector<std::string> racks;
         racks.reserve(sorted.size() + 1);
         for (const auto& [room, rack] : sorted)
-            racks.push_back(rack);
+            racks.emplace_back(rack);
         if (planner.now - candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)].readySince
             > dataRackWaitMs)
             racks.emplace_back("");
@@ -224,11 +354,11 @@
 
     struct Placed {
         int index = 0;
-        Worker* worker = nullptr;
+        PlannedWorker* worker = nullptr;
     };
 
     // Places all members or none: room is taken while looking and given back when it does not suffice.
-    bool placeGang(Planner& planner, const Candidate& candidate, const std::string& rack)
+    bool placeGang(Planner& planner, Pool& pool, Shape& shape, const Candidate& candidate, const std::string& rack)
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
         const bool hadStarted = candidate.job->hasStarted;
@@ -241,26 +371,21 @@
             run = std::max({ run, ref.task->run, ref.task->endedRun });
             if (checkpoint.empty())
                 checkpoint = ref.task->checkpoint;
-            Worker* worker = chooseWorker(planner, ref, rack);
+            PlannedWorker* worker = chooseWorker(planner, pool, shape, ref, rack);
             if (!worker)
                 break;
-            takeRoom(planner.scheduler, *worker, ref);
-            if (step.maxPerWorker > 0)
-                ++planner.stepOnWorker[worker->entry.id];
+            book(planner, pool, *worker, ref);
             placed.push_back({ i, worker });
         }
-        for (const Placed& member : placed) {
-            if (step.maxPerWorker > 0)
-                --planner.stepOnWorker[member.worker->entry.id];
-            releaseRoom(refOf(candidate, member.index));
-        }
+        for (const Placed& member : placed)
+            unbook(planner, pool, *member.worker, refOf(candidate, member.index));
         candidate.job->hasStarted = hadStarted;
         if (static_cast<int>(placed.size()) < step.count)
             return false;
         for (const Placed& member : placed) {
             const TaskRef ref = refOf(candidate, member.index);
             ref.task->checkpoint = checkpoint;
-            startOn(planner, ref, *member.worker, run + 1);
+            startOn(planner, pool, ref, *member.worker, run + 1);
         }
         return true;
     }
@@ -272,14 +397,13 @@
             || candidate.job->policy.approval.isNeeded;
     }
 
-    bool isUnplaced(const Planner& planner, const Candidate& candidate, const Step& step)
+    bool isUnplaced(const Pool& pool, const Step& step, std::size_t image)
     {
-        return std::any_of(planner.unplaced.begin(), planner.unplaced.end(), [&](const UnplacedShape& shape) {
+        return std::any_of(pool.unplaced.begin(), pool.unplaced.end(), [&](const UnplacedShape& shape) {
             const Step& other = *shape.step;
-            const bool isSameKind = step.isFilling == other.isFilling && step.image == other.image
-                && step.requiredLabel == other.requiredLabel && *shape.service == candidate.job->policy.service;
-            return isSameKind && step.cpuMillicores >= other.cpuMillicores && step.memoryMb >= other.memoryMb
-                && step.gpus >= other.gpus;
+            return shape.image == image && step.cpuMillicores >= other.cpuMillicores && step.memoryMb >= other.memoryMb
+                && step.gpus >= other.gpus && step.isFilling == other.isFilling
+                && step.requiredLabel == other.requiredLabel;
         });
     }
 
@@ -287,13 +411,18 @@
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
         StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
-        if (isUnplaced(planner, candidate, step))
+        Pool& pool = poolOf(planner, candidate.job->policy.service);
+        const std::size_t image = imageNumber(planner, step.image);
+        if (isUnplaced(pool, step, image))
             return;
         countStep(planner, candidate);
-        const std::vector<std::string> racks = racksFor(planner, candidate, step);
+        Shape& shape = shapeOf(pool, step, image);
+        refresh(pool, shape);
+        const std::vector<std::string> racks
+            = shape.fitting.empty() ? std::vector<std::string> { "" } : racksFor(planner, candidate, step);
         if (step.isGang) {
             for (const std::string& rack : racks) {
-                if (placeGang(planner, candidate, rack))
+                if (placeGang(planner, pool, shape, candidate, rack))
                     return;
             }
             return;
@@ -305,9 +434,9 @@
             const bool isFirstRun = ref.task->run == 0;
             if (step.isLasting && isFirstRun && !leavesRoomForShort(planner, ref))
                 continue;
-            Worker* worker = nullptr;
+            PlannedWorker* worker = nullptr;
             for (const std::string& rack : racks) {
-                worker = chooseWorker(planner, ref, rack);
+                worker = chooseWorker(planner, pool, shape, ref, rack);
                 if (worker)
                     break;
             }
@@ -315,20 +444,48 @@
                 ref.task->failedWorker.clear();
                 continue;
             }
-            const bool isAway = worker && !step.dataRack.empty() && !hasLabel(worker->entry, step.dataRack);
+            const bool isAway = worker && !step.dataRack.empty() && !hasLabel(worker->worker->entry, step.dataRack);
             if (isAway && planner.now - progress.readySince < dataRackWaitMs)
                 continue;
             if (!worker) { // the other tasks of the step have the same shape
                 if (!hasOwnReasons(candidate, step))
-                    planner.unplaced.push_back({ &candidate.job->policy.service, &step });
+                    pool.unplaced.push_back({ &step, image });
                 return;
             }
-            startOn(planner, ref, *worker, std::max(ref.task->run, ref.task->endedRun) + 1);
+            startOn(planner, pool, ref, *worker, std::max(ref.task->run, ref.task->endedRun) + 1);
             if (step.isLasting)
                 planner.rooms[ref.job->policy.service].lasting += step.cpuMillicores;
         }
     }
 
+    void collectWorkers(Planner& planner)
+    {
+        for (auto& [id, worker] : planner.scheduler.workers) {
+            if (!isUsable(planner.scheduler, worker))
+                continue;
+            PlannedWorker planned;
+            planned.worker = &worker;
+            planned.isOpen = worker.avoidUntil <= planner.now && worker.fullUntil <= planner.now;
+            updateRoom(planned);
+            poolOf(planner, worker.entry.service).workers.push_back(std::move(planned));
+        }
+    }
+
+    // Score of the worker for a task; nullopt for one that cannot take it now.
+    std::optional<double> rankOf(Planner& planner, const Worker& worker, const TaskRef& ref)
+    {
+        if (planner.planned.empty()) {
+            for (Pool& pool : planner.pools) {
+                for (PlannedWorker& planned : pool.workers)
+                    planner.planned[planned.worker] = &planned;
+            }
+        }
+        const auto found = planner.planned.find(&worker);
+        const bool isPossible = found != planner.planned.end() && fits(*found->second, *ref.step)
+            && worker.entry.service == ref.job->policy.service && mayUse(planner, worker, ref);
+        return isPossible ? std::optional(scoreOf(planner, *found->second, *ref.step)) : std::nullopt;
+    }
+
 } // namespace
 
 bool isUsable(const Scheduler& scheduler, const Worker& worker)
@@ -363,14 +520,15 @@
 
 Orders plan(Scheduler& scheduler, Millis now, std::int64_t nowUnixMs)
 {
-    Planner planner { scheduler, now, nowUnixMs, {}, {}, 1, {}, {}, {}, {}, false, {}, {}, {} };
+    Planner planner { scheduler, now, nowUnixMs };
     accountWorkers(scheduler, now);
     std::vector<std::string> finished;
+    int jobRank = 0;
     for (const std::string& id : scheduler.active) {
         Job& job = *scheduler.jobs.at(id);
         if (isFinal(job.state) && job.endedUnixMs == 0)
             job.endedUnixMs = nowUnixMs;
-        reviewJob(planner, job);
+        reviewJob(planner, job, jobRank++);
         if (isFinal(job.committedState) && !hasRuns(job))
             finished.push_back(id);
     }
@@ -380,10 +538,7 @@
     relievePressure(scheduler, planner.orders, now);
     if (now >= scheduler.validUntil || !scheduler.hasWorkerList)
         return std::move(planner.orders);
-    for (auto& [id, worker] : scheduler.workers) {
-        if (isUsable(scheduler, worker))
-            planner.usable[worker.entry.service].push_back(&worker);
-    }
+    collectWorkers(planner);
     updateShortDemand(planner);
     updateFillDemand(planner);
     double sum = 0;
@@ -391,17 +546,14 @@
         sum += worker.slowness;
     planner.meanSlowness = scheduler.workers.empty() ? 1 : sum / static_cast<double>(scheduler.workers.size());
     std::sort(planner.candidates.begin(), planner.candidates.end(), [](const Candidate& a, const Candidate& b) {
-        return std::tuple(!a.isRestart, a.job->policy.priority, a.timeliness, a.deadlineUnixMs, a.job->request.id)
-            < std::tuple(!b.isRestart, b.job->policy.priority, b.timeliness, b.deadlineUnixMs, b.job->request.id);
+        return std::tuple(!a.isRestart, a.priority, a.timeliness, a.deadlineUnixMs, a.jobRank)
+            < std::tuple(!b.isRestart, b.priority, b.timeliness, b.deadlineUnixMs, b.jobRank);
     });
     for (const Candidate& candidate : planner.candidates)
         placeStep(planner, candidate);
     planner.stepOnWorker.clear();
-    planner.orders.question = nextQuestion(planner, [&](const Worker& worker, const TaskRef& ref) {
-        const bool isPossible = isUsable(scheduler, worker) && worker.entry.service == ref.job->policy.service
-            && fits(worker, *ref.step) && mayUse(planner, worker, ref);
-        return isPossible ? std::optional(scoreOf(planner, worker, ref)) : std::nullopt;
-    });
+    planner.orders.question
+        = nextQuestion(planner, [&](const Worker& worker, const TaskRef& ref) { return rankOf(planner, worker, ref); });
     scheduler.hasQuestion = scheduler.hasQuestion || planner.orders.question.has_value();
     return std::move(planner.orders);
 }
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -20,6 +20,9 @@
     std::int64_t deadlineUnixMs = 0; // of the job; for lasting jobs of their start
     Timeliness timeliness = Timeliness::InTime;
     bool isRestart = false; // lasting tasks that ran before: their users wait
+    int waiting = 0;        // tasks, at least 1
+    int priority = 0;       // of the job's queue
+    int jobRank = 0;        // of the job's id among all open jobs
 };
 
 // Processors of one service, in millicores.
@@ -30,27 +33,94 @@
     double shortWaiting = 0;
 };
 
+// What one serving image on a worker bears: growth of ln(tail).
+struct ServingRoom {
+    std::size_t image = 0; // number
+    double room = 0;       // until the target is reached
+    double growth = 0;     // by the filling tasks that are there
+};
+
+// A usable worker and what was computed for it in this plan.
+struct PlannedWorker {
+    Worker* worker = nullptr;
+    // --- Room that is left ---
+    int cpu = 0;
+    int memory = 0;
+    int gpus = 0;
+    double fillCpu = 0;  // for filling tasks; negative while serving tasks are over their targets
+    bool isOpen = false; // may get tasks now
+    // --- Kept as of their first use in the plan ---
+    std::optional<double> scarcity;
+    std::optional<std::vector<ServingRoom>> servingRooms;
+};
+
+// A serving and a filling image.
+struct ImagePair {
+    bool isLoaded = false; // slope and isUncertain are set
+    double slope = 0;
+    bool isUncertain = false;
+    int trials = 0; // workers with both
+};
+
+// Images get numbers, so that pairs are found without comparing names.
+struct Images {
+    std::unordered_map<std::string, std::size_t> numbers;
+    std::vector<const std::string*> names;
+    std::vector<std::vector<ImagePair>> pairs;                           // by numbers of the serving and filling image
+    std::vector<std::vector<std::pair<int, double>>> rooms;              // by number: room for each target in ms
+    std::vector<std::pair<std::size_t, const FillDemand*>> scarceImages; // demand with a price
+    bool hasTrials = false;                                              // trials are counted
+    std::uint32_t trialVersion = 0; // rises when a pair has no trial left; levels of disturbance change with it
+};
+
+// A usable worker as seen by tasks of one shape.
+struct RatedWorker {
+    bool isFitting = false;
+    bool isRated = false;           // the members below are set
+    bool hasLevel = false;          // serving tasks bear the level
+    std::uint32_t trialVersion = 0; // that the level is based on
+    double level = 0;               // of disturbance
+    double score = 0;
+};
+
+// Tasks that ask for the same rate each worker alike.
+struct Shape {
+    const Step* step = nullptr;
+    std::size_t image = 0;
+    std::vector<RatedWorker> rated;     // by position in the pool
+    std::vector<std::uint32_t> fitting; // positions of the workers with room, rising
+    std::size_t seenChanges = 0;        // of the pool, that the members above contain
+};
+
 // A task that found no worker in this plan: tasks that ask for the same and for no less need not look again.
 struct UnplacedShape {
-    const std::string* service = nullptr;
     const Step* step = nullptr;
+    std::size_t image = 0;
+};
+
+// What placement knows of one service.
+struct Pool {
+    std::string service;
+    std::vector<PlannedWorker> workers; // usable ones in the order of their ids
+    std::vector<std::uint32_t> changes; // positions of workers whose tasks changed, in order
+    std::deque<Shape> shapes;
+    std::vector<UnplacedShape> unplaced;
+    std::unordered_map<std::string, std::vector<std::uint32_t>> labelled; // positions; filled when racks are chosen
 };
 
 struct Planner {
     Scheduler& scheduler;
     Millis now;
     std::int64_t nowUnixMs;
-    Orders orders;
-    std::vector<Candidate> candidates;
+    Orders orders = {};
+    std::vector<Candidate> candidates = {};
     double meanSlowness = 1;
-    std::map<std::string, int> stepOnWorker;                        // tasks of the step in hand on each worker
-    std::map<std::string, Room> rooms;                              // by service
-    std::map<const Worker*, std::vector<ServingRoom>> servingRooms; // as of this plan
-    std::map<std::pair<std::string, std::string>, int> trials;      // workers by pair of serving and filling image
-    bool hasTrials = false;                                         // trials are counted
-    std::map<std::string, std::vector<Worker*>> usable;             // by service
-    std::vector<UnplacedShape> unplaced;
-    std::map<const Worker*, double> scarcities; // as of this plan
+    std::unordered_map<const Worker*, int> stepOnWorker = {}; // tasks of the step in hand on each worker
+    std::map<std::string, Room> rooms = {};                   // by service
+    std::deque<Pool> pools = {};
+    std::unordered_map<const Worker*, PlannedWorker*> planned = {};       // filled when a question is looked for
+    std::map<std::string, std::vector<const Worker*>> workersOnRack = {}; // all workers; filled when racks are chosen
+    Images images = {};
 };
 
 TaskRef refOf(const Candidate& candidate, int index);
@@ -58,7 +128,7 @@
 bool isUsable(const Scheduler& scheduler, const Worker& worker);
 
 // Stops what must not go on, and collects the steps with waiting tasks.
-void reviewJob(Planner& planner, Job& job);
+void reviewJob(Planner& planner, Job& job, int jobRank);
 bool hasRuns(const Job& job);
 // Stops runs that workers report and nobody needs.
 void stopStrays(Planner& planner);
--- a/src/scheduler/pressure.cpp
+++ b/src/scheduler/pressure.cpp
@@ -30,11 +30,6 @@
         return std::max(leastReliefMs, limits.impactMs - spent);
     }
 
-    double shareOf(const Worker& worker, int millicores)
-    {
-        return millicores / static_cast<double>(std::max(1, worker.entry.capacity.cpuMillicores));
-    }
-
     std::vector<FillUse> fillUses(const Worker& worker)
     {
         std::map<std::string, double> shares;
@@ -156,39 +151,9 @@
     return std::max(leastRoom, std::log(targetMs / aloneMs(scheduler.interference, servingImage)));
 }
 
-std::vector<ServingRoom> servingRooms(const Scheduler& scheduler, const Worker& worker)
+double shareOf(const Worker& worker, int millicores)
 {
-    std::vector<ServingRoom> rooms;
-    for (const auto& [image, serving] : worker.servingImages) {
-        ServingRoom entry;
-        entry.image = image;
-        entry.room = servingRoom(scheduler, image, serving.targetMs);
-        for (const auto& [name, ref] : worker.tasks) {
-            if (ref.step->isFilling && ref.task->phase != TaskPhase::Stopping)
-                entry.growth += slopeOf(scheduler.interference, image, ref.step->image).mean
-                    * shareOf(worker, ref.step->cpuMillicores);
-        }
-        rooms.push_back(std::move(entry));
-    }
-    return rooms;
-}
-
-double growthBy(const Scheduler& scheduler, const Worker& worker, const std::string& servingImage, const Step& fill)
-{
-    const Slope slope = slopeOf(scheduler.interference, servingImage, fill.image);
-    return slope.mean * shareOf(worker, fill.cpuMillicores);
-}
-
-double disturbanceOf(const Scheduler& scheduler, const Worker& worker, const Step& serving)
-{
-    const double room = servingRoom(scheduler, serving.image, serving.latencyTargetMs);
-    double growth = 0;
-    for (const auto& [name, ref] : worker.tasks) {
-        if (ref.step->isFilling)
-            growth += slopeOf(scheduler.interference, serving.image, ref.step->image).mean
-                * shareOf(worker, ref.step->cpuMillicores);
-    }
-    return growth / room;
+    return millicores / static_cast<double>(std::max(1, worker.entry.capacity.cpuMillicores));
 }
 
 double sameImageShare(const Worker& worker, const Step& serving)
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -125,14 +125,18 @@
         });
     }
 
-    void reviewStep(Planner& planner, Job& job, Occurrence& occurrence, int occurrenceNumber, int stepNumber)
+    void reviewStep(
+        Planner& planner, Job& job, Occurrence& occurrence, int occurrenceNumber, int stepNumber, int jobRank)
     {
         const auto index = static_cast<std::size_t>(stepNumber);
         const Step& step = job.request.steps[index];
         StepProgress& progress = occurrence.steps[index];
+        const bool isSettledStep = progress.settledToken == planner.scheduler.token;
+        const bool isIdle = isSettledStep && progress.held == 0;
+        if (isIdle && (progress.done == step.count || !isReady(occurrence, job.request, step)))
+            return;
         Candidate candidate { &job, &occurrence, occurrenceNumber, stepNumber };
-        bool hasWaiting = false;
-        bool hasRun = false;
+        bool hasUnknown = false;
         for (int i = 0; i < step.count; ++i) {
             const TaskRef ref = refOf(candidate, i);
             if (ref.task->phase == TaskPhase::Unknown && isSettled(planner.scheduler, *ref.task)) {
@@ -142,10 +146,13 @@
                 ref.task->run = std::max(ref.task->run, ref.task->endedRun) + renewedTermGap;
             }
             reviewRun(planner, ref);
-            hasWaiting = hasWaiting || ref.task->phase == TaskPhase::Waiting;
-            hasRun = hasRun || holdsRun(*ref.task) || ref.task->phase == TaskPhase::Unknown;
+            candidate.waiting += ref.task->phase == TaskPhase::Waiting ? 1 : 0;
+            hasUnknown = hasUnknown || ref.task->phase == TaskPhase::Unknown;
         }
-        if (!hasWaiting || (step.isGang && hasRun) || !isReady(occurrence, job.request, step))
+        if (!hasUnknown)
+            progress.settledToken = planner.scheduler.token;
+        const bool hasRun = progress.held > 0 || hasUnknown;
+        if (candidate.waiting == 0 || (step.isGang && hasRun) || !isReady(occurrence, job.request, step))
             return;
         if (progress.readySince == 0)
             progress.readySince = planner.now;
@@ -157,6 +164,8 @@
                 [](const Task& task) { return task.phase == TaskPhase::Waiting && task.run > 0; });
         candidate.deadlineUnixMs = begun + allowed;
         candidate.timeliness = timelinessOf(planner.nowUnixMs - begun, allowed, step);
+        candidate.priority = job.policy.priority;
+        candidate.jobRank = jobRank;
         planner.candidates.push_back(candidate);
     }
 
@@ -177,17 +186,19 @@
     return ref;
 }
 
-void reviewJob(Planner& planner, Job& job)
+void reviewJob(Planner& planner, Job& job, int jobRank)
 {
     for (auto& [number, occurrence] : job.occurrences) {
         const bool isDue = occurrence.dueUnixMs <= planner.nowUnixMs;
         for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
             if (isFinal(job.state)) {
+                if (occurrence.steps[i].held == 0)
+                    continue;
                 const Candidate candidate { &job, &occurrence, number, static_cast<int>(i) };
                 for (int index = 0; index < job.request.steps[i].count; ++index)
                     stopRun(planner, refOf(candidate, index), "job has ended");
             } else if (isDue) {
-                reviewStep(planner, job, occurrence, number, static_cast<int>(i));
+                reviewStep(planner, job, occurrence, number, static_cast<int>(i), jobRank);
             }
         }
     }
@@ -197,10 +208,8 @@
 {
     for (const auto& [number, occurrence] : job.occurrences) {
         for (const StepProgress& progress : occurrence.steps) {
-            for (const Task& task : progress.tasks) {
-                if (holdsRun(task))
-                    return true;
-            }
+            if (progress.held > 0)
+                return true;
         }
     }
     return false;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -93,6 +93,8 @@
 struct StepProgress {
     std::vector<Task> tasks;
     int done = 0;
+    int held = 0;                                    // tasks that hold a run
+    std::int64_t settledToken = -1;                  // of the term in which no task is Unknown any more
     Millis readySince = 0;                           // when the steps before it had finished; 0: not ready
     std::map<std::string, WorkerApproval> approvals; // by worker; only in queues that need them
 };
