Review only tasks that hold a run, and look for missing runs without copies

Cause: each plan built a reference for every task of every open step, read the worker of every running task, and computed the longest chain of each job with waiting tasks anew; each report copied all tasks of its worker. Change: tasks of a step without runs are counted from its done ones once the term has settled them; a worker is read only for tasks that look stalled or while some worker drains; the longest chain is kept with the job; a report copies only the tasks that it misses.

--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -522,6 +522,8 @@
 {
     Planner planner { scheduler, now, nowUnixMs };
     accountWorkers(scheduler, now);
+    planner.hasDraining = std::any_of(scheduler.workers.begin(), scheduler.workers.end(),
+        [](const auto& entry) { return entry.second.drainEndsAt != 0; });
     std::vector<std::string> finished;
     int jobRank = 0;
     for (const std::string& id : scheduler.active) {
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -75,12 +75,12 @@
 
 // A usable worker as seen by tasks of one shape.
 struct RatedWorker {
-    bool isFitting = false;
-    bool isRated = false;           // the members below are set
-    bool hasLevel = false;          // serving tasks bear the level
-    std::uint32_t trialVersion = 0; // that the level is based on
-    double level = 0;               // of disturbance
+    double level = 0; // of disturbance
     double score = 0;
+    std::uint32_t trialVersion = 0; // that the level is based on
+    bool isFitting = false;
+    bool isRated = false;  // the members above are set
+    bool hasLevel = false; // serving tasks bear the level
 };
 
 // Tasks that ask for the same rate each worker alike.
@@ -114,6 +114,7 @@
     std::int64_t nowUnixMs;
     Orders orders = {};
     std::vector<Candidate> candidates = {};
+    bool hasDraining = false; // any worker drains
     double meanSlowness = 1;
     std::unordered_map<const Worker*, int> stepOnWorker = {}; // tasks of the step in hand on each worker
     std::map<std::string, Room> rooms = {};                   // by service
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -44,55 +44,48 @@
     }
 
     // A run on a draining worker moves when it cannot finish there.
-    bool mustLeave(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    bool mustLeave(const Planner& planner, const Worker& worker, const Step& step, const Task& task)
     {
         if (worker.drainEndsAt == 0)
             return false;
-        if (ref.step->isLasting)
+        if (step.isLasting)
             return true;
-        const Task& task = *ref.task;
         const Millis left = worker.drainEndsAt - planner.now;
         if (task.percent <= 0 || task.startedAt == 0)
-            return left < planner.scheduler.limits.stopTimeoutMs + ref.step->estimateMs;
+            return left < planner.scheduler.limits.stopTimeoutMs + step.estimateMs;
         const Millis needed = (planner.now - task.startedAt) * (100 - task.percent) / task.percent;
         return needed > left;
     }
 
-    bool isStalled(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    bool isStalled(const Planner& planner, const Worker& worker, const Step& step, const Task& task)
     {
-        const Task& task = *ref.task;
-        if (task.phase != TaskPhase::Running || worker.contact != Contact::Held
-            || planner.now - worker.reportedAt > freshReportMs)
+        if (task.phase != TaskPhase::Running || (step.isGang && !step.isLasting))
             return false;
-        if (ref.step->isLasting)
-            return task.percent < 100 && planner.now - task.since > lastingStartupMs;
-        if (ref.step->isGang)
-            return false;
-        const Millis limit = std::max<Millis>(stalledMs, ref.step->estimateMs / 4);
-        return planner.now - task.progressAt > limit;
+        const Millis limit = std::max<Millis>(stalledMs, step.estimateMs / 4);
+        const bool isLate = step.isLasting ? task.percent < 100 && planner.now - task.since > lastingStartupMs
+                                           : planner.now - task.progressAt > limit;
+        return isLate && worker.contact == Contact::Held && planner.now - worker.reportedAt <= freshReportMs;
     }
 
-    void reviewRun(Planner& planner, const TaskRef& ref)
+    // The task must hold a run.
+    void reviewRun(Planner& planner, const Candidate& candidate, const Step& step, Task& task, int index)
     {
-        Task& task = *ref.task;
-        if (!holdsRun(task))
-            return;
         if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed) {
-            if (!ref.step->isGang)
-                stopRun(planner, ref, "not needed any more");
+            if (!step.isGang)
+                stopRun(planner, refOf(candidate, index), "not needed any more");
             return;
         }
         if (task.phase == TaskPhase::Stopping) {
-            stopRun(planner, ref, "still stopping");
+            stopRun(planner, refOf(candidate, index), "still stopping");
             return;
         }
         Worker& worker = *task.host;
-        if (mustLeave(planner, worker, ref)) {
-            stopRun(planner, ref, "worker is draining");
-        } else if (isStalled(planner, worker, ref)) {
+        if (planner.hasDraining && mustLeave(planner, worker, step, task)) {
+            stopRun(planner, refOf(candidate, index), "worker is draining");
+        } else if (isStalled(planner, worker, step, task)) {
             worker.avoidUntil = std::max(worker.avoidUntil, planner.now + stalledWorkerMs);
             task.failedWorker = worker.entry.id;
-            stopRun(planner, ref, "no progress");
+            stopRun(planner, refOf(candidate, index), "no progress");
         }
     }
 
@@ -131,32 +124,37 @@
         const auto index = static_cast<std::size_t>(stepNumber);
         const Step& step = job.request.steps[index];
         StepProgress& progress = occurrence.steps[index];
-        const bool isSettledStep = progress.settledToken == planner.scheduler.token;
-        const bool isIdle = isSettledStep && progress.held == 0;
-        if (isIdle && (progress.done == step.count || !isReady(occurrence, job.request, step)))
-            return;
         Candidate candidate { &job, &occurrence, occurrenceNumber, stepNumber };
         bool hasUnknown = false;
-        for (int i = 0; i < step.count; ++i) {
-            const TaskRef ref = refOf(candidate, i);
-            if (ref.task->phase == TaskPhase::Unknown && isSettled(planner.scheduler, *ref.task)) {
-                ref.task->phase = TaskPhase::Waiting;
-                ref.task->suspectWorker.clear();
-                ref.task->since = planner.now;
-                ref.task->run = std::max(ref.task->run, ref.task->endedRun) + renewedTermGap;
+        if (progress.held == 0 && progress.settledToken == planner.scheduler.token) {
+            candidate.waiting = step.count - progress.done;
+        } else {
+            bool hasFailed = false;
+            for (int i = 0; i < step.count; ++i) {
+                Task& task = progress.tasks[static_cast<std::size_t>(i)];
+                if (task.phase == TaskPhase::Unknown && isSettled(planner.scheduler, task)) {
+                    task.phase = TaskPhase::Waiting;
+                    task.suspectWorker.clear();
+                    task.since = planner.now;
+                    task.run = std::max(task.run, task.endedRun) + renewedTermGap;
+                }
+                if (task.host)
+                    reviewRun(planner, candidate, step, task, i);
+                candidate.waiting += task.phase == TaskPhase::Waiting ? 1 : 0;
+                hasUnknown = hasUnknown || task.phase == TaskPhase::Unknown;
+                hasFailed = hasFailed || task.phase == TaskPhase::Failed;
             }
-            reviewRun(planner, ref);
-            candidate.waiting += ref.task->phase == TaskPhase::Waiting ? 1 : 0;
-            hasUnknown = hasUnknown || ref.task->phase == TaskPhase::Unknown;
+            if (!hasUnknown && !hasFailed)
+                progress.settledToken = planner.scheduler.token;
         }
-        if (!hasUnknown)
-            progress.settledToken = planner.scheduler.token;
         const bool hasRun = progress.held > 0 || hasUnknown;
         if (candidate.waiting == 0 || (step.isGang && hasRun) || !isReady(occurrence, job.request, step))
             return;
         if (progress.readySince == 0)
             progress.readySince = planner.now;
-        const Millis chain = longestChainMs(job.request);
+        if (job.longestChainMs < 0)
+            job.longestChainMs = longestChainMs(job.request);
+        const Millis chain = job.longestChainMs;
         const auto allowed = static_cast<Millis>(static_cast<double>(chain) * job.policy.stretch) + job.policy.goalMs;
         const std::int64_t begun = std::max(job.acceptedUnixMs, occurrence.dueUnixMs);
         candidate.isRestart = step.isLasting
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -94,7 +94,7 @@
     std::vector<Task> tasks;
     int done = 0;
     int held = 0;                                    // tasks that hold a run
-    std::int64_t settledToken = -1;                  // of the term in which no task is Unknown any more
+    std::int64_t settledToken = -1;                  // of the term in which no task is Unknown or Failed any more
     Millis readySince = 0;                           // when the steps before it had finished; 0: not ready
     std::map<std::string, WorkerApproval> approvals; // by worker; only in queues that need them
 };
@@ -112,6 +112,7 @@
     std::int64_t acceptedUnixMs = 0;
     JobState state = JobState::Queued;
     std::map<int, Occurrence> occurrences; // by number
+    Millis longestChainMs = -1;            // of the request's steps; -1: not computed yet
     bool hasStarted = false;               // any task was started
     // --- Store ---
     std::uint64_t version = 0;          // rises with each change that has to be stored
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -148,13 +148,16 @@
     }
 
     // A run that the worker neither runs nor has ended is gone, if the report is younger than everything that was sent.
+    // `running` is sorted.
     void dropMissing(
-        Scheduler& scheduler, Worker& worker, const std::set<std::string>& running, Millis sentAt, Millis now)
+        Scheduler& scheduler, Worker& worker, const std::vector<std::string_view>& running, Millis sentAt, Millis now)
     {
-        const std::map<std::string, TaskRef> tasks = worker.tasks;
-        for (const auto& [name, ref] : tasks) {
-            if (running.count(name) > 0)
-                continue;
+        std::vector<std::pair<std::string, TaskRef>> missing; // ends of runs change the worker's tasks
+        for (const auto& [name, ref] : worker.tasks) {
+            if (!std::binary_search(running.begin(), running.end(), name))
+                missing.emplace_back(name, ref);
+        }
+        for (const auto& [name, ref] : missing) {
             Task& task = *ref.task;
             // An unanswered start may still be carried out, also when its stop was ordered meanwhile.
             const Millis settledAt = task.isConfirmed ? task.since : std::max(task.since, task.startDeadlineAt);
@@ -322,16 +325,18 @@
         worker.readNumber = end.number;
         applyEnd(scheduler, worker, end, now);
     }
-    std::set<std::string> running;
+    std::vector<std::string_view> running;
+    running.reserve(report.running.size());
     for (auto it = worker.strays.begin(); it != worker.strays.end();) {
         const bool isListed = std::any_of(report.running.begin(), report.running.end(),
             [&](const RunningTask& row) { return row.task == it->first && row.run == it->second.run; });
         it = isListed ? std::next(it) : worker.strays.erase(it);
     }
     for (const RunningTask& row : report.running) {
-        running.insert(row.task);
+        running.emplace_back(row.task);
         applyRunning(scheduler, worker, row, now);
     }
+    std::sort(running.begin(), running.end());
     if (!report.isEndListCut)
         dropMissing(scheduler, worker, running, sentAt, now);
 }
