--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -94,6 +94,8 @@
 struct StepProgress {
     std::vector<Task> tasks;
     int done = 0;
+    int held = 0;                                    // tasks that hold a run
+    std::int64_t settledToken = -1;                  // of the term in which no task is Unknown or Failed any more
     Millis readySince = 0;                           // when the steps before it had finished; 0: not ready
     std::map<std::string, WorkerApproval> approvals; // by worker; only in queues that need them
 };
@@ -112,6 +114,7 @@
     JobState state = JobState::Queued;
     std::map<int, Occurrence> occurrences; // by number
     bool hasStarted = false;               // a worker has said that it runs or ran a task; an order alone is no start
+    Millis longestChainMs = -1;            // of the request's steps; -1: not computed yet
     // --- Store ---
     std::uint64_t version = 0;          // rises with each change that has to be stored
     std::uint64_t committedVersion = 0; // never above version
