Add an event dispatcher on epoll, run the daemon and the tests on it

Cause: with 490 workers the daemon holds some 980 kept connections, and Qt's glib dispatcher hands all of them to poll() in each turn of the event loop.

Change: kernel::EventDispatcher keeps the descriptors in epoll and applies changes of their events once a turn. It looks at the descriptors again before timers that expired during a long turn are run, so an answer that arrived in time does not become a time-out. The test runner uses the same dispatcher as the daemon.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -14,6 +14,7 @@
 #include "daemon/settings.h"
 #include "daemon/sync_service.h"
 #include "daemon/term_service.h"
+#include "kernel/event_dispatcher.h"
 #include "kernel/log.h"
 #include "platform/documents.h"
 
@@ -109,6 +110,7 @@
 
 int run(int argc, char** argv, Settings settings, const std::string& file)
 {
+    QCoreApplication::setEventDispatcher(new kernel::EventDispatcher); // the application becomes its owner
     QCoreApplication application(argc, argv);
     kernel::LogLimits logLimits;
     logLimits.linesPerSecond = settings.logLinesPerSecond;
--- /dev/null
+++ b/src/kernel/event_dispatcher.cpp
@@ -0,0 +1,323 @@
+// epoll, level-triggered. Changes of a descriptor's events are collected and applied before the next wait, because a
+// socket turns its write notifier on and off again around each write.
+#include "kernel/event_dispatcher.h"
+
+#include <QCoreApplication>
+#include <QEvent>
+#include <QSocketNotifier>
+#include <QThread>
+#include <QTimerEvent>
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <limits>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace lacewing::kernel {
+
+namespace {
+
+    // Internal flag of Qt that excludes timers from a turn (QEventLoop::X11ExcludeTimers).
+    constexpr int excludeTimersFlag = 0x08;
+
+    constexpr std::array<std::uint32_t, 3> epollEvents = { EPOLLIN, EPOLLOUT, EPOLLPRI }; // by QSocketNotifier::Type
+    constexpr std::uint32_t alwaysReported = EPOLLERR | EPOLLHUP;
+
+    // epoll data: the generation above the descriptor.
+    constexpr int generationShift = 32;
+
+    std::uint64_t packData(int descriptor, std::uint32_t generation)
+    {
+        return std::uint64_t(generation) << generationShift | static_cast<std::uint32_t>(descriptor);
+    }
+
+    std::system_error lastError(const char* call) { return { errno, std::generic_category(), call }; }
+
+} // namespace
+
+EventDispatcher::EventDispatcher(QObject* parent)
+    : QAbstractEventDispatcher(parent)
+    , m_epoll(::epoll_create1(EPOLL_CLOEXEC))
+{
+    if (m_epoll < 0)
+        throw lastError("epoll_create1");
+    m_wakeUp = ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    epoll_event event {};
+    event.events = EPOLLIN | EPOLLET;
+    event.data.u64 = packData(m_wakeUp, 0);
+    if (m_wakeUp < 0 || ::epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wakeUp, &event) != 0) {
+        const std::system_error error = lastError("eventfd");
+        if (m_wakeUp >= 0)
+            ::close(m_wakeUp);
+        ::close(m_epoll);
+        throw error;
+    }
+}
+
+EventDispatcher::~EventDispatcher()
+{
+    ::close(m_wakeUp);
+    ::close(m_epoll);
+}
+
+bool EventDispatcher::processEvents(QEventLoop::ProcessEventsFlags flags)
+{
+    m_isInterrupted = false;
+    const bool mayWait = flags.testFlag(QEventLoop::WaitForMoreEvents);
+    const bool hasTimers = (flags.toInt() & excludeTimersFlag) == 0;
+    bool isDone = false;
+    do {
+        Q_EMIT awake();
+        if (m_isWoken.exchange(false)) {
+            QCoreApplication::sendPostedEvents();
+            isDone = true;
+        }
+        if (m_isInterrupted)
+            return isDone;
+        const bool isWaiting = mayWait && !isDone && !m_isWoken;
+        if (isWaiting)
+            Q_EMIT aboutToBlock();
+        // Timers that expire later than this run in the next turn, after another look at the descriptors.
+        const Clock::time_point now = Clock::now();
+        int timeoutMs = 0;
+        if (isWaiting && !m_isWoken)
+            timeoutMs = hasTimers ? millisecondsToNextTimer(now) : -1;
+        if (flags.testFlag(QEventLoop::ExcludeSocketNotifiers))
+            waitForWakeUp(timeoutMs);
+        else
+            isDone |= waitForDescriptors(timeoutMs);
+        if (hasTimers && !m_isInterrupted)
+            isDone |= runTimers(now);
+    } while (mayWait && !isDone && !m_isInterrupted);
+    return isDone;
+}
+
+void EventDispatcher::registerSocketNotifier(QSocketNotifier* notifier)
+{
+    const int descriptor = static_cast<int>(notifier->socket());
+    Watch& watch = m_watches[descriptor];
+    if (watch.wanted == 0)
+        watch.generation = ++m_lastGeneration;
+    watch.notifiers[notifier->type()] = notifier;
+    watch.wanted |= epollEvents[notifier->type()];
+    noteChange(descriptor, watch);
+}
+
+void EventDispatcher::unregisterSocketNotifier(QSocketNotifier* notifier)
+{
+    const int descriptor = static_cast<int>(notifier->socket());
+    const auto found = m_watches.find(descriptor);
+    if (found == m_watches.end() || found->second.notifiers[notifier->type()] != notifier)
+        return;
+    Watch& watch = found->second;
+    watch.notifiers[notifier->type()] = nullptr;
+    watch.wanted &= ~epollEvents[notifier->type()];
+    if (watch.wanted != 0) {
+        noteChange(descriptor, watch);
+        return;
+    }
+    // At once: the descriptor may be closed next, and its number given to another file before the changes are applied.
+    // It may also be closed already, and is then no longer known to epoll.
+    if (watch.watched != 0 && ::epoll_ctl(m_epoll, EPOLL_CTL_DEL, descriptor, nullptr) != 0 && errno != ENOENT
+        && errno != EBADF)
+        qWarning("epoll_ctl: cannot remove descriptor %d: %s", descriptor, std::strerror(errno));
+    m_watches.erase(found);
+}
+
+void EventDispatcher::noteChange(int descriptor, Watch& watch)
+{
+    if (watch.isChanged)
+        return;
+    watch.isChanged = true;
+    m_changed.push_back(descriptor);
+}
+
+void EventDispatcher::applyChanges()
+{
+    for (const int descriptor : m_changed) {
+        const auto found = m_watches.find(descriptor);
+        if (found == m_watches.end())
+            continue;
+        Watch& watch = found->second;
+        watch.isChanged = false;
+        if (watch.wanted == watch.watched)
+            continue;
+        epoll_event event {};
+        event.events = watch.wanted;
+        event.data.u64 = packData(descriptor, watch.generation);
+        const int operation = watch.watched == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+        if (::epoll_ctl(m_epoll, operation, descriptor, &event) == 0)
+            watch.watched = watch.wanted;
+        else
+            qWarning("epoll_ctl: cannot watch descriptor %d: %s", descriptor, std::strerror(errno));
+    }
+    m_changed.clear();
+}
+
+bool EventDispatcher::waitForDescriptors(int timeoutMs)
+{
+    applyChanges();
+    // A handler may run a nested event loop, which then finds m_events empty.
+    std::vector<epoll_event> events = std::exchange(m_events, {});
+    // All that are ready: the order of answers and time-outs holds only then.
+    events.resize(m_watches.size() + 1);
+    const std::uint64_t wait = ++m_waits;
+    const int count = ::epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), timeoutMs);
+    if (count < 0 && errno != EINTR)
+        qFatal("epoll_wait: %s", std::strerror(errno));
+    bool isDone = false;
+    // After a nested event loop the rest is out of date; what is still ready is reported again.
+    for (int i = 0; i < count && m_waits == wait; ++i) {
+        const epoll_event& event = events[static_cast<std::size_t>(i)];
+        const auto descriptor = static_cast<int>(event.data.u64 & std::numeric_limits<std::uint32_t>::max());
+        const auto generation = static_cast<std::uint32_t>(event.data.u64 >> generationShift);
+        if (descriptor != m_wakeUp)
+            isDone |= notify(descriptor, generation, event.events);
+    }
+    if (m_events.capacity() < events.capacity())
+        m_events = std::move(events);
+    return isDone;
+}
+
+void EventDispatcher::waitForWakeUp(int timeoutMs)
+{
+    pollfd descriptor { m_wakeUp, POLLIN, 0 };
+    if (::poll(&descriptor, 1, timeoutMs) < 0 && errno != EINTR)
+        qFatal("poll: %s", std::strerror(errno));
+    std::uint64_t count = 0;
+    if (descriptor.revents != 0 && ::read(m_wakeUp, &count, sizeof count) < 0 && errno != EAGAIN)
+        qFatal("eventfd: %s", std::strerror(errno));
+}
+
+// A handler may disable or delete any notifier and close any descriptor, so each notifier is looked up anew.
+bool EventDispatcher::notify(int descriptor, std::uint32_t generation, std::uint32_t events)
+{
+    bool isDone = false;
+    for (std::size_t type = 0; type < epollEvents.size(); ++type) {
+        if ((events & (epollEvents[type] | alwaysReported)) == 0)
+            continue;
+        const auto found = m_watches.find(descriptor);
+        if (found == m_watches.end() || found->second.generation != generation)
+            break;
+        QSocketNotifier* notifier = found->second.notifiers[type];
+        if (!notifier)
+            continue;
+        QEvent event(QEvent::SockAct);
+        QCoreApplication::sendEvent(notifier, &event);
+        isDone = true;
+    }
+    return isDone;
+}
+
+void EventDispatcher::registerTimer(int timerId, qint64 interval, Qt::TimerType timerType, QObject* object)
+{
+    Timer& timer = m_timers[timerId];
+    timer.object = object;
+    timer.interval = std::chrono::milliseconds(interval);
+    timer.type = timerType;
+    timer.registration = ++m_lastRegistration;
+    schedule(timerId, timer, Clock::now() + timer.interval);
+}
+
+void EventDispatcher::schedule(int timerId, Timer& timer, Clock::time_point due)
+{
+    timer.due = due;
+    timer.order = ++m_lastOrder;
+    m_due.insert({ due, timer.order, timerId });
+}
+
+bool EventDispatcher::unregisterTimer(int timerId)
+{
+    const auto found = m_timers.find(timerId);
+    if (found == m_timers.end())
+        return false;
+    m_due.erase({ found->second.due, found->second.order, timerId });
+    m_timers.erase(found);
+    return true;
+}
+
+bool EventDispatcher::unregisterTimers(QObject* object)
+{
+    const QList<TimerInfo> timers = registeredTimers(object);
+    for (const TimerInfo& timer : timers)
+        unregisterTimer(timer.timerId);
+    return !timers.isEmpty();
+}
+
+QList<EventDispatcher::TimerInfo> EventDispatcher::registeredTimers(QObject* object) const
+{
+    QList<TimerInfo> timers;
+    for (const auto& [timerId, timer] : m_timers) {
+        if (timer.object == object)
+            timers.append(TimerInfo(timerId, static_cast<int>(timer.interval.count()), timer.type));
+    }
+    return timers;
+}
+
+int EventDispatcher::remainingTime(int timerId)
+{
+    const auto found = m_timers.find(timerId);
+    if (found == m_timers.end())
+        return -1;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(found->second.due - Clock::now());
+    return static_cast<int>(std::max<std::int64_t>(0, left.count()));
+}
+
+int EventDispatcher::millisecondsToNextTimer(Clock::time_point now) const
+{
+    if (m_due.empty())
+        return -1;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_due.begin()->due - now);
+    return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, std::numeric_limits<int>::max()));
+}
+
+// Runs each timer at most once: those scheduled by the handlers belong to the next turn.
+bool EventDispatcher::runTimers(Clock::time_point until)
+{
+    bool isDone = false;
+    const std::uint64_t lastOrder = m_lastOrder;
+    while (!m_due.empty() && m_due.begin()->due <= until && m_due.begin()->order <= lastOrder) {
+        const int timerId = m_due.begin()->timerId;
+        m_due.erase(m_due.begin());
+        Timer& timer = m_timers.at(timerId);
+        // Missed periods are left out, as Qt's dispatchers do.
+        Clock::time_point next = timer.due + timer.interval;
+        if (next <= until)
+            next = until + timer.interval;
+        schedule(timerId, timer, next);
+        if (timer.isRunning)
+            continue;
+        timer.isRunning = true;
+        const std::uint64_t registration = timer.registration;
+        QTimerEvent event(timerId);
+        QCoreApplication::sendEvent(timer.object, &event);
+        isDone = true;
+        // The handler may have ended the timer and given its identifier to another one.
+        const auto found = m_timers.find(timerId);
+        if (found != m_timers.end() && found->second.registration == registration)
+            found->second.isRunning = false;
+    }
+    return isDone;
+}
+
+void EventDispatcher::wakeUp()
+{
+    const bool wasWoken = m_isWoken.exchange(true);
+    // The loop's own thread looks at the flag before it waits.
+    if (wasWoken || QThread::currentThread() == thread())
+        return;
+    const std::uint64_t one = 1;
+    if (::write(m_wakeUp, &one, sizeof one) < 0)
+        qFatal("eventfd: %s", std::strerror(errno));
+}
+
+void EventDispatcher::interrupt()
+{
+    m_isInterrupted = true;
+    wakeUp();
+}
+
+} // namespace lacewing::kernel
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,5 +1,7 @@
 // Test runner: runs all registered CppUnit tests, or those whose path contains the first argument, and prints
 // "N passed, N failed" as its last line. Exit code 1 on a failure or when no test ran.
+#include "kernel/event_dispatcher.h"
+
 #include <QCoreApplication>
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
@@ -30,6 +32,8 @@
 {
     // Fixed parameters: a property test must give the same verdict on every run.
     qputenv("RC_PARAMS", "seed=20261204 max_success=200");
+    // The tests run in the same event loop as the daemon.
+    QCoreApplication::setEventDispatcher(new lacewing::kernel::EventDispatcher);
     QCoreApplication application(argc, argv);
     CppUnit::TestResult controller;
     CppUnit::TestResultCollector collector;
