Make a log line cheaper

Cause: the time text was composed for each line, and log4cxx decoded each line byte by byte.

Change: the time down to the second is composed once a second, the line's buffer is kept, and a line of plain ASCII is handed to log4cxx without decoding. Other lines are decoded as before.

--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -2,6 +2,7 @@
 // own JSON layout has no typed fields.
 #include "kernel/log.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <ctime>
@@ -24,6 +25,9 @@
         std::string buffer;      // lines not yet written
         std::int64_t second = 0; // of the clock, for linesPerSecond
         int linesThisSecond = 0;
+        std::time_t textSecond = 0; // that secondText shows
+        std::string secondText;     // empty until the first line
+        std::string line;           // kept to save an allocation for each line
     };
 
     LogContext& context()
@@ -102,14 +106,24 @@
             appendText(line, std::get<std::string>(field.value));
     }
 
-    std::string timeText(const timespec& now)
+    // UTC time with milliseconds. The part down to the second is composed once a second.
+    void appendTime(std::string& line, const timespec& now)
     {
-        tm parts {};
-        ::gmtime_r(&now.tv_sec, &parts);
-        char text[40];
-        const std::size_t length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
-        std::snprintf(text + length, sizeof text - length, ".%03ldZ", now.tv_nsec / 1000000);
-        return text;
+        LogContext& log = context();
+        if (log.secondText.empty() || now.tv_sec != log.textSecond) {
+            tm parts {};
+            ::gmtime_r(&now.tv_sec, &parts);
+            char text[40];
+            log.secondText.assign(text, std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts));
+            log.textSecond = now.tv_sec;
+        }
+        const auto milliseconds = static_cast<int>(now.tv_nsec / 1000000);
+        line += log.secondText;
+        line += '.';
+        line += static_cast<char>('0' + milliseconds / 100);
+        line += static_cast<char>('0' + milliseconds / 10 % 10);
+        line += static_cast<char>('0' + milliseconds % 10);
+        line += 'Z';
     }
 
     // False when the line is over the bound of this second.
@@ -184,7 +198,10 @@
     ::clock_gettime(CLOCK_REALTIME, &now);
     if (!admit(level, now.tv_sec))
         return;
-    std::string line = "{\"time\":\"" + timeText(now) + "\",\"level\":\"";
+    std::string& line = context().line;
+    line.assign("{\"time\":\"");
+    appendTime(line, now);
+    line += "\",\"level\":\"";
     line += base::nameOf(logLevelNames, level);
     line += "\",";
     line += context().identity;
@@ -196,7 +213,12 @@
     for (std::size_t i = 0; i < count; ++i)
         appendField(line, fields[i]);
     line += '}';
-    logger()->forcedLog(toLog4cxx(level), line);
+    // log4cxx checks and copies the encoding byte by byte, which plain ASCII does not need.
+    const bool isAscii = std::none_of(line.begin(), line.end(), [](char c) { return (c & '\x80') != 0; });
+    if (isAscii)
+        logger()->forcedLogLS(toLog4cxx(level), line, log4cxx::spi::LocationInfo::getLocationUnavailable());
+    else
+        logger()->forcedLog(toLog4cxx(level), line);
 }
 
 void flushLog()
