Wait in the same turn after posted events

Cause: a turn that handled posted events looked at the descriptors without waiting, and the next turn looked again.

Change: inside QEventLoop::exec() the dispatcher waits in the turn that handled the posted events. An interrupt just before the turn rules this out, because the loop may not have seen the exit() that sent it; the test of ends by another thread now runs many rounds.

--- a/src/kernel/event_dispatcher.cpp
+++ b/src/kernel/event_dispatcher.cpp
@@ -65,9 +65,12 @@
 
 bool EventDispatcher::processEvents(QEventLoop::ProcessEventsFlags flags)
 {
-    m_isInterrupted = false;
+    const bool wasInterrupted = m_isInterrupted.exchange(false);
     const bool mayWait = flags.testFlag(QEventLoop::WaitForMoreEvents);
     const bool hasTimers = (flags.toInt() & excludeTimersFlag) == 0;
+    // QEventLoop::exit() interrupts, so a running loop may wait in the turn that handled its posted events. An
+    // interrupt just before this call may belong to an exit() that the loop has not seen.
+    const bool mayWaitWhenDone = flags.testFlag(QEventLoop::EventLoopExec) && !wasInterrupted;
     bool isDone = false;
     do {
         Q_EMIT awake();
@@ -77,7 +80,7 @@
         }
         if (m_isInterrupted)
             return isDone;
-        const bool isWaiting = mayWait && !isDone && !m_isWoken;
+        const bool isWaiting = mayWait && (!isDone || mayWaitWhenDone) && !m_isWoken;
         if (isWaiting)
             Q_EMIT aboutToBlock();
         // Timers that expire later than this run in the next turn, after another look at the descriptors.
--- a/tests/kernel_event_dispatcher_test.cpp
+++ b/tests/kernel_event_dispatcher_test.cpp
@@ -6,6 +6,7 @@
 #include <QSocketNotifier>
 #include <QThread>
 #include <QTimer>
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fcntl.h>
 #include <functional>
@@ -425,15 +426,33 @@
         });
     }
 
+    // Guards against an exit() that is lost when it comes just before the loop waits.
     void otherThreadEndsTheLoop()
     {
         runWithDispatcher([] {
-            QEventLoop loop;
+            constexpr int rounds = 3000;
+            std::atomic<QEventLoop*> running = nullptr;
+            std::atomic<int> ended = 0; // calls of exit() that have returned
+            std::atomic<bool> isOver = false;
             std::thread other([&] {
-                block(20);
-                loop.exit(0);
+                while (!isOver) {
+                    if (QEventLoop* loop = running.exchange(nullptr)) {
+                        loop->exit(0);
+                        ++ended;
+                    }
+                }
             });
-            const bool isInTime = run(loop);
+            bool isInTime = true;
+            for (int i = 0; i < rounds && isInTime; ++i) {
+                QEventLoop loop;
+                // Published from inside the loop: exec() would undo an exit() that comes before it.
+                QMetaObject::invokeMethod(
+                    &loop, [&] { running = &loop; }, Qt::QueuedConnection);
+                isInTime = run(loop);
+                while (isInTime && ended <= i)
+                    std::this_thread::yield(); // exit() still uses the loop
+            }
+            isOver = true;
             other.join();
             CPPUNIT_ASSERT(isInTime);
         });
