--- a/src/kernel/event_dispatcher.h
+++ b/src/kernel/event_dispatcher.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <set>
 #include <sys/epoll.h>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -73,7 +74,7 @@
         Clock::time_point due;
         std::uint64_t order;
         int timerId;
-        auto operator<=>(const DueTimer&) const = default;
+        bool operator<(const DueTimer& other) const { return std::tie(due, order) < std::tie(other.due, other.order); }
     };
 
     void noteChange(int descriptor, Watch& watch);
