--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -3,6 +3,8 @@
 //
 // Tests that KNOWN-RED.txt lists in lines "- SUITE::TEST: ..." may fail: they are printed and not counted. A listed
 // test that passes is a failure, so that the list stays true.
+#include "kernel/event_dispatcher.h"
+
 #include <QCoreApplication>
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
@@ -59,6 +61,8 @@
 {
     // Fixed parameters: a property test must give the same verdict on every run.
     qputenv("RC_PARAMS", "seed=20261204 max_success=200");
+    // The tests run in the same event loop as the daemon.
+    QCoreApplication::setEventDispatcher(new lacewing::kernel::EventDispatcher);
     QCoreApplication application(argc, argv);
     CppUnit::TestResult controller;
     CppUnit::TestResultCollector collector;
