Tell the number of waiting jobs only while the watch of accepted jobs answers

The scheduling daemon told followers that its count was fresh whenever it answered them, also when its own watch of accepted jobs had been silent (store slow, answers lost, daemon cut off from the store), so that jobs accepted meanwhile were missing.

A watch answers at least every two seconds. When it does not, the count holds for the time of its last answer; daemons refuse it as too old, with 503, as they do for an old word of the scheduling daemon.

--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -122,6 +122,7 @@
     for (const platform::Item& item : m_accepted.items)
         applyAccepted(item, true);
     m_jobsRevision = m_accepted.revision;
+    m_jobsAnsweredAt = now;
     kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "termLoaded",
         { { "token", m_term->token() }, { "jobs", static_cast<std::int64_t>(m_scheduler->jobs.size()) },
             { "open", static_cast<std::int64_t>(m_scheduler->active.size()) },
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -23,7 +23,8 @@
     constexpr scheduler::Millis strongerPeriodMs = 1000; // ms between looks for a stronger daemon
     constexpr int retryMs = 250;                         // ms after a failed call to the store
     constexpr int watchWaitMs = 2000; // ms; a silent connection is noticed within this and the store's margin
-    constexpr int watchGapMs = 40;    // ms between watch calls, which gathers jobs that arrive together
+    constexpr scheduler::Millis watchSlackMs = 500; // ms; way of a watch call and of its answer
+    constexpr int watchGapMs = 40;                  // ms between watch calls, which gathers jobs that arrive together
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction, the term's own entries off
 
     bool endsWith(const std::string& text, const std::string& suffix)
@@ -173,6 +174,7 @@
     for (const platform::Item& item : changes.items)
         applyAccepted(item, true);
     m_jobsRevision = std::max(m_jobsRevision, changes.revision);
+    m_jobsAnsweredAt = nowMs();
     if (!changes.items.empty())
         planSoon();
 }
@@ -259,6 +261,11 @@
     }
 }
 
+scheduler::Millis DispatcherService::jobsKnownAt() const
+{
+    return watchedUntil(m_jobsAnsweredAt, watchWaitMs + watchGapMs + watchSlackMs, nowMs());
+}
+
 // Callers of this daemon are answered from the same table as those of the others.
 void DispatcherService::updateTable()
 {
@@ -266,6 +273,7 @@
     if (now - m_table->freshAt < tickMs)
         return;
     m_table->freshAt = now;
+    m_table->pendingAt = jobsKnownAt();
     m_table->pending = scheduler::pendingJobs(*m_scheduler);
 }
 
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -30,6 +30,8 @@
     void start();
     // State of the term, or nullptr when this daemon does not schedule or is still loading.
     const scheduler::Scheduler* scheduler() const { return m_isLoaded ? m_scheduler.get() : nullptr; }
+    // Accepted jobs up to this time are known to the term.
+    scheduler::Millis jobsKnownAt() const;
     // Records that let the next term begin at once; no order may follow.
     std::vector<platform::Write> lastRecords() const;
     // Committed states of the term, in order; the oldest ones are dropped.
@@ -105,6 +107,7 @@
     int m_loadsLeft = 0;
     std::shared_ptr<int> m_loadGeneration; // expires with each new attempt
     std::int64_t m_jobsRevision = 0;
+    scheduler::Millis m_jobsAnsweredAt = 0; // last answer of the store that told of accepted jobs
     std::map<std::string, Link> m_links;
     std::unique_ptr<platform::AdviceLink> m_advice; // made at the first question
     std::vector<scheduler::JobChange> m_feed;
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -363,8 +363,8 @@
 
 void GatewayService::answerPending(const scheduler::Queue& queue, const http::Responder& responder)
 {
-    if (m_table->freshAt == 0 || nowMs() - m_table->freshAt > pendingAgeMs) {
-        respond(responder, refusal(503, "the number is not known at present"), "pending", {}, "feed too old");
+    if (m_table->pendingAt == 0 || nowMs() - m_table->pendingAt > pendingAgeMs) {
+        respond(responder, refusal(503, "the number is not known at present"), "pending", {}, "number too old");
         return;
     }
     const auto found = m_table->pending.find(queue.policy.name);
--- a/src/daemon/job_table.h
+++ b/src/daemon/job_table.h
@@ -19,8 +19,9 @@
 
 struct JobTable {
     std::unordered_map<std::string, KnownJob> jobs; // by id
-    std::map<std::string, int> pending;             // by queue, as of freshAt
     scheduler::Millis freshAt = 0;                  // last word of the scheduling daemon; 0: never
+    std::map<std::string, int> pending;             // by queue
+    scheduler::Millis pendingAt = 0;                // accepted jobs up to then are counted in `pending`; 0: never told
 };
 
 inline void applyState(JobTable& table, const std::string& id, scheduler::JobState state, scheduler::Millis now)
@@ -30,6 +31,14 @@
         entry->second = { state, now };
 }
 
+// A watch that answers at least every `periodMs` tells of everything up to now while it does, and of everything up to
+// its last answer when it does not.
+constexpr scheduler::Millis watchedUntil(
+    scheduler::Millis answeredAt, scheduler::Millis periodMs, scheduler::Millis now)
+{
+    return now - answeredAt <= periodMs ? now : answeredAt;
+}
+
 // Times that the state of an ended job is kept beyond the promised time: daemons learn of an end at different moments.
 constexpr std::int64_t statusMemoryFactor = 2;
 
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -193,7 +193,8 @@
     m_table->pending.clear();
     for (auto it = pending.begin(); it != pending.end(); ++it)
         m_table->pending[it.key().toStdString()] = it.value().toInt();
-    m_table->freshAt = asked.at - reply["pendingAgeMs"].toInteger();
+    m_table->freshAt = asked.at;
+    m_table->pendingAt = asked.at - reply["pendingAgeMs"].toInteger();
 }
 
 void SyncService::probeStore()
@@ -257,7 +258,7 @@
     const QByteArray changes
         = encodeNewChanges(reply, request["feedTerm"].toInteger(), request["feedHave"].toInteger());
     updatePending(now);
-    reply["pendingAgeMs"] = static_cast<qint64>(now - m_pendingAt);
+    reply["pendingAgeMs"] = static_cast<qint64>(now - std::min(m_pendingAt, m_dispatcher->jobsKnownAt()));
     return encodeReply(reply, members + ",\"changes\":" + changes + ',' + m_pending);
 }
 
--- /dev/null
+++ b/tests/daemon_job_table_test.cpp
@@ -0,0 +1,26 @@
+// Tests of what a daemon knows of jobs.
+#include "daemon/job_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace lacewing::daemon;
+
+class DaemonJobTableTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DaemonJobTableTest);
+    CPPUNIT_TEST(silentWatchesAreNotTakenForCompleteKnowledge);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a number of waiting jobs that leaves out those accepted since the watch went silent.
+    void silentWatchesAreNotTakenForCompleteKnowledge()
+    {
+        CPPUNIT_ASSERT_EQUAL(lacewing::scheduler::Millis(12000), watchedUntil(10000, 2500, 12000));
+        CPPUNIT_ASSERT_EQUAL(lacewing::scheduler::Millis(10000), watchedUntil(10000, 2500, 13000));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DaemonJobTableTest);
+
+} // namespace
