Go on with a channel whose front request expired

After a request in progress had timed out, the one behind it had expired as well; it was removed by the timer, which started nothing, and as orders kept coming, the queue was never empty again.

The removal of expired requests now starts the next one. A request that arrives during an attempt to connect that earlier requests began arms the timer as well; it had none until another one came.

requestsBehindAnExpiredOneAreSent failed before (no answer, 200 expected).

--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -71,8 +71,10 @@
             openSocket();
             return;
         }
-        if (socket->state() != QAbstractSocket::ConnectedState)
+        if (socket->state() != QAbstractSocket::ConnectedState) {
+            armTimer(); // the attempt may be that of earlier requests, which have expired
             return;
+        }
         isBusy = true;
         queue.front().writtenAt = base::monotonicNow();
         const ChannelRequest& request = queue.front().request;
@@ -87,6 +89,12 @@
         armTimer();
     }
 
+    void pumpLater()
+    {
+        QMetaObject::invokeMethod(
+            this, [this] { pump(); }, Qt::QueuedConnection);
+    }
+
     void openSocket()
     {
         ++counters->connections;
@@ -158,6 +166,8 @@
         std::move(kept, queue.end(), std::back_inserter(failed));
         queue.erase(kept, queue.end());
         armTimer();
+        if (!isBusy && !queue.empty())
+            pumpLater();
         const QPointer<State> self(this); // a callback may destroy the channel
         for (const Exchange& exchange : failed) {
             if (!self)
@@ -249,8 +259,7 @@
         }
         // The callback may destroy the channel: everything else runs in a later turn.
         if (!queue.empty())
-            QMetaObject::invokeMethod(
-                this, [this] { pump(); }, Qt::QueuedConnection);
+            pumpLater();
         callback(std::move(result));
     }
 
@@ -297,8 +306,7 @@
     if (state->queue.size() > 1)
         state->armTimer();
     else
-        QMetaObject::invokeMethod(
-            state, [state] { state->pump(); }, Qt::QueuedConnection);
+        state->pumpLater();
 }
 
 int Channel::pending() const { return static_cast<int>(m_state->queue.size()); }
--- a/tests/http_channel_test.cpp
+++ b/tests/http_channel_test.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(waitingRequestsFailAtTheirOwnDeadline);
     CPPUNIT_TEST(expiredRequestsOpenNoConnections);
     CPPUNIT_TEST(refusedConnectionIsTriedOnceForAllThatWait);
+    CPPUNIT_TEST(requestsBehindAnExpiredOneAreSent);
     CPPUNIT_TEST_SUITE_END();
 
     static ChannelRequest post(int timeoutMs = 2000)
@@ -242,6 +243,26 @@
         CPPUNIT_ASSERT(waitUntil([&] { return refused == 20; }));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), counters.connections);
     }
+
+    // Guards against a worker that gets no orders any more after one in front of the queue has expired.
+    void requestsBehindAnExpiredOneAreSent()
+    {
+        RawServer server;
+        server.onData = [&](QTcpSocket* socket) {
+            if (server.connections > 1)
+                socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        };
+        ChannelCounters counters;
+        Channel channel(server.address(), {}, &counters);
+        int lost = 0;
+        std::optional<ClientResult> last;
+        for (int i = 0; i < 2; ++i)
+            channel.send(post(100), [&](const ClientResult& result) { lost += result.ok() ? 0 : 1; });
+        channel.send(post(), [&](const ClientResult& result) { last = result; });
+        CPPUNIT_ASSERT(waitUntil([&] { return last.has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(2, lost);
+        CPPUNIT_ASSERT_EQUAL(200, last->status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpChannelTest);
