Reproduce requests that are never sent, and delays of the daemon that are held against others

- silenceOfAllWorkersShrinksTheWindow, ageIsForgottenWithoutStarts: the window ignores answers that the daemon loses, and its age, which puts off renewals, never falls without starts.
- callsThatExpireInTheirQueueTellNothingAboutTheStore: a store that answers in time counts as failing.
- everyJobIsStoredInItsTurn: jobs with late ids are never stored while others keep changing.
- termsAreNotGivenTwiceToASuccessorThatLeftThem: a leader resigns again for a successor that did not take the term.

--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(strongerDaemonsGoFirst);
     CPPUNIT_TEST(weakDaemonsDoNotSnatchATermThatIsHandedOver);
     CPPUNIT_TEST(weakLeadersKnowAStrongerSuccessor);
+    CPPUNIT_TEST(termsAreNotGivenTwiceToASuccessorThatLeftThem);
     CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
     CPPUNIT_TEST_SUITE_END();
 
@@ -271,6 +272,31 @@
         CPPUNIT_ASSERT(!hasStrongerSuccessor(leader.election, 9000)); // not heard of lately
     }
 
+    // Guards against a term that is given up every other second for a daemon that is stronger by its settings only.
+    void termsAreNotGivenTwiceToASuccessorThatLeftThem()
+    {
+        Cell cell;
+        Daemon leader = makeDaemon("leader");
+        leader.election.processorShare = 0.1;
+        act(cell, leader, 1000);
+        act(cell, leader, 2000);
+        CPPUNIT_ASSERT(leader.election.role == Role::Leader);
+        hearPeer(leader.election, "strong", 2900, 2900, 2900);
+        leader.election.peers["strong"].processorShare = 0.5;
+        CPPUNIT_ASSERT(hasStrongerSuccessor(leader.election, 3000));
+        const Record resignation = recordToWrite(leader.election, true, 3000);
+        CPPUNIT_ASSERT_EQUAL(std::string("strong"), resignation.successor);
+        cell.record = resignation;
+        applyWritten(leader.election, resignation, ++cell.revision, 3000, 3000);
+        Millis now = 3000;
+        for (; leader.election.role != Role::Leader && now < 10000; now += 50)
+            act(cell, leader, now); // the successor does not take over
+        CPPUNIT_ASSERT(leader.election.role == Role::Leader);
+        hearPeer(leader.election, "strong", now, now, now);
+        leader.election.peers["strong"].processorShare = 0.5;
+        CPPUNIT_ASSERT(!hasStrongerSuccessor(leader.election, now + 50));
+    }
+
     // Guards against a series of planned stops in which the term goes to the daemon that is stopped next, and against a
     // term that waits for a successor that is gone (standard day trouble-2).
     void resignedLeadersNameTheDaemonThatWasStartedLast()
--- a/tests/http_channel_test.cpp
+++ b/tests/http_channel_test.cpp
@@ -87,6 +87,8 @@
     CPPUNIT_TEST(waitingRequestsFailAtTheirOwnDeadline);
     CPPUNIT_TEST(expiredRequestsOpenNoConnections);
     CPPUNIT_TEST(refusedConnectionIsTriedOnceForAllThatWait);
+    CPPUNIT_TEST(requestsBehindExpiredOnesAreSent);
+    CPPUNIT_TEST(steadyRequestsAreSentAfterAnExpiry);
     CPPUNIT_TEST_SUITE_END();
 
     static ChannelRequest post(int timeoutMs = 2000)
@@ -242,6 +244,54 @@
         CPPUNIT_ASSERT(waitUntil([&] { return refused == 20; }));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), counters.connections);
     }
+
+    // Guards against requests that are never sent because the ones before them expired while the daemon was late.
+    void requestsBehindExpiredOnesAreSent()
+    {
+        RawServer server;
+        answerAllButTheFirst(server);
+        ChannelCounters counters;
+        Channel channel(server.address(), {}, &counters);
+        std::optional<ClientResult> third;
+        expireTwo(server, channel);
+        channel.send(post(), [&](const ClientResult& result) { third = result; });
+        CPPUNIT_ASSERT(waitUntil([&] { return third.has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(200, third->status);
+    }
+
+    // Guards against a worker that gets no order as long as orders for it keep coming.
+    void steadyRequestsAreSentAfterAnExpiry()
+    {
+        RawServer server;
+        answerAllButTheFirst(server);
+        ChannelCounters counters;
+        Channel channel(server.address(), {}, &counters);
+        expireTwo(server, channel);
+        int answered = 0;
+        for (int i = 0; i < 40; ++i) {
+            channel.send(post(400), [&](const ClientResult& result) { answered += result.status == 200 ? 1 : 0; });
+            runFor(50);
+        }
+        CPPUNIT_ASSERT_MESSAGE("answered " + std::to_string(answered), answered > 30);
+    }
+
+private:
+    static void answerAllButTheFirst(RawServer& server)
+    {
+        server.onData = [&server](QTcpSocket* socket) {
+            if (server.connections > 1)
+                socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        };
+    }
+
+    // Both expire in one turn of the event loop, the first after it was sent.
+    static void expireTwo(RawServer& server, Channel& channel)
+    {
+        channel.send(post(200), [](const ClientResult&) {});
+        channel.send(post(200), [](const ClientResult&) {});
+        CPPUNIT_ASSERT(waitUntil([&] { return !server.received.isEmpty(); }));
+        std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpChannelTest);
--- a/tests/order_window_test.cpp
+++ b/tests/order_window_test.cpp
@@ -62,6 +62,8 @@
     CPPUNIT_TEST(overloadEndsWithItsCause);
     CPPUNIT_TEST(quickDaemonsAreNotHeldBack);
     CPPUNIT_TEST(silentWorkersDoNotCloseTheWindow);
+    CPPUNIT_TEST(silenceOfAllWorkersShrinksTheWindow);
+    CPPUNIT_TEST(ageIsForgottenWithoutStarts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -114,6 +116,35 @@
         CPPUNIT_ASSERT_EQUAL(0, openStarts(window, now + 100));
         CPPUNIT_ASSERT_EQUAL(open, openStarts(window, now + 1000));
     }
+
+    // Guards against a daemon that goes on at its highest rate while its own link or event loop loses every answer.
+    void silenceOfAllWorkersShrinksTheWindow()
+    {
+        OrderWindow window;
+        window.size = 256;
+        Millis now = 1000;
+        int ordered = 0;
+        for (int round = 0; round < 20; ++round, now += 400) {
+            std::deque<std::uint64_t> numbers;
+            for (int i = openStarts(window, now); i > 0; --i)
+                numbers.push_back(recordOrder(window, now));
+            ordered = static_cast<int>(numbers.size());
+            for (const std::uint64_t number : numbers)
+                recordEnd(window, number, now, true, now + 400);
+        }
+        CPPUNIT_ASSERT(ordered < 64);
+    }
+
+    // Guards against renewals that are put off by the age of starts (applyRenewal) long after the last start.
+    void ageIsForgottenWithoutStarts()
+    {
+        OrderWindow window;
+        for (int i = 0; i < 100; ++i)
+            recordEnd(window, recordOrder(window, 1000), 1000, false, 3000);
+        CPPUNIT_ASSERT(window.ageMs > 1000);
+        openStarts(window, 60000);
+        CPPUNIT_ASSERT(window.ageMs < 100);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OrderWindowTest);
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -20,6 +20,7 @@
 class PlatformStoreTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PlatformStoreTest);
     CPPUNIT_TEST(overlappingCallsDoNotWaitForEachOther);
+    CPPUNIT_TEST(callsThatExpireInTheirQueueTellNothingAboutTheStore);
     CPPUNIT_TEST(approvalsAreAskedAndDecoded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +52,27 @@
         CPPUNIT_ASSERT_EQUAL(4, store.connections); // kept, and not more than needed
     }
 
+    // Guards against a store that counts as failing because calls to it waited in this daemon.
+    void callsThatExpireInTheirQueueTellNothingAboutTheStore()
+    {
+        constexpr int slowMs = 300;
+        RawEndpoint store([](QTcpSocket& socket, const QByteArray&) {
+            QTimer::singleShot(slowMs, &socket,
+                [&socket] { socket.write(answer(R"({"key":"k","value":"","revision":5,"created":5,"at":9})")); });
+        });
+        platform::StoreSettings settings;
+        settings.address = "127.0.0.1:" + QString::number(store.port);
+        settings.callTimeoutMs = 2 * slowMs - slowMs / 3;
+        platform::Store client(settings);
+        bool isReachable = true;
+        client.onReachability([&](bool reachable, const std::string&) { isReachable = isReachable && reachable; });
+        int done = 0;
+        for (int i = 0; i < 20; ++i)
+            client.read("k", [&](const base::Result<platform::Item, platform::StoreError>&) { ++done; });
+        CPPUNIT_ASSERT(waitUntil([&] { return done == 20; }));
+        CPPUNIT_ASSERT(isReachable);
+    }
+
     // Guards against answers of another form being taken for approvals.
     void approvalsAreAskedAndDecoded()
     {
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -45,6 +45,8 @@
     CPPUNIT_TEST(onlyApprovedWorkersAreUsed);
     CPPUNIT_TEST(jobsWhoseStartsAreRefusedOrUnansweredArePending);
     CPPUNIT_TEST(unsentOrdersDoNotKeepWorkersEmpty);
+    CPPUNIT_TEST(ordersThatCannotBeSentLeaveRoomInTheWindow);
+    CPPUNIT_TEST(everyJobIsStoredInItsTurn);
     CPPUNIT_TEST(randomFaultsBreakNoPromise);
     CPPUNIT_TEST_SUITE_END();
 
@@ -443,6 +445,52 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler::plan(state, world.now(), world.now()).starts.size());
     }
 
+    // Guards against a silent worker whose orders use up the bound on starts, so that nothing else starts.
+    void ordersThatCannotBeSentLeaveRoomInTheWindow()
+    {
+        World world(1, 5);
+        world.run(200);
+        Step silent = plainStep(8, 100, 20000);
+        silent.requiredLabel = "rack1"; // the last worker only
+        world.submit("first", { silent });
+        world.submit("second", { plainStep(1, 100, 20000) });
+        auto& state = world.scheduler();
+        state.startLimit = 8; // the least that a daemon uses
+        bool isSecondOrdered = false;
+        for (Millis now = world.now(); now < world.now() + 2000 && !isSecondOrdered; now += 400) {
+            state.validUntil = now + 1000;
+            for (const scheduler::StartOrder& order : scheduler::plan(state, now, now).starts) {
+                isSecondOrdered = isSecondOrdered || order.task.rfind("second", 0) == 0;
+                scheduler::applyStart(state, order, scheduler::StartOutcome::Unsent, now);
+            }
+        }
+        CPPUNIT_ASSERT(isSecondOrdered);
+    }
+
+    // Guards against ends that are never acknowledged because jobs with smaller ids keep changing.
+    void everyJobIsStoredInItsTurn()
+    {
+        World world(1, 1);
+        for (const char* id : { "a", "b", "c", "z" })
+            world.submit(id, { plainStep(1, 1000, 20000) });
+        auto& state = world.scheduler();
+        const auto change = [&state](const std::string& id) {
+            ++state.jobs.at(id)->version;
+            state.dirty.insert(id);
+        };
+        change("z");
+        bool isLastStored = false;
+        for (int round = 0; round < 20; ++round) {
+            for (const char* id : { "a", "b", "c" })
+                change(id);
+            for (const std::string& id : scheduler::takeCommit(state, 3)) {
+                isLastStored = isLastStored || id == "z";
+                scheduler::applyCommit(state, id, state.jobs.at(id)->version, JobState::Running);
+            }
+        }
+        CPPUNIT_ASSERT(isLastStored);
+    }
+
     // Random schedules of lost and late orders, failures, cuts, crashes and lost terms: no task twice at once, none
     // after an acknowledged end, capacity, attempts, and every job ends. A failing seed is printed and replays.
     void randomFaultsBreakNoPromise()
