Reproduce orders without a time limit behind a connection attempt that hangs

A request that expires while the connection is being made leaves the attempt without a timer; the next request waits for it for as long as the attempt lasts.

--- a/tests/http_channel_test.cpp
+++ b/tests/http_channel_test.cpp
@@ -5,8 +5,12 @@
 #include <QTcpServer>
 #include <QThread>
 #include <QTimer>
+#include <arpa/inet.h>
 #include <chrono>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 namespace {
 
@@ -77,6 +81,37 @@
     quint16 m_port = 0;
 };
 
+// Drops what a caller sends to open a connection, as a network that is cut does: its queue of connections is full.
+struct FullListener {
+    FullListener()
+    {
+        sockaddr_in any {};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof any;
+        CPPUNIT_ASSERT_EQUAL(0, ::bind(m_descriptors[0], reinterpret_cast<sockaddr*>(&any), length));
+        CPPUNIT_ASSERT_EQUAL(0, ::listen(m_descriptors[0], 0));
+        CPPUNIT_ASSERT_EQUAL(0, ::getsockname(m_descriptors[0], reinterpret_cast<sockaddr*>(&any), &length));
+        m_port = ntohs(any.sin_port);
+        CPPUNIT_ASSERT_EQUAL(0, ::connect(m_descriptors[1], reinterpret_cast<sockaddr*>(&any), length));
+    }
+
+    ~FullListener()
+    {
+        for (const int descriptor : m_descriptors)
+            ::close(descriptor);
+    }
+
+    FullListener(const FullListener&) = delete;
+    FullListener& operator=(const FullListener&) = delete;
+
+    QString address() const { return "127.0.0.1:" + QString::number(m_port); }
+
+private:
+    int m_descriptors[2] = { ::socket(AF_INET, SOCK_STREAM, 0), ::socket(AF_INET, SOCK_STREAM, 0) };
+    quint16 m_port = 0;
+};
+
 class HttpChannelTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(HttpChannelTest);
     CPPUNIT_TEST(requestsShareOneConnection);
@@ -89,6 +124,7 @@
     CPPUNIT_TEST(refusedConnectionIsTriedOnceForAllThatWait);
     CPPUNIT_TEST(requestsBehindExpiredOnesAreSent);
     CPPUNIT_TEST(steadyRequestsAreSentAfterAnExpiry);
+    CPPUNIT_TEST(requestsFailInTimeWhileAnOldConnectionAttemptHangs);
     CPPUNIT_TEST_SUITE_END();
 
     static ChannelRequest post(int timeoutMs = 2000)
@@ -275,6 +311,23 @@
         CPPUNIT_ASSERT_MESSAGE("answered " + std::to_string(answered), answered > 30);
     }
 
+    // Guards against orders without a time limit to a worker that was cut off while the connection was being made.
+    void requestsFailInTimeWhileAnOldConnectionAttemptHangs()
+    {
+        const FullListener peer;
+        ChannelCounters counters;
+        ChannelLimits limits;
+        limits.connectTimeoutMs = 300;
+        Channel channel(peer.address(), limits, &counters);
+        int failed = 0;
+        const auto count = [&](const ClientResult& result) { failed += result.ok() ? 0 : 1; };
+        channel.send(post(100), count);
+        CPPUNIT_ASSERT(waitUntil([&] { return failed == 1; }, 3000));
+        runFor(50);
+        channel.send(post(100), count);
+        CPPUNIT_ASSERT(waitUntil([&] { return failed == 2; }, 3000));
+    }
+
 private:
     static void answerAllButTheFirst(RawServer& server)
     {
