--- a/tests/http_channel_test.cpp
+++ b/tests/http_channel_test.cpp
@@ -5,8 +5,12 @@
 #include <QTcpServer>
 #include <QThread>
 #include <QTimer>
+#include <arpa/inet.h>
 #include <chrono>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 namespace {
 
@@ -77,6 +81,37 @@
     quint16 m_port = 0;
 };
 
+// Drops what a caller sends to open a connection, as a network that is cut does: its queue of connections is full.
+struct FullListener {
+    FullListener()
+    {
+        sockaddr_in any {};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof any;
+        CPPUNIT_ASSERT_EQUAL(0, ::bind(m_descriptors[0], reinterpret_cast<sockaddr*>(&any), length));
+        CPPUNIT_ASSERT_EQUAL(0, ::listen(m_descriptors[0], 0));
+        CPPUNIT_ASSERT_EQUAL(0, ::getsockname(m_descriptors[0], reinterpret_cast<sockaddr*>(&any), &length));
+        m_port = ntohs(any.sin_port);
+        CPPUNIT_ASSERT_EQUAL(0, ::connect(m_descriptors[1], reinterpret_cast<sockaddr*>(&any), length));
+    }
+
+    ~FullListener()
+    {
+        for (const int descriptor : m_descriptors)
+            ::close(descriptor);
+    }
+
+    FullListener(const FullListener&) = delete;
+    FullListener& operator=(const FullListener&) = delete;
+
+    QString address() const { return "127.0.0.1:" + QString::number(m_port); }
+
+private:
+    int m_descriptors[2] = { ::socket(AF_INET, SOCK_STREAM, 0), ::socket(AF_INET, SOCK_STREAM, 0) };
+    quint16 m_port = 0;
+};
+
 class HttpChannelTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(HttpChannelTest);
     CPPUNIT_TEST(requestsShareOneConnection);
@@ -88,6 +123,9 @@
     CPPUNIT_TEST(expiredRequestsOpenNoConnections);
     CPPUNIT_TEST(refusedConnectionIsTriedOnceForAllThatWait);
     CPPUNIT_TEST(requestsBehindAnExpiredOneAreSent);
+    CPPUNIT_TEST(requestsBehindExpiredOnesAreSent);
+    CPPUNIT_TEST(steadyRequestsAreSentAfterAnExpiry);
+    CPPUNIT_TEST(requestsFailInTimeWhileAnOldConnectionAttemptHangs);
     CPPUNIT_TEST_SUITE_END();
 
     static ChannelRequest post(int timeoutMs = 2000)
@@ -263,6 +301,71 @@
         CPPUNIT_ASSERT_EQUAL(2, lost);
         CPPUNIT_ASSERT_EQUAL(200, last->status);
     }
+
+    // Guards against requests that are never sent because the ones before them expired while the daemon was late.
+    void requestsBehindExpiredOnesAreSent()
+    {
+        RawServer server;
+        answerAllButTheFirst(server);
+        ChannelCounters counters;
+        Channel channel(server.address(), {}, &counters);
+        std::optional<ClientResult> third;
+        expireTwo(server, channel);
+        channel.send(post(), [&](const ClientResult& result) { third = result; });
+        CPPUNIT_ASSERT(waitUntil([&] { return third.has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(200, third->status);
+    }
+
+    // Guards against a worker that gets no order as long as orders for it keep coming.
+    void steadyRequestsAreSentAfterAnExpiry()
+    {
+        RawServer server;
+        answerAllButTheFirst(server);
+        ChannelCounters counters;
+        Channel channel(server.address(), {}, &counters);
+        expireTwo(server, channel);
+        int answered = 0;
+        for (int i = 0; i < 40; ++i) {
+            channel.send(post(400), [&](const ClientResult& result) { answered += result.status == 200 ? 1 : 0; });
+            runFor(50);
+        }
+        CPPUNIT_ASSERT_MESSAGE("answered " + std::to_string(answered), answered > 30);
+    }
+
+    // Guards against orders without a time limit to a worker that was cut off while the connection was being made.
+    void requestsFailInTimeWhileAnOldConnectionAttemptHangs()
+    {
+        const FullListener peer;
+        ChannelCounters counters;
+        ChannelLimits limits;
+        limits.connectTimeoutMs = 300;
+        Channel channel(peer.address(), limits, &counters);
+        int failed = 0;
+        const auto count = [&](const ClientResult& result) { failed += result.ok() ? 0 : 1; };
+        channel.send(post(100), count);
+        CPPUNIT_ASSERT(waitUntil([&] { return failed == 1; }, 3000));
+        runFor(50);
+        channel.send(post(100), count);
+        CPPUNIT_ASSERT(waitUntil([&] { return failed == 2; }, 3000));
+    }
+
+private:
+    static void answerAllButTheFirst(RawServer& server)
+    {
+        server.onData = [&server](QTcpSocket* socket) {
+            if (server.connections > 1)
+                socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        };
+    }
+
+    // Both expire in one turn of the event loop, the first after it was sent.
+    static void expireTwo(RawServer& server, Channel& channel)
+    {
+        channel.send(post(200), [](const ClientResult&) {});
+        channel.send(post(200), [](const ClientResult&) {});
+        CPPUNIT_ASSERT(waitUntil([&] { return !server.received.isEmpty(); }));
+        std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpChannelTest);
