Hold a silent worker's delay against the worker, not the daemon

The window of starts shrank for all workers, and the frozen one looked empty and got the next orders.

--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -143,6 +143,7 @@
             return;
         const base::TimePoint now = base::monotonicNow();
         if (isBusy && now >= queue.front().deadline) {
+            silentUntil = now;
             fail(Failure::Timeout, "no complete answer in time");
             return;
         }
@@ -160,6 +161,8 @@
     template <typename Predicate> void failWaiting(Failure failure, const QByteArray& detail, Predicate isSelected)
     {
         const base::TimePoint now = base::monotonicNow();
+        if (isBusy && now - queue.front().writtenAt >= base::milliseconds(limits.silenceMs))
+            silentUntil = now;
         std::vector<Exchange> failed;
         const auto kept = std::stable_partition(queue.begin() + (isBusy ? 1 : 0), queue.end(),
             [&](const Exchange& exchange) { return !isSelected(exchange); });
@@ -177,6 +180,7 @@
             result.failure = failure;
             result.bytesSent = BytesSent::None;
             result.detail = detail;
+            result.wasPeerSilent = exchange.queuedAt <= silentUntil;
             result.waitedMs = static_cast<int>(base::toMilliseconds(now - exchange.queuedAt));
             exchange.callback(std::move(result));
         }
@@ -272,7 +276,8 @@
     bool isBusy = false;
     AnswerParser parser;
     base::TimePoint connectStarted;
-    QTimer timer; // of the connection or of the request in front
+    base::TimePoint silentUntil {}; // a request that was sent had no answer for silenceMs at that time
+    QTimer timer;                   // of the connection or of the request in front
     QTimer idleTimer;
 };
 
