--- a/src/scheduler/order_window.h
+++ b/src/scheduler/order_window.h
@@ -15,9 +15,11 @@
 namespace lacewing::scheduler {
 
 struct OrderWindow {
-    double size = 16;    // starts
-    double ageMs = 0;    // smoothed time from an order to its end
-    Millis shrunkAt = 0; // last decrease
+    double size = 16;       // starts
+    double ageMs = 0;       // smoothed time from an order to its end
+    Millis agedAt = 0;      // last change of ageMs
+    double silentShare = 0; // smoothed share of starts that were sent and had no answer
+    Millis shrunkAt = 0;    // last decrease
     // --- Starts without an answer, oldest first ---
     struct Order {
         Millis orderedAt = 0;
@@ -33,7 +35,7 @@
 // Returns the number of the order, for its answer.
 std::uint64_t recordOrder(OrderWindow& window, Millis now);
 // The order was answered, whatever the answer, or given up. isWorkerSilent: it was sent, and its time tells nothing
-// about the daemon.
+// about the daemon, unless most workers are silent.
 void recordEnd(OrderWindow& window, std::uint64_t number, Millis orderedAt, bool isWorkerSilent, Millis now);
 
 } // namespace lacewing::scheduler
