Let no worker use up the bound on starts, store each job in its turn

After three such starts in a row a worker is left out for 500 ms. - Jobs to store were taken by their ids, 28 in 100 ms, so that those with the last ids waited as long as others kept changing; their ends were not acknowledged meanwhile. Each call goes on behind the job that was taken last.

--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -287,18 +287,22 @@
         setState(scheduler, job, JobState::Failed, now);
 }
 
-std::vector<std::string> takeCommit(const Scheduler& scheduler, std::size_t limit)
+std::vector<std::string> takeCommit(Scheduler& scheduler, std::size_t limit)
 {
     std::vector<std::string> ids;
-    // Final states first: callers wait for them.
-    for (const bool wantsFinal : { true, false }) {
-        for (const std::string& id : scheduler.dirty) {
-            if (ids.size() >= limit)
-                return ids;
-            if (isFinal(scheduler.jobs.at(id)->state) == wantsFinal)
-                ids.push_back(id);
+    const auto next = scheduler.dirty.upper_bound(scheduler.lastTaken);
+    const auto take = [&](auto begin, auto end, bool wantsFinal) {
+        for (auto id = begin; id != end && ids.size() < limit; ++id) {
+            if (isFinal(scheduler.jobs.at(*id)->state) == wantsFinal)
+                ids.push_back(*id);
         }
+    };
+    for (const bool wantsFinal : { true, false }) { // callers wait for final states
+        take(next, scheduler.dirty.end(), wantsFinal);
+        take(scheduler.dirty.begin(), next, wantsFinal);
     }
+    if (!ids.empty())
+        scheduler.lastTaken = ids.back();
     return ids;
 }
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -200,6 +200,7 @@
     double failureScore = 0; // decaying count of failed ends without a done one between
     Millis avoidUntil = 0;   // no new tasks before this
     Millis fullUntil = 0;    // refused a start for want of room
+    int unsentStarts = 0;    // in a row, that expired in this daemon
     double slowness = 1;     // measured time of a task against its estimate, relative to other workers
     double pressure = 0;     // highest reading of a serving task against its target
     Millis hotSince = 0;     // a serving task went over its target and has not been well below it since; 0: none
@@ -262,6 +263,7 @@
     std::set<std::string> active; // jobs that are not final, or not committed as such
     Interference interference;
     std::set<std::string> dirty; // jobs whose record has to be stored
+    std::string lastTaken;       // of the dirty ones, for storing: the next ones follow it
     // --- Approval of workers ---
     bool hasQuestion = false;   // one is on its way to the advice service
     Millis questionRetryAt = 0; // none is asked before this
@@ -337,8 +339,8 @@
 
 // --- Storing ---
 
-// Jobs to store now, at most `limit`.
-std::vector<std::string> takeCommit(const Scheduler& scheduler, std::size_t limit);
+// Jobs to store now, at most `limit`: final states first, each job in its turn.
+std::vector<std::string> takeCommit(Scheduler& scheduler, std::size_t limit);
 // The record of the job at that version is in the store.
 void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state);
 
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -12,6 +12,8 @@
     constexpr double failureScoreLimit = 3;
     constexpr Millis avoidFailingMs = 4000;  // ms; longer than the platform's shortest grey failures
     constexpr Millis avoidRefusingMs = 1000; // ms; a worker that answers 429 or 503 to a start
+    constexpr int unsentLimit = 3;           // starts in a row that expired in this daemon
+    constexpr Millis avoidUnsentMs = 500;    // ms; above the time-out of an order
     constexpr Millis fullMs = 300;           // ms; a worker that refused a start for want of room
     constexpr double failureDecay = 0.5;     // of the score with each success
     constexpr double repeatedFailure = 0.3;  // weight of a task that failed elsewhere before
@@ -386,8 +388,10 @@
         return;
     Task& task = *ref->task;
     task.isConfirmed = task.isConfirmed || outcome == StartOutcome::Started;
-    if (outcome == StartOutcome::Started)
+    if (outcome == StartOutcome::Started) {
         noteStarted(scheduler, *ref->job, now);
+        ref->task->host->unsentStarts = 0;
+    }
     if (task.phase != TaskPhase::Starting)
         return;
     switch (outcome) {
@@ -412,7 +416,12 @@
     case StartOutcome::NoTicket: // asked about anew
         ref->progress->approvals.erase(order.worker);
         break;
-    case StartOutcome::Unsent:
+    case StartOutcome::Unsent: // one says nothing, several would use up the bound on starts for all others
+        if (worker != scheduler.workers.end() && ++worker->second.unsentStarts >= unsentLimit) {
+            worker->second.avoidUntil = std::max(worker->second.avoidUntil, now + avoidUnsentMs);
+            worker->second.unsentStarts = 0;
+        }
+        break;
     case StartOutcome::Fenced:
     case StartOutcome::Late:
     case StartOutcome::OtherLife:
