Do not resign twice for a successor after whom the term came back

A leader resigns for a stronger daemon only while it reaches the store itself (a resignation that cannot be written ends a term that could go on), and also before it has started anything, when it may never learn where all tasks are.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -126,13 +126,14 @@
 void DispatcherService::resignForStronger()
 {
     const scheduler::Millis now = nowMs();
-    if (m_term->isResigning() || !m_scheduler->isAccounted || now - m_strongerSoughtAt < strongerPeriodMs)
+    const bool isKnowing = m_scheduler->isAccounted || m_scheduler->starts == 0;
+    if (m_term->isResigning() || !isKnowing || now - m_strongerSoughtAt < strongerPeriodMs)
         return;
     m_strongerSoughtAt = now;
-    if (!election::hasStrongerSuccessor(m_term->state(), now))
+    if (!isStoreReachable(m_runtime) || !election::hasStrongerSuccessor(m_term->state(), now))
         return;
     std::vector<platform::Write> records = lastRecords();
-    if (!records.empty())
+    if (!records.empty() || m_scheduler->starts == 0)
         m_term->resign("a stronger daemon is there", std::move(records), [] {});
 }
 
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -72,7 +72,8 @@
     // Removes the records of jobs that ended long ago.
     void removeExpired();
     void loadInterference();
-    // Gives the term to a daemon with clearly more processor time, once this term knows where all tasks are.
+    // Gives the term to a daemon with clearly more processor time, once this term knows where all tasks are or before
+    // it has started any.
     void resignForStronger();
 
     // --- Workers ---
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -166,11 +166,16 @@
 void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now)
 {
     if (record.isResigned) {
+        election.lastSuccessor = record.successor;
+        election.resignedAt = now;
         stepDown(election);
     } else if (election.role == Role::Follower) {
         election.role = Role::Leader;
         election.replacedToken = election.record && election.record->isResigned ? election.record->token : 0;
         election.token = revision;
+        if (!election.lastSuccessor.empty() && now - election.resignedAt < election.limits.peerMemoryMs)
+            election.passedOver[election.lastSuccessor] = now;
+        election.lastSuccessor.clear();
         election.peers.clear();
         // Each of them may take over, whether it has been heard of in this term or not.
         for (const std::string& member : election.members) {
@@ -244,7 +249,8 @@
         const std::pair<const std::string, Peer>* best = nullptr;
         for (const auto& entry : election.peers) {
             const bool isInTouch = now - entry.second.heardAt < election.limits.contactMs;
-            if (isInTouch && isSuitable(entry.second) && (!best || rank(entry.second) > rank(best->second)))
+            if (isInTouch && isSuitable(entry.first, entry.second)
+                && (!best || rank(entry.second) > rank(best->second)))
                 best = &entry;
         }
         return best;
@@ -252,8 +258,12 @@
 
     const std::pair<const std::string, Peer>* preferredPeer(const Election& election, Millis now)
     {
-        return strongestPeer(
-            election, now, [&](const Peer& peer) { return now - peer.storeOkAt < election.limits.validityMs; });
+        return strongestPeer(election, now, [&](const std::string& name, const Peer& peer) {
+            const auto passed = election.passedOver.find(name);
+            const bool isPassedOver
+                = passed != election.passedOver.end() && now - passed->second < election.limits.peerMemoryMs;
+            return !isPassedOver && now - peer.storeOkAt < election.limits.validityMs;
+        });
     }
 
 } // namespace
@@ -275,8 +285,8 @@
     const bool hasLostStore = failingSince > 0 && now - failingSince >= election.limits.handOverMs;
     if (election.role != Role::Leader || !hasLostStore)
         return std::nullopt;
-    const auto* peer
-        = strongestPeer(election, now, [&](const Peer& candidate) { return candidate.storeOkAt > failingSince; });
+    const auto* peer = strongestPeer(
+        election, now, [&](const std::string&, const Peer& candidate) { return candidate.storeOkAt > failingSince; });
     return peer ? std::optional(peer->first) : std::nullopt;
 }
 
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -113,6 +113,10 @@
     Millis renewSentAt = 0;         // of the last successful renewal
     Millis renewTriedAt = 0;        // of the last attempt
     std::int64_t replacedToken = 0; // of the resigned term before this one; 0: it was not resigned
+    std::string lastSuccessor;      // in whose favour this process resigned last
+    Millis resignedAt = 0;          // that time
+    std::map<std::string, Millis>
+        passedOver;         // successors after whom the term came back within peerMemoryMs, since when
     bool hasLapsed = false; // the right to act ended since the last renewal: promises alone do not bring it back
     std::map<std::string, Peer> peers;
 };
@@ -149,7 +153,7 @@
 void hearPeer(Election& election, const std::string& peer, Millis promisedAt, Millis storeOkAt, Millis now);
 void forgetPeer(Election& election, const std::string& peer);
 // Daemon to resign in favour of: the strongest, and of equals the one that was started last, because planned stops come
-// in series and it has had its turn.
+// in series and it has had its turn. Not one after whom the term came back lately.
 std::optional<std::string> preferredSuccessor(const Election& election, Millis now);
 // True when a daemon with clearly more processor time could take the term over.
 bool hasStrongerSuccessor(const Election& election, Millis now);
