--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -12,6 +12,7 @@
     constexpr int lostRetryMs = 400;       // ms between attempts to reach a lost worker
     constexpr int endsPendingWaitMs = 300; // ms; longest pause of the renewals of a worker whose ends are being stored
     constexpr int hotLeaseWaitMs = 450;    // ms that a worker over a target holds its report back; one reading's window
+    constexpr int maxFirstReports = 128;   // under way; a new term would lose its own calls to all workers at once
     constexpr int startAttempts = 2;       // the second one repeats the first, which a worker carries out once
 
 } // namespace
@@ -55,6 +56,9 @@
         const bool isStale = worker == m_scheduler->workers.end() || worker->second.entry.address != it->second.address;
         it = isStale ? m_links.erase(it) : std::next(it);
     }
+    int firstReports = 0; // asked for, of workers that this term does not hold
+    for (const auto& [id, worker] : m_scheduler->workers)
+        firstReports += m_links[id].isRenewing && worker.contact != scheduler::Contact::Held ? 1 : 0;
     for (const auto& [id, worker] : m_scheduler->workers) {
         Link& link = m_links[id];
         if (!link.calls) {
@@ -66,8 +70,11 @@
         const bool isStoringEnds = !worker.unacknowledged.empty() && now - worker.reportedAt < endsPendingWaitMs
             && m_scheduler->dirty.count(worker.unacknowledged.back().job) > 0;
         // Without a valid term no lease is renewed: the next term counts on their end.
-        if (!link.isRenewing && now >= link.nextRenewalAt && !isStoringEnds && now < m_term->validUntil())
-            renew(id, link);
+        if (link.isRenewing || now < link.nextRenewalAt || isStoringEnds || now >= m_term->validUntil())
+            continue;
+        if (worker.contact != scheduler::Contact::Held && ++firstReports > maxFirstReports)
+            continue;
+        renew(id, link);
     }
 }
 
