--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -319,21 +319,25 @@
     m_knownWorkers = scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler));
 }
 
+void World::restart(SimWorker& worker)
+{
+    worker.running.clear();
+    worker.highestEndedRun.clear();
+    worker.tickets.clear();
+    worker.ended.clear();
+    worker.lastNumber = 0;
+    worker.token = 0;
+    worker.leaseEndsAt = 0;
+    ++worker.entry.incarnationUnixMs;
+}
+
 void World::injectFaults()
 {
     for (SimWorker& worker : m_workers) {
         if (base::chance(m_rng, faults.partitionPerStep))
             worker.unreachableUntil = m_now + static_cast<Millis>(base::below(m_rng, 2 * partitionMs));
-        if (base::chance(m_rng, faults.crashPerStep)) {
-            worker.running.clear();
-            worker.highestEndedRun.clear();
-            worker.tickets.clear();
-            worker.ended.clear();
-            worker.lastNumber = 0;
-            worker.token = 0;
-            worker.leaseEndsAt = 0;
-            ++worker.entry.incarnationUnixMs;
-        }
+        if (base::chance(m_rng, faults.crashPerStep))
+            restart(worker);
     }
     if (base::chance(m_rng, faults.termPerStep))
         replaceTerm();
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -81,6 +81,8 @@
         const scheduler::ApprovalPolicy& approval = {});
     void cancel(const std::string& id);
     void withdraw(const std::string& dataCentre);
+    // Starts a new incarnation of the worker, which has lost all runs and ends.
+    void restartWorker(int index) { restart(worker(index)); }
 
     // --- Time ---
     Millis now() const { return m_now; }
@@ -116,6 +118,7 @@
     void end(SimWorker& worker, const std::string& task, scheduler::EndKind kind);
     void commit();
     void injectFaults();
+    static void restart(SimWorker& worker);
     void check(bool holds, const std::string& what);
 
     base::Rng m_rng;
