Count a worker as accounted for once it has reported, also when it is lost later

Cause: a term places unknown tasks when, at one moment, every worker is in contact or its lease is over.

A report under the term's token lists every run of the worker, and the worker refuses older tokens from then on, so that its later loss says nothing about unknown tasks. A report whose list of ends is cut off does not count: an end `done` may be missing.

--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -24,6 +24,8 @@
 // Bounds of the worker's clock at `now`, given the slowest clock rate.
 std::int64_t earliestClock(const Scheduler& scheduler, const Worker& worker, Millis now);
 std::int64_t latestClock(const Worker& worker, Millis now);
+// True when no run or end of an earlier term is left on the worker that this term does not know.
+bool isAccounted(const Worker& worker);
 // Expires leases, removes workers that are gone, and determines whether all runs of earlier terms are known.
 void reconcileWorkers(Scheduler& scheduler, Millis now);
 bool isPlaced(const Task& task);
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -96,8 +96,7 @@
         if (scheduler.isReconciled || task.formerWorker.empty())
             return scheduler.isReconciled;
         const auto worker = scheduler.workers.find(task.formerWorker);
-        return worker != scheduler.workers.end()
-            && (worker->second.contact == Contact::Established || worker->second.isLeaseExpired);
+        return worker != scheduler.workers.end() && isAccounted(worker->second);
     }
 
     // The estimates of the following steps are too inaccurate to be included.
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -180,6 +180,7 @@
     std::int64_t leaseEndClockMs = 0; // latest lease end requested so far, on the worker's clock; 0: none
     Millis earlierLeaseEndAt = 0;     // when leases of earlier terms have expired at the latest
     Millis reportedAt = 0;            // last report
+    bool hasReported = false;         // a report of this term has listed all its runs and ends
     Millis lostAt = 0;
     bool isLeaseExpired = false; // not in contact, and its lease has expired even on the slowest clock
     // --- Ends of runs ---
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -224,6 +224,8 @@
 
 } // namespace
 
+bool isAccounted(const Worker& worker) { return worker.hasReported || worker.isLeaseExpired; }
+
 std::int64_t earliestClock(const Scheduler& scheduler, const Worker& worker, Millis now)
 {
     const auto passed = static_cast<double>(now - worker.clockReadAt);
@@ -346,8 +348,10 @@
         applyRunning(scheduler, worker, row, now);
     }
     std::sort(running.begin(), running.end());
-    if (!report.isEndListTruncated)
-        endMissingRuns(scheduler, worker, running, sentAt, now);
+    if (report.isEndListTruncated)
+        return;
+    worker.hasReported = true;
+    endMissingRuns(scheduler, worker, running, sentAt, now);
 }
 
 void applyContactLoss(Scheduler& scheduler, const std::string& id, Millis now)
@@ -456,7 +460,7 @@
                     endRun(scheduler, ref, EndKind::Lapsed, ref.task->run, now);
             }
         }
-        isReconciled = isReconciled && (worker.contact == Contact::Established || worker.isLeaseExpired);
+        isReconciled = isReconciled && isAccounted(worker);
         const bool isGone
             = worker.isLeaseExpired && !worker.isListed && now - worker.unlistedSince > unlistedRemovalDelayMs;
         it = isGone ? scheduler.workers.erase(it) : std::next(it);
