Let a new term wait only for workers that hold a lease, and only as long as it lasts

Cause: after an unplanned end of a term, unknown tasks start when every worker has reported or the longest lease, counted from the begin of the newest term, is over (6.7 s). So the wait began anew with each term, and any listed worker that nobody can reach, also an odd entry that no daemon ever talked to, held up all others each time.

The scheduling daemon now stores a lease table before it grants a worker its first lease: a worker that is not in it holds no run, and a term does not wait for it. A worker out of contact is released with the time of its last renewal. That time is on a term clock that the term record carries: each daemon that takes over continues it from the value it read, so that it is a lower bound of the true time without a common clock. A term ends for the table when the next one begins. Records of versions without the clock, or a table that does not decode, lead to the former wait.

Cost: one write of the table when workers get their first lease, at most one in a commit period, and one a second at most while workers are lost. A lease of a new worker waits for it (0.1 to 0.2 s).

Changed tests: World and the plan tests store the table, as the daemon does; endsAreAcknowledgedAfterTheCommit lets the worker get its lease before the store fails; unansweredStartsKeepTheirResourcesWhileTheyAreStopped grants the leases after the reports.

--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -19,14 +19,20 @@
 // Only the holder of the term writes progress, workers and placements, so that they may be read concurrently.
 void DispatcherService::load()
 {
-    m_pendingLoads = 4;
+    m_pendingLoads = 5;
     m_placements.reset();
+    m_formerLeases.reset();
+    m_formerWorkers.clear();
     loadItem(storeKeys::workers, [this](const QByteArray& bytes) {
-        const auto workers = scheduler::decodeWorkers(bytes);
+        auto workers = scheduler::decodeWorkers(bytes);
         if (workers)
-            scheduler::addFormerWorkers(*m_scheduler, *workers, nowMs());
+            m_formerWorkers = std::move(*workers);
         return workers.has_value();
     });
+    loadItem(storeKeys::leases, [this](const QByteArray& bytes) {
+        m_formerLeases = scheduler::decodeLeaseTable(bytes);
+        return m_formerLeases.has_value();
+    });
     loadItem(storeKeys::placements, [this](const QByteArray& bytes) {
         m_placements = scheduler::decodePlacements(bytes);
         return m_placements.has_value();
@@ -116,7 +122,12 @@
         m_feed.push_back({ found->first, found->second->committedState });
         applyState(*m_table, found->first, found->second->committedState, now);
     }
-    scheduler::beginTerm(*m_scheduler, m_term->token(), now);
+    const election::Election& election = m_term->state();
+    scheduler::beginTerm(*m_scheduler, m_term->token(), now,
+        { election.knowsFormerTerms, election::termClock(election, now), election.terms });
+    if (m_formerLeases)
+        scheduler::setFormerLeases(*m_scheduler, std::move(*m_formerLeases), now);
+    scheduler::addFormerWorkers(*m_scheduler, m_formerWorkers, now);
     if (m_placements && m_placements->token == m_term->state().formerToken)
         scheduler::applyPlacements(*m_scheduler, *m_placements, now);
     for (const platform::Item& item : m_accepted.items)
@@ -131,6 +142,8 @@
     m_accepted = {};
     m_progress = {};
     m_placements.reset();
+    m_formerLeases.reset();
+    m_formerWorkers.clear();
     m_isLoaded = true;
     m_workersListedAt = 0;
     m_interferenceStoredAt = now;
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -25,6 +25,8 @@
     constexpr int watchWaitMs = 2000; // ms; a dead connection is detected after this plus the store's watchMarginMs
     constexpr scheduler::Millis watchTransferMs = 500; // ms; allowance for the transfer of a watch call and its answer
     constexpr int watchGapMs = 40;                     // ms between watch calls; batches jobs that arrive together
+    // ms between writes of the lease table that only release workers; a term loses at most this much of their age
+    constexpr scheduler::Millis leaseReleasePeriodMs = 1000;
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction less the term's entries
 
     bool endsWith(const std::string& text, const std::string& suffix)
@@ -71,6 +73,7 @@
         m_loadWatch.tick(base::milliseconds(tickMs));
         resignToStrongerDaemon();
         renewDueLeases();
+        storeLeases();
         if (!m_isListingWorkers && nowMs() - m_workersListedAt >= m_runtime.settings.workerListMs)
             listWorkers();
         runPlan();
@@ -110,6 +113,8 @@
     m_feedBegin = 0;
     m_isRemoving = false;
     m_storedWorkers.clear();
+    m_storedLeases.clear();
+    m_isStoringLeases = false;
     m_scheduler.reset();
 }
 
@@ -334,6 +339,32 @@
     m_term->commit({ { storeKeys::workers, scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler)) } }, [] {});
 }
 
+void DispatcherService::storeLeases()
+{
+    const scheduler::Millis now = nowMs();
+    const bool hasUngranted = scheduler::hasUngrantedWorkers(*m_scheduler);
+    if (m_isStoringLeases || (!hasUngranted && now - m_leasesStoredAt < leaseReleasePeriodMs))
+        return;
+    m_leasesStoredAt = now;
+    const bool isStoreFailing = m_runtime.store->health().failingSince > 0;
+    scheduler::LeaseTable table = scheduler::nextLeaseTable(*m_scheduler, !isStoreFailing);
+    QByteArray record = scheduler::encodeLeaseTable(table);
+    if (record == m_storedLeases && !hasUngranted)
+        return;
+    m_isStoringLeases = true;
+    const std::vector<platform::Write> writes { { storeKeys::leases, record } };
+    m_term->commit(writes, [this, generation = std::weak_ptr<int>(m_generation), table = std::move(table), record] {
+        if (generation.expired())
+            return;
+        m_isStoringLeases = false;
+        m_storedLeases = record;
+        for (const std::string& worker : scheduler::applyLeaseTable(*m_scheduler, table))
+            m_links[worker].nextRenewalAt = nowMs();
+        renewDueLeases();
+        schedulePlan();
+    });
+}
+
 // --- Plan ---
 
 void DispatcherService::schedulePlan()
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -70,6 +70,8 @@
     void listWorkers();
     void storeProgress();
     void storeWorkers();
+    // Stores the lease table when a worker waits for its first lease, and otherwise once in a period when it changes.
+    void storeLeases();
     void storeInterference();
     // Removes the records of jobs that ended long ago.
     void removeExpired();
@@ -104,9 +106,11 @@
     std::unique_ptr<scheduler::Scheduler> m_scheduler;
     std::shared_ptr<int> m_generation; // callbacks hold a weak_ptr, which expires with the term
     bool m_isLoaded = false;
-    platform::ItemList m_accepted; // only while loading
-    platform::ItemList m_progress; // only while loading
-    std::optional<scheduler::Placements> m_placements;
+    platform::ItemList m_accepted;                       // only while loading
+    platform::ItemList m_progress;                       // only while loading
+    std::optional<scheduler::Placements> m_placements;   // only while loading
+    std::optional<scheduler::LeaseTable> m_formerLeases; // only while loading
+    std::vector<scheduler::WorkerEntry> m_formerWorkers; // only while loading
     int m_pendingLoads = 0;
     std::shared_ptr<int> m_loadGeneration; // as m_generation, but expires with the attempt to load
     std::int64_t m_jobsRevision = 0;
@@ -118,6 +122,9 @@
     scheduler::Millis m_removalCheckedAt = 0;
     bool m_isRemoving = false;
     std::string m_storedWorkers; // ids in the stored list of workers
+    QByteArray m_storedLeases;   // the lease table in the store
+    bool m_isStoringLeases = false;
+    scheduler::Millis m_leasesStoredAt = 0;
     bool m_isStoringProgress = false;
     bool m_isPlanQueued = false;
     scheduler::Millis m_nextPlanAt = 0; // keeps processor time free for calls when plans take long
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -62,6 +62,8 @@
     for (const auto& [id, worker] : m_scheduler->workers)
         firstReports += m_links[id].isRenewing && worker.contact != scheduler::Contact::Established ? 1 : 0;
     for (const auto& [id, worker] : m_scheduler->workers) {
+        if (worker.entry.address.empty()) // known only from the lease table
+            continue;
         Link& link = m_links[id];
         if (!link.client) {
             link.address = worker.entry.address;
@@ -119,8 +121,12 @@
         link.nextRenewalAt
             = now + m_runtime.settings.leaseGapMs + static_cast<scheduler::Millis>(m_orderWindow.latencyMs);
         schedulePlan();
-        if (isReportOnly) // the report gave the worker's clock; the lease is still to be renewed
+        if (!isReportOnly) // otherwise the report gave the worker's clock, and the lease is still to be renewed
+            return;
+        if (m_scheduler->workers.at(id).isLeaseGranted)
             renewLease(id, link);
+        else
+            storeLeases();
         return;
     }
     const platform::LinkError error = result.error();
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -50,6 +50,7 @@
 namespace storeKeys {
     inline const std::string term = "lacewing/term";
     inline const std::string workers = "lacewing/workers";               // workers known to the term, for the next one
+    inline const std::string leases = "lacewing/leases";                 // lease table (scheduler/lease_table.h)
     inline const std::string placements = "lacewing/placements";         // of a term that ended by resignation
     inline const std::string root = "lacewing/";                         // prefix of the keys declared in src/config
     inline const std::string policy = "lacewing/config/current";         // the policy
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -13,12 +13,17 @@
     QJsonArray members;
     for (const std::string& member : record.members)
         members.append(QString::fromStdString(member));
-    const QJsonObject json { { "leader", QString::fromStdString(record.leader) },
+    QJsonArray terms;
+    for (const base::TermStart& term : record.terms)
+        terms.append(QJsonArray { static_cast<qint64>(term.token), static_cast<qint64>(term.clockMs) });
+    QJsonObject json { { "leader", QString::fromStdString(record.leader) },
         { "incarnation", static_cast<qint64>(record.incarnation) },
         { "peerAddress", QString::fromStdString(record.peerAddress) },
         { "sequence", static_cast<qint64>(record.sequence) }, { "token", static_cast<qint64>(record.token) },
         { "isResigned", record.isResigned }, { "successor", QString::fromStdString(record.successor) },
-        { "members", members } };
+        { "members", members }, { "terms", terms } };
+    if (record.clockMs)
+        json["clockMs"] = static_cast<qint64>(*record.clockMs);
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
@@ -38,6 +43,10 @@
     record.successor = json["successor"].toString().toStdString();
     for (const QJsonValue member : json["members"].toArray())
         record.members.insert(member.toString().toStdString());
+    if (json["clockMs"].isDouble())
+        record.clockMs = json["clockMs"].toInteger();
+    for (const QJsonValue term : json["terms"].toArray())
+        record.terms.push_back({ term[0].toInteger(), term[1].toInteger() });
     return record;
 }
 
@@ -49,7 +58,8 @@
 
 namespace {
 
-    constexpr double strongerRatio = 1.25; // of processor time; smaller differences are not worth a delay
+    constexpr std::size_t maxTermStarts = 16; // in the record; without older ones, terms seem to have ended later
+    constexpr double strongerRatio = 1.25;    // of processor time; smaller differences are not worth a delay
 
     // Delay of this daemon's take-over in favour of clearly stronger ones.
     Millis takeoverDelay(const Election& election)
@@ -76,6 +86,8 @@
 
 } // namespace
 
+Millis termClock(const Election& election, Millis now) { return election.clockMs + (now - election.clockAt); }
+
 Action nextAction(const Election& election, Millis now)
 {
     const Limits& limits = election.limits;
@@ -109,6 +121,8 @@
         record.successor = preferredSuccessor(election, now).value_or(std::string());
     record.members = election.members;
     record.members.insert(election.self);
+    record.clockMs = election.hasClock ? termClock(election, now) : 0;
+    record.terms = election.terms;
     return record;
 }
 
@@ -122,6 +136,21 @@
     return members;
 }
 
+namespace {
+
+    // Continues the term clock from a record.
+    void readClock(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
+    {
+        election.hasClock = !record || record->clockMs.has_value();
+        election.clockMs = record ? record->clockMs.value_or(0) : 0;
+        election.clockAt = now;
+        election.terms = election.hasClock && record ? record->terms : std::vector<base::TermStart> {};
+        if (election.hasClock && record && record->token == 0)
+            election.terms.push_back({ revision, *record->clockMs });
+    }
+
+} // namespace
+
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
 {
     if (!election.isRecordKnown || revision > election.revision || (revision == 0 && election.revision != 0)) {
@@ -129,6 +158,7 @@
         election.record = record;
         election.revision = revision;
         election.changedAt = now;
+        readClock(election, record, revision, now);
         if (record && record->isResigned)
             election.lastAttemptAt = 0; // an attempt before the resignation does not delay the next one
         if (record)
@@ -173,6 +203,15 @@
         stepDown(election);
     } else if (election.role == Role::Follower) {
         election.role = Role::Leader;
+        election.knowsFormerTerms = election.hasClock;
+        if (!election.hasClock) {
+            election.hasClock = true;
+            election.clockMs = record.clockMs.value_or(0);
+            election.clockAt = sentAt;
+        }
+        election.terms.push_back({ revision, record.clockMs.value_or(0) });
+        if (election.terms.size() > maxTermStarts)
+            election.terms.erase(election.terms.begin());
         election.formerToken = election.record && election.record->isResigned ? election.record->token : 0;
         election.token = revision;
         if (!election.lastSuccessor.empty() && now - election.resignedAt < election.limits.peerTimeoutMs)
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -12,15 +12,22 @@
 // Scheduling takes more processor time than following. When a term is vacant, daemons with clearly less processor time
 // than the strongest one delay their take-over, so that stronger ones take over first.
 //
+// Each write of the record carries the term clock, a lower bound of the time since the first term. A daemon that takes
+// over continues it from the last value that it has read, so that the age of former terms is known across terms without
+// a common clock.
+//
 // Pure: the caller reads clocks and carries out the actions.
 //
 // Invariants
 //   - validityMs + clock rate error < takeoverMs: a former leader has stopped before another one acts.
 //   - Acknowledgements count only when every daemon that this leader or the one before it knew gives one.
 //   - Tokens rise: they are revisions of the store.
+//   - The term clock never runs ahead: it advances only by time that a daemon has measured since it read the last
+//   value.
 #pragma once
 
 #include "base/names.h"
+#include "base/term_start.h"
 
 #include <QByteArray>
 #include <cstdint>
@@ -28,6 +35,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace lacewing::election {
 
@@ -48,14 +56,17 @@
 
 // Stored record of the term. `sequence` identifies the writer's own writes after a lost answer.
 struct Record {
-    std::string leader;            // name of the daemon
-    std::int64_t incarnation = 0;  // of its process
-    std::string peerAddress;       // HOST:PORT for other daemons
-    std::int64_t sequence = 0;     // rises with each write of the process
-    std::int64_t token = 0;        // 0 in the first write of a term, whose revision is the token
-    bool isResigned = false;       // the leader has stopped acting; the successor may take over at once
-    std::string successor;         // of a resigned leader; empty: any daemon
-    std::set<std::string> members; // daemons that the leader knows, itself included
+    std::string leader;                 // name of the daemon
+    std::int64_t incarnation = 0;       // of its process
+    std::string peerAddress;            // HOST:PORT for other daemons
+    std::int64_t sequence = 0;          // rises with each write of the process
+    std::int64_t token = 0;             // 0 in the first write of a term, whose revision is the token
+    bool isResigned = false;            // the leader has stopped acting; the successor may take over at once
+    std::string successor;              // of a resigned leader; empty: any daemon
+    std::set<std::string> members;      // daemons that the leader knows, itself included
+    std::optional<Millis> clockMs = {}; // term clock at the write; absent in records of versions without a term clock
+    std::vector<base::TermStart> terms
+        = {}; // recent terms, oldest first; without the term of which this is the first write
 };
 
 QByteArray encodeRecord(const Record& record);
@@ -100,6 +111,11 @@
     std::int64_t revision = 0; // 0: absent
     Millis changedAt = 0;      // when this revision was first observed
     Millis polledAt = 0;
+    // --- Term clock ---
+    bool hasClock = false; // the record has one, or there has been no term yet
+    Millis clockMs = 0;    // at clockAt
+    Millis clockAt = 0;
+    std::vector<base::TermStart> terms; // recent terms, oldest first; for the leader including its own
     // --- Follower ---
     Millis lastContactAt = 0;      // last reply of the leader
     std::set<std::string> members; // daemons known to this or earlier leaders; each may take over
@@ -110,17 +126,20 @@
     Role role = Role::Follower;
     std::int64_t token = 0;
     std::int64_t sequence = 0;
-    Millis renewSentAt = 0;       // of the last successful renewal
-    Millis lastAttemptAt = 0;     // of a renewal or take-over
-    std::int64_t formerToken = 0; // of the term before this one, if it was resigned; otherwise 0
-    std::string lastSuccessor;    // named in the last resignation of this process
-    Millis resignedAt = 0;        // time of that resignation
+    Millis renewSentAt = 0;        // of the last successful renewal
+    Millis lastAttemptAt = 0;      // of a renewal or take-over
+    std::int64_t formerToken = 0;  // of the term before this one, if it was resigned; otherwise 0
+    bool knowsFormerTerms = false; // the term clock covers the time before this term
+    std::string lastSuccessor;     // named in the last resignation of this process
+    Millis resignedAt = 0;         // time of that resignation
     // Daemons that were named as successors and from which the term came back within peerTimeoutMs, with that time.
     std::map<std::string, Millis> failedSuccessors;
     bool hasLapsed = false; // validity ended since the last renewal; acknowledgements alone do not restore it
     std::map<std::string, Peer> peers;
 };
 
+Millis termClock(const Election& election, Millis now);
+
 // Next action. Must not be called while an election call is in flight.
 Action nextAction(const Election& election, Millis now);
 Record recordToWrite(Election& election, bool isResigning, Millis now);
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -285,6 +285,7 @@
         order.ticket = ticketFor(ref, order.worker);
         order.deadlineClockMs = latestClock(worker, planner.now) + scheduler.limits.startDeadlineMs;
         worker.leaseEndClockMs = std::max(worker.leaseEndClockMs, order.deadlineClockMs);
+        worker.renewedAt = planner.now;
         logDecision(scheduler,
             { "start", ref.job->request.id, order.task, order.worker, run, "ordered",
                 { { "freeMillicores", worker.entry.capacity.cpuMillicores - worker.cpuUsed },
@@ -500,8 +501,8 @@
 
 bool isUsable(const Scheduler& scheduler, const Worker& worker)
 {
-    return worker.contact == Contact::Established && worker.isListed && !worker.entry.isDraining
-        && scheduler.withdrawn.count(worker.entry.dataCentre) == 0;
+    return worker.contact == Contact::Established && worker.isLeaseGranted && worker.isListed
+        && !worker.entry.isDraining && scheduler.withdrawn.count(worker.entry.dataCentre) == 0;
 }
 
 bool hasLabel(const WorkerEntry& entry, const std::string& label)
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -2,6 +2,8 @@
 //
 // Guide
 //   beginTerm       starts a new term: open tasks are Unknown until the workers have reported what they run
+//   setFormerLeases, nextLeaseTable, applyLeaseTable
+//                   read and store which workers may hold a lease (lease_table.h)
 //   setWorkers, setConfiguration, setWithdrawn, addJob, cancelJob
 //                   apply what was read from the store
 //   applyReport, applyContactLoss, applyStart, applyApproval
@@ -13,6 +15,9 @@
 // Deterministic: no clock, no random numbers, no input or output. The daemon and the tests run the same functions.
 //
 // Invariants
+//   - A worker gets a lease or a start only while the stored lease table grants it one, so that a new term has to wait
+//   only
+//     for the workers in the table.
 //   - A task has at most one run that a worker may be executing. It is placed again only after the end of that run was
 //     reported, the worker is known to have lost it, or the worker's lease has expired even on the slowest clock.
 //   - The end of a run is acknowledged to its worker only after the job record that contains it is in the store.
@@ -20,6 +25,7 @@
 #pragma once
 
 #include "scheduler/interference.h"
+#include "scheduler/lease_table.h"
 #include "scheduler/types.h"
 
 #include <deque>
@@ -178,7 +184,9 @@
     std::int64_t clockMs = 0;         // last reading of the worker's clock
     Millis clockReadAt = 0;           // time of that reading; 0: none yet
     std::int64_t leaseEndClockMs = 0; // latest lease end requested so far, on the worker's clock; 0: none
-    Millis earlierLeaseEndAt = 0;     // when leases of earlier terms have expired at the latest
+    Millis earlierLeaseEndAt = 0;     // when leases of earlier terms have expired at the latest; 0: it holds none
+    bool isLeaseGranted = false;      // the stored lease table grants it a lease of this term
+    Millis renewedAt = 0;             // last lease renewal or start order of this term; 0: none
     Millis reportedAt = 0;            // last report
     bool hasReported = false;         // a report of this term has listed all its runs and ends
     Millis lostAt = 0;
@@ -272,9 +280,14 @@
     // --- Term ---
     std::int64_t token = 0;
     Millis termStartedAt = 0;
-    Millis validUntil = 0;                            // no starts after this
+    TermHistory history;
+    std::optional<LeaseTable>
+        formerLeases;      // of the term before; nullopt: any worker may hold a lease of an earlier term
+    Millis validUntil = 0; // no starts after this
     int startLimit = std::numeric_limits<int>::max(); // starts that the next plan may order; a gang may exceed it
-    bool isReconciled = false;  // every worker has reported, or its lease has expired: Unknown tasks may be placed
+    // Every worker that may hold a lease of an earlier term has reported, or the lease has expired: Unknown tasks may
+    // be placed.
+    bool isReconciled = false;
     bool hasWorkerList = false; // the workers were listed in this term
     // --- Outputs that the daemon takes and clears ---
     std::vector<Decision> decisions;
@@ -299,7 +312,9 @@
 
 // Begins a term under the fencing token. Jobs must have been added with their stored progress. Workers of earlier
 // terms are added by setWorkers and addFormerWorkers.
-void beginTerm(Scheduler& scheduler, std::int64_t token, Millis now);
+void beginTerm(Scheduler& scheduler, std::int64_t token, Millis now, TermHistory history = {});
+// The lease table that the term before this one stored. Called after beginTerm and before workers are added.
+void setFormerLeases(Scheduler& scheduler, LeaseTable table, Millis now);
 // Placements to store when the term is resigned; nullopt while the location of a task is unknown. No order may follow.
 std::optional<Placements> collectPlacements(const Scheduler& scheduler);
 // Applies the placements that the term before this one stored when it resigned. Called after beginTerm.
@@ -322,6 +337,13 @@
 };
 
 LeaseRequest leaseRequest(Scheduler& scheduler, const std::string& worker, Millis now);
+// True when a worker has reported to which the stored lease table does not grant a lease.
+bool hasUngrantedWorkers(const Scheduler& scheduler);
+// The lease table to store. With mayRelease, workers out of contact are released: they get no lease until a later table
+// grants it, so that the table should reach the store soon.
+LeaseTable nextLeaseTable(Scheduler& scheduler, bool mayRelease);
+// The table is stored: workers that it grants a lease may get one. Returns those for which this is new.
+std::vector<std::string> applyLeaseTable(Scheduler& scheduler, const LeaseTable& table);
 // Applies a report that was requested at sentAt. Reports of one worker must be applied in the order of their requests.
 void applyReport(
     Scheduler& scheduler, const std::string& worker, const WorkerReport& report, Millis sentAt, Millis now);
--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -12,10 +12,12 @@
 
 } // namespace
 
-void beginTerm(Scheduler& scheduler, std::int64_t token, Millis now)
+void beginTerm(Scheduler& scheduler, std::int64_t token, Millis now, TermHistory history)
 {
     scheduler.token = token;
     scheduler.termStartedAt = now;
+    scheduler.history = std::move(history);
+    scheduler.formerLeases.reset();
     scheduler.isReconciled = false;
     scheduler.hasWorkerList = false;
     for (auto& [id, job] : scheduler.jobs) {
@@ -31,6 +33,24 @@
     }
 }
 
+void setFormerLeases(Scheduler& scheduler, LeaseTable table, Millis now)
+{
+    if (!scheduler.history.isKnown)
+        return;
+    std::vector<WorkerEntry> unknown; // their addresses are known once they are listed
+    const auto add = [&](const std::string& id) {
+        WorkerEntry entry;
+        entry.id = id;
+        unknown.push_back(std::move(entry));
+    };
+    for (const auto& [id, token] : table.granted)
+        add(id);
+    for (const auto& [id, clockMs] : table.released)
+        add(id);
+    scheduler.formerLeases = std::move(table);
+    addFormerWorkers(scheduler, unknown, now);
+}
+
 std::optional<Placements> collectPlacements(const Scheduler& scheduler)
 {
     Placements result;
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -21,12 +21,26 @@
     // ms after leaving the list until a worker that is out of contact, and whose lease has expired, is removed.
     constexpr Millis unlistedRemovalDelayMs = 2000;
 
-    // Latest end of a lease of an earlier term: such a term renews no lease after this term began, except by calls that
-    // were already in flight.
-    Millis earlierLeasesEndAt(const Scheduler& scheduler)
+    // Time from the last renewal of a lease until it is over, for calls in flight and on the slowest clock.
+    Millis longestLeaseMs(const Scheduler& scheduler)
     {
         const double longest = static_cast<double>(scheduler.limits.maxLeaseMs) / scheduler.limits.workerClockRate;
-        return scheduler.termStartedAt + scheduler.limits.callDelayMs + static_cast<Millis>(longest);
+        return scheduler.limits.callDelayMs + static_cast<Millis>(longest);
+    }
+
+    // Latest end of a lease that an earlier term granted to the worker; 0: it holds none.
+    Millis earlierLeaseEndAt(const Scheduler& scheduler, const std::string& worker)
+    {
+        const TermHistory& history = scheduler.history;
+        const bool isFirstTerm = history.isKnown && history.terms.size() <= 1;
+        std::optional<Millis> renewedAtClock;
+        if (scheduler.formerLeases)
+            renewedAtClock = lastRenewalClock(*scheduler.formerLeases, history, worker);
+        else if (!isFirstTerm)
+            renewedAtClock = history.clockMs;
+        if (!renewedAtClock)
+            return 0;
+        return scheduler.termStartedAt - (history.clockMs - *renewedAtClock) + longestLeaseMs(scheduler);
     }
 
     bool isEnded(const Task& task) { return task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed; }
@@ -242,11 +256,7 @@
         const auto [found, isNew] = scheduler.workers.try_emplace(entry.id);
         if (isNew) {
             found->second.entry = entry;
-            // A worker that joins when this term is older than the longest lease holds no lease of an earlier term.
-            found->second.earlierLeaseEndAt
-                = scheduler.hasWorkerList && now - scheduler.termStartedAt > scheduler.limits.maxLeaseMs
-                ? now
-                : earlierLeasesEndAt(scheduler);
+            found->second.earlierLeaseEndAt = earlierLeaseEndAt(scheduler, entry.id);
             logDecision(
                 scheduler, { "workerListed", {}, {}, entry.id, 0, "new", { { "cpu", entry.capacity.cpuMillicores } } });
         }
@@ -267,13 +277,16 @@
 {
     for (const WorkerEntry& entry : entries) {
         const auto [found, isNew] = scheduler.workers.try_emplace(entry.id);
-        if (!isNew)
-            continue;
         Worker& worker = found->second;
+        if (!isNew) {
+            if (worker.entry.address.empty())
+                worker.entry = entry;
+            continue;
+        }
         worker.entry = entry;
         worker.isListed = false;
         worker.unlistedSince = now;
-        worker.earlierLeaseEndAt = earlierLeasesEndAt(scheduler);
+        worker.earlierLeaseEndAt = earlierLeaseEndAt(scheduler, entry.id);
     }
 }
 
@@ -293,13 +306,47 @@
     request.acknowledged = worker.lastAcknowledgedEnd;
     // The lease of a lost worker is not renewed: the worker might apply the renewal although its answer is lost, and
     // each attempt would extend the lease that has to expire.
-    if (worker.clockReadAt > 0 && worker.contact != Contact::Lost) {
+    if (worker.clockReadAt > 0 && worker.contact != Contact::Lost && worker.isLeaseGranted) {
+        worker.renewedAt = now;
         request.expiresClockMs = latestClock(worker, now) + scheduler.limits.maxLeaseMs;
         worker.leaseEndClockMs = std::max(worker.leaseEndClockMs, request.expiresClockMs);
     }
     return request;
 }
 
+bool hasUngrantedWorkers(const Scheduler& scheduler)
+{
+    return std::any_of(scheduler.workers.begin(), scheduler.workers.end(),
+        [](const auto& entry) { return entry.second.contact == Contact::Established && !entry.second.isLeaseGranted; });
+}
+
+LeaseTable nextLeaseTable(Scheduler& scheduler, bool mayRelease)
+{
+    LeaseTable table;
+    const Millis clockOffset = scheduler.history.clockMs - scheduler.termStartedAt;
+    for (auto& [id, worker] : scheduler.workers) {
+        worker.isLeaseGranted = worker.isLeaseGranted && (worker.contact == Contact::Established || !mayRelease);
+        if (worker.contact == Contact::Established || worker.isLeaseGranted)
+            table.granted[id] = scheduler.token;
+        else if (!worker.isLeaseExpired && (worker.renewedAt > 0 || worker.earlierLeaseEndAt > 0))
+            table.released[id]
+                = std::max(worker.renewedAt, worker.earlierLeaseEndAt - longestLeaseMs(scheduler)) + clockOffset;
+    }
+    return table;
+}
+
+std::vector<std::string> applyLeaseTable(Scheduler& scheduler, const LeaseTable& table)
+{
+    std::vector<std::string> granted;
+    for (auto& [id, worker] : scheduler.workers) {
+        if (worker.contact != Contact::Established || worker.isLeaseGranted || table.granted.count(id) == 0)
+            continue;
+        worker.isLeaseGranted = true;
+        granted.push_back(id);
+    }
+    return granted;
+}
+
 void applyClock(Scheduler& scheduler, const std::string& id, std::int64_t clockMs, Millis now)
 {
     const auto found = scheduler.workers.find(id);
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -3,7 +3,9 @@
 #include "base/rng.h"
 #include "election/election.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 
 namespace {
 
@@ -38,7 +40,7 @@
 void writeRecord(Cell& cell, Election& election, Millis now)
 {
     election.lastAttemptAt = now;
-    const Record record = recordToWrite(election, false, 0);
+    const Record record = recordToWrite(election, false, now);
     if (cell.revision == election.revision) {
         cell.record = record;
         cell.revision += 1;
@@ -87,6 +89,22 @@
     follower.lastReplyAt = now;
 }
 
+// By the term clock, no earlier term ended before its leader acted last.
+void checkFormerTerms(
+    const Election& election, const std::map<std::int64_t, Millis>& actedAt, Millis now, const std::string& when)
+{
+    CPPUNIT_ASSERT_MESSAGE(when, election.knowsFormerTerms && !election.terms.empty());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(when, election.token, election.terms.back().token);
+    for (const auto& [token, acted] : actedAt) {
+        if (token == election.token)
+            continue;
+        const auto next = std::find_if(election.terms.begin(), election.terms.end(),
+            [former = token](const base::TermStart& term) { return term.token > former; });
+        const Millis endedAt = now - (termClock(election, now) - next->clockMs);
+        CPPUNIT_ASSERT_MESSAGE(when + ", term " + std::to_string(token), endedAt >= acted);
+    }
+}
+
 class ElectionTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ElectionTest);
     CPPUNIT_TEST(firstDaemonTakesTheAbsentRecord);
@@ -102,6 +120,7 @@
     CPPUNIT_TEST(weakLeadersFindAStrongerSuccessor);
     CPPUNIT_TEST(leadersDoNotResignAgainForASuccessorThatDidNotTakeOver);
     CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
+    CPPUNIT_TEST(recordsWithoutATermClockHideFormerTerms);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -343,6 +362,27 @@
             && copy->members.count("b") == 1);
     }
 
+    // Guards against a leader of a version without the term clock whose term is taken for ended.
+    void recordsWithoutATermClockHideFormerTerms()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        for (Millis now = 1000; now < 2000; now += 50)
+            act(cell, a, now);
+        CPPUNIT_ASSERT(a.election.knowsFormerTerms);
+        cell.record->leader = "old";
+        cell.record->clockMs.reset();
+        cell.record->terms.clear();
+        ++cell.revision;
+        Daemon b = makeDaemon("b");
+        for (Millis now = 2000; now < 5000; now += 50)
+            act(cell, b, now);
+        CPPUNIT_ASSERT(b.election.role == Role::Leader);
+        CPPUNIT_ASSERT(!b.election.knowsFormerTerms);
+        const auto copy = decodeRecord(encodeRecord(*cell.record));
+        CPPUNIT_ASSERT(copy && copy->clockMs == cell.record->clockMs && copy->terms.size() == 1);
+    }
+
     // Guards against two leaders acting at once, under random network partitions of daemons and data centres,
     // freezes and restarts (bench day trouble-1, seed 539847510921). A frozen daemon does not act.
     void neverTwoActingLeaders()
@@ -350,6 +390,7 @@
         for (std::uint64_t seed = 1; seed <= 200; ++seed) {
             base::Rng rng(seed);
             Cell cell;
+            std::map<std::int64_t, Millis> actedAt; // by token
             std::vector<Daemon> daemons;
             for (const char* name : { "a", "b", "c", "d" })
                 daemons.push_back(makeDaemon(name));
@@ -399,9 +440,15 @@
                     }
                 }
                 int acting = 0;
-                for (const Daemon& daemon : daemons)
-                    acting += now >= daemon.frozenUntil && validUntil(daemon.election, now) > now ? 1 : 0;
-                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + " at " + std::to_string(now), acting <= 1);
+                const std::string when = "seed " + std::to_string(seed) + " at " + std::to_string(now);
+                for (const Daemon& daemon : daemons) {
+                    if (now < daemon.frozenUntil || validUntil(daemon.election, now) <= now)
+                        continue;
+                    ++acting;
+                    checkFormerTerms(daemon.election, actedAt, now, when);
+                    actedAt[daemon.election.token] = now;
+                }
+                CPPUNIT_ASSERT_MESSAGE(when, acting <= 1);
             }
         }
     }
--- a/tests/scheduler_recovery_test.cpp
+++ b/tests/scheduler_recovery_test.cpp
@@ -89,6 +89,11 @@
     CPPUNIT_TEST(workersThatNeverAnsweredDoNotDelayATerm);
     CPPUNIT_TEST(workersLostAfterTheirReportDoNotDelayATerm);
     CPPUNIT_TEST(downTimeDoesNotGrowWithTheDeployment);
+    CPPUNIT_TEST(noWorkerGetsALeaseBeforeTheTableGrantsIt);
+    CPPUNIT_TEST(releasedWorkersGetNoLeaseUntilTheyAreGrantedAgain);
+    CPPUNIT_TEST(leasesOfATermEndWithTheNextOne);
+    CPPUNIT_TEST(unknownHistoryWaitsForEveryWorker);
+    CPPUNIT_TEST(malformedLeaseTablesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -156,6 +161,88 @@
             }
         }
     }
+
+    // Guards against a start that a new term does not know to wait for.
+    void noWorkerGetsALeaseBeforeTheTableGrantsIt()
+    {
+        World world(1, 2);
+        world.faults.isStoreUnavailable = true;
+        world.submit("job", { lastingStep(2, 3000, "image") });
+        world.run(3000);
+        CPPUNIT_ASSERT_EQUAL(0, world.runningTasks());
+        for (const SimWorker& worker : world.workers())
+            CPPUNIT_ASSERT_EQUAL(Millis(0), worker.leaseEndsAt);
+        world.faults.isStoreUnavailable = false;
+        world.run(200);
+        CPPUNIT_ASSERT_EQUAL(2, world.runningTasks());
+    }
+
+    // Guards against a lease that is renewed after the table has stated the time of its last renewal.
+    void releasedWorkersGetNoLeaseUntilTheyAreGrantedAgain()
+    {
+        World world(1, 1);
+        world.run(500);
+        scheduler::Scheduler& state = world.scheduler();
+        const std::string id = world.worker(0).entry.id;
+        CPPUNIT_ASSERT(scheduler::leaseRequest(state, id, world.now()).expiresClockMs > 0);
+        scheduler::applyContactLoss(state, id, world.now());
+        const scheduler::LeaseTable released = scheduler::nextLeaseTable(state, true);
+        CPPUNIT_ASSERT(released.granted.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), released.released.size());
+        scheduler::WorkerReport report;
+        report.clockMs = world.now() + world.worker(0).clockOffset;
+        report.incarnationUnixMs = 1;
+        scheduler::applyReport(state, id, report, world.now(), world.now());
+        scheduler::applyLeaseTable(state, released);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), scheduler::leaseRequest(state, id, world.now()).expiresClockMs);
+        CPPUNIT_ASSERT(scheduler::hasUngrantedWorkers(state));
+        scheduler::applyLeaseTable(state, scheduler::nextLeaseTable(state, true));
+        CPPUNIT_ASSERT(scheduler::leaseRequest(state, id, world.now()).expiresClockMs > 0);
+    }
+
+    // Guards against a second run on a worker whose lease a later one of several former terms may have renewed.
+    void leasesOfATermEndWithTheNextOne()
+    {
+        scheduler::LeaseTable table;
+        table.granted = { { "first", 10 }, { "second", 20 }, { "last", 30 } };
+        table.released = { { "released", 450 } };
+        const scheduler::TermHistory history { true, 900, { { 20, 300 }, { 30, 600 }, { 40, 800 } } };
+        CPPUNIT_ASSERT_EQUAL(Millis(300), *scheduler::lastRenewalClock(table, history, "first"));
+        CPPUNIT_ASSERT_EQUAL(Millis(600), *scheduler::lastRenewalClock(table, history, "second"));
+        CPPUNIT_ASSERT_EQUAL(Millis(800), *scheduler::lastRenewalClock(table, history, "last"));
+        CPPUNIT_ASSERT_EQUAL(Millis(450), *scheduler::lastRenewalClock(table, history, "released"));
+        CPPUNIT_ASSERT(!scheduler::lastRenewalClock(table, history, "other"));
+        CPPUNIT_ASSERT_EQUAL(Millis(900), *scheduler::lastRenewalClock(table, { true, 900, {} }, "last"));
+    }
+
+    // Guards against starts beside runs of a leader of a version that stores no lease table.
+    void unknownHistoryWaitsForEveryWorker()
+    {
+        scheduler::Scheduler state;
+        scheduler::beginTerm(state, 7, 1000, { false, 0, { { 7, 0 } } });
+        scheduler::setFormerLeases(state, {}, 1000);
+        scheduler::WorkerEntry entry;
+        entry.id = "w";
+        scheduler::setWorkers(state, { entry }, 1000);
+        scheduler::plan(state, 1000 + state.limits.maxLeaseMs, 0);
+        CPPUNIT_ASSERT(!state.isReconciled);
+        scheduler::plan(state, 1000 + 2 * state.limits.maxLeaseMs, 0);
+        CPPUNIT_ASSERT(state.isReconciled);
+    }
+
+    // Guards against a damaged lease table that is taken for an empty one.
+    void malformedLeaseTablesAreRejected()
+    {
+        for (const char* text :
+            { "", "[]", "{}", "{\"granted\":[],\"released\":{}}", "{\"granted\":{\"x\":[]},\"released\":{}}",
+                "{\"granted\":{\"1\":7},\"released\":{}}", "{\"granted\":{},\"released\":{\"w\":\"1\"}}" })
+            CPPUNIT_ASSERT(!scheduler::decodeLeaseTable(text));
+        scheduler::LeaseTable table;
+        table.granted = { { "a", 1 }, { "b", 2 }, { "c", 1 } };
+        table.released = { { "d", 5 } };
+        const auto copy = scheduler::decodeLeaseTable(scheduler::encodeLeaseTable(table));
+        CPPUNIT_ASSERT(copy && copy->granted == table.granted && copy->released == table.released);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerRecoveryTest);
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -221,6 +221,7 @@
     void endsAreAcknowledgedAfterTheCommit()
     {
         World world(1, 1);
+        world.run(100); // the worker's lease is granted
         world.faults.isStoreUnavailable = true;
         world.submit("job", { plainStep(1, 1000, 100) });
         world.run(1000);
@@ -316,6 +317,7 @@
         scheduler::setWorkers(state, entries, world.now());
         for (const scheduler::WorkerEntry& entry : entries)
             scheduler::applyReport(state, entry.id, reportOf(world.now()), world.now(), world.now());
+        scheduler::applyLeaseTable(state, scheduler::nextLeaseTable(state, true));
         state.validUntil = world.now() + 10000;
         const scheduler::Orders orders = scheduler::plan(state, world.now(), world.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.starts.size());
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -97,7 +97,6 @@
     m_scheduler = std::make_unique<scheduler::Scheduler>();
     m_scheduler->limits = limits;
     const std::int64_t token = ++m_revision;
-    scheduler::beginTerm(*m_scheduler, token, m_now);
     for (const auto& [id, accepted] : m_accepted) {
         auto job = scheduler::decodeAccepted(accepted.record);
         scheduler::addJob(*m_scheduler, job->request, job->policy, job->acceptedUnixMs, m_now);
@@ -107,7 +106,12 @@
         if (scheduler::isFinal(m_scheduler->jobs.at(id)->state))
             m_scheduler->active.erase(id);
     }
-    scheduler::beginTerm(*m_scheduler, token, m_now);
+    constexpr Millis clockLossMs = 300; // of the term clock with each term: the new leader reads the record late
+    m_clockLagMs += clockLossMs;
+    m_terms.push_back({ token, m_now - m_clockLagMs });
+    scheduler::beginTerm(*m_scheduler, token, m_now, { true, m_now - m_clockLagMs, m_terms });
+    if (auto leases = scheduler::decodeLeaseTable(m_leases))
+        scheduler::setFormerLeases(*m_scheduler, std::move(*leases), m_now);
     for (const auto& [id, accepted] : m_accepted) {
         if (accepted.isCancelled)
             scheduler::cancelJob(*m_scheduler, id, m_now);
@@ -317,6 +321,9 @@
         scheduler::applyCommit(*m_scheduler, id, job.version, job.state);
     }
     m_knownWorkers = scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler));
+    const scheduler::LeaseTable leases = scheduler::nextLeaseTable(*m_scheduler, true);
+    m_leases = scheduler::encodeLeaseTable(leases);
+    scheduler::applyLeaseTable(*m_scheduler, leases);
 }
 
 void World::restart(SimWorker& worker)
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -129,6 +129,9 @@
     std::map<std::string, Accepted> m_accepted;
     std::map<std::string, QByteArray> m_progress;
     QByteArray m_knownWorkers;
+    QByteArray m_leases;
+    std::vector<base::TermStart> m_terms;
+    Millis m_clockLagMs = 0; // of the term clock behind the virtual clock
     std::set<std::string> m_withdrawn;
     std::vector<DelayedStart> m_delayedStarts;
     std::vector<PendingApproval> m_approvals;
