Do not take a leader that leads again for resigned

A follower that had read the resignation of a leader, and then heard from the same process that it leads again, kept the resignation and took the term over 0.6 s after its last contact, although the leader might act for 1.5 s after its last renewal.

A message of the leader with a newer revision ends the resignation. Before: leaderThatLeadsAgainIsNotTakenForResigned: assertion

--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -139,6 +139,8 @@
     if (revision > election.revision) {
         election.revision = revision;
         election.changedAt = now;
+        if (election.record)
+            election.record->isResigned = false; // it leads again
     }
 }
 
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(neverTwoActingLeaders);
     CPPUNIT_TEST(lateRepliesOfAFormerLeaderDoNotEndTheNextTerm);
     CPPUNIT_TEST(takeOverWithALostAnswerDoesNotActBeforeItsRenewal);
+    CPPUNIT_TEST(leaderThatLeadsAgainIsNotTakenForResigned);
     CPPUNIT_TEST(strongerDaemonsTakeOverFirst);
     CPPUNIT_TEST(weakDaemonsDoNotTakeATermThatIsHandedOver);
     CPPUNIT_TEST(weakLeadersFindAStrongerSuccessor);
@@ -221,6 +222,18 @@
         CPPUNIT_ASSERT(validUntil(a.election, 1520) > 1520);
     }
 
+    // Guards against a take-over on a resignation that the same process has revoked by taking the term again.
+    void leaderThatLeadsAgainIsNotTakenForResigned()
+    {
+        Daemon b = makeDaemon("b");
+        const Record resigned { "a", 1, "127.0.0.1:1", 4, 3, true, "c", { "a", "b", "c" } };
+        observe(b.election, resigned, 5, 1000);
+        observeContact(b.election, 7, { "a", "b", "c" }, 1500);
+        const Millis late = 1500 + b.election.limits.takeoverMs - 1;
+        CPPUNIT_ASSERT(nextAction(b.election, late) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(b.election, late + 1) == Action::TakeOver);
+    }
+
     // Guards against a leader on one of the smallest machines while a larger one is available (bench day quiet of the
     // grown deployment: the leader needs 0.3 of a core, the smallest machines have 0.069).
     void strongerDaemonsTakeOverFirst()
