Count the delay of weaker daemons from the store's return

The delay of clearly weaker daemons was measured from the last change of the record, so that after an outage longer than takeoverMs + weakerDelayMs all daemons were due at once.

A weaker daemon now reads the record until the store answers, and writes only after the delay has passed since then. Its reads stop meanwhile, so that a store that fails now and then cannot postpone the take-over for ever.

strongerDaemonsTakeOverFirst and weakDaemonsDoNotTakeATermThatIsHandedOver report the answers of the store and require the read; their bounds are the same.

--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -13,6 +13,12 @@
     // The other two entries of a transaction are its condition and the term record.
     constexpr std::size_t writesPerCommit = platform::maxTransactionEntries - 2;
 
+    template <typename T> bool isAnswer(const base::Result<T, platform::StoreError>& result)
+    {
+        return result.has_value() || result.error().code == platform::StoreCode::Missing
+            || result.error().code == platform::StoreCode::Conflict;
+    }
+
 } // namespace
 
 TermService::TermService(Runtime& runtime)
@@ -56,6 +62,7 @@
     m_election.polledAt = nowMs();
     m_runtime.store->read(storeKeys::term, [this](const base::Result<platform::Item, platform::StoreError>& result) {
         m_isCallInFlight = false;
+        election::observeStore(m_election, isAnswer(result), nowMs());
         if (result.has_value())
             election::observe(
                 m_election, election::decodeRecord(result.value().value), result.value().revision, nowMs());
@@ -93,6 +100,7 @@
         [this, record, sentAt, includedCommits](const base::Result<std::int64_t, platform::StoreError>& result) {
             m_isCallInFlight = false;
             m_isWriteInFlight = false;
+            election::observeStore(m_election, isAnswer(result), nowMs());
             if (result.has_value()) {
                 const bool wasLeader = isLeader();
                 election::applyWritten(m_election, record, result.value(), sentAt, nowMs());
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -51,21 +51,49 @@
         return election.largestShare > strongerRatio * election.processorShare ? election.limits.weakerDelayMs : 0;
     }
 
-    bool isVacant(const Election& election, Millis now)
+    // When a follower may take over: `delay` after `from`, and `regainDelay` after the store answers again. Without a
+    // delay it does not wait for the store.
+    struct Vacancy {
+        Millis from = 0;
+        Millis delay = 0;
+        Millis regainDelay = 0;
+    };
+
+    std::optional<Vacancy> findVacancy(const Election& election, bool hasNoContact)
     {
         const std::optional<Record>& record = election.record;
+        const Limits& limits = election.limits;
         if (!record) {
             const double missing = 1 - std::min(1.0, election.processorShare);
-            const double delay = missing * static_cast<double>(election.limits.firstTermDelayMs);
-            return now - election.changedAt >= static_cast<Millis>(delay);
+            const auto delay = static_cast<Millis>(missing * static_cast<double>(limits.firstTermDelayMs));
+            return Vacancy { election.changedAt, delay, delay };
         }
+        const Millis delay = takeoverDelay(election);
+        const Millis regainDelay = delay > 0 ? limits.weakerRegainDelayMs : 0;
         if (election.vacantFrom > 0)
-            return now >= election.vacantFrom;
-        const bool isOwnEarlierIncarnation
-            = record->leader == election.self && record->incarnation != election.incarnation;
-        const bool isEligible = record->successor.empty() || record->successor == election.self
-            || now - election.changedAt >= election.limits.successorTimeoutMs + takeoverDelay(election);
-        return isOwnEarlierIncarnation || (record->isResigned && isEligible);
+            return election.isNamed ? Vacancy { election.vacantFrom }
+                                    : Vacancy { election.vacantFrom, delay, regainDelay };
+        if (record->leader == election.self && record->incarnation != election.incarnation)
+            return Vacancy { election.changedAt };
+        if (record->isResigned && (record->successor.empty() || record->successor == election.self))
+            return Vacancy { election.changedAt };
+        if (record->isResigned)
+            return Vacancy { election.changedAt + limits.successorTimeoutMs, delay, regainDelay };
+        if (!hasNoContact)
+            return std::nullopt;
+        return Vacancy { std::max(election.changedAt, election.lastContactAt) + limits.takeoverMs, delay, regainDelay };
+    }
+
+    // Waits for the strongest daemons first, and only while the store is known to answer.
+    Action takeOverAfterDelay(const Election& election, const Vacancy& vacancy, Millis now)
+    {
+        const Limits& limits = election.limits;
+        const Millis answerTimeout = vacancy.regainDelay + limits.contactTimeoutMs;
+        if (election.isStoreFailing || now - election.storeAnsweredAt > answerTimeout)
+            return now - election.polledAt >= limits.pollMs ? Action::ReadRecord : Action::None;
+        const bool hasWaited = now >= vacancy.from + vacancy.delay
+            && (election.storeRegainedAt == 0 || now >= election.storeRegainedAt + vacancy.regainDelay);
+        return hasWaited && now - election.lastAttemptAt >= limits.pollMs ? Action::TakeOver : Action::None;
     }
 
 } // namespace
@@ -79,10 +107,11 @@
     }
     const bool hasNoContact = now - election.lastContactAt >= limits.contactTimeoutMs || election.lastContactAt == 0;
     if (election.isRecordKnown && !election.isStopping) {
-        const bool hasStoppedRenewing
-            = now - std::max(election.changedAt, election.lastContactAt) >= limits.takeoverMs + takeoverDelay(election)
-            && hasNoContact;
-        if ((isVacant(election, now) || hasStoppedRenewing) && now - election.lastAttemptAt >= limits.pollMs)
+        const std::optional<Vacancy> vacancy = findVacancy(election, hasNoContact);
+        const bool isVacant = vacancy && now >= vacancy->from;
+        if (isVacant && vacancy->delay > 0)
+            return takeOverAfterDelay(election, *vacancy, now);
+        if (isVacant && now - election.lastAttemptAt >= limits.pollMs)
             return Action::TakeOver;
     }
     if ((hasNoContact || !election.isRecordKnown) && now - election.polledAt >= limits.pollMs)
@@ -116,6 +145,15 @@
     return members;
 }
 
+void observeStore(Election& election, bool hasAnswered, Millis now)
+{
+    if (hasAnswered && election.isStoreFailing)
+        election.storeRegainedAt = now;
+    if (hasAnswered)
+        election.storeAnsweredAt = now;
+    election.isStoreFailing = !hasAnswered;
+}
+
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
 {
     if (!election.isRecordKnown || revision > election.revision || (revision == 0 && election.revision != 0)) {
@@ -151,14 +189,18 @@
 
 void observeLeaderGone(Election& election, const std::string& leader, std::int64_t incarnation, Millis now)
 {
-    if (isLedBy(election, leader, incarnation) && election.vacantFrom == 0)
-        election.vacantFrom = now + takeoverDelay(election);
+    if (!isLedBy(election, leader, incarnation) || election.vacantFrom > 0)
+        return;
+    election.vacantFrom = now;
+    election.isNamed = false;
 }
 
 void observeHandOver(Election& election, const std::string& leader, std::int64_t incarnation, Millis now)
 {
-    if (isLedBy(election, leader, incarnation))
-        election.vacantFrom = now;
+    if (!isLedBy(election, leader, incarnation))
+        return;
+    election.vacantFrom = now;
+    election.isNamed = true;
 }
 
 void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now)
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -10,7 +10,8 @@
 // long as every daemon that it knows acknowledges its replies in time.
 //
 // Scheduling takes more processor time than following. When a term is vacant, daemons with clearly less processor time
-// than the strongest one delay their take-over, so that stronger ones take over first.
+// than the strongest one delay their take-over, so that stronger ones take over first. The delay runs while the store
+// answers, because no daemon can take over before that.
 //
 // Pure: the caller reads clocks and carries out the actions.
 //
@@ -34,13 +35,16 @@
 using Millis = std::int64_t; // of the daemon's boot-time clock
 
 struct Limits {
-    Millis renewMs = 500;            // interval between renewals
-    Millis validityMs = 1500;        // a renewal lets the leader act this long; above two renewals and a lost answer
-    Millis takeoverMs = 1800;        // an unchanged record may be taken over; validityMs plus a clock rate margin
-    Millis contactTimeoutMs = 700;   // followers poll the record after this long without a reply from the leader
-    Millis pollMs = 300;             // interval of these polls, and of write attempts without a valid term
-    Millis peerTimeoutMs = 30000;    // a daemon without a message for this long is gone and need not acknowledge
-    Millis weakerDelayMs = 400;      // take-over delay of clearly weaker daemons; above a message and a write
+    Millis renewMs = 500;          // interval between renewals
+    Millis validityMs = 1500;      // a renewal lets the leader act this long; above two renewals and a lost answer
+    Millis takeoverMs = 1800;      // an unchanged record may be taken over; validityMs plus a clock rate margin
+    Millis contactTimeoutMs = 700; // followers poll the record after this long without a reply from the leader
+    Millis pollMs = 300;           // interval of these polls, and of write attempts without a valid term
+    Millis peerTimeoutMs = 30000;  // a daemon without a message for this long is gone and need not acknowledge
+    Millis weakerDelayMs = 400;    // take-over delay of clearly weaker daemons; above a message and a write
+    // The same delay after the store answers again: a call of another daemon may still be waiting for its time-out of
+    // 500 ms, and a message and a write follow.
+    Millis weakerRegainDelayMs = 800;
     Millis firstTermDelayMs = 1000;  // delay of the very first term, times the share of a core that a daemon lacks
     Millis successorTimeoutMs = 600; // a named successor has this long to take over; then any daemon may
     Millis handOverAfterMs = 900;    // a leader without the store for this long hands over to a daemon that reaches it
@@ -106,11 +110,15 @@
     std::int64_t revision = 0; // 0: absent
     Millis changedAt = 0;      // when this revision was first observed
     Millis polledAt = 0;
+    Millis storeAnsweredAt = 0; // last answer of the store to a read or write of the record
+    Millis storeRegainedAt = 0; // first answer after the last failure
+    bool isStoreFailing = false;
     // --- Follower ---
     Millis lastContactAt = 0;      // last reply of the leader
     std::set<std::string> members; // daemons known to this or earlier leaders; each may take over
     double largestShare = 0;       // cores of the strongest of them; 0: unknown
     Millis vacantFrom = 0;   // start of the vacancy after the leader's process has stopped leading; 0: it may lead
+    bool isNamed = false;    // ... in favour of this daemon
     bool isStopping = false; // does not take over
     // --- Leader ---
     Role role = Role::Follower;
@@ -131,6 +139,8 @@
 Action nextAction(const Election& election, Millis now);
 Record recordToWrite(Election& election, bool isResigning, Millis now);
 
+// A read or write of the record was answered, conflicts included, or has failed.
+void observeStore(Election& election, bool hasAnswered, Millis now);
 // The store holds this record (nullopt: none) at the revision.
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
 // The leader reported its revision and the daemons that it knows in a message.
--- a/tests/election_recovery_test.cpp
+++ b/tests/election_recovery_test.cpp
@@ -16,6 +16,9 @@
 constexpr Millis tickMs = 25;
 constexpr Millis syncMs = 200;
 constexpr Millis callTimeoutMs = 500;
+// From the end of an outage to a leader that acts: takeoverMs, two calls that time out, and the delays of weak daemons.
+constexpr Millis strongTakeoverMs = 1800 + 2 * callTimeoutMs;
+constexpr Millis weakTakeoverMs = strongTakeoverMs + 800;
 constexpr Millis resignTimeoutMs = 800;
 constexpr Millis loadMs = 2700; // a weak leader cannot resign before it has loaded the jobs
 
@@ -145,6 +148,7 @@
     Election& election = daemon.election;
     const Call call = *daemon.call;
     daemon.call.reset();
+    observeStore(election, !call.isLost, world.now);
     if (call.isLost) {
         if (call.executedAt >= 0)
             world.lateWrites.push_back(call);
@@ -283,9 +287,70 @@
     return world;
 }
 
+// The time of the first step from `from` to `end` at which a daemon acts as leader; 0: none.
+Millis runUntilActing(World& world, Millis end)
+{
+    for (; world.now < end; step(world)) {
+        for (const Daemon& daemon : world.daemons) {
+            if (isActing(world, daemon))
+                return world.now;
+        }
+    }
+    return 0;
+}
+
+// An outage of the store of 1 to 30 s, with the leader's data centre cut off, or the leader stopped, shortly before it.
+// Returns the time of its end. Daemons with a name in `restarted` restart during the outage.
+Millis loseStoreAndLeader(World& world, const std::set<std::string>& restarted)
+{
+    world.lostAnswers = 0;
+    runUntil(world, 8000 + static_cast<Millis>(base::below(world.rng, 1000)));
+    const Millis begin = world.now + static_cast<Millis>(base::below(world.rng, 1500));
+    const Millis end = begin + 1000 + static_cast<Millis>(base::below(world.rng, 29000));
+    const bool isCut = base::chance(world.rng, 0.5);
+    for (Daemon& leader : world.daemons) {
+        if (leader.election.role != Role::Leader)
+            continue;
+        for (Daemon& daemon : world.daemons) {
+            if (isCut && daemon.dataCentre == leader.dataCentre)
+                daemon.cutUntil = end + 10000;
+        }
+        if (!isCut)
+            leader.isUp = false;
+        break;
+    }
+    runUntil(world, begin);
+    world.storeDownUntil = end;
+    world.isRefusing = base::chance(world.rng, 0.5);
+    runUntil(world, begin + static_cast<Millis>(base::below(world.rng, static_cast<std::uint64_t>(end - begin))));
+    for (Daemon& daemon : world.daemons) {
+        if (daemon.isUp && restarted.count(daemon.election.self) > 0)
+            restart(world, daemon);
+    }
+    runUntil(world, end);
+    world.elected.clear();
+    return end;
+}
+
+const Daemon& daemonOf(const World& world, const std::string& name)
+{
+    return *std::find_if(
+        world.daemons.begin(), world.daemons.end(), [&](const Daemon& daemon) { return daemon.election.self == name; });
+}
+
+std::string seedText(std::uint64_t seed, const World& world)
+{
+    std::string text = "seed " + std::to_string(seed) + ", elected:";
+    for (const auto& [time, name] : world.elected)
+        text += " " + name + " at " + std::to_string(time);
+    return text;
+}
+
 class ElectionRecoveryTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ElectionRecoveryTest);
     CPPUNIT_TEST(neverTwoActingLeadersDespiteLostAnswers);
+    CPPUNIT_TEST(storeOutagesDoNotElectWeakDaemons);
+    CPPUNIT_TEST(weakDaemonsTakeOverWhenTheStrongOnesAreGone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -314,6 +379,42 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(), world.violation);
         }
     }
+
+    // Guards against a leader on one of the smallest machines because all daemons compete equally once the store
+    // answers again.
+    void storeOutagesDoNotElectWeakDaemons()
+    {
+        for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+            World world = makeWorld(seed);
+            const Millis end = loseStoreAndLeader(world, {});
+            const Millis actingAt = runUntilActing(world, end + 20000);
+            const std::string text = seedText(seed, world);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t(1), world.elected.size());
+            CPPUNIT_ASSERT_MESSAGE(text, isStrong(daemonOf(world, world.elected[0].second)));
+            CPPUNIT_ASSERT_MESSAGE(text, actingAt > 0 && actingAt - end <= strongTakeoverMs);
+            runUntil(world, end + 20000);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(seedText(seed, world), std::size_t(1), world.elected.size());
+        }
+    }
+
+    // Guards against weak daemons that wait for strong ones which are gone.
+    void weakDaemonsTakeOverWhenTheStrongOnesAreGone()
+    {
+        for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+            World world = makeWorld(seed);
+            world.lostAnswers = 0;
+            runUntil(world, 8000);
+            const Millis begin = world.now;
+            const Millis end = begin + static_cast<Millis>(base::below(world.rng, 30000));
+            for (Daemon& daemon : world.daemons)
+                daemon.isUp = !isStrong(daemon);
+            world.storeDownUntil = end;
+            world.isRefusing = base::chance(world.rng, 0.5);
+            runUntil(world, end);
+            const Millis actingAt = runUntilActing(world, end + 20000);
+            CPPUNIT_ASSERT_MESSAGE(seedText(seed, world), actingAt > 0 && actingAt - end <= weakTakeoverMs);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ElectionRecoveryTest);
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -60,6 +60,7 @@
         election.polledAt = now;
     else
         election.lastAttemptAt = now;
+    observeStore(election, now >= daemon.storeUnreachableUntil, now);
     if (now < daemon.storeUnreachableUntil)
         return;
     if (action == Action::ReadRecord)
@@ -242,8 +243,10 @@
         Daemon strong = makeDaemon("strong");
         weak.election.processorShare = 0.07;
         strong.election.processorShare = 0.5;
-        for (Daemon* daemon : { &weak, &strong })
+        for (Daemon* daemon : { &weak, &strong }) {
+            observeStore(daemon->election, true, 1000);
             observe(daemon->election, std::nullopt, 0, 1000);
+        }
         CPPUNIT_ASSERT(nextAction(weak.election, 1600) != Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(strong.election, 1600) == Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(weak.election, 2000) == Action::TakeOver); // without a stronger daemon, it takes over
@@ -255,6 +258,8 @@
         const Millis silent = 3000 + weak.election.limits.takeoverMs;
         CPPUNIT_ASSERT(nextAction(weak.election, silent) != Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(strong.election, silent) == Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, silent) == Action::ReadRecord);
+        observeStore(weak.election, true, silent + 10);
         CPPUNIT_ASSERT(nextAction(weak.election, silent + weak.election.limits.weakerDelayMs) == Action::TakeOver);
     }
 
@@ -285,6 +290,8 @@
         observeHandOver(strong.election, "leader", 1, 3000);
         CPPUNIT_ASSERT(nextAction(weak.election, 3010) != Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(strong.election, 3010) == Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, 3010) == Action::ReadRecord);
+        observeStore(weak.election, true, 3020);
         CPPUNIT_ASSERT(nextAction(weak.election, 3000 + weak.election.limits.weakerDelayMs) == Action::TakeOver);
     }
 
