Let strong daemons see a change made during an outage first

A weaker daemon may see a write that the store has carried out late up to one call time-out before the strong daemons, whose calls are still waiting; its delay of 0.4 s then ends before theirs begins to count.

A change seen within weakerRegainDelayMs of the store's return is taken over after that delay. Before: changeSeenAfterAnOutageIsNotTakenByTheDaemonThatSawItFirst: assertion

--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -45,10 +45,16 @@
 
     constexpr double strongerRatio = 1.25; // of processor time; smaller differences are not worth a delay
 
-    // Delay of this daemon's take-over in favour of clearly stronger ones.
+    // Delay of this daemon's take-over in favour of clearly stronger ones. They may see a change later than this one
+    // when the store has just come back.
     Millis takeoverDelay(const Election& election)
     {
-        return election.largestShare > strongerRatio * election.processorShare ? election.limits.weakerDelayMs : 0;
+        const Limits& limits = election.limits;
+        if (election.largestShare <= strongerRatio * election.processorShare)
+            return 0;
+        const bool isSeenAfterFailure = election.storeRegainedAt > 0 && election.changedAt >= election.storeRegainedAt
+            && election.changedAt < election.storeRegainedAt + limits.weakerRegainDelayMs;
+        return isSeenAfterFailure ? limits.weakerRegainDelayMs : limits.weakerDelayMs;
     }
 
     // When a follower may take over: `delay` after `from`, and `regainDelay` after the store answers again. Without a
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(leaderThatLeadsAgainIsNotTakenForResigned);
     CPPUNIT_TEST(strongerDaemonsTakeOverFirst);
     CPPUNIT_TEST(weakDaemonsDoNotTakeATermThatIsHandedOver);
+    CPPUNIT_TEST(changeSeenAfterAnOutageIsNotTakenByTheDaemonThatSawItFirst);
     CPPUNIT_TEST(weakLeadersFindAStrongerSuccessor);
     CPPUNIT_TEST(leadersDoNotResignAgainForASuccessorThatDidNotTakeOver);
     CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
@@ -295,6 +296,27 @@
         CPPUNIT_ASSERT(nextAction(weak.election, 3000 + weak.election.limits.weakerDelayMs) == Action::TakeOver);
     }
 
+    // Guards against a weak daemon that saw the last write of an outage while the calls of strong ones still timed out.
+    void changeSeenAfterAnOutageIsNotTakenByTheDaemonThatSawItFirst()
+    {
+        const Record record { "gone", 1, "127.0.0.1:1", 1, 3, false, "", { "weak", "strong" } };
+        Daemon weak = makeDaemon("weak");
+        Daemon strong = makeDaemon("strong");
+        weak.election.processorShare = 0.07;
+        for (Daemon* daemon : { &weak, &strong }) {
+            daemon->election.largestShare = 1;
+            const Millis seenAt = daemon == &weak ? 5000 : 5500;
+            observeStore(daemon->election, false, 4500);
+            observeStore(daemon->election, true, seenAt);
+            observe(daemon->election, record, 5, seenAt);
+        }
+        const Millis silent = 5500 + weak.election.limits.takeoverMs;
+        CPPUNIT_ASSERT(nextAction(strong.election, silent) == Action::TakeOver);
+        observeStore(weak.election, true, silent);
+        CPPUNIT_ASSERT(nextAction(weak.election, silent) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, silent + 300) == Action::TakeOver);
+    }
+
     // Guards against a weak daemon that keeps a term which it took while the stronger ones were unreachable.
     void weakLeadersFindAStrongerSuccessor()
     {
