Keep the strength of the daemons in the term record

A daemon that has just started did not know that stronger ones exist, so that a restarted weak daemon competed at once, and a weak leader took its own term back after a restart.

The record holds the processor share of the strongest daemon that the leader knows (a new field; records without it still decode). A leader that has not heard from all of them yet keeps the value of the term before. A restarted leader that is clearly weaker waits like any other.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -244,10 +244,7 @@
     reply["number"] = static_cast<qint64>(last.number);
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
-    double largestShare = 0; // of the daemons that may succeed this one
-    for (const auto& [name, peer] : state.peers)
-        largestShare = std::max(largestShare, peer.processorShare);
-    reply["largestShare"] = largestShare;
+    reply["largestShare"] = election::largestKnownShare(state, now);
     updateMembers(daemon, request, now);
     const QByteArray members = m_memberList.encodeFor(decodeVersion(request["membersHave"]));
     reply["hasLostStore"] = !isStoreReachable(m_runtime);
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -18,7 +18,7 @@
         { "peerAddress", QString::fromStdString(record.peerAddress) },
         { "sequence", static_cast<qint64>(record.sequence) }, { "token", static_cast<qint64>(record.token) },
         { "isResigned", record.isResigned }, { "successor", QString::fromStdString(record.successor) },
-        { "members", members } };
+        { "members", members }, { "largestShare", record.largestShare } };
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
@@ -38,6 +38,7 @@
     record.successor = json["successor"].toString().toStdString();
     for (const QJsonValue member : json["members"].toArray())
         record.members.insert(member.toString().toStdString());
+    record.largestShare = json["largestShare"].toDouble();
     return record;
 }
 
@@ -80,7 +81,7 @@
             return election.isNamed ? Vacancy { election.vacantFrom }
                                     : Vacancy { election.vacantFrom, delay, regainDelay };
         if (record->leader == election.self && record->incarnation != election.incarnation)
-            return Vacancy { election.changedAt };
+            return Vacancy { election.changedAt, delay, regainDelay };
         if (record->isResigned && (record->successor.empty() || record->successor == election.self))
             return Vacancy { election.changedAt };
         if (record->isResigned)
@@ -138,6 +139,7 @@
         record.successor = preferredSuccessor(election, now).value_or(std::string());
     record.members = election.members;
     record.members.insert(election.self);
+    record.largestShare = largestKnownShare(election, now);
     return record;
 }
 
@@ -151,6 +153,19 @@
     return members;
 }
 
+double largestKnownShare(const Election& election, Millis now)
+{
+    double largest = election.processorShare;
+    bool isComplete = election.role == Role::Leader;
+    for (const auto& [name, peer] : election.peers) {
+        if (now - peer.lastMessageAt > election.limits.peerTimeoutMs)
+            continue;
+        largest = std::max(largest, peer.processorShare);
+        isComplete = isComplete && peer.processorShare > 0;
+    }
+    return isComplete ? largest : std::max(largest, election.largestShare);
+}
+
 void observeStore(Election& election, bool hasAnswered, Millis now)
 {
     if (hasAnswered && election.isStoreFailing)
@@ -171,6 +186,8 @@
             election.lastAttemptAt = 0; // an attempt before the resignation does not delay the next one
         if (record)
             election.members.insert(record->members.begin(), record->members.end());
+        if (record && record->largestShare > 0)
+            election.largestShare = record->largestShare;
     }
     election.isRecordKnown = true;
 }
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -60,6 +60,7 @@
     bool isResigned = false;       // the leader has stopped acting; the successor may take over at once
     std::string successor;         // of a resigned leader; empty: any daemon
     std::set<std::string> members; // daemons that the leader knows, itself included
+    double largestShare = 0;       // cores of the strongest of them; 0: unknown
 };
 
 QByteArray encodeRecord(const Record& record);
@@ -116,7 +117,7 @@
     // --- Follower ---
     Millis lastContactAt = 0;      // last reply of the leader
     std::set<std::string> members; // daemons known to this or earlier leaders; each may take over
-    double largestShare = 0;       // cores of the strongest of them; 0: unknown
+    double largestShare = 0;       // of the record or the leader's last reply
     Millis vacantFrom = 0;   // start of the vacancy after the leader's process has stopped leading; 0: it may lead
     bool isNamed = false;    // ... in favour of this daemon
     bool isStopping = false; // does not take over
@@ -147,6 +148,9 @@
 void observeContact(Election& election, std::int64_t revision, const std::set<std::string>& members, Millis now);
 // Daemons from which the leader received a message within peerTimeoutMs, or that earlier leaders knew; itself included.
 std::set<std::string> knownMembers(const Election& election, Millis now);
+// Cores of the strongest of these daemons. A leader that has not heard from each of them takes over the value of the
+// term before.
+double largestKnownShare(const Election& election, Millis now);
 // The process that replies at the leader's address does not lead: the term is vacant, after a delay for clearly weaker
 // daemons. No effect when the record names another leader by now.
 void observeLeaderGone(Election& election, const std::string& leader, std::int64_t incarnation, Millis now);
--- a/tests/election_recovery_test.cpp
+++ b/tests/election_recovery_test.cpp
@@ -226,10 +226,7 @@
     other.peers[state.self].incarnation = state.incarnation;
     observeContact(state, other.revision, knownMembers(other, world.now), world.now);
     follower.lastReplyAt = world.now;
-    double largest = 0;
-    for (const auto& [name, peer] : other.peers)
-        largest = std::max(largest, peer.processorShare);
-    state.largestShare = largest;
+    state.largestShare = largestKnownShare(other, world.now);
 }
 
 bool isActing(const World& world, const Daemon& daemon)
@@ -350,6 +347,7 @@
     CPPUNIT_TEST_SUITE(ElectionRecoveryTest);
     CPPUNIT_TEST(neverTwoActingLeadersDespiteLostAnswers);
     CPPUNIT_TEST(storeOutagesDoNotElectWeakDaemons);
+    CPPUNIT_TEST(restartedWeakDaemonsLetStrongOnesFirst);
     CPPUNIT_TEST(weakDaemonsTakeOverWhenTheStrongOnesAreGone);
     CPPUNIT_TEST_SUITE_END();
 
@@ -397,6 +395,22 @@
         }
     }
 
+    // Guards against weak daemons that compete with strong ones because they have just started and know no other
+    // daemon.
+    void restartedWeakDaemonsLetStrongOnesFirst()
+    {
+        const std::set<std::string> weak { "d1", "d2", "d3", "d5", "d6", "d7", "d9", "d10", "d11" };
+        for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+            World world = makeWorld(seed);
+            const Millis end = loseStoreAndLeader(world, weak);
+            const Millis actingAt = runUntilActing(world, end + 20000);
+            const std::string text = seedText(seed, world);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t(1), world.elected.size());
+            CPPUNIT_ASSERT_MESSAGE(text, isStrong(daemonOf(world, world.elected[0].second)));
+            CPPUNIT_ASSERT_MESSAGE(text, actingAt > 0 && actingAt - end <= strongTakeoverMs);
+        }
+    }
+
     // Guards against weak daemons that wait for strong ones which are gone.
     void weakDaemonsTakeOverWhenTheStrongOnesAreGone()
     {
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(leaderContinuesWithoutTheStoreWhileAllPeersAcknowledge);
     CPPUNIT_TEST(busyLeaderDoesNotHandOver);
     CPPUNIT_TEST(malformedRecordsAreRejected);
+    CPPUNIT_TEST(recordsOfEarlierVersionsAreRead);
     CPPUNIT_TEST(neverTwoActingLeaders);
     CPPUNIT_TEST(lateRepliesOfAFormerLeaderDoNotEndTheNextTerm);
     CPPUNIT_TEST(takeOverWithALostAnswerDoesNotActBeforeItsRenewal);
@@ -103,6 +104,7 @@
     CPPUNIT_TEST(strongerDaemonsTakeOverFirst);
     CPPUNIT_TEST(weakDaemonsDoNotTakeATermThatIsHandedOver);
     CPPUNIT_TEST(changeSeenAfterAnOutageIsNotTakenByTheDaemonThatSawItFirst);
+    CPPUNIT_TEST(restartedWeakLeaderLetsStrongDaemonsFirst);
     CPPUNIT_TEST(weakLeadersFindAStrongerSuccessor);
     CPPUNIT_TEST(leadersDoNotResignAgainForASuccessorThatDidNotTakeOver);
     CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
@@ -317,6 +319,28 @@
         CPPUNIT_ASSERT(nextAction(weak.election, silent + 300) == Action::TakeOver);
     }
 
+    // Guards against a leader on one of the smallest machines that takes its term back after a restart.
+    void restartedWeakLeaderLetsStrongDaemonsFirst()
+    {
+        Record record { "weak", 1, "127.0.0.1:1", 1, 3, false, "", { "weak", "strong" }, 0.5 };
+        Daemon weak = makeDaemon("weak");
+        weak.election.incarnation = 2;
+        weak.election.processorShare = 0.07;
+        observeStore(weak.election, true, 1000);
+        observe(weak.election, decodeRecord(encodeRecord(record)), 5, 1000);
+        CPPUNIT_ASSERT(nextAction(weak.election, 1000 + weak.election.limits.weakerDelayMs - 1) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, 1000 + weak.election.limits.weakerDelayMs) == Action::TakeOver);
+        const auto next = recordToWrite(weak.election, false, 1400);
+        CPPUNIT_ASSERT_EQUAL(0.5, next.largestShare);
+    }
+
+    // Guards against a record of an earlier version, without the strength of the daemons, being rejected.
+    void recordsOfEarlierVersionsAreRead()
+    {
+        const auto record = decodeRecord(R"({"leader":"a","incarnation":1,"token":3,"members":["a","b"]})");
+        CPPUNIT_ASSERT(record && record->token == 3 && record->largestShare == 0);
+    }
+
     // Guards against a weak daemon that keeps a term which it took while the stronger ones were unreachable.
     void weakLeadersFindAStrongerSuccessor()
     {
