Decide on a stronger successor together with the resignation

The successor was chosen when the record was written: on a leader with a late event loop, the strong daemons' last messages were older than contactTimeoutMs by then, so that it named a weak daemon or none. Without a successor, weak daemons took over at once.

The decision names the successor. A resignation for another reason names no weak daemon while a clearly stronger one is silent, and without a successor the weaker daemons wait for their delay. The successor is logged.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -130,11 +130,13 @@
     if (m_term->isResigning() || !canResign || now - m_strongerCheckedAt < strongerCheckPeriodMs)
         return;
     m_strongerCheckedAt = now;
-    if (!isStoreReachable(m_runtime) || !election::hasStrongerSuccessor(m_term->state(), now))
+    const std::optional<std::string> successor = election::strongerSuccessor(m_term->state(), now);
+    if (!isStoreReachable(m_runtime) || !successor)
         return;
     std::vector<platform::Write> records = resignationRecords();
     if (!records.empty() || m_scheduler->starts == 0)
-        m_term->resign("a stronger daemon is there", std::move(records), [] {});
+        m_term->resign(
+            "a stronger daemon is there", std::move(records), [] {}, *successor);
 }
 
 // --- Jobs ---
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -117,6 +117,8 @@
                     m_resignation = election::encodeRecord(record);
                     m_resignationRevision = result.value();
                     m_resignedAt = nowMs();
+                    kernel::logEvent(kernel::LogLevel::Info, "term", "resigned",
+                        { { "revision", m_resignationRevision }, { "successor", record.successor } });
                     endTerm("resigned");
                 }
             } else if (result.error().code == platform::StoreCode::Conflict) {
@@ -193,7 +195,8 @@
     m_onTermEnded();
 }
 
-void TermService::resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done)
+void TermService::resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done,
+    const std::string& successor)
 {
     if (!isLeader()) {
         done();
@@ -209,7 +212,9 @@
     m_onResigned = std::move(done);
     m_resigningSince = nowMs();
     m_finalWrites = std::move(writes);
-    kernel::logEvent(kernel::LogLevel::Info, "term", "resigning", { { "reason", reason }, { "token", token() } });
+    m_election.chosenSuccessor = successor;
+    kernel::logEvent(kernel::LogLevel::Info, "term", "resigning",
+        { { "reason", reason }, { "token", token() }, { "successor", successor } });
     QTimer::singleShot(resignTimeoutMs, this, [this] {
         if (!m_onResigned || nowMs() - m_resigningSince < resignTimeoutMs)
             return;
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -40,8 +40,9 @@
 
     // Resigns: writes the resignation and final records in one transaction. `done` is called when the resignation is
     // stored or cannot be stored (another daemon has taken the term, or the store did not confirm in time), and at once
-    // when this daemon is not the leader.
-    void resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done);
+    // when this daemon is not the leader. Without a successor, one is chosen when the resignation is written.
+    void resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done,
+        const std::string& successor = {});
     bool isResigning() const { return m_onResigned != nullptr; }
     // The record with which this process has resigned, sent in replies to other daemons; empty: it has not resigned.
     const QByteArray& resignation() const { return m_resignation; }
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -82,10 +82,12 @@
                                     : Vacancy { election.vacantFrom, delay, regainDelay };
         if (record->leader == election.self && record->incarnation != election.incarnation)
             return Vacancy { election.changedAt, delay, regainDelay };
-        if (record->isResigned && (record->successor.empty() || record->successor == election.self))
+        if (record->isResigned && record->successor == election.self)
             return Vacancy { election.changedAt };
-        if (record->isResigned)
-            return Vacancy { election.changedAt + limits.successorTimeoutMs, delay, regainDelay };
+        if (record->isResigned) {
+            const Millis forSuccessor = record->successor.empty() ? 0 : limits.successorTimeoutMs;
+            return Vacancy { election.changedAt + forSuccessor, delay, regainDelay };
+        }
         if (!hasNoContact)
             return std::nullopt;
         return Vacancy { std::max(election.changedAt, election.lastContactAt) + limits.takeoverMs, delay, regainDelay };
@@ -136,7 +138,8 @@
     record.token = election.role == Role::Leader ? election.token : 0;
     record.isResigned = isResigning;
     if (isResigning)
-        record.successor = preferredSuccessor(election, now).value_or(std::string());
+        record.successor = election.chosenSuccessor.empty() ? preferredSuccessor(election, now).value_or(std::string())
+                                                            : election.chosenSuccessor;
     record.members = election.members;
     record.members.insert(election.self);
     record.largestShare = largestKnownShare(election, now);
@@ -155,7 +158,7 @@
 
 double largestKnownShare(const Election& election, Millis now)
 {
-    double largest = election.processorShare;
+    double largest = 0;
     bool isComplete = election.role == Role::Leader;
     for (const auto& [name, peer] : election.peers) {
         if (now - peer.lastMessageAt > election.limits.peerTimeoutMs)
@@ -276,6 +279,7 @@
 {
     election.role = Role::Follower;
     election.token = 0;
+    election.chosenSuccessor.clear();
     election.lastContactAt = 0;
     election.isRecordKnown = false; // the record must be read again before a take-over
     election.peers.clear();
@@ -328,13 +332,17 @@
         return best;
     }
 
+    // It was named as successor lately and has not taken over.
+    bool hasFailed(const Election& election, const std::string& name, Millis now)
+    {
+        const auto failed = election.failedSuccessors.find(name);
+        return failed != election.failedSuccessors.end() && now - failed->second < election.limits.peerTimeoutMs;
+    }
+
     const std::pair<const std::string, Peer>* preferredPeer(const Election& election, Millis now)
     {
         return strongestPeer(election, now, [&](const std::string& name, const Peer& peer) {
-            const auto failed = election.failedSuccessors.find(name);
-            const bool hasFailed
-                = failed != election.failedSuccessors.end() && now - failed->second < election.limits.peerTimeoutMs;
-            return !hasFailed && now - peer.storeReachedAt < election.limits.validityMs;
+            return !hasFailed(election, name, now) && now - peer.storeReachedAt < election.limits.validityMs;
         });
     }
 
@@ -342,14 +350,22 @@
 
 std::optional<std::string> preferredSuccessor(const Election& election, Millis now)
 {
-    const auto* peer = preferredPeer(election, now);
-    return peer ? std::optional(peer->first) : std::nullopt;
+    const auto* best = preferredPeer(election, now);
+    const bool isStrongerSilent
+        = best && std::any_of(election.peers.begin(), election.peers.end(), [&](const auto& entry) {
+              const Millis silence = now - entry.second.lastMessageAt;
+              return silence >= election.limits.contactTimeoutMs && silence <= election.limits.peerTimeoutMs
+                  && !hasFailed(election, entry.first, now)
+                  && entry.second.processorShare > strongerRatio * best->second.processorShare;
+          });
+    return best && !isStrongerSilent ? std::optional(best->first) : std::nullopt;
 }
 
-bool hasStrongerSuccessor(const Election& election, Millis now)
+std::optional<std::string> strongerSuccessor(const Election& election, Millis now)
 {
     const auto* peer = preferredPeer(election, now);
-    return peer && peer->second.processorShare > strongerRatio * election.processorShare;
+    const bool isStronger = peer && peer->second.processorShare > strongerRatio * election.processorShare;
+    return isStronger ? std::optional(peer->first) : std::nullopt;
 }
 
 std::optional<std::string> handOverTarget(const Election& election, Millis failingSince, Millis now)
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -58,9 +58,9 @@
     std::int64_t sequence = 0;     // rises with each write of the process
     std::int64_t token = 0;        // 0 in the first write of a term, whose revision is the token
     bool isResigned = false;       // the leader has stopped acting; the successor may take over at once
-    std::string successor;         // of a resigned leader; empty: any daemon
+    std::string successor;         // of a resigned leader; empty: any daemon, the strongest first
     std::set<std::string> members; // daemons that the leader knows, itself included
-    double largestShare = 0;       // cores of the strongest of them; 0: unknown
+    double largestShare = 0;       // cores of the strongest of the others; 0: unknown
 };
 
 QByteArray encodeRecord(const Record& record);
@@ -128,6 +128,7 @@
     Millis renewSentAt = 0;       // of the last successful renewal
     Millis lastAttemptAt = 0;     // of a renewal or take-over
     std::int64_t formerToken = 0; // of the term before this one, if it was resigned; otherwise 0
+    std::string chosenSuccessor;  // for which this leader resigns; empty: chosen when the resignation is written
     std::string lastSuccessor;    // named in the last resignation of this process
     Millis resignedAt = 0;        // time of that resignation
     // Daemons that were named as successors and from which the term came back within peerTimeoutMs, with that time.
@@ -148,8 +149,8 @@
 void observeContact(Election& election, std::int64_t revision, const std::set<std::string>& members, Millis now);
 // Daemons from which the leader received a message within peerTimeoutMs, or that earlier leaders knew; itself included.
 std::set<std::string> knownMembers(const Election& election, Millis now);
-// Cores of the strongest of these daemons. A leader that has not heard from each of them takes over the value of the
-// term before.
+// Cores of the strongest daemon that may succeed this one. Until it has heard from each of them, at least the value of
+// the term before.
 double largestKnownShare(const Election& election, Millis now);
 // The process that replies at the leader's address does not lead: the term is vacant, after a delay for clearly weaker
 // daemons. No effect when the record names another leader by now.
@@ -173,10 +174,11 @@
     Election& election, const std::string& peer, Millis acknowledgedAt, Millis storeReachedAt, Millis now);
 void removePeer(Election& election, const std::string& peer);
 // Daemon to name as successor in a resignation: the strongest, and of equals the one started last, because planned
-// stops come in series and it has already been restarted. Excludes daemons in failedSuccessors.
+// stops come in series and it has already been restarted. Excludes daemons in failedSuccessors. None when a clearly
+// stronger one is silent: then any daemon may take over, the weaker ones after their delay.
 std::optional<std::string> preferredSuccessor(const Election& election, Millis now);
-// True when a daemon with clearly more processor time could take the term over.
-bool hasStrongerSuccessor(const Election& election, Millis now);
+// The same, only when it has clearly more processor time than this daemon.
+std::optional<std::string> strongerSuccessor(const Election& election, Millis now);
 // The strongest daemon that reaches the store, for a hand-over when this one has failed to since `failingSince` (0: it
 // reaches the store). A renewal that is merely late, on a busy machine, does not cause a hand-over.
 std::optional<std::string> handOverTarget(const Election& election, Millis failingSince, Millis now);
--- a/tests/election_recovery_test.cpp
+++ b/tests/election_recovery_test.cpp
@@ -185,8 +185,11 @@
         return;
     const bool isLeader = daemon.election.role == Role::Leader;
     const bool isLoaded = isLeader && world.now - daemon.electedAt > loadMs;
-    if (isLoaded && daemon.resigningSince == 0 && hasStrongerSuccessor(daemon.election, world.now))
+    const auto successor = isLoaded ? strongerSuccessor(daemon.election, world.now) : std::nullopt;
+    if (daemon.resigningSince == 0 && successor) {
         daemon.resigningSince = world.now;
+        daemon.election.chosenSuccessor = *successor;
+    }
     if (isLeader && daemon.resigningSince > 0 && world.now - daemon.resigningSince >= resignTimeoutMs)
         stepDown(daemon.election);
     else if (isLeader && daemon.resigningSince > 0) {
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -106,6 +106,8 @@
     CPPUNIT_TEST(changeSeenAfterAnOutageIsNotTakenByTheDaemonThatSawItFirst);
     CPPUNIT_TEST(restartedWeakLeaderLetsStrongDaemonsFirst);
     CPPUNIT_TEST(weakLeadersFindAStrongerSuccessor);
+    CPPUNIT_TEST(resignationsForAStrongerDaemonNameIt);
+    CPPUNIT_TEST(plannedStopsDoNotNameAWeakDaemonWhileAStrongOneIsSilent);
     CPPUNIT_TEST(leadersDoNotResignAgainForASuccessorThatDidNotTakeOver);
     CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
     CPPUNIT_TEST_SUITE_END();
@@ -352,11 +354,63 @@
         CPPUNIT_ASSERT(leader.election.role == Role::Leader);
         applyPeerMessage(leader.election, "equal", 2900, 2900, 2900);
         leader.election.peers["equal"].processorShare = 0.1;
-        CPPUNIT_ASSERT(!hasStrongerSuccessor(leader.election, 3000));
+        CPPUNIT_ASSERT(!strongerSuccessor(leader.election, 3000));
         applyPeerMessage(leader.election, "strong", 2900, 2900, 2900);
         leader.election.peers["strong"].processorShare = 0.5;
-        CPPUNIT_ASSERT(hasStrongerSuccessor(leader.election, 3000));
-        CPPUNIT_ASSERT(!hasStrongerSuccessor(leader.election, 9000)); // no recent message from it
+        CPPUNIT_ASSERT(strongerSuccessor(leader.election, 3000));
+        CPPUNIT_ASSERT(!strongerSuccessor(leader.election, 9000)); // no recent message from it
+    }
+
+    // Guards against a resignation that is written late, after the last messages of the strong daemons have become old,
+    // and names a weak one.
+    void resignationsForAStrongerDaemonNameIt()
+    {
+        Cell cell;
+        Daemon leader = makeDaemon("leader");
+        leader.election.processorShare = 0.1;
+        act(cell, leader, 1000);
+        act(cell, leader, 2000);
+        CPPUNIT_ASSERT(leader.election.role == Role::Leader);
+        for (const auto& [name, share] : std::map<std::string, double> { { "strong", 0.5 }, { "weak", 0.1 } }) {
+            applyPeerMessage(leader.election, name, 2900, 2900, 2900);
+            leader.election.peers[name].processorShare = share;
+        }
+        const auto successor = strongerSuccessor(leader.election, 3000);
+        CPPUNIT_ASSERT(successor == std::optional<std::string>("strong"));
+        leader.election.chosenSuccessor = *successor;
+        applyPeerMessage(leader.election, "weak", 3700, 3700, 3700);
+        CPPUNIT_ASSERT_EQUAL(std::string("strong"), recordToWrite(leader.election, true, 3800).successor);
+    }
+
+    // Guards against a planned stop that passes the term to a weak daemon because the strong ones were silent for a
+    // moment.
+    void plannedStopsDoNotNameAWeakDaemonWhileAStrongOneIsSilent()
+    {
+        Cell cell;
+        Daemon leader = makeDaemon("leader");
+        act(cell, leader, 1000);
+        act(cell, leader, 1500);
+        for (const auto& [name, share] : std::map<std::string, double> { { "strong", 0.5 }, { "weak", 0.1 } }) {
+            applyPeerMessage(leader.election, name, 2900, 2900, 2900);
+            leader.election.peers[name].processorShare = share;
+        }
+        applyPeerMessage(leader.election, "weak", 3700, 3700, 3700);
+        const Record record = recordToWrite(leader.election, true, 3800);
+        CPPUNIT_ASSERT_EQUAL(std::string(), record.successor);
+        Daemon weak = makeDaemon("weak");
+        Daemon strong = makeDaemon("strong");
+        weak.election.processorShare = 0.1;
+        strong.election.processorShare = 0.5;
+        for (Daemon* daemon : { &weak, &strong }) {
+            daemon->election.largestShare = 0.5;
+            observeStore(daemon->election, true, 3810);
+            observe(daemon->election, record, 7, 3810);
+        }
+        CPPUNIT_ASSERT(nextAction(weak.election, 3820) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(strong.election, 3820) == Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, 3810 + weak.election.limits.weakerDelayMs) == Action::TakeOver);
+        applyPeerMessage(leader.election, "weak", 40000, 40000, 40000);
+        CPPUNIT_ASSERT_EQUAL(std::string("weak"), recordToWrite(leader.election, true, 40000).successor);
     }
 
     // Guards against a leader that resigns every other second for a daemon that is stronger by its settings only and
@@ -371,7 +425,7 @@
         CPPUNIT_ASSERT(leader.election.role == Role::Leader);
         applyPeerMessage(leader.election, "strong", 2900, 2900, 2900);
         leader.election.peers["strong"].processorShare = 0.5;
-        CPPUNIT_ASSERT(hasStrongerSuccessor(leader.election, 3000));
+        CPPUNIT_ASSERT(strongerSuccessor(leader.election, 3000));
         const Record resignation = recordToWrite(leader.election, true, 3000);
         CPPUNIT_ASSERT_EQUAL(std::string("strong"), resignation.successor);
         cell.record = resignation;
@@ -382,7 +436,7 @@
         CPPUNIT_ASSERT(leader.election.role == Role::Leader);
         applyPeerMessage(leader.election, "strong", now, now, now);
         leader.election.peers["strong"].processorShare = 0.5;
-        CPPUNIT_ASSERT(!hasStrongerSuccessor(leader.election, now + 50));
+        CPPUNIT_ASSERT(!strongerSuccessor(leader.election, now + 50));
     }
 
     // Guards against a series of planned stops in which the term passes to the daemon that is stopped next, and against
