Hand a term over only to a daemon that reaches the store now

The candidate had answered from the store after the leader lost it, but 4.7 s ago. The term ended, and a new one had to be loaded, although the leader was alive and in contact.

A candidate must have reached the store within validityMs, as for a resignation; followers read the store every 0.4 s while the leader has lost it. Before: termsAreNotHandedOverWhileNoDaemonReachesTheStore: assertion

--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -373,8 +373,9 @@
     const bool hasLostStore = failingSince > 0 && now - failingSince >= election.limits.handOverAfterMs;
     if (election.role != Role::Leader || !hasLostStore)
         return std::nullopt;
-    const auto* peer = strongestPeer(election, now,
-        [&](const std::string&, const Peer& candidate) { return candidate.storeReachedAt > failingSince; });
+    const auto* peer = strongestPeer(election, now, [&](const std::string&, const Peer& candidate) {
+        return candidate.storeReachedAt > failingSince && now - candidate.storeReachedAt < election.limits.validityMs;
+    });
     return peer ? std::optional(peer->first) : std::nullopt;
 }
 
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(ownEarlierIncarnationIsReplacedAtOnce);
     CPPUNIT_TEST(leaderContinuesWithoutTheStoreWhileAllPeersAcknowledge);
     CPPUNIT_TEST(busyLeaderDoesNotHandOver);
+    CPPUNIT_TEST(termsAreNotHandedOverWhileNoDaemonReachesTheStore);
     CPPUNIT_TEST(malformedRecordsAreRejected);
     CPPUNIT_TEST(recordsOfEarlierVersionsAreRead);
     CPPUNIT_TEST(neverTwoActingLeaders);
@@ -189,6 +190,19 @@
         CPPUNIT_ASSERT(handOverTarget(a.election, 2000, 3000) == std::optional<std::string>("b"));
     }
 
+    // Guards against a hand-over during an outage of the store to a daemon that lost it later than the leader.
+    void termsAreNotHandedOverWhileNoDaemonReachesTheStore()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        act(cell, a, 1000);
+        act(cell, a, 1500);
+        applyPeerMessage(a.election, "b", 6900, 2900, 6900);
+        CPPUNIT_ASSERT(!handOverTarget(a.election, 2000, 7000));
+        applyPeerMessage(a.election, "b", 6900, 6500, 6950);
+        CPPUNIT_ASSERT(handOverTarget(a.election, 2000, 7000) == std::optional<std::string>("b"));
+    }
+
     // Guards against a take-over of a term that has just begun: the reply of a process that was restarted at the
     // former leader's address arrives after the record names the next leader (bench day trouble-2: three leaders in
     // 20 ms).
