Recognize the own take-over in a read of the record

A daemon whose take-over had no answer in time, and which then read the record before its next write, took its own record for that of another leader and waited takeoverMs for it to time out; only a conflict of its next write began the term. It now begins in both cases, and acts after a renewal.

--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -63,10 +63,11 @@
     m_runtime.store->read(storeKeys::term, [this](const base::Result<platform::Item, platform::StoreError>& result) {
         m_isCallInFlight = false;
         election::observeStore(m_election, isAnswer(result), nowMs());
-        if (result.has_value())
-            election::observe(
-                m_election, election::decodeRecord(result.value().value), result.value().revision, nowMs());
-        else if (result.error().code == platform::StoreCode::Missing)
+        if (result.has_value()) {
+            const auto record = election::decodeRecord(result.value().value);
+            if (election::applyRead(m_election, record, result.value().revision, nowMs()))
+                beginTerm(true);
+        } else if (result.error().code == platform::StoreCode::Missing)
             election::observe(m_election, std::nullopt, 0, nowMs());
         tick();
     });
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -275,6 +275,16 @@
     return WriteConflict::EarlierTakeOver;
 }
 
+bool applyRead(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
+{
+    const bool isFollower = election.role == Role::Follower && !election.isStopping;
+    if (isFollower && revision > election.revision
+        && applyConflict(election, record, revision, now) == WriteConflict::EarlierTakeOver)
+        return true;
+    observe(election, record, revision, now);
+    return false;
+}
+
 void stepDown(Election& election)
 {
     election.role = Role::Follower;
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -145,6 +145,8 @@
 void observeStore(Election& election, bool hasAnswered, Millis now);
 // The store holds this record (nullopt: none) at the revision.
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
+// A read has shown this record: true when it is this daemon's take-over, whose answer was lost; it leads now.
+bool applyRead(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
 // The leader reported its revision and the daemons that it knows in a message.
 void observeContact(Election& election, std::int64_t revision, const std::set<std::string>& members, Millis now);
 // Daemons from which the leader received a message within peerTimeoutMs, or that earlier leaders knew; itself included.
--- a/tests/election_recovery_test.cpp
+++ b/tests/election_recovery_test.cpp
@@ -155,7 +155,8 @@
         return;
     }
     if (!call.isWrite) {
-        observe(election, call.read, call.revision, world.now);
+        if (applyRead(election, call.read, call.revision, world.now))
+            beginTerm(world, daemon);
         return;
     }
     const bool wasLeader = election.role == Role::Leader;
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(neverTwoActingLeaders);
     CPPUNIT_TEST(lateRepliesOfAFormerLeaderDoNotEndTheNextTerm);
     CPPUNIT_TEST(takeOverWithALostAnswerDoesNotActBeforeItsRenewal);
+    CPPUNIT_TEST(readOfTheOwnTakeOverBeginsTheTerm);
     CPPUNIT_TEST(leaderThatLeadsAgainIsNotTakenForResigned);
     CPPUNIT_TEST(strongerDaemonsTakeOverFirst);
     CPPUNIT_TEST(weakDaemonsDoNotTakeATermThatIsHandedOver);
@@ -242,6 +243,20 @@
         CPPUNIT_ASSERT(validUntil(a.election, 1520) > 1520);
     }
 
+    // Guards against a daemon that waits for its own take-over, whose answer was lost, to time out.
+    void readOfTheOwnTakeOverBeginsTheTerm()
+    {
+        Daemon a = makeDaemon("a");
+        observe(a.election, std::nullopt, 0, 1000);
+        const Record stored = recordToWrite(a.election, false, 1000);
+        CPPUNIT_ASSERT(applyRead(a.election, stored, 1, 1510));
+        CPPUNIT_ASSERT(a.election.role == Role::Leader);
+        CPPUNIT_ASSERT(validUntil(a.election, 1510) <= 1510);
+        CPPUNIT_ASSERT(nextAction(a.election, 1510) == Action::Renew);
+        stepDown(a.election);
+        CPPUNIT_ASSERT(!applyRead(a.election, stored, 1, 2000)); // after the end of that term
+    }
+
     // Guards against a take-over on a resignation that the same process has revoked by taking the term again.
     void leaderThatLeadsAgainIsNotTakenForResigned()
     {
