Let a named successor without the store compete like the others

A named successor whose calls have failed since then waits like any daemon of its strength. While its reads of the term record fail, a follower reports the last answer to such a read; an answer to a call that had been waiting for long does not count. The cause of the late answer (suspected: a watch that was waiting) is not traced.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -116,13 +116,16 @@
 {
     m_isRequestInFlight = true;
     const scheduler::Millis now = nowMs();
-    const platform::StoreHealth& health = m_runtime.store->health();
+    // An answer to a call that had been waiting for long does not count while the reads of the term record fail.
+    const election::Election& state = m_term->state();
+    const scheduler::Millis answeredAt
+        = state.isStoreFailing ? state.storeAnsweredAt : m_runtime.store->health().answeredAt;
     const QJsonObject request { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
         { "lastReply", static_cast<qint64>(m_lastReplyNumber) }, { "feedTerm", static_cast<qint64>(m_feedTerm) },
         { "feedHave", static_cast<qint64>(m_feedPosition) },
         { "incarnation", static_cast<qint64>(m_runtime.incarnation) },
         { "processorShare", m_runtime.settings.processorShare },
-        { "storeAgeMs", static_cast<qint64>(health.answeredAt > 0 ? now - health.answeredAt : -1) },
+        { "storeAgeMs", static_cast<qint64>(answeredAt > 0 ? now - answeredAt : -1) },
         { "isStopping", m_runtime.isStopping }, { "policyRevision", static_cast<qint64>(m_policy->revision()) },
         { "membersHave", encodeVersion(m_memberCopy.version()) } };
     m_client->request(QJsonDocument(request).toJson(QJsonDocument::Compact),
@@ -206,8 +209,11 @@
     if (nowMs() - m_probedAt < probeIntervalMs)
         return;
     m_probedAt = nowMs();
-    // Ignores the result: the call updates the store's health, which requests to the leader report.
-    m_runtime.store->read(storeKeys::term, [](const base::Result<platform::Item, platform::StoreError>&) {});
+    // Only whether the store answers matters: requests to the leader report it.
+    m_runtime.store->read(storeKeys::term, [this](const base::Result<platform::Item, platform::StoreError>& result) {
+        const bool hasAnswered = result.has_value() || result.error().code == platform::StoreCode::Missing;
+        election::observeStore(m_term->state(), hasAnswered, nowMs());
+    });
 }
 
 // --- Scheduling daemon ---
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -66,6 +66,12 @@
         Millis regainDelay = 0;
     };
 
+    // A named successor that fails to reach the store competes like the others.
+    bool hasReachedStoreSince(const Election& election, Millis since)
+    {
+        return !election.isStoreFailing && election.storeRegainedAt <= since;
+    }
+
     std::optional<Vacancy> findVacancy(const Election& election, bool hasNoContact)
     {
         const std::optional<Record>& record = election.record;
@@ -77,15 +83,18 @@
         }
         const Millis delay = takeoverDelay(election);
         const Millis regainDelay = delay > 0 ? limits.weakerRegainDelayMs : 0;
+        if (election.vacantFrom > 0 && election.isNamed && hasReachedStoreSince(election, election.vacantFrom))
+            return Vacancy { election.vacantFrom };
         if (election.vacantFrom > 0)
-            return election.isNamed ? Vacancy { election.vacantFrom }
-                                    : Vacancy { election.vacantFrom, delay, regainDelay };
+            return Vacancy { election.vacantFrom, delay, regainDelay };
         if (record->leader == election.self && record->incarnation != election.incarnation)
             return Vacancy { election.changedAt, delay, regainDelay };
-        if (record->isResigned && record->successor == election.self)
+        if (record->isResigned && record->successor == election.self
+            && hasReachedStoreSince(election, election.changedAt))
             return Vacancy { election.changedAt };
         if (record->isResigned) {
-            const Millis forSuccessor = record->successor.empty() ? 0 : limits.successorTimeoutMs;
+            const bool hasOtherSuccessor = !record->successor.empty() && record->successor != election.self;
+            const Millis forSuccessor = hasOtherSuccessor ? limits.successorTimeoutMs : 0;
             return Vacancy { election.changedAt + forSuccessor, delay, regainDelay };
         }
         if (!hasNoContact)
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(leaderContinuesWithoutTheStoreWhileAllPeersAcknowledge);
     CPPUNIT_TEST(busyLeaderDoesNotHandOver);
     CPPUNIT_TEST(termsAreNotHandedOverWhileNoDaemonReachesTheStore);
+    CPPUNIT_TEST(weakSuccessorsWithoutTheStoreLetStrongDaemonsFirst);
     CPPUNIT_TEST(malformedRecordsAreRejected);
     CPPUNIT_TEST(recordsOfEarlierVersionsAreRead);
     CPPUNIT_TEST(neverTwoActingLeaders);
@@ -204,6 +205,25 @@
         CPPUNIT_ASSERT(handOverTarget(a.election, 2000, 7000) == std::optional<std::string>("b"));
     }
 
+    // Guards against a weak daemon that was named during an outage of the store and competes at once when it ends.
+    void weakSuccessorsWithoutTheStoreLetStrongDaemonsFirst()
+    {
+        Daemon weak = makeDaemon("weak");
+        weak.election.processorShare = 0.07;
+        const Record record { "leader", 1, "127.0.0.1:1", 1, 3, false, "", { "weak", "strong" }, 0.5 };
+        observe(weak.election, record, 5, 1000);
+        observeContact(weak.election, 5, { "weak", "strong" }, 2900);
+        observeStore(weak.election, true, 2900);
+        observeHandOver(weak.election, "leader", 1, 3000);
+        CPPUNIT_ASSERT(nextAction(weak.election, 3010) == Action::TakeOver);
+        observeStore(weak.election, false, 3020);
+        CPPUNIT_ASSERT(nextAction(weak.election, 3310) != Action::TakeOver);
+        observeStore(weak.election, true, 4000);
+        const Millis regainDelay = weak.election.limits.weakerRegainDelayMs;
+        CPPUNIT_ASSERT(nextAction(weak.election, 4000 + regainDelay - 1) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, 4000 + regainDelay) == Action::TakeOver);
+    }
+
     // Guards against a take-over of a term that has just begun: the reply of a process that was restarted at the
     // former leader's address arrives after the record names the next leader (bench day trouble-2: three leaders in
     // 20 ms).
