--- a/src/base/term_start.h
+++ b/src/base/term_start.h
@@ -6,8 +6,8 @@
 namespace lacewing::base {
 
 struct TermStart {
-    std::int64_t token = 0;   // fencing token of the term
-    std::int64_t clockMs = 0; // on the term clock (election/election.h)
+    std::int64_t token = 0;       // fencing token of the term
+    std::int64_t formerEndMs = 0; // term clock (election/election.h) at which the term before had ended at the latest
 };
 
 } // namespace lacewing::base
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -116,18 +116,22 @@
 {
     m_isRequestInFlight = true;
     const scheduler::Millis now = nowMs();
-    const platform::StoreHealth& health = m_runtime.store->health();
+    // An answer to a call that had been waiting for long does not count while the reads of the term record fail.
+    const election::Election& state = m_term->state();
+    const scheduler::Millis answeredAt
+        = state.isStoreFailing ? state.storeAnsweredAt : m_runtime.store->health().answeredAt;
     const QJsonObject request { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
         { "lastReply", static_cast<qint64>(m_lastReplyNumber) }, { "feedTerm", static_cast<qint64>(m_feedTerm) },
         { "feedHave", static_cast<qint64>(m_feedPosition) },
         { "incarnation", static_cast<qint64>(m_runtime.incarnation) },
         { "processorShare", m_runtime.settings.processorShare },
-        { "storeAgeMs", static_cast<qint64>(health.answeredAt > 0 ? now - health.answeredAt : -1) },
+        { "storeAgeMs", static_cast<qint64>(answeredAt > 0 ? now - answeredAt : -1) },
         { "isStopping", m_runtime.isStopping }, { "policyRevision", static_cast<qint64>(m_policy->revision()) },
         { "membersHave", encodeVersion(m_memberCopy.version()) } };
     m_client->request(QJsonDocument(request).toJson(QJsonDocument::Compact),
-        [this, sent = SentRequest { now, m_term->state().record->leader, m_term->state().record->incarnation }](
-            const base::Result<QByteArray, peer::PeerError>& result) {
+        [this,
+            sent = SentRequest { now, m_term->state().record->leader, m_term->state().record->incarnation,
+                m_term->state().revision }](const base::Result<QByteArray, peer::PeerError>& result) {
             m_isRequestInFlight = false;
             if (result.has_value()) {
                 m_failures = 0;
@@ -156,7 +160,7 @@
         const auto resignation = election::decodeRecord(base::textOf(reply["resignation"]).c_str());
         if (isSameProcess && resignation)
             election::observe(state, resignation, reply["revision"].toInteger(), nowMs());
-        else
+        else if (!(isSameProcess && reply["isTakingOver"].toBool()) && state.revision == sent.revision)
             election::observeLeaderGone(state, sent.leader, sent.incarnation, nowMs());
         return;
     }
@@ -205,8 +209,11 @@
     if (nowMs() - m_probedAt < probeIntervalMs)
         return;
     m_probedAt = nowMs();
-    // Ignores the result: the call updates the store's health, which requests to the leader report.
-    m_runtime.store->read(storeKeys::term, [](const base::Result<platform::Item, platform::StoreError>&) {});
+    // Only whether the store answers matters: requests to the leader report it.
+    m_runtime.store->read(storeKeys::term, [this](const base::Result<platform::Item, platform::StoreError>& result) {
+        const bool hasAnswered = result.has_value() || result.error().code == platform::StoreCode::Missing;
+        election::observeStore(m_term->state(), hasAnswered, nowMs());
+    });
 }
 
 // --- Scheduling daemon ---
@@ -218,6 +225,8 @@
     const scheduler::Millis now = nowMs();
     QJsonObject reply { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
         { "incarnation", static_cast<qint64>(m_runtime.incarnation) }, { "isLeader", m_term->isLeader() } };
+    if (m_term->isTakingOver())
+        reply["isTakingOver"] = true;
     if (!m_term->isLeader() && !m_term->resignation().isEmpty()) {
         reply["resignation"] = QString::fromUtf8(m_term->resignation());
         reply["revision"] = static_cast<qint64>(m_term->resignationRevision());
@@ -241,10 +250,7 @@
     reply["number"] = static_cast<qint64>(last.number);
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
-    double largestShare = 0; // of the daemons that may succeed this one
-    for (const auto& [name, peer] : state.peers)
-        largestShare = std::max(largestShare, peer.processorShare);
-    reply["largestShare"] = largestShare;
+    reply["largestShare"] = election::largestKnownShare(state, now);
     updateMembers(daemon, request, now);
     const QByteArray members = m_memberList.encodeFor(decodeVersion(request["membersHave"]));
     reply["hasLostStore"] = !isStoreReachable(m_runtime);
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -13,6 +13,12 @@
     // The other two entries of a transaction are its condition and the term record.
     constexpr std::size_t writesPerCommit = platform::maxTransactionEntries - 2;
 
+    template <typename T> bool isAnswer(const base::Result<T, platform::StoreError>& result)
+    {
+        return result.has_value() || result.error().code == platform::StoreCode::Missing
+            || result.error().code == platform::StoreCode::Conflict;
+    }
+
 } // namespace
 
 TermService::TermService(Runtime& runtime)
@@ -56,10 +62,12 @@
     m_election.polledAt = nowMs();
     m_runtime.store->read(storeKeys::term, [this](const base::Result<platform::Item, platform::StoreError>& result) {
         m_isCallInFlight = false;
-        if (result.has_value())
-            election::observe(
-                m_election, election::decodeRecord(result.value().value), result.value().revision, nowMs());
-        else if (result.error().code == platform::StoreCode::Missing)
+        election::observeStore(m_election, isAnswer(result), nowMs());
+        if (result.has_value()) {
+            const auto record = election::decodeRecord(result.value().value);
+            if (election::applyRead(m_election, record, result.value().revision, nowMs()))
+                beginTerm(true);
+        } else if (result.error().code == platform::StoreCode::Missing)
             election::observe(m_election, std::nullopt, 0, nowMs());
         tick();
     });
@@ -68,6 +76,7 @@
 void TermService::writeRecord(bool isResigning)
 {
     m_isCallInFlight = true;
+    m_isWriteInFlight = true;
     const scheduler::Millis sentAt = nowMs();
     m_election.lastAttemptAt = sentAt;
     const election::Record record = election::recordToWrite(m_election, isResigning, sentAt);
@@ -91,6 +100,8 @@
     m_runtime.store->commit(transaction,
         [this, record, sentAt, includedCommits](const base::Result<std::int64_t, platform::StoreError>& result) {
             m_isCallInFlight = false;
+            m_isWriteInFlight = false;
+            election::observeStore(m_election, isAnswer(result), nowMs());
             if (result.has_value()) {
                 const bool wasLeader = isLeader();
                 election::applyWritten(m_election, record, result.value(), sentAt, nowMs());
@@ -107,10 +118,12 @@
                     m_resignation = election::encodeRecord(record);
                     m_resignationRevision = result.value();
                     m_resignedAt = nowMs();
+                    kernel::logEvent(kernel::LogLevel::Info, "term", "resigned",
+                        { { "revision", m_resignationRevision }, { "successor", record.successor } });
                     endTerm("resigned");
                 }
             } else if (result.error().code == platform::StoreCode::Conflict) {
-                applyConflict(result.error().current, sentAt);
+                applyConflict(result.error().current);
             }
             if (m_onResigned && !isLeader())
                 finishResigning();
@@ -119,7 +132,7 @@
 
 // The condition failed: the record was written by another daemon, or by an earlier write of this process whose
 // answer was lost.
-void TermService::applyConflict(const std::vector<platform::Item>& current, scheduler::Millis sentAt)
+void TermService::applyConflict(const std::vector<platform::Item>& current)
 {
     std::optional<election::Record> record;
     std::int64_t revision = 0;
@@ -129,19 +142,18 @@
             revision = item.revision;
         }
     }
-    const bool isOwn = record && record->leader == m_election.self && record->incarnation == m_election.incarnation;
-    if (isOwn && isLeader() && !record->isResigned) {
-        election::applyEarlierWrite(m_election, revision, sentAt);
-        return;
-    }
-    if (isOwn && !isLeader() && record->token == 0 && !record->isResigned) { // own take-over whose answer was lost
-        election::applyWritten(m_election, *record, revision, sentAt, nowMs());
+    switch (election::applyConflict(m_election, record, revision, nowMs())) {
+    case election::WriteConflict::EarlierRenewal:
+        break;
+    case election::WriteConflict::EarlierTakeOver:
         beginTerm(true);
-        return;
+        break;
+    case election::WriteConflict::OtherLeader:
+        if (isLeader())
+            endTerm("another daemon has the term");
+        election::observe(m_election, record, revision, nowMs());
+        break;
     }
-    if (isLeader())
-        endTerm("another daemon has the term");
-    election::observe(m_election, record, revision, nowMs());
 }
 
 void TermService::beginTerm(bool isAfterLostAnswer)
@@ -184,7 +196,8 @@
     m_onTermEnded();
 }
 
-void TermService::resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done)
+void TermService::resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done,
+    const std::string& successor)
 {
     if (!isLeader()) {
         done();
@@ -200,7 +213,9 @@
     m_onResigned = std::move(done);
     m_resigningSince = nowMs();
     m_finalWrites = std::move(writes);
-    kernel::logEvent(kernel::LogLevel::Info, "term", "resigning", { { "reason", reason }, { "token", token() } });
+    m_election.chosenSuccessor = successor;
+    kernel::logEvent(kernel::LogLevel::Info, "term", "resigning",
+        { { "reason", reason }, { "token", token() }, { "successor", successor } });
     QTimer::singleShot(resignTimeoutMs, this, [this] {
         if (!m_onResigned || nowMs() - m_resigningSince < resignTimeoutMs)
             return;
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -23,6 +23,8 @@
     void start();
 
     bool isLeader() const { return m_election.role == election::Role::Leader; }
+    // A write is in flight with which this daemon may already have the term.
+    bool isTakingOver() const { return m_isWriteInFlight && !isLeader(); }
     std::int64_t token() const { return m_election.token; }
     // End of the leader's right to act, unless it is extended.
     scheduler::Millis validUntil() const { return election::validUntil(m_election, nowMs()); }
@@ -38,8 +40,9 @@
 
     // Resigns: writes the resignation and final records in one transaction. `done` is called when the resignation is
     // stored or cannot be stored (another daemon has taken the term, or the store did not confirm in time), and at once
-    // when this daemon is not the leader.
-    void resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done);
+    // when this daemon is not the leader. Without a successor, one is chosen when the resignation is written.
+    void resign(const std::string& reason, std::vector<platform::Write> writes, std::function<void()> done,
+        const std::string& successor = {});
     bool isResigning() const { return m_onResigned != nullptr; }
     // The record with which this process has resigned, sent in replies to other daemons; empty: it has not resigned.
     const QByteArray& resignation() const { return m_resignation; }
@@ -65,13 +68,14 @@
     void writeRecord(bool isResigning);
     void finishResigning();
     void beginTerm(bool isAfterLostAnswer);
-    void applyConflict(const std::vector<platform::Item>& current, scheduler::Millis sentAt);
+    void applyConflict(const std::vector<platform::Item>& current);
     void endTerm(const std::string& reason);
 
     Runtime& m_runtime;
     election::Election m_election;
     QTimer m_timer;
-    bool m_isCallInFlight = false;      // a read or write of the term record
+    bool m_isCallInFlight = false; // a read or write of the term record
+    bool m_isWriteInFlight = false;
     std::function<void()> m_onResigned; // set while resigning
     scheduler::Millis m_resigningSince = 0;
     std::vector<platform::Write> m_finalWrites;
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -15,15 +15,17 @@
         members.append(QString::fromStdString(member));
     QJsonArray terms;
     for (const base::TermStart& term : record.terms)
-        terms.append(QJsonArray { static_cast<qint64>(term.token), static_cast<qint64>(term.clockMs) });
+        terms.append(QJsonArray { static_cast<qint64>(term.token), static_cast<qint64>(term.formerEndMs) });
     QJsonObject json { { "leader", QString::fromStdString(record.leader) },
         { "incarnation", static_cast<qint64>(record.incarnation) },
         { "peerAddress", QString::fromStdString(record.peerAddress) },
         { "sequence", static_cast<qint64>(record.sequence) }, { "token", static_cast<qint64>(record.token) },
         { "isResigned", record.isResigned }, { "successor", QString::fromStdString(record.successor) },
-        { "members", members }, { "terms", terms } };
+        { "members", members }, { "terms", terms }, { "largestShare", record.largestShare } };
     if (record.clockMs)
         json["clockMs"] = static_cast<qint64>(*record.clockMs);
+    if (record.token == 0)
+        json["formerEndMs"] = static_cast<qint64>(record.formerEndMs);
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
@@ -45,43 +47,84 @@
         record.members.insert(member.toString().toStdString());
     if (json["clockMs"].isDouble())
         record.clockMs = json["clockMs"].toInteger();
+    record.formerEndMs = json["formerEndMs"].toInteger();
     for (const QJsonValue term : json["terms"].toArray())
         record.terms.push_back({ term[0].toInteger(), term[1].toInteger() });
+    record.largestShare = json["largestShare"].toDouble();
     return record;
 }
 
-bool isOwn(const Election& election, const std::optional<Record>& record, std::int64_t sequence)
-{
-    return record && record->leader == election.self && record->incarnation == election.incarnation
-        && record->sequence == sequence;
-}
-
 namespace {
 
     constexpr std::size_t maxTermStarts = 16; // in the record; without older ones, terms seem to have ended later
     constexpr double strongerRatio = 1.25;    // of processor time; smaller differences are not worth a delay
 
-    // Delay of this daemon's take-over in favour of clearly stronger ones.
+    // Delay of this daemon's take-over in favour of clearly stronger ones. They may see a change later than this one
+    // when the store has just come back.
     Millis takeoverDelay(const Election& election)
     {
-        return election.largestShare > strongerRatio * election.processorShare ? election.limits.weakerDelayMs : 0;
+        const Limits& limits = election.limits;
+        if (election.largestShare <= strongerRatio * election.processorShare)
+            return 0;
+        const bool isSeenAfterFailure = election.storeRegainedAt > 0 && election.changedAt >= election.storeRegainedAt
+            && election.changedAt < election.storeRegainedAt + limits.weakerRegainDelayMs;
+        return isSeenAfterFailure ? limits.weakerRegainDelayMs : limits.weakerDelayMs;
     }
 
-    bool isVacant(const Election& election, Millis now)
+    // When a follower may take over: `delay` after `from`, and `regainDelay` after the store answers again. Without a
+    // delay it does not wait for the store.
+    struct Vacancy {
+        Millis from = 0;
+        Millis delay = 0;
+        Millis regainDelay = 0;
+    };
+
+    // A named successor that fails to reach the store competes like the others.
+    bool hasReachedStoreSince(const Election& election, Millis since)
+    {
+        return !election.isStoreFailing && election.storeRegainedAt <= since;
+    }
+
+    std::optional<Vacancy> findVacancy(const Election& election, bool hasNoContact)
     {
         const std::optional<Record>& record = election.record;
+        const Limits& limits = election.limits;
         if (!record) {
             const double missing = 1 - std::min(1.0, election.processorShare);
-            const double delay = missing * static_cast<double>(election.limits.firstTermDelayMs);
-            return now - election.changedAt >= static_cast<Millis>(delay);
+            const auto delay = static_cast<Millis>(missing * static_cast<double>(limits.firstTermDelayMs));
+            return Vacancy { election.changedAt, delay, delay };
         }
+        const Millis delay = takeoverDelay(election);
+        const Millis regainDelay = delay > 0 ? limits.weakerRegainDelayMs : 0;
+        if (election.vacantFrom > 0 && election.isNamed && hasReachedStoreSince(election, election.vacantFrom))
+            return Vacancy { election.vacantFrom };
         if (election.vacantFrom > 0)
-            return now >= election.vacantFrom;
-        const bool isOwnEarlierIncarnation
-            = record->leader == election.self && record->incarnation != election.incarnation;
-        const bool isEligible = record->successor.empty() || record->successor == election.self
-            || now - election.changedAt >= election.limits.successorTimeoutMs + takeoverDelay(election);
-        return isOwnEarlierIncarnation || (record->isResigned && isEligible);
+            return Vacancy { election.vacantFrom, delay, regainDelay };
+        if (record->leader == election.self && record->incarnation != election.incarnation)
+            return Vacancy { election.changedAt, delay, regainDelay };
+        if (record->isResigned && record->successor == election.self
+            && hasReachedStoreSince(election, election.changedAt))
+            return Vacancy { election.changedAt };
+        if (record->isResigned) {
+            const bool hasOtherSuccessor = !record->successor.empty() && record->successor != election.self;
+            const Millis forSuccessor = hasOtherSuccessor ? limits.successorTimeoutMs : 0;
+            return Vacancy { election.changedAt + forSuccessor, delay, regainDelay };
+        }
+        if (!hasNoContact)
+            return std::nullopt;
+        return Vacancy { std::max(election.changedAt, election.lastContactAt) + limits.takeoverMs, delay, regainDelay };
+    }
+
+    // Waits for the strongest daemons first, and only while the store is known to answer.
+    Action takeOverAfterDelay(const Election& election, const Vacancy& vacancy, Millis now)
+    {
+        const Limits& limits = election.limits;
+        const Millis answerTimeout = vacancy.regainDelay + limits.contactTimeoutMs;
+        if (election.isStoreFailing || now - election.storeAnsweredAt > answerTimeout)
+            return now - election.polledAt >= limits.pollMs ? Action::ReadRecord : Action::None;
+        const bool hasWaited = now >= vacancy.from + vacancy.delay
+            && (election.storeRegainedAt == 0 || now >= election.storeRegainedAt + vacancy.regainDelay);
+        return hasWaited && now - election.lastAttemptAt >= limits.pollMs ? Action::TakeOver : Action::None;
     }
 
 } // namespace
@@ -97,10 +140,11 @@
     }
     const bool hasNoContact = now - election.lastContactAt >= limits.contactTimeoutMs || election.lastContactAt == 0;
     if (election.isRecordKnown && !election.isStopping) {
-        const bool hasStoppedRenewing
-            = now - std::max(election.changedAt, election.lastContactAt) >= limits.takeoverMs + takeoverDelay(election)
-            && hasNoContact;
-        if ((isVacant(election, now) || hasStoppedRenewing) && now - election.lastAttemptAt >= limits.pollMs)
+        const std::optional<Vacancy> vacancy = findVacancy(election, hasNoContact);
+        const bool isVacant = vacancy && now >= vacancy->from;
+        if (isVacant && vacancy->delay > 0)
+            return takeOverAfterDelay(election, *vacancy, now);
+        if (isVacant && now - election.lastAttemptAt >= limits.pollMs)
             return Action::TakeOver;
     }
     if ((hasNoContact || !election.isRecordKnown) && now - election.polledAt >= limits.pollMs)
@@ -108,6 +152,16 @@
     return Action::None;
 }
 
+namespace {
+
+    // The former leader acts neither longer after a renewal nor longer after an acknowledgement of this daemon.
+    Millis formerTermEnd(const Election& election)
+    {
+        return std::max(election.changedAt, election.lastContactAt) + election.limits.validityMs;
+    }
+
+} // namespace
+
 Record recordToWrite(Election& election, bool isResigning, Millis now)
 {
     Record record;
@@ -118,11 +172,15 @@
     record.token = election.role == Role::Leader ? election.token : 0;
     record.isResigned = isResigning;
     if (isResigning)
-        record.successor = preferredSuccessor(election, now).value_or(std::string());
+        record.successor = election.chosenSuccessor.empty() ? preferredSuccessor(election, now).value_or(std::string())
+                                                            : election.chosenSuccessor;
     record.members = election.members;
     record.members.insert(election.self);
     record.clockMs = election.hasClock ? termClock(election, now) : 0;
+    if (election.hasClock && election.role == Role::Follower)
+        record.formerEndMs = termClock(election, std::min(now, formerTermEnd(election)));
     record.terms = election.terms;
+    record.largestShare = largestKnownShare(election, now);
     return record;
 }
 
@@ -146,11 +204,33 @@
         election.clockAt = now;
         election.terms = election.hasClock && record ? record->terms : std::vector<base::TermStart> {};
         if (election.hasClock && record && record->token == 0)
-            election.terms.push_back({ revision, *record->clockMs });
+            election.terms.push_back({ revision, record->formerEndMs });
     }
 
 } // namespace
 
+double largestKnownShare(const Election& election, Millis now)
+{
+    double largest = 0;
+    bool isComplete = election.role == Role::Leader;
+    for (const auto& [name, peer] : election.peers) {
+        if (now - peer.lastMessageAt > election.limits.peerTimeoutMs)
+            continue;
+        largest = std::max(largest, peer.processorShare);
+        isComplete = isComplete && peer.processorShare > 0;
+    }
+    return isComplete ? largest : std::max(largest, election.largestShare);
+}
+
+void observeStore(Election& election, bool hasAnswered, Millis now)
+{
+    if (hasAnswered && election.isStoreFailing)
+        election.storeRegainedAt = now;
+    if (hasAnswered)
+        election.storeAnsweredAt = now;
+    election.isStoreFailing = !hasAnswered;
+}
+
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
 {
     if (!election.isRecordKnown || revision > election.revision || (revision == 0 && election.revision != 0)) {
@@ -163,6 +243,8 @@
             election.lastAttemptAt = 0; // an attempt before the resignation does not delay the next one
         if (record)
             election.members.insert(record->members.begin(), record->members.end());
+        if (record && record->largestShare > 0)
+            election.largestShare = record->largestShare;
     }
     election.isRecordKnown = true;
 }
@@ -175,6 +257,8 @@
     if (revision > election.revision) {
         election.revision = revision;
         election.changedAt = now;
+        if (election.record)
+            election.record->isResigned = false; // it leads again
     }
 }
 
@@ -185,14 +269,18 @@
 
 void observeLeaderGone(Election& election, const std::string& leader, std::int64_t incarnation, Millis now)
 {
-    if (isLedBy(election, leader, incarnation) && election.vacantFrom == 0)
-        election.vacantFrom = now + takeoverDelay(election);
+    if (!isLedBy(election, leader, incarnation) || election.vacantFrom > 0)
+        return;
+    election.vacantFrom = now;
+    election.isNamed = false;
 }
 
 void observeHandOver(Election& election, const std::string& leader, std::int64_t incarnation, Millis now)
 {
-    if (isLedBy(election, leader, incarnation))
-        election.vacantFrom = now;
+    if (!isLedBy(election, leader, incarnation))
+        return;
+    election.vacantFrom = now;
+    election.isNamed = true;
 }
 
 void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now)
@@ -207,9 +295,9 @@
         if (!election.hasClock) {
             election.hasClock = true;
             election.clockMs = record.clockMs.value_or(0);
-            election.clockAt = sentAt;
+            election.clockAt = now;
         }
-        election.terms.push_back({ revision, record.clockMs.value_or(0) });
+        election.terms.push_back({ revision, record.formerEndMs });
         if (election.terms.size() > maxTermStarts)
             election.terms.erase(election.terms.begin());
         election.formerToken = election.record && election.record->isResigned ? election.record->token : 0;
@@ -234,18 +322,37 @@
     election.hasLapsed = false;
 }
 
-void applyEarlierWrite(Election& election, std::int64_t revision, Millis sentAt)
+// Neither case extends the validity: other daemons measure takeoverMs from the write that is stored, and may have been
+// told by this one, before it knew, that it does not lead.
+WriteConflict applyConflict(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
 {
-    election.revision = revision;
-    election.renewSentAt = sentAt;
-    election.hasLapsed = false;
-    election.lastAttemptAt = 0; // renew again at once
+    const bool isOwn = record && record->leader == election.self && record->incarnation == election.incarnation;
+    if (!isOwn || record->isResigned || (election.role == Role::Follower && record->token != 0))
+        return WriteConflict::OtherLeader;
+    election.lastAttemptAt = 0; // renew at once
+    if (election.role == Role::Leader) {
+        election.revision = revision;
+        return WriteConflict::EarlierRenewal;
+    }
+    applyWritten(election, *record, revision, 0, now);
+    return WriteConflict::EarlierTakeOver;
+}
+
+bool applyRead(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
+{
+    const bool isFollower = election.role == Role::Follower && !election.isStopping;
+    if (isFollower && revision > election.revision
+        && applyConflict(election, record, revision, now) == WriteConflict::EarlierTakeOver)
+        return true;
+    observe(election, record, revision, now);
+    return false;
 }
 
 void stepDown(Election& election)
 {
     election.role = Role::Follower;
     election.token = 0;
+    election.chosenSuccessor.clear();
     election.lastContactAt = 0;
     election.isRecordKnown = false; // the record must be read again before a take-over
     election.peers.clear();
@@ -298,13 +405,17 @@
         return best;
     }
 
+    // It was named as successor lately and has not taken over.
+    bool hasFailed(const Election& election, const std::string& name, Millis now)
+    {
+        const auto failed = election.failedSuccessors.find(name);
+        return failed != election.failedSuccessors.end() && now - failed->second < election.limits.peerTimeoutMs;
+    }
+
     const std::pair<const std::string, Peer>* preferredPeer(const Election& election, Millis now)
     {
         return strongestPeer(election, now, [&](const std::string& name, const Peer& peer) {
-            const auto failed = election.failedSuccessors.find(name);
-            const bool hasFailed
-                = failed != election.failedSuccessors.end() && now - failed->second < election.limits.peerTimeoutMs;
-            return !hasFailed && now - peer.storeReachedAt < election.limits.validityMs;
+            return !hasFailed(election, name, now) && now - peer.storeReachedAt < election.limits.validityMs;
         });
     }
 
@@ -312,14 +423,22 @@
 
 std::optional<std::string> preferredSuccessor(const Election& election, Millis now)
 {
-    const auto* peer = preferredPeer(election, now);
-    return peer ? std::optional(peer->first) : std::nullopt;
+    const auto* best = preferredPeer(election, now);
+    const bool isStrongerSilent
+        = best && std::any_of(election.peers.begin(), election.peers.end(), [&](const auto& entry) {
+              const Millis silence = now - entry.second.lastMessageAt;
+              return silence >= election.limits.contactTimeoutMs && silence <= election.limits.peerTimeoutMs
+                  && !hasFailed(election, entry.first, now)
+                  && entry.second.processorShare > strongerRatio * best->second.processorShare;
+          });
+    return best && !isStrongerSilent ? std::optional(best->first) : std::nullopt;
 }
 
-bool hasStrongerSuccessor(const Election& election, Millis now)
+std::optional<std::string> strongerSuccessor(const Election& election, Millis now)
 {
     const auto* peer = preferredPeer(election, now);
-    return peer && peer->second.processorShare > strongerRatio * election.processorShare;
+    const bool isStronger = peer && peer->second.processorShare > strongerRatio * election.processorShare;
+    return isStronger ? std::optional(peer->first) : std::nullopt;
 }
 
 std::optional<std::string> handOverTarget(const Election& election, Millis failingSince, Millis now)
@@ -327,8 +446,9 @@
     const bool hasLostStore = failingSince > 0 && now - failingSince >= election.limits.handOverAfterMs;
     if (election.role != Role::Leader || !hasLostStore)
         return std::nullopt;
-    const auto* peer = strongestPeer(election, now,
-        [&](const std::string&, const Peer& candidate) { return candidate.storeReachedAt > failingSince; });
+    const auto* peer = strongestPeer(election, now, [&](const std::string&, const Peer& candidate) {
+        return candidate.storeReachedAt > failingSince && now - candidate.storeReachedAt < election.limits.validityMs;
+    });
     return peer ? std::optional(peer->first) : std::nullopt;
 }
 
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -10,7 +10,8 @@
 // long as every daemon that it knows acknowledges its replies in time.
 //
 // Scheduling takes more processor time than following. When a term is vacant, daemons with clearly less processor time
-// than the strongest one delay their take-over, so that stronger ones take over first.
+// than the strongest one delay their take-over, so that stronger ones take over first. The delay runs while the store
+// answers, because no daemon can take over before that.
 //
 // Each write of the record carries the term clock, a lower bound of the time since the first term. A daemon that takes
 // over continues it from the last value that it has read, so that the age of former terms is known across terms without
@@ -42,13 +43,16 @@
 using Millis = std::int64_t; // of the daemon's boot-time clock
 
 struct Limits {
-    Millis renewMs = 500;            // interval between renewals
-    Millis validityMs = 1500;        // a renewal lets the leader act this long; above two renewals and a lost answer
-    Millis takeoverMs = 1800;        // an unchanged record may be taken over; validityMs plus a clock rate margin
-    Millis contactTimeoutMs = 700;   // followers poll the record after this long without a reply from the leader
-    Millis pollMs = 300;             // interval of these polls, and of write attempts without a valid term
-    Millis peerTimeoutMs = 30000;    // a daemon without a message for this long is gone and need not acknowledge
-    Millis weakerDelayMs = 400;      // take-over delay of clearly weaker daemons; above a message and a write
+    Millis renewMs = 500;          // interval between renewals
+    Millis validityMs = 1500;      // a renewal lets the leader act this long; above two renewals and a lost answer
+    Millis takeoverMs = 1800;      // an unchanged record may be taken over; validityMs plus a clock rate margin
+    Millis contactTimeoutMs = 700; // followers poll the record after this long without a reply from the leader
+    Millis pollMs = 300;           // interval of these polls, and of write attempts without a valid term
+    Millis peerTimeoutMs = 30000;  // a daemon without a message for this long is gone and need not acknowledge
+    Millis weakerDelayMs = 400;    // take-over delay of clearly weaker daemons; above a message and a write
+    // The same delay after the store answers again: a call of another daemon may still be waiting for its time-out of
+    // 500 ms, and a message and a write follow.
+    Millis weakerRegainDelayMs = 800;
     Millis firstTermDelayMs = 1000;  // delay of the very first term, times the share of a core that a daemon lacks
     Millis successorTimeoutMs = 600; // a named successor has this long to take over; then any daemon may
     Millis handOverAfterMs = 900;    // a leader without the store for this long hands over to a daemon that reaches it
@@ -62,11 +66,13 @@
     std::int64_t sequence = 0;          // rises with each write of the process
     std::int64_t token = 0;             // 0 in the first write of a term, whose revision is the token
     bool isResigned = false;            // the leader has stopped acting; the successor may take over at once
-    std::string successor;              // of a resigned leader; empty: any daemon
+    std::string successor;              // of a resigned leader; empty: any daemon, the strongest first
     std::set<std::string> members;      // daemons that the leader knows, itself included
+    double largestShare = 0;            // cores of the strongest of the others; 0: unknown
     std::optional<Millis> clockMs = {}; // term clock at the write; absent in records of versions without a term clock
-    std::vector<base::TermStart> terms
-        = {}; // recent terms, oldest first; without the term of which this is the first write
+    Millis formerEndMs
+        = 0; // in the first write: term clock at which the former leader had stopped acting at the latest
+    std::vector<base::TermStart> terms = {}; // recent terms, oldest first; in the first write without its own
 };
 
 QByteArray encodeRecord(const Record& record);
@@ -90,6 +96,12 @@
     { Action::Renew, "renew" },
 } };
 
+enum class WriteConflict {
+    EarlierRenewal,  // the record is an earlier write of this leader, which renews again at once
+    EarlierTakeOver, // the record is this daemon's take-over, whose answer was lost; it acts from its next renewal on
+    OtherLeader,     // another process has written the record: a leader steps down, then call observe()
+};
+
 struct Peer {
     Millis lastMessageAt = 0;  // when its last message was received
     Millis acknowledgedAt = 0; // when the last reply that it received was sent; no take-over within takeoverMs of this
@@ -116,11 +128,15 @@
     Millis clockMs = 0;    // at clockAt
     Millis clockAt = 0;
     std::vector<base::TermStart> terms; // recent terms, oldest first; for the leader including its own
+    Millis storeAnsweredAt = 0;         // last answer of the store to a read or write of the record
+    Millis storeRegainedAt = 0;         // first answer after the last failure
+    bool isStoreFailing = false;
     // --- Follower ---
     Millis lastContactAt = 0;      // last reply of the leader
     std::set<std::string> members; // daemons known to this or earlier leaders; each may take over
-    double largestShare = 0;       // cores of the strongest of them; 0: unknown
+    double largestShare = 0;       // of the record or the leader's last reply
     Millis vacantFrom = 0;   // start of the vacancy after the leader's process has stopped leading; 0: it may lead
+    bool isNamed = false;    // ... in favour of this daemon
     bool isStopping = false; // does not take over
     // --- Leader ---
     Role role = Role::Follower;
@@ -132,6 +148,7 @@
     bool knowsFormerTerms = false; // the term clock covers the time before this term
     std::string lastSuccessor;     // named in the last resignation of this process
     Millis resignedAt = 0;         // time of that resignation
+    std::string chosenSuccessor;   // for which this leader resigns; empty: chosen when the resignation is written
     // Daemons that were named as successors and from which the term came back within peerTimeoutMs, with that time.
     std::map<std::string, Millis> failedSuccessors;
     bool hasLapsed = false; // validity ended since the last renewal; acknowledgements alone do not restore it
@@ -144,12 +161,19 @@
 Action nextAction(const Election& election, Millis now);
 Record recordToWrite(Election& election, bool isResigning, Millis now);
 
+// A read or write of the record was answered, conflicts included, or has failed.
+void observeStore(Election& election, bool hasAnswered, Millis now);
 // The store holds this record (nullopt: none) at the revision.
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
+// A read has shown this record: true when it is this daemon's take-over, whose answer was lost; it leads now.
+bool applyRead(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
 // The leader reported its revision and the daemons that it knows in a message.
 void observeContact(Election& election, std::int64_t revision, const std::set<std::string>& members, Millis now);
 // Daemons from which the leader received a message within peerTimeoutMs, or that earlier leaders knew; itself included.
 std::set<std::string> knownMembers(const Election& election, Millis now);
+// Cores of the strongest daemon that may succeed this one. Until it has heard from each of them, at least the value of
+// the term before.
+double largestKnownShare(const Election& election, Millis now);
 // The process that replies at the leader's address does not lead: the term is vacant, after a delay for clearly weaker
 // daemons. No effect when the record names another leader by now.
 void observeLeaderGone(Election& election, const std::string& leader, std::int64_t incarnation, Millis now);
@@ -159,11 +183,9 @@
 bool isLedBy(const Election& election, const std::string& leader, std::int64_t incarnation);
 // This daemon's write of the record, sent at sentAt, succeeded with the revision.
 void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now);
-// The conflict of a write sent at sentAt has shown that the record is an earlier write of this leader.
-void applyEarlierWrite(Election& election, std::int64_t revision, Millis sentAt);
+// A write has failed on a conflict: the store holds this record (nullopt: none) at the revision.
+WriteConflict applyConflict(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
 void stepDown(Election& election);
-// True when this process wrote the record with the sequence.
-bool isOwn(const Election& election, const std::optional<Record>& record, std::int64_t sequence);
 
 // --- Validity of the leader ---
 
@@ -174,10 +196,11 @@
     Election& election, const std::string& peer, Millis acknowledgedAt, Millis storeReachedAt, Millis now);
 void removePeer(Election& election, const std::string& peer);
 // Daemon to name as successor in a resignation: the strongest, and of equals the one started last, because planned
-// stops come in series and it has already been restarted. Excludes daemons in failedSuccessors.
+// stops come in series and it has already been restarted. Excludes daemons in failedSuccessors. None when a clearly
+// stronger one is silent: then any daemon may take over, the weaker ones after their delay.
 std::optional<std::string> preferredSuccessor(const Election& election, Millis now);
-// True when a daemon with clearly more processor time could take the term over.
-bool hasStrongerSuccessor(const Election& election, Millis now);
+// The same, only when it has clearly more processor time than this daemon.
+std::optional<std::string> strongerSuccessor(const Election& election, Millis now);
 // The strongest daemon that reaches the store, for a hand-over when this one has failed to since `failingSince` (0: it
 // reaches the store). A renewal that is merely late, on a busy machine, does not cause a hand-over.
 std::optional<std::string> handOverTarget(const Election& election, Millis failingSince, Millis now);
--- a/src/scheduler/lease_table.cpp
+++ b/src/scheduler/lease_table.cpp
@@ -20,7 +20,7 @@
     // A term renews no lease after the next one has begun.
     const auto next = std::find_if(history.terms.begin(), history.terms.end(),
         [&](const base::TermStart& term) { return term.token > granted->second; });
-    return next != history.terms.end() ? std::min(next->clockMs, history.clockMs) : history.clockMs;
+    return next != history.terms.end() ? std::min(next->formerEndMs, history.clockMs) : history.clockMs;
 }
 
 QByteArray encodeLeaseTable(const LeaseTable& table)
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -62,6 +62,7 @@
         election.polledAt = now;
     else
         election.lastAttemptAt = now;
+    observeStore(election, now >= daemon.storeUnreachableUntil, now);
     if (now < daemon.storeUnreachableUntil)
         return;
     if (action == Action::ReadRecord)
@@ -100,7 +101,7 @@
             continue;
         const auto next = std::find_if(election.terms.begin(), election.terms.end(),
             [former = token](const base::TermStart& term) { return term.token > former; });
-        const Millis endedAt = now - (termClock(election, now) - next->clockMs);
+        const Millis endedAt = now - (termClock(election, now) - next->formerEndMs);
         CPPUNIT_ASSERT_MESSAGE(when + ", term " + std::to_string(token), endedAt >= acted);
     }
 }
@@ -112,12 +113,22 @@
     CPPUNIT_TEST(ownEarlierIncarnationIsReplacedAtOnce);
     CPPUNIT_TEST(leaderContinuesWithoutTheStoreWhileAllPeersAcknowledge);
     CPPUNIT_TEST(busyLeaderDoesNotHandOver);
+    CPPUNIT_TEST(termsAreNotHandedOverWhileNoDaemonReachesTheStore);
+    CPPUNIT_TEST(weakSuccessorsWithoutTheStoreLetStrongDaemonsFirst);
     CPPUNIT_TEST(malformedRecordsAreRejected);
+    CPPUNIT_TEST(recordsOfEarlierVersionsAreRead);
     CPPUNIT_TEST(neverTwoActingLeaders);
     CPPUNIT_TEST(lateRepliesOfAFormerLeaderDoNotEndTheNextTerm);
+    CPPUNIT_TEST(takeOverWithALostAnswerDoesNotActBeforeItsRenewal);
+    CPPUNIT_TEST(readOfTheOwnTakeOverBeginsTheTerm);
+    CPPUNIT_TEST(leaderThatLeadsAgainIsNotTakenForResigned);
     CPPUNIT_TEST(strongerDaemonsTakeOverFirst);
     CPPUNIT_TEST(weakDaemonsDoNotTakeATermThatIsHandedOver);
+    CPPUNIT_TEST(changeSeenAfterAnOutageIsNotTakenByTheDaemonThatSawItFirst);
+    CPPUNIT_TEST(restartedWeakLeaderLetsStrongDaemonsFirst);
     CPPUNIT_TEST(weakLeadersFindAStrongerSuccessor);
+    CPPUNIT_TEST(resignationsForAStrongerDaemonNameIt);
+    CPPUNIT_TEST(plannedStopsDoNotNameAWeakDaemonWhileAStrongOneIsSilent);
     CPPUNIT_TEST(leadersDoNotResignAgainForASuccessorThatDidNotTakeOver);
     CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
     CPPUNIT_TEST(recordsWithoutATermClockHideFormerTerms);
@@ -200,6 +211,38 @@
         CPPUNIT_ASSERT(handOverTarget(a.election, 2000, 3000) == std::optional<std::string>("b"));
     }
 
+    // Guards against a hand-over during an outage of the store to a daemon that lost it later than the leader.
+    void termsAreNotHandedOverWhileNoDaemonReachesTheStore()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        act(cell, a, 1000);
+        act(cell, a, 1500);
+        applyPeerMessage(a.election, "b", 6900, 2900, 6900);
+        CPPUNIT_ASSERT(!handOverTarget(a.election, 2000, 7000));
+        applyPeerMessage(a.election, "b", 6900, 6500, 6950);
+        CPPUNIT_ASSERT(handOverTarget(a.election, 2000, 7000) == std::optional<std::string>("b"));
+    }
+
+    // Guards against a weak daemon that was named during an outage of the store and competes at once when it ends.
+    void weakSuccessorsWithoutTheStoreLetStrongDaemonsFirst()
+    {
+        Daemon weak = makeDaemon("weak");
+        weak.election.processorShare = 0.07;
+        const Record record { "leader", 1, "127.0.0.1:1", 1, 3, false, "", { "weak", "strong" }, 0.5 };
+        observe(weak.election, record, 5, 1000);
+        observeContact(weak.election, 5, { "weak", "strong" }, 2900);
+        observeStore(weak.election, true, 2900);
+        observeHandOver(weak.election, "leader", 1, 3000);
+        CPPUNIT_ASSERT(nextAction(weak.election, 3010) == Action::TakeOver);
+        observeStore(weak.election, false, 3020);
+        CPPUNIT_ASSERT(nextAction(weak.election, 3310) != Action::TakeOver);
+        observeStore(weak.election, true, 4000);
+        const Millis regainDelay = weak.election.limits.weakerRegainDelayMs;
+        CPPUNIT_ASSERT(nextAction(weak.election, 4000 + regainDelay - 1) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, 4000 + regainDelay) == Action::TakeOver);
+    }
+
     // Guards against a take-over of a term that has just begun: the reply of a process that was restarted at the
     // former leader's address arrives after the record names the next leader (bench day trouble-2: three leaders in
     // 20 ms).
@@ -223,6 +266,48 @@
         CPPUNIT_ASSERT(nextAction(c.election, 1700) == Action::TakeOver);
     }
 
+    // Guards against two acting leaders: the daemon has told another one, before it knew of its term, that it does not
+    // lead.
+    void takeOverWithALostAnswerDoesNotActBeforeItsRenewal()
+    {
+        Daemon a = makeDaemon("a");
+        observe(a.election, std::nullopt, 0, 1000);
+        const Record stored = recordToWrite(a.election, false, 1000);
+        recordToWrite(a.election, false, 1500);
+        CPPUNIT_ASSERT(applyConflict(a.election, stored, 1, 1510) == WriteConflict::EarlierTakeOver);
+        CPPUNIT_ASSERT(a.election.role == Role::Leader);
+        CPPUNIT_ASSERT(validUntil(a.election, 1510) <= 1510);
+        CPPUNIT_ASSERT(nextAction(a.election, 1510) == Action::Renew);
+        applyWritten(a.election, recordToWrite(a.election, false, 1510), 2, 1510, 1520);
+        CPPUNIT_ASSERT(validUntil(a.election, 1520) > 1520);
+    }
+
+    // Guards against a daemon that waits for its own take-over, whose answer was lost, to time out.
+    void readOfTheOwnTakeOverBeginsTheTerm()
+    {
+        Daemon a = makeDaemon("a");
+        observe(a.election, std::nullopt, 0, 1000);
+        const Record stored = recordToWrite(a.election, false, 1000);
+        CPPUNIT_ASSERT(applyRead(a.election, stored, 1, 1510));
+        CPPUNIT_ASSERT(a.election.role == Role::Leader);
+        CPPUNIT_ASSERT(validUntil(a.election, 1510) <= 1510);
+        CPPUNIT_ASSERT(nextAction(a.election, 1510) == Action::Renew);
+        stepDown(a.election);
+        CPPUNIT_ASSERT(!applyRead(a.election, stored, 1, 2000)); // after the end of that term
+    }
+
+    // Guards against a take-over on a resignation that the same process has revoked by taking the term again.
+    void leaderThatLeadsAgainIsNotTakenForResigned()
+    {
+        Daemon b = makeDaemon("b");
+        const Record resigned { "a", 1, "127.0.0.1:1", 4, 3, true, "c", { "a", "b", "c" } };
+        observe(b.election, resigned, 5, 1000);
+        observeContact(b.election, 7, { "a", "b", "c" }, 1500);
+        const Millis late = 1500 + b.election.limits.takeoverMs - 1;
+        CPPUNIT_ASSERT(nextAction(b.election, late) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(b.election, late + 1) == Action::TakeOver);
+    }
+
     // Guards against a leader on one of the smallest machines while a larger one is available (bench day quiet of the
     // grown deployment: the leader needs 0.3 of a core, the smallest machines have 0.069).
     void strongerDaemonsTakeOverFirst()
@@ -231,8 +316,10 @@
         Daemon strong = makeDaemon("strong");
         weak.election.processorShare = 0.07;
         strong.election.processorShare = 0.5;
-        for (Daemon* daemon : { &weak, &strong })
+        for (Daemon* daemon : { &weak, &strong }) {
+            observeStore(daemon->election, true, 1000);
             observe(daemon->election, std::nullopt, 0, 1000);
+        }
         CPPUNIT_ASSERT(nextAction(weak.election, 1600) != Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(strong.election, 1600) == Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(weak.election, 2000) == Action::TakeOver); // without a stronger daemon, it takes over
@@ -244,6 +331,8 @@
         const Millis silent = 3000 + weak.election.limits.takeoverMs;
         CPPUNIT_ASSERT(nextAction(weak.election, silent) != Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(strong.election, silent) == Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, silent) == Action::ReadRecord);
+        observeStore(weak.election, true, silent + 10);
         CPPUNIT_ASSERT(nextAction(weak.election, silent + weak.election.limits.weakerDelayMs) == Action::TakeOver);
     }
 
@@ -274,9 +363,54 @@
         observeHandOver(strong.election, "leader", 1, 3000);
         CPPUNIT_ASSERT(nextAction(weak.election, 3010) != Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(strong.election, 3010) == Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, 3010) == Action::ReadRecord);
+        observeStore(weak.election, true, 3020);
         CPPUNIT_ASSERT(nextAction(weak.election, 3000 + weak.election.limits.weakerDelayMs) == Action::TakeOver);
     }
 
+    // Guards against a weak daemon that saw the last write of an outage while the calls of strong ones still timed out.
+    void changeSeenAfterAnOutageIsNotTakenByTheDaemonThatSawItFirst()
+    {
+        const Record record { "gone", 1, "127.0.0.1:1", 1, 3, false, "", { "weak", "strong" } };
+        Daemon weak = makeDaemon("weak");
+        Daemon strong = makeDaemon("strong");
+        weak.election.processorShare = 0.07;
+        for (Daemon* daemon : { &weak, &strong }) {
+            daemon->election.largestShare = 1;
+            const Millis seenAt = daemon == &weak ? 5000 : 5500;
+            observeStore(daemon->election, false, 4500);
+            observeStore(daemon->election, true, seenAt);
+            observe(daemon->election, record, 5, seenAt);
+        }
+        const Millis silent = 5500 + weak.election.limits.takeoverMs;
+        CPPUNIT_ASSERT(nextAction(strong.election, silent) == Action::TakeOver);
+        observeStore(weak.election, true, silent);
+        CPPUNIT_ASSERT(nextAction(weak.election, silent) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, silent + 300) == Action::TakeOver);
+    }
+
+    // Guards against a leader on one of the smallest machines that takes its term back after a restart.
+    void restartedWeakLeaderLetsStrongDaemonsFirst()
+    {
+        Record record { "weak", 1, "127.0.0.1:1", 1, 3, false, "", { "weak", "strong" }, 0.5 };
+        Daemon weak = makeDaemon("weak");
+        weak.election.incarnation = 2;
+        weak.election.processorShare = 0.07;
+        observeStore(weak.election, true, 1000);
+        observe(weak.election, decodeRecord(encodeRecord(record)), 5, 1000);
+        CPPUNIT_ASSERT(nextAction(weak.election, 1000 + weak.election.limits.weakerDelayMs - 1) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, 1000 + weak.election.limits.weakerDelayMs) == Action::TakeOver);
+        const auto next = recordToWrite(weak.election, false, 1400);
+        CPPUNIT_ASSERT_EQUAL(0.5, next.largestShare);
+    }
+
+    // Guards against a record of an earlier version, without the strength of the daemons, being rejected.
+    void recordsOfEarlierVersionsAreRead()
+    {
+        const auto record = decodeRecord(R"({"leader":"a","incarnation":1,"token":3,"members":["a","b"]})");
+        CPPUNIT_ASSERT(record && record->token == 3 && record->largestShare == 0);
+    }
+
     // Guards against a weak daemon that keeps a term which it took while the stronger ones were unreachable.
     void weakLeadersFindAStrongerSuccessor()
     {
@@ -288,11 +422,63 @@
         CPPUNIT_ASSERT(leader.election.role == Role::Leader);
         applyPeerMessage(leader.election, "equal", 2900, 2900, 2900);
         leader.election.peers["equal"].processorShare = 0.1;
-        CPPUNIT_ASSERT(!hasStrongerSuccessor(leader.election, 3000));
+        CPPUNIT_ASSERT(!strongerSuccessor(leader.election, 3000));
         applyPeerMessage(leader.election, "strong", 2900, 2900, 2900);
         leader.election.peers["strong"].processorShare = 0.5;
-        CPPUNIT_ASSERT(hasStrongerSuccessor(leader.election, 3000));
-        CPPUNIT_ASSERT(!hasStrongerSuccessor(leader.election, 9000)); // no recent message from it
+        CPPUNIT_ASSERT(strongerSuccessor(leader.election, 3000));
+        CPPUNIT_ASSERT(!strongerSuccessor(leader.election, 9000)); // no recent message from it
+    }
+
+    // Guards against a resignation that is written late, after the last messages of the strong daemons have become old,
+    // and names a weak one.
+    void resignationsForAStrongerDaemonNameIt()
+    {
+        Cell cell;
+        Daemon leader = makeDaemon("leader");
+        leader.election.processorShare = 0.1;
+        act(cell, leader, 1000);
+        act(cell, leader, 2000);
+        CPPUNIT_ASSERT(leader.election.role == Role::Leader);
+        for (const auto& [name, share] : std::map<std::string, double> { { "strong", 0.5 }, { "weak", 0.1 } }) {
+            applyPeerMessage(leader.election, name, 2900, 2900, 2900);
+            leader.election.peers[name].processorShare = share;
+        }
+        const auto successor = strongerSuccessor(leader.election, 3000);
+        CPPUNIT_ASSERT(successor == std::optional<std::string>("strong"));
+        leader.election.chosenSuccessor = *successor;
+        applyPeerMessage(leader.election, "weak", 3700, 3700, 3700);
+        CPPUNIT_ASSERT_EQUAL(std::string("strong"), recordToWrite(leader.election, true, 3800).successor);
+    }
+
+    // Guards against a planned stop that passes the term to a weak daemon because the strong ones were silent for a
+    // moment.
+    void plannedStopsDoNotNameAWeakDaemonWhileAStrongOneIsSilent()
+    {
+        Cell cell;
+        Daemon leader = makeDaemon("leader");
+        act(cell, leader, 1000);
+        act(cell, leader, 1500);
+        for (const auto& [name, share] : std::map<std::string, double> { { "strong", 0.5 }, { "weak", 0.1 } }) {
+            applyPeerMessage(leader.election, name, 2900, 2900, 2900);
+            leader.election.peers[name].processorShare = share;
+        }
+        applyPeerMessage(leader.election, "weak", 3700, 3700, 3700);
+        const Record record = recordToWrite(leader.election, true, 3800);
+        CPPUNIT_ASSERT_EQUAL(std::string(), record.successor);
+        Daemon weak = makeDaemon("weak");
+        Daemon strong = makeDaemon("strong");
+        weak.election.processorShare = 0.1;
+        strong.election.processorShare = 0.5;
+        for (Daemon* daemon : { &weak, &strong }) {
+            daemon->election.largestShare = 0.5;
+            observeStore(daemon->election, true, 3810);
+            observe(daemon->election, record, 7, 3810);
+        }
+        CPPUNIT_ASSERT(nextAction(weak.election, 3820) != Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(strong.election, 3820) == Action::TakeOver);
+        CPPUNIT_ASSERT(nextAction(weak.election, 3810 + weak.election.limits.weakerDelayMs) == Action::TakeOver);
+        applyPeerMessage(leader.election, "weak", 40000, 40000, 40000);
+        CPPUNIT_ASSERT_EQUAL(std::string("weak"), recordToWrite(leader.election, true, 40000).successor);
     }
 
     // Guards against a leader that resigns every other second for a daemon that is stronger by its settings only and
@@ -307,7 +493,7 @@
         CPPUNIT_ASSERT(leader.election.role == Role::Leader);
         applyPeerMessage(leader.election, "strong", 2900, 2900, 2900);
         leader.election.peers["strong"].processorShare = 0.5;
-        CPPUNIT_ASSERT(hasStrongerSuccessor(leader.election, 3000));
+        CPPUNIT_ASSERT(strongerSuccessor(leader.election, 3000));
         const Record resignation = recordToWrite(leader.election, true, 3000);
         CPPUNIT_ASSERT_EQUAL(std::string("strong"), resignation.successor);
         cell.record = resignation;
@@ -318,7 +504,7 @@
         CPPUNIT_ASSERT(leader.election.role == Role::Leader);
         applyPeerMessage(leader.election, "strong", now, now, now);
         leader.election.peers["strong"].processorShare = 0.5;
-        CPPUNIT_ASSERT(!hasStrongerSuccessor(leader.election, now + 50));
+        CPPUNIT_ASSERT(!strongerSuccessor(leader.election, now + 50));
     }
 
     // Guards against a series of planned stops in which the term passes to the daemon that is stopped next, and against
