Renew no lease after the decision to resign

While the answer of the resignation was late, the former leader went on to renew leases that its successor counts as ended; the successor could then start a second run of a task of an unreachable worker too early. Starts already stopped with the decision.

No failing test: the service has no test harness; the rule is stated at TermService::actsUntil and used for starts and leases.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -385,7 +385,7 @@
 {
     if (!m_isLoaded || nowMs() < m_nextPlanAt)
         return;
-    m_scheduler->validUntil = m_runtime.isStopping || m_term->isResigning() ? 0 : m_term->validUntil();
+    m_scheduler->validUntil = m_runtime.isStopping ? 0 : m_term->actsUntil();
     m_scheduler->validUntil = m_configuration->isLoaded() ? m_scheduler->validUntil : 0;
     const scheduler::Millis begun = nowMs();
     m_scheduler->startLimit = scheduler::availableStarts(m_orderWindow, begun);
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -73,8 +73,8 @@
         // A worker repeats unacknowledged ends at once: its renewal waits while they are being stored.
         const bool isStoringEnds = !worker.unacknowledged.empty() && now - worker.reportedAt < unstoredEndsWaitMs
             && m_scheduler->dirty.count(worker.unacknowledged.back().job) > 0;
-        // Leases are renewed only in a valid term: the next term relies on their expiry.
-        if (link.isRenewing || now < link.nextRenewalAt || isStoringEnds || now >= m_term->validUntil())
+        // Leases are renewed only while the daemon acts as leader: the next term relies on their expiry.
+        if (link.isRenewing || now < link.nextRenewalAt || isStoringEnds || now >= m_term->actsUntil())
             continue;
         if (worker.contact != scheduler::Contact::Established && ++firstReports > maxFirstReports)
             continue;
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -28,6 +28,8 @@
     std::int64_t token() const { return m_election.token; }
     // End of the leader's right to act, unless it is extended.
     scheduler::Millis validUntil() const { return election::validUntil(m_election, nowMs()); }
+    // End of the right to order starts and renew leases: a leader that resigns has none from its decision on.
+    scheduler::Millis actsUntil() const { return isResigning() ? 0 : validUntil(); }
     election::Election& state() { return m_election; }
     const election::Election& state() const { return m_election; }
 
