Keep a share of the log and of the decisions for significant events

Lines beyond log.linesPerSecond, lines beyond the buffer and decisions beyond 2,000 in one plan were dropped whatever they said, decisions even without a count.

base/event_budget.h admits an event to a bounded queue: a quarter of the bound is kept for significant events, and the last 1/32 for kinds with fewer than eight events in the period, so that a burst of one kind does not cost another one. The log applies it to lines and bytes, the scheduler to its decisions. Significant are lines from the new level `notice` up: terms, dependencies, start and stop of the process, configuration, `load`, lost, regained and missing workers. The bounds are unchanged, so routine lines get three quarters of them. Dropped lines and decisions are counted by kind, logged at most once a second (`linesDropped`, `decisionsDropped`) and on the metrics address. Decisions of the last plan are also logged when a term ends.

`workerContact` has the outcome `regained` instead of `held` after `lost`.

With the shares switched off, the new tests fail: EventBudgetTest 240 and 310 expected, 320 seen; DecisionLogTest 350 lost workers expected, 0 seen; KernelLogTest::routineLinesLeaveRoomForNotices 20 expected, 0 seen. With them EventBudgetTest (3), DecisionLogTest (2), KernelLogTest (6) and SchedulerPlanTest (2, recorded hashes) pass.

--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -95,7 +95,7 @@
         http::ServerLimits {}, [this](const http::Request&, const http::Responder& responder) {
             const bool ready = isReady();
             if (ready != m_wasReady)
-                kernel::logEvent(kernel::LogLevel::Info, "admin", "readiness",
+                kernel::logEvent(kernel::LogLevel::Notice, "admin", "readiness",
                     { { "isReady", ready }, { "hasConfiguration", m_configuration->isLoaded() },
                         { "isStoreReachable", isStoreReachable(m_runtime) }, { "isStopping", m_runtime.isStopping } });
             m_wasReady = ready;
@@ -320,8 +320,16 @@
     gauge("lacewing_store_writes", "Transactions since the start.", static_cast<double>(store.writes));
     gauge("lacewing_store_failures", "Calls to the store that failed.", static_cast<double>(store.failures));
     gauge("lacewing_log_lines_written", "Log lines written.", static_cast<double>(kernel::logCounters().written));
+    const base::EventDrops& dropped = kernel::logCounters().dropped;
     gauge("lacewing_log_lines_dropped", "Log lines dropped over a bound.",
-        static_cast<double>(kernel::logCounters().dropped));
+        static_cast<double>(dropped.routine + dropped.significant));
+    gauge("lacewing_log_notices_dropped", "Part of them from the level notice up.",
+        static_cast<double>(dropped.significant));
+    const base::EventDrops decisions = m_dispatcher->droppedDecisions();
+    gauge("lacewing_decisions_dropped", "Decisions of the scheduler dropped over a bound before they were logged.",
+        static_cast<double>(decisions.routine + decisions.significant));
+    gauge("lacewing_decision_notices_dropped", "Part of them that are significant.",
+        static_cast<double>(decisions.significant));
     gauge("lacewing_processor_seconds", "Processor time of this process.", processorSeconds());
     gauge("lacewing_resident_bytes", "Resident memory of this process.", residentBytes());
     gauge("lacewing_is_leader", "1 when this daemon schedules.", m_term->isLeader() ? 1 : 0);
--- a/src/daemon/configuration_service.cpp
+++ b/src/daemon/configuration_service.cpp
@@ -90,7 +90,7 @@
             m_withdrawnByOperator.erase(dataCentre);
         else
             m_withdrawnByOperator.insert(dataCentre);
-        kernel::logEvent(kernel::LogLevel::Info, "configuration",
+        kernel::logEvent(kernel::LogLevel::Notice, "configuration",
             item.isDeleted ? "dataCentreReturned" : "dataCentreWithdrawn",
             { { "dataCentreName", dataCentre }, { "revision", item.revision } });
         return;
@@ -105,7 +105,7 @@
     }
     if (m_current && decoded->version <= m_current->version)
         return;
-    kernel::logEvent(kernel::LogLevel::Info, "configuration", "configurationInForce",
+    kernel::logEvent(kernel::LogLevel::Notice, "configuration", "configurationInForce",
         { { "version", decoded->version }, { "revision", item.revision },
             { "queues", static_cast<std::int64_t>(decoded->queues.size()) } });
     m_current = std::move(decoded);
--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -123,7 +123,7 @@
         applyAccepted(item, true);
     m_jobsRevision = m_accepted.revision;
     m_jobWatchAnsweredAt = now;
-    kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "termLoaded",
+    kernel::logEvent(kernel::LogLevel::Notice, "dispatcher", "termLoaded",
         { { "token", m_term->token() }, { "jobs", static_cast<std::int64_t>(m_scheduler->jobs.size()) },
             { "open", static_cast<std::int64_t>(m_scheduler->active.size()) },
             { "rememberedWorkers", static_cast<std::int64_t>(m_scheduler->workers.size()) },
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -25,6 +25,7 @@
     constexpr int watchWaitMs = 2000; // ms; a dead connection is detected after this plus the store's watchMarginMs
     constexpr scheduler::Millis watchTransferMs = 500; // ms; allowance for the transfer of a watch call and its answer
     constexpr int watchGapMs = 40;                     // ms between watch calls; batches jobs that arrive together
+    constexpr scheduler::Millis dropsPeriodMs = 1000;  // ms between lines on dropped decisions
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction less the term's entries
 
     bool endsWith(const std::string& text, const std::string& suffix)
@@ -98,6 +99,8 @@
 
 void DispatcherService::endTerm()
 {
+    if (m_scheduler)
+        logDecisions();
     m_tick.stop();
     m_generation.reset();
     m_loadGeneration.reset();
@@ -377,7 +380,7 @@
 void DispatcherService::logDecisions()
 {
     const ActivityScope scope(m_loadWatch, Activity::Log);
-    for (const scheduler::Decision& decision : m_scheduler->decisions) {
+    for (const scheduler::Decision& decision : scheduler::takeDecisions(*m_scheduler)) {
         std::vector<kernel::LogField> fields;
         fields.reserve(decision.inputs.size() + 6);
         if (!decision.job.empty())
@@ -393,9 +396,18 @@
         if (!decision.image.empty())
             fields.emplace_back("image", decision.image);
         fields.emplace_back("outcome", decision.outcome);
-        kernel::logEvent(kernel::LogLevel::Info, "dispatcher", decision.event, fields.data(), fields.size());
+        const auto level = scheduler::isSignificant(decision) ? kernel::LogLevel::Notice : kernel::LogLevel::Info;
+        kernel::logEvent(level, "dispatcher", decision.event, fields.data(), fields.size());
     }
-    m_scheduler->decisions.clear();
+    const base::EventDrops dropped = m_scheduler->droppedDecisions;
+    if (dropped == base::EventDrops {} || nowMs() - m_dropsLoggedAt < dropsPeriodMs)
+        return;
+    m_dropsLoggedAt = nowMs();
+    kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "decisionsDropped",
+        { { "routine", dropped.routine }, { "significant", dropped.significant } });
+    m_droppedDecisions.routine += dropped.routine;
+    m_droppedDecisions.significant += dropped.significant;
+    m_scheduler->droppedDecisions = {};
 }
 
 void registerDispatcherService(Runtime& runtime)
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -39,6 +39,8 @@
     // Committed job states of the term in commit order; the oldest entries are dropped.
     const std::vector<scheduler::JobChange>& feed() const { return m_feed; }
     std::int64_t feedBegin() const { return m_feedBegin; }
+    // Over all terms of this process.
+    base::EventDrops droppedDecisions() const { return m_droppedDecisions; }
 
 private:
     struct Link {
@@ -131,6 +133,8 @@
     scheduler::Millis m_interferenceStoredAt = 0;
     http::ChannelCounters m_traffic; // with workers and the advice service
     LoadWatch m_loadWatch;
+    base::EventDrops m_droppedDecisions;
+    scheduler::Millis m_dropsLoggedAt = 0;
 };
 
 void registerDispatcherService(Runtime& runtime);
--- a/src/daemon/load_watch.cpp
+++ b/src/daemon/load_watch.cpp
@@ -60,7 +60,7 @@
     const auto activityMs = [this](Activity activity) {
         return base::toMilliseconds(m_counts.activities[static_cast<std::size_t>(activity)]);
     };
-    kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "load",
+    kernel::logEvent(kernel::LogLevel::Notice, "dispatcher", "load",
         { { "periodMs", base::toMilliseconds(now - m_reportedAt) },
             { "processorMs", base::toMilliseconds(processor - m_processorTime) },
             { "longestLagMs", base::toMilliseconds(m_counts.longestLag) }, { "plans", m_counts.plans },
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -63,7 +63,7 @@
         if (m_runtime.isStopping)
             return;
         m_runtime.isStopping = true;
-        kernel::logEvent(kernel::LogLevel::Info, "daemon", "stopBegun");
+        kernel::logEvent(kernel::LogLevel::Notice, "daemon", "stopBegun");
         m_deadline = nowMs() + m_runtime.settings.bounds.graceMs - stopMarginMs;
         auto* term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
         term->state().isStopping = true;
@@ -80,8 +80,8 @@
         if (!isIdle && nowMs() < m_deadline)
             return;
         m_timer.stop();
-        kernel::logEvent(
-            isIdle ? kernel::LogLevel::Info : kernel::LogLevel::Error, "daemon", "stopped", { { "graceful", isIdle } });
+        kernel::logEvent(isIdle ? kernel::LogLevel::Notice : kernel::LogLevel::Error, "daemon", "stopped",
+            { { "graceful", isIdle } });
         QCoreApplication::exit(static_cast<int>(isIdle ? ExitCode::Stopped : ExitCode::DrainTimeout));
     }
 
@@ -106,7 +106,7 @@
     runtime.settings.workerListMs = settings.value().workerListMs;
     runtime.settings.leaseWaitMs = settings.value().leaseWaitMs;
     runtime.settings.leaseGapMs = settings.value().leaseGapMs;
-    kernel::logEvent(kernel::LogLevel::Info, "daemon", "reloaded", { { "file", file } });
+    kernel::logEvent(kernel::LogLevel::Notice, "daemon", "reloaded", { { "file", file } });
 }
 
 int run(int argc, char** argv, Settings settings, const std::string& file)
@@ -160,7 +160,7 @@
                   << std::endl;
         return static_cast<int>(ExitCode::StartFailed);
     }
-    kernel::logEvent(kernel::LogLevel::Info, "daemon", "started",
+    kernel::logEvent(kernel::LogLevel::Notice, "daemon", "started",
         { { "version", LACEWING_VERSION }, { "callers", runtime.settings.callerAddress },
             { "incarnation", runtime.incarnation } });
     QTimer flushTimer;
--- a/src/daemon/policy_service.cpp
+++ b/src/daemon/policy_service.cpp
@@ -160,8 +160,8 @@
     if (outcome == config::ActiveConfig::Outcome::Same || outcome == config::ActiveConfig::Outcome::Older)
         return;
     kernel::logEvent(
-        outcome == config::ActiveConfig::Outcome::Invalid ? kernel::LogLevel::Error : kernel::LogLevel::Info, "policy",
-        "policyInForce",
+        outcome == config::ActiveConfig::Outcome::Invalid ? kernel::LogLevel::Error : kernel::LogLevel::Notice,
+        "policy", "policyInForce",
         { { "policyRevision", static_cast<std::int64_t>(stored.value().revision) }, { "author", stored.value().author },
             { "outcome", std::string(config::nameOf(outcome)) } });
     if (!m_holder.isReady())
--- a/src/daemon/runtime.cpp
+++ b/src/daemon/runtime.cpp
@@ -25,7 +25,7 @@
     , store(std::make_unique<platform::Store>(toStoreSettings(settings)))
 {
     store->onReachability([](bool isReachable, const std::string& detail) {
-        kernel::logEvent(isReachable ? kernel::LogLevel::Info : kernel::LogLevel::Warning, "store",
+        kernel::logEvent(isReachable ? kernel::LogLevel::Notice : kernel::LogLevel::Warning, "store",
             isReachable ? "dependencyRegained" : "dependencyLost", { { "dependency", "store" }, { "detail", detail } });
     });
 }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -168,7 +168,7 @@
     constexpr Field logFields[] = {
         { .key = "level",
             .type = FieldType::Choice,
-            .choices = "debug|info|warning|error",
+            .choices = "debug|info|notice|warning|error",
             .defaultJson = "\"info\"",
             .doc = "lowest level that is written" },
         { .key = "linesPerSecond",
@@ -177,7 +177,8 @@
             .maximum = 100000,
             .defaultJson = "3000",
             .unit = "lines/s",
-            .doc = "lines above this rate are dropped and counted, except errors" },
+            .doc = "lines above this rate are dropped and counted, except errors; a quarter is kept for notices and "
+                   "warnings" },
     };
 
     constexpr Field rootFields[] = {
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -170,7 +170,7 @@
     m_lastReplyNumber = reply["number"].toInteger();
     election::observeContact(state, reply["revision"].toInteger(), m_memberCopy.names(), now);
     if (!m_hasContact)
-        kernel::logEvent(kernel::LogLevel::Info, "sync", "dependencyRegained",
+        kernel::logEvent(kernel::LogLevel::Notice, "sync", "dependencyRegained",
             { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
                 { "token", reply["token"].toInteger() } });
     m_hasContact = true;
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -146,7 +146,7 @@
 
 void TermService::beginTerm(bool isAfterLostAnswer)
 {
-    kernel::logEvent(kernel::LogLevel::Info, "term", "elected",
+    kernel::logEvent(kernel::LogLevel::Notice, "term", "elected",
         { { "token", token() }, { "processorPercent", static_cast<std::int64_t>(100 * m_election.processorShare) },
             { "afterLostAnswer", isAfterLostAnswer } });
     m_resignation.clear();
@@ -200,7 +200,7 @@
     m_onResigned = std::move(done);
     m_resigningSince = nowMs();
     m_finalWrites = std::move(writes);
-    kernel::logEvent(kernel::LogLevel::Info, "term", "resigning", { { "reason", reason }, { "token", token() } });
+    kernel::logEvent(kernel::LogLevel::Notice, "term", "resigning", { { "reason", reason }, { "token", token() } });
     QTimer::singleShot(resignTimeoutMs, this, [this] {
         if (!m_onResigned || nowMs() - m_resigningSince < resignTimeoutMs)
             return;
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -24,10 +24,14 @@
         int descriptor = 1;
         std::string buffer;      // lines not yet written
         std::int64_t second = 0; // Unix time that linesThisSecond counts for
-        int linesThisSecond = 0;
-        std::time_t timeTextSecond = 0; // Unix time of timeText
-        std::string timeText;           // empty until the first line
-        std::string line;               // kept to save an allocation for each line
+        std::size_t linesThisSecond = 0;
+        base::EventBudget secondBudget;   // for linesPerSecond
+        base::EventBudget bufferBudget;   // for bufferBytes
+        base::EventDrops reportedDrops;   // included in a line `linesDropped`
+        std::int64_t dropsReportedAt = 0; // Unix time of that line
+        std::time_t timeTextSecond = 0;   // Unix time of timeText
+        std::string timeText;             // empty until the first line
+        std::string line;                 // kept to save an allocation for each line
     };
 
     LogContext& context()
@@ -43,10 +47,6 @@
         {
             const log4cxx::LogString& line = event->getMessage();
             LogContext& log = context();
-            if (log.buffer.size() + line.size() + 1 > log.limits.bufferBytes) {
-                ++log.counters.dropped;
-                return;
-            }
             log.buffer.append(line.begin(), line.end());
             log.buffer += '\n';
             ++log.counters.written;
@@ -65,6 +65,7 @@
         case LogLevel::Debug:
             return log4cxx::Level::getDebug();
         case LogLevel::Info:
+        case LogLevel::Notice: // has no level of log4cxx
             return log4cxx::Level::getInfo();
         case LogLevel::Warning:
             return log4cxx::Level::getWarn();
@@ -126,22 +127,65 @@
         line += 'Z';
     }
 
+    base::Significance significanceOf(LogLevel level)
+    {
+        return level >= LogLevel::Notice ? base::Significance::Significant : base::Significance::Routine;
+    }
+
+    void beginSecond(std::int64_t second)
+    {
+        LogContext& log = context();
+        if (second == log.second)
+            return;
+        log.second = second;
+        log.linesThisSecond = 0;
+        base::renew(log.secondBudget);
+        base::renew(log.bufferBudget);
+    }
+
     // Rate limit: returns false, and counts the line as dropped, when it exceeds the limit of this second.
-    bool admit(LogLevel level, std::int64_t second)
+    bool admitLine(LogLevel level, std::string_view event)
     {
         LogContext& log = context();
-        if (second != log.second) {
-            log.second = second;
-            log.linesThisSecond = 0;
-        }
-        if (level != LogLevel::Error && log.linesThisSecond >= log.limits.linesPerSecond) {
-            ++log.counters.dropped;
+        const base::Significance significance = significanceOf(level);
+        const auto limit = static_cast<std::size_t>(log.limits.linesPerSecond);
+        if (level != LogLevel::Error
+            && !base::admitEvent(log.secondBudget, significance, event, log.linesThisSecond, 1, limit)) {
+            base::countDrop(log.counters.dropped, significance);
             return false;
         }
         ++log.linesThisSecond;
         return true;
     }
 
+    // Returns false, and counts the line as dropped, when it does not fit into the buffer.
+    bool admitBytes(LogLevel level, std::string_view event, std::size_t bytes)
+    {
+        LogContext& log = context();
+        const base::Significance significance = significanceOf(level);
+        const bool isAdmitted
+            = base::admitEvent(log.bufferBudget, significance, event, log.buffer.size(), bytes, log.limits.bufferBytes);
+        if (!isAdmitted)
+            base::countDrop(log.counters.dropped, significance);
+        return isAdmitted;
+    }
+
+    void reportDrops()
+    {
+        LogContext& log = context();
+        const base::EventDrops dropped = log.counters.dropped;
+        const base::EventDrops reported = log.reportedDrops;
+        timespec now {};
+        ::clock_gettime(CLOCK_REALTIME, &now);
+        if (dropped == reported || now.tv_sec == log.dropsReportedAt)
+            return;
+        log.reportedDrops = dropped;
+        log.dropsReportedAt = now.tv_sec;
+        logEvent(LogLevel::Warning, "log", "linesDropped",
+            { { "routine", dropped.routine - reported.routine },
+                { "significant", dropped.significant - reported.significant } });
+    }
+
     // Writes of at most this many bytes to a pipe do not interleave with those of other processes (PIPE_BUF).
     constexpr std::size_t atomicWriteBytes = 4096;
 
@@ -164,6 +208,7 @@
     log.limits = limits;
     log.descriptor = descriptor;
     log.buffer.clear();
+    log.second = 0;
     log.identity = "\"dataCentre\":";
     appendText(log.identity, dataCentre);
     log.identity += ",\"daemon\":";
@@ -196,7 +241,8 @@
         return;
     timespec now {};
     ::clock_gettime(CLOCK_REALTIME, &now);
-    if (!admit(level, now.tv_sec))
+    beginSecond(now.tv_sec);
+    if (!admitLine(level, event))
         return;
     std::string& line = context().line;
     line.assign("{\"time\":\"");
@@ -213,6 +259,8 @@
     for (std::size_t i = 0; i < count; ++i)
         appendField(line, fields[i]);
     line += '}';
+    if (!admitBytes(level, event, line.size() + 1))
+        return;
     // log4cxx checks and copies the encoding byte by byte, which plain ASCII does not need.
     const bool isAscii = std::none_of(line.begin(), line.end(), [](char c) { return (c & '\x80') != 0; });
     if (isAscii)
@@ -223,6 +271,7 @@
 
 void flushLog()
 {
+    reportDrops();
     LogContext& log = context();
     std::size_t position = 0;
     while (position < log.buffer.size()) {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -5,9 +5,11 @@
 // callers and secrets are never logged.
 //
 // Lines are buffered and written by flushLog(), which never blocks: when the reader is slow, the buffer fills up to its
-// limit and further lines are dropped and counted. The number of lines a second is limited as well.
+// limit and further lines are dropped and counted. The number of lines a second is limited as well. Both limits keep a
+// share for lines from LogLevel::Notice up, see base/event_budget.h.
 #pragma once
 
+#include "base/event_budget.h"
 #include "base/names.h"
 
 #include <concepts>
@@ -19,11 +21,18 @@
 
 namespace lacewing::kernel {
 
-enum class LogLevel { Debug, Info, Warning, Error };
+enum class LogLevel {
+    Debug,
+    Info,   // routine: one of many alike
+    Notice, // normal, but significant: a change of what the process believes
+    Warning,
+    Error,
+};
 
-constexpr base::EnumNames<LogLevel, 4> logLevelNames { {
+constexpr base::EnumNames<LogLevel, 5> logLevelNames { {
     { LogLevel::Debug, "debug" },
     { LogLevel::Info, "info" },
+    { LogLevel::Notice, "notice" },
     { LogLevel::Warning, "warning" },
     { LogLevel::Error, "error" },
 } };
@@ -71,7 +80,7 @@
 
 struct LogCounters {
     std::uint64_t written = 0; // lines buffered for writing
-    std::uint64_t dropped = 0; // lines over a limit
+    base::EventDrops dropped;  // lines over a limit
 };
 
 // Sets up the appender and the fields that are equal on every line of this process. Call once. `descriptor` is the file
@@ -90,7 +99,8 @@
 void logEvent(
     LogLevel level, std::string_view service, std::string_view event, const LogField* fields, std::size_t count);
 
-// Writes buffered lines as far as the descriptor accepts them without blocking.
+// Writes buffered lines as far as the descriptor accepts them without blocking. Adds a line `linesDropped` at most once
+// a second when lines were dropped since the last one.
 void flushLog();
 const LogCounters& logCounters();
 
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-    // Bound on decisions that wait to be logged. Further ones are dropped without a count; the log counts only the
-    // lines that its own bound drops.
-    constexpr std::size_t maxDecisions = 2000;
-
     Occurrence makeOccurrence(const JobRequest& request, int number)
     {
         Occurrence occurrence;
@@ -64,12 +60,6 @@
 
 } // namespace
 
-void logDecision(Scheduler& scheduler, Decision decision)
-{
-    if (scheduler.decisions.size() < maxDecisions)
-        scheduler.decisions.push_back(std::move(decision));
-}
-
 bool isOccurrenceDone(const JobRequest& request, const Occurrence& occurrence)
 {
     for (std::size_t i = 0; i < request.steps.size(); ++i) {
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -19,6 +19,7 @@
 //   - A final job state is shown only after it is in the store.
 #pragma once
 
+#include "base/event_budget.h"
 #include "scheduler/interference.h"
 #include "scheduler/types.h"
 
@@ -277,7 +278,9 @@
     bool hasWorkerList = false; // the workers were listed in this term
     // --- Outputs that the daemon takes and clears ---
     std::vector<Decision> decisions;
-    std::vector<JobChange> changes; // committed job states, in order
+    base::EventBudget decisionBudget;  // since the decisions were taken
+    base::EventDrops droppedDecisions; // since the daemon took and cleared them
+    std::vector<JobChange> changes;    // committed job states, in order
     // --- Demand for processors that serving tasks leave unused ---
     std::map<std::string, FillDemand> fillDemand; // by filling image
     Millis fillDemandAt = 0;
@@ -352,6 +355,13 @@
 // Removes the job; its records were removed from the store.
 void removeJob(Scheduler& scheduler, const std::string& id);
 
+// --- Logging ---
+
+// Whether the decision changes what the scheduler believes about the term, a worker or a job that is down.
+bool isSignificant(const Decision& decision);
+// Returns the decisions since the last call, in order.
+std::vector<Decision> takeDecisions(Scheduler& scheduler);
+
 // --- Queries ---
 
 std::string taskName(const std::string& job, int occurrence, int step, int index);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -321,7 +321,7 @@
     applyClock(scheduler, id, report.clockMs, now);
     if (worker.contact != Contact::Established) {
         logDecision(scheduler,
-            { "workerContact", {}, {}, id, 0, "held",
+            { "workerContact", {}, {}, id, 0, worker.contact == Contact::Lost ? "regained" : "held",
                 { { "running", static_cast<int>(report.running.size()) },
                     { "ended", static_cast<int>(report.ended.size()) } } });
         worker.contact = Contact::Established;
--- a/tests/kernel_log_test.cpp
+++ b/tests/kernel_log_test.cpp
@@ -16,6 +16,9 @@
     CPPUNIT_TEST(linesAreJsonObjects);
     CPPUNIT_TEST(stalledReaderDoesNotBlockLogging);
     CPPUNIT_TEST(linesPerSecondAreBounded);
+    CPPUNIT_TEST(routineLinesLeaveRoomForNotices);
+    CPPUNIT_TEST(noticesFitIntoTheBufferOfAStalledReader);
+    CPPUNIT_TEST(droppedLinesAreLogged);
     CPPUNIT_TEST_SUITE_END();
 
     int m_pipe[2] = { -1, -1 };
@@ -60,13 +63,13 @@
     void stalledReaderDoesNotBlockLogging()
     {
         open({ 100000, 1000000 });
-        const std::uint64_t before = logCounters().dropped;
+        const std::uint64_t before = logCounters().dropped.routine;
         for (int i = 0; i < 20000; ++i) {
             logEvent(LogLevel::Info, "dispatcher", "start", { { "task", std::string(100, 'x') } });
             if (i % 100 == 0)
                 flushLog();
         }
-        CPPUNIT_ASSERT(logCounters().dropped > before);
+        CPPUNIT_ASSERT(logCounters().dropped.routine > before);
         const QByteArray text = readAll();
         CPPUNIT_ASSERT(text.startsWith("{\"time\""));
     }
@@ -83,6 +86,53 @@
         CPPUNIT_ASSERT(text.count('\n') <= 151); // at most two seconds begin during the test, and the error
         CPPUNIT_ASSERT(text.contains("important"));
     }
+
+    // Guards against a change of term that is missing from the log because starts used up the lines of that second.
+    void routineLinesLeaveRoomForNotices()
+    {
+        open({ 1 << 20, 100 });
+        const std::uint64_t before = logCounters().dropped.significant;
+        for (int i = 0; i < 1000; ++i)
+            logEvent(LogLevel::Info, "dispatcher", "start");
+        for (int i = 0; i < 20; ++i)
+            logEvent(LogLevel::Notice, "dispatcher", "workerContact", { { "number", i } });
+        logEvent(LogLevel::Notice, "dispatcher", "termAccounted");
+        flushLog();
+        const QByteArray text = readAll();
+        CPPUNIT_ASSERT_EQUAL(qsizetype(20), text.count("workerContact"));
+        CPPUNIT_ASSERT(text.contains("termAccounted"));
+        CPPUNIT_ASSERT_EQUAL(before, logCounters().dropped.significant);
+    }
+
+    // Guards against a notice that is dropped because routine lines have filled the buffer.
+    void noticesFitIntoTheBufferOfAStalledReader()
+    {
+        open({ 20000, 1000000 });
+        for (int i = 0; i < 1000; ++i)
+            logEvent(LogLevel::Info, "dispatcher", "start", { { "task", std::string(100, 'x') } });
+        for (int i = 0; i < 5; ++i)
+            logEvent(LogLevel::Notice, "dispatcher", "termAccounted", { { "detail", std::string(100, 'x') } });
+        flushLog();
+        CPPUNIT_ASSERT_EQUAL(qsizetype(5), readAll().count("termAccounted"));
+    }
+
+    // Guards against lines that are dropped without a trace in the log itself.
+    void droppedLinesAreLogged()
+    {
+        open({ 1 << 20, 50 });
+        flushLog();
+        const std::uint64_t before = logCounters().dropped.routine;
+        for (int i = 0; i < 1000; ++i)
+            logEvent(LogLevel::Info, "dispatcher", "start");
+        const std::uint64_t dropped = logCounters().dropped.routine - before;
+        ::sleep(1); // the line is written at most once a second
+        flushLog();
+        const QByteArray text = readAll();
+        const qsizetype start = text.lastIndexOf("{\"time\"");
+        const QJsonObject line = QJsonDocument::fromJson(text.mid(start)).object();
+        CPPUNIT_ASSERT(line["event"] == "linesDropped");
+        CPPUNIT_ASSERT(line["routine"].toInteger() >= static_cast<qint64>(dropped));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(KernelLogTest);
