Log and measure the phases of a term

From the logs an operator could not tell whether a term came late, waited for its workers, or started late: `termEnded` had no durations, `termAccounted` named no worker, and between `termLoaded` and `termAccounted` nothing was written.

`termWaiting`, at most once a second until the term is accounted for, has the unknown and unknown lasting tasks, the workers by what they delay the term with (not reported, lease not over, and those with a truncated list of ends, which delay nothing today), and the worker whose lease ends last with the ms left. `termAccounted` has the worker that delayed the term last and how, the number of workers, of unreachable ones and of freed tasks. `termEnded` has the length of the term and the ms until it was loaded, accounted for, and started a task that was unknown when it began; -1 when not reached. Histograms of these phases, a count of terms and gauges of unknown tasks are on the metrics address.

scheduler/recovery_report.h has the functions, which change no decision. Workers are read by each plan until the term is accounted for, tasks once a second.

RecoveryReportTest (4), SchedulerTest (25) and SchedulerPlanTest (2, recorded hashes) pass.

--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -126,12 +126,14 @@
     kernel::logEvent(kernel::LogLevel::Notice, "dispatcher", "termLoaded",
         { { "token", m_term->token() }, { "jobs", static_cast<std::int64_t>(m_scheduler->jobs.size()) },
             { "open", static_cast<std::int64_t>(m_scheduler->active.size()) },
+            { "sinceMs", now - m_term->phases().begunAt },
             { "rememberedWorkers", static_cast<std::int64_t>(m_scheduler->workers.size()) },
             { "revision", m_jobsRevision } });
     m_accepted = {};
     m_progress = {};
     m_placements.reset();
     m_isLoaded = true;
+    recordTermLoaded(m_term->phases(), m_runtime.metrics, now);
     m_workersListedAt = 0;
     m_interferenceStoredAt = now;
     loadInterference();
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -113,6 +113,7 @@
     m_feedBegin = 0;
     m_isRemoving = false;
     m_storedWorkers.clear();
+    recordTermEnded(m_runtime.metrics);
     m_scheduler.reset();
 }
 
@@ -368,6 +369,7 @@
     m_loadWatch.counts().startWindow = static_cast<int>(m_orderWindow.size);
     m_loadWatch.counts().startLatencyMs = static_cast<int>(m_orderWindow.latencyMs);
     sendOrders(orders);
+    recordRecovery(m_term->phases(), m_runtime.metrics, *m_scheduler);
     updateTable();
     storeInterference();
     removeExpired();
@@ -382,7 +384,7 @@
     const ActivityScope scope(m_loadWatch, Activity::Log);
     for (const scheduler::Decision& decision : scheduler::takeDecisions(*m_scheduler)) {
         std::vector<kernel::LogField> fields;
-        fields.reserve(decision.inputs.size() + 6);
+        fields.reserve(decision.inputs.size() + decision.texts.size() + 6);
         if (!decision.job.empty())
             fields.emplace_back("job", decision.job);
         if (!decision.task.empty())
@@ -393,6 +395,8 @@
             fields.emplace_back("run", decision.run);
         for (const auto& [key, value] : decision.inputs)
             fields.emplace_back(key, value);
+        for (const auto& [key, value] : decision.texts)
+            fields.emplace_back(key, value);
         if (!decision.image.empty())
             fields.emplace_back("image", decision.image);
         fields.emplace_back("outcome", decision.outcome);
--- /dev/null
+++ b/src/daemon/recovery_watch.cpp
@@ -0,0 +1,60 @@
+// Phases of a term as metrics.
+#include "daemon/recovery_watch.h"
+
+namespace lacewing::daemon {
+
+namespace {
+
+    void recordPhase(const TermPhases& phases, base::Metrics& metrics, const char* phase, scheduler::Millis reachedAt)
+    {
+        metrics
+            .latency("lacewing_term_phase_seconds",
+                "Time from the beginning of a term of this daemon until it reached a phase.", { { "phase", phase } })
+            .record(base::milliseconds(phaseMs(phases, reachedAt)));
+    }
+
+    void setUnknownTasks(base::Metrics& metrics, int all, int lasting)
+    {
+        constexpr auto name = "lacewing_unknown_tasks";
+        constexpr auto help = "Tasks that may run on a worker that has not reported in this term, each second.";
+        metrics.gauge(name, help, { { "lasting", "true" } }).value = lasting;
+        metrics.gauge(name, help, { { "lasting", "false" } }).value = all - lasting;
+    }
+
+} // namespace
+
+scheduler::Millis phaseMs(const TermPhases& phases, scheduler::Millis reachedAt)
+{
+    return reachedAt > 0 ? reachedAt - phases.begunAt : -1;
+}
+
+void recordTermBegun(TermPhases& phases, base::Metrics& metrics, scheduler::Millis now)
+{
+    phases = {};
+    phases.begunAt = now;
+    ++metrics.counter("lacewing_terms_begun_total", "Terms of this daemon.").value;
+}
+
+void recordTermLoaded(TermPhases& phases, base::Metrics& metrics, scheduler::Millis now)
+{
+    phases.loadedAt = now;
+    recordPhase(phases, metrics, "loaded", now);
+}
+
+void recordRecovery(TermPhases& phases, base::Metrics& metrics, const scheduler::Scheduler& scheduler)
+{
+    const scheduler::RecoveryReport& report = scheduler.recovery;
+    if (phases.accountedAt == 0 && report.accountedAt != 0) {
+        phases.accountedAt = report.accountedAt;
+        recordPhase(phases, metrics, "accounted", report.accountedAt);
+    }
+    if (phases.firstFreedStartAt == 0 && report.firstFreedStartAt != 0) {
+        phases.firstFreedStartAt = report.firstFreedStartAt;
+        recordPhase(phases, metrics, "firstStart", report.firstFreedStartAt);
+    }
+    setUnknownTasks(metrics, report.unknown.tasks, report.unknown.lasting);
+}
+
+void recordTermEnded(base::Metrics& metrics) { setUnknownTasks(metrics, 0, 0); }
+
+} // namespace lacewing::daemon
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -150,6 +150,7 @@
         { { "token", token() }, { "processorPercent", static_cast<std::int64_t>(100 * m_election.processorShare) },
             { "afterLostAnswer", isAfterLostAnswer } });
     m_resignation.clear();
+    recordTermBegun(m_phases, m_runtime.metrics, nowMs());
     m_onElected();
 }
 
@@ -178,7 +179,10 @@
 {
     kernel::logEvent(kernel::LogLevel::Warning, "term", "termEnded",
         { { "reason", reason }, { "token", token() }, { "revision", m_election.revision },
-            { "renewedMsAgo", nowMs() - m_election.renewSentAt } });
+            { "renewedMsAgo", nowMs() - m_election.renewSentAt }, { "lastedMs", nowMs() - m_phases.begunAt },
+            { "loadedMs", phaseMs(m_phases, m_phases.loadedAt) },
+            { "accountedMs", phaseMs(m_phases, m_phases.accountedAt) },
+            { "firstStartMs", phaseMs(m_phases, m_phases.firstFreedStartAt) } });
     election::stepDown(m_election);
     m_pendingCommits.clear();
     m_onTermEnded();
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -4,6 +4,7 @@
 // daemon that has lost its term therefore cannot write records, even while it still considers itself the leader.
 #pragma once
 
+#include "daemon/recovery_watch.h"
 #include "daemon/runtime.h"
 #include "election/election.h"
 
@@ -29,6 +30,9 @@
     election::Election& state() { return m_election; }
     const election::Election& state() const { return m_election; }
 
+    // Of the newest term of this daemon.
+    TermPhases& phases() { return m_phases; }
+
     // Writes records in this term and calls back once they are stored. When the term ends first, the records are
     // dropped and the callback is not called.
     void commit(std::vector<platform::Write> writes, std::function<void()> callback);
@@ -70,6 +74,7 @@
 
     Runtime& m_runtime;
     election::Election m_election;
+    TermPhases m_phases;
     QTimer m_timer;
     bool m_isCallInFlight = false;      // a read or write of the term record
     std::function<void()> m_onResigned; // set while resigning
--- a/src/scheduler/decision_log.cpp
+++ b/src/scheduler/decision_log.cpp
@@ -11,10 +11,11 @@
 
     constexpr std::size_t maxDecisions = 2000; // that wait to be logged; about 0.5 MB
 
-    constexpr std::array<std::string_view, 6> significantEvents {
+    constexpr std::array<std::string_view, 7> significantEvents {
         "leaseExpired",
         "placementsApplied",
         "termAccounted",
+        "termWaiting",
         "workerAvoided",
         "workerDraining",
         "workerRestarted",
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -296,6 +296,7 @@
         if (ref.step->isFilling && worker.servingCpu > 0)
             recordFillStart(planner, planned, *ref.step);
         reserveOn(planner, pool, planned, ref);
+        reportStart(scheduler, task, planner.now);
         ++scheduler.starts;
         planner.orders.starts.push_back(std::move(order));
     }
@@ -532,6 +533,7 @@
 {
     Planner planner { scheduler, now, nowUnixMs };
     reconcileWorkers(scheduler, now);
+    reportAccounting(scheduler, now);
     planner.hasDraining = std::any_of(scheduler.workers.begin(), scheduler.workers.end(),
         [](const auto& entry) { return entry.second.drainEndsAt != 0; });
     std::vector<std::string> finished;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -21,6 +21,7 @@
 
 #include "base/event_budget.h"
 #include "scheduler/interference.h"
+#include "scheduler/recovery_report.h"
 #include "scheduler/types.h"
 
 #include <deque>
@@ -83,6 +84,8 @@
     std::string failedWorker; // worker of the last failure
     // --- While the phase is Unknown ---
     std::string formerWorker; // the only worker that may have a run or an unstored end of the task; empty: any may
+    // --- For the reports only ---
+    bool wasUnknown = false; // when the term began; neither adopted nor started since
 };
 
 // Decision of the advice service about a worker and a step. Only the ticket expires.
@@ -182,7 +185,8 @@
     Millis earlierLeaseEndAt = 0;     // when leases of earlier terms have expired at the latest
     Millis reportedAt = 0;            // last report
     Millis lostAt = 0;
-    bool isLeaseExpired = false; // not in contact, and its lease has expired even on the slowest clock
+    bool isLeaseExpired = false;     // not in contact, and its lease has expired even on the slowest clock
+    bool isEndListTruncated = false; // the last report did not list all ends
     // --- Ends of runs ---
     std::int64_t lastAppliedEnd = 0; // number of the last end that was applied
     std::int64_t lastAcknowledgedEnd = 0;
@@ -222,6 +226,7 @@
     std::string outcome;
     std::vector<std::pair<const char*, std::int64_t>> inputs;
     std::string image = {}; // of the task, for starts and stops
+    std::vector<std::pair<const char*, std::string>> texts = {};
 };
 
 struct Orders {
@@ -276,6 +281,7 @@
     int startLimit = std::numeric_limits<int>::max(); // starts that the next plan may order; a gang may exceed it
     bool isReconciled = false;  // every worker has reported, or its lease has expired: Unknown tasks may be placed
     bool hasWorkerList = false; // the workers were listed in this term
+    RecoveryReport recovery;
     // --- Outputs that the daemon takes and clears ---
     std::vector<Decision> decisions;
     base::EventBudget decisionBudget;  // since the decisions were taken
--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -18,6 +18,7 @@
     scheduler.termStartedAt = now;
     scheduler.isReconciled = false;
     scheduler.hasWorkerList = false;
+    scheduler.recovery = {};
     for (auto& [id, job] : scheduler.jobs) {
         for (auto& [number, occurrence] : job->occurrences) {
             for (StepProgress& progress : occurrence.steps) {
@@ -25,6 +26,7 @@
                     if (task.phase != TaskPhase::Done && task.phase != TaskPhase::Failed)
                         task.phase = TaskPhase::Unknown;
                     task.formerWorker.clear();
+                    task.wasUnknown = task.phase == TaskPhase::Unknown;
                 }
             }
         }
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -113,6 +113,7 @@
         task.isConfirmed = true;
         task.phaseSince = now;
         task.startedAt = 0;
+        task.wasUnknown = false;
         task.percent = row.percent;
         task.progressAt = now;
         reserveResources(worker, ref);
@@ -327,6 +328,7 @@
         worker.contact = Contact::Established;
     }
     worker.isLeaseExpired = false;
+    worker.isEndListTruncated = report.isEndListTruncated;
     worker.reportedAt = now;
     for (const EndedTask& end : report.ended) {
         if (end.number <= worker.lastAppliedEnd)
@@ -461,12 +463,7 @@
             = worker.isLeaseExpired && !worker.isListed && now - worker.unlistedSince > unlistedRemovalDelayMs;
         it = isGone ? scheduler.workers.erase(it) : std::next(it);
     }
-    if (isReconciled && !scheduler.isReconciled) {
-        scheduler.isReconciled = true;
-        logDecision(scheduler,
-            { "termAccounted", {}, {}, {}, 0, "unknown tasks may start",
-                { { "token", scheduler.token }, { "sinceMs", now - scheduler.termStartedAt } } });
-    }
+    scheduler.isReconciled = scheduler.isReconciled || isReconciled;
 }
 
 } // namespace lacewing::scheduler
