Log why a lasting task does not run

A lasting task that was down for seconds left no line between the end of its run and its next start, so the log could not tell whether it was unknown, waited for a lost worker, for the answer to a start, for room, for the limit of starts or for the reserve for short tasks.

Once a second, the end of a plan looks through the lasting steps of the open jobs. Tasks that have not been running for more than 3 s get a line `lastingTaskDown` with the reason, the worker that they wait for, their last run and end, and how long they are down: at most 5 lines a second, each task at most every 5 s, the ones that were never logged first. The reason repeats the checks of placement in their order and is computed only for the logged tasks. A run on a worker that does not answer counts as down. The number of tasks that are down, and of lines by reason, are on the metrics address.

fits, leavesShortReserve, isStartLimitReached and isReady are declared in planner.h for this; fits is split into hasRoom and the state of the worker.

--- a/src/daemon/recovery_watch.cpp
+++ b/src/daemon/recovery_watch.cpp
@@ -21,6 +21,13 @@
         metrics.gauge(name, help, { { "lasting", "false" } }).value = all - lasting;
     }
 
+    void setLastingDown(base::Metrics& metrics, int count)
+    {
+        metrics.gauge("lacewing_lasting_tasks_down", "Lasting tasks that have not been running for 3 s, each second.")
+            .value
+            = count;
+    }
+
 } // namespace
 
 scheduler::Millis phaseMs(const TermPhases& phases, scheduler::Millis reachedAt)
@@ -41,9 +48,10 @@
     recordPhase(phases, metrics, "loaded", now);
 }
 
-void recordRecovery(TermPhases& phases, base::Metrics& metrics, const scheduler::Scheduler& scheduler)
+void recordRecovery(TermPhases& phases, base::Metrics& metrics, scheduler::Scheduler& scheduler)
 {
     const scheduler::RecoveryReport& report = scheduler.recovery;
+    scheduler::DownReport& down = scheduler.down;
     if (phases.accountedAt == 0 && report.accountedAt != 0) {
         phases.accountedAt = report.accountedAt;
         recordPhase(phases, metrics, "accounted", report.accountedAt);
@@ -53,8 +61,24 @@
         recordPhase(phases, metrics, "firstStart", report.firstFreedStartAt);
     }
     setUnknownTasks(metrics, report.unknown.tasks, report.unknown.lasting);
+    setLastingDown(metrics, down.tasks);
+    for (std::size_t i = 0; i < down.lines.size(); ++i) {
+        if (down.lines[i] == 0)
+            continue;
+        const auto& [reason, name] = scheduler::downReasonNames[i];
+        metrics
+            .counter("lacewing_lasting_task_down_lines_total", "Lines lastingTaskDown by reason.",
+                { { "reason", std::string(name) } })
+            .value
+            += down.lines[i];
+        down.lines[i] = 0;
+    }
 }
 
-void recordTermEnded(base::Metrics& metrics) { setUnknownTasks(metrics, 0, 0); }
+void recordTermEnded(base::Metrics& metrics)
+{
+    setUnknownTasks(metrics, 0, 0);
+    setLastingDown(metrics, 0);
+}
 
 } // namespace lacewing::daemon
--- a/src/daemon/recovery_watch.h
+++ b/src/daemon/recovery_watch.h
@@ -20,7 +20,7 @@
 void recordTermBegun(TermPhases& phases, base::Metrics& metrics, scheduler::Millis now);
 void recordTermLoaded(TermPhases& phases, base::Metrics& metrics, scheduler::Millis now);
 // After each plan: takes over what the scheduler has recorded, and updates the metrics.
-void recordRecovery(TermPhases& phases, base::Metrics& metrics, const scheduler::Scheduler& scheduler);
+void recordRecovery(TermPhases& phases, base::Metrics& metrics, scheduler::Scheduler& scheduler);
 void recordTermEnded(base::Metrics& metrics);
 
 } // namespace lacewing::daemon
--- a/src/scheduler/decision_log.cpp
+++ b/src/scheduler/decision_log.cpp
@@ -11,7 +11,8 @@
 
     constexpr std::size_t maxDecisions = 2000; // that wait to be logged; about 0.5 MB
 
-    constexpr std::array<std::string_view, 7> significantEvents {
+    constexpr std::array<std::string_view, 8> significantEvents {
+        "lastingTaskDown",
         "leaseExpired",
         "placementsApplied",
         "termAccounted",
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -249,6 +249,8 @@
         task.failedRuns.push_back(run);
     task.endedRun = std::max(task.endedRun, run);
     task.run = std::max(task.run, run);
+    task.lastEndAt = now;
+    task.lastEnd = kind;
     markDirty(scheduler, job);
     if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed)
         return;
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -56,17 +56,6 @@
         }
     }
 
-    // True when the lasting task leaves the processors reserved for short tasks of its service free.
-    bool leavesShortReserve(const Planner& planner, const TaskRef& ref)
-    {
-        const auto cpu = planner.serviceCpu.find(ref.job->policy.service);
-        const auto demand = planner.scheduler.shortDemand.find(ref.job->policy.service);
-        if (cpu == planner.serviceCpu.end() || demand == planner.scheduler.shortDemand.end())
-            return true;
-        const double reserve = std::min(demand->second, cpu->second.capacity * maxShortReserveShare);
-        return cpu->second.lasting + ref.step->cpuMillicores + reserve <= cpu->second.capacity;
-    }
-
     // True when the task may run on a worker that meets the requirements of its step.
     bool mayUse(const Planner& planner, const Worker& worker, const TaskRef& ref)
     {
@@ -89,15 +78,6 @@
             = worker.overTargetSince == 0 ? freeFillCpu(worker) : -std::numeric_limits<double>::infinity();
     }
 
-    bool fits(const PlannedWorker& planned, const Step& step)
-    {
-        if (!planned.acceptsTasks || step.memoryMb > planned.freeMemory || step.gpus > planned.freeGpus)
-            return false;
-        const bool hasCpu = step.isFilling ? planned.freeFillCpu >= step.cpuMillicores * minFillCpuShare
-                                           : step.cpuMillicores <= planned.freeCpu;
-        return hasCpu && (step.requiredLabel.empty() || hasLabel(planned.worker->entry, step.requiredLabel));
-    }
-
     // Higher is better.
     double scoreOf(Planner& planner, PlannedWorker& planned, const Step& step)
     {
@@ -410,11 +390,6 @@
         });
     }
 
-    bool isStartLimitReached(const Planner& planner)
-    {
-        return static_cast<int>(planner.orders.starts.size()) >= planner.scheduler.startLimit;
-    }
-
     void placeStep(Planner& planner, const Candidate& candidate)
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
@@ -499,6 +474,32 @@
 
 } // namespace
 
+bool leavesShortReserve(const Planner& planner, const TaskRef& ref)
+{
+    const auto cpu = planner.serviceCpu.find(ref.job->policy.service);
+    const auto demand = planner.scheduler.shortDemand.find(ref.job->policy.service);
+    if (cpu == planner.serviceCpu.end() || demand == planner.scheduler.shortDemand.end())
+        return true;
+    const double reserve = std::min(demand->second, cpu->second.capacity * maxShortReserveShare);
+    return cpu->second.lasting + ref.step->cpuMillicores + reserve <= cpu->second.capacity;
+}
+
+bool hasRoom(const PlannedWorker& planned, const Step& step)
+{
+    if (step.memoryMb > planned.freeMemory || step.gpus > planned.freeGpus)
+        return false;
+    const bool hasCpu = step.isFilling ? planned.freeFillCpu >= step.cpuMillicores * minFillCpuShare
+                                       : step.cpuMillicores <= planned.freeCpu;
+    return hasCpu && (step.requiredLabel.empty() || hasLabel(planned.worker->entry, step.requiredLabel));
+}
+
+bool fits(const PlannedWorker& planned, const Step& step) { return planned.acceptsTasks && hasRoom(planned, step); }
+
+bool isStartLimitReached(const Planner& planner)
+{
+    return static_cast<int>(planner.orders.starts.size()) >= planner.scheduler.startLimit;
+}
+
 bool isUsable(const Scheduler& scheduler, const Worker& worker)
 {
     return worker.contact == Contact::Established && worker.isListed && !worker.entry.isDraining
@@ -550,8 +551,10 @@
         scheduler.active.erase(id);
     stopStrays(planner);
     protectLatencyTargets(scheduler, planner.orders, now);
-    if (now >= scheduler.validUntil || !scheduler.hasWorkerList)
+    if (now >= scheduler.validUntil || !scheduler.hasWorkerList) {
+        reportDownTasks(planner);
         return std::move(planner.orders);
+    }
     collectWorkers(planner);
     updateShortDemand(planner);
     updateFillDemand(planner);
@@ -572,6 +575,7 @@
     planner.orders.question = nextQuestion(
         planner, [&](const Worker& worker, const TaskRef& ref) { return placementScore(planner, worker, ref); });
     scheduler.isQuestionPending = scheduler.isQuestionPending || planner.orders.question.has_value();
+    reportDownTasks(planner);
     return std::move(planner.orders);
 }
 
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -130,6 +130,16 @@
 // True when the worker holds a lease of this term, is listed, and neither drains nor is in a withdrawn data centre.
 bool isUsable(const Scheduler& scheduler, const Worker& worker);
 
+// Whether the steps that the step depends on have finished.
+bool isReady(const Occurrence& occurrence, const JobRequest& request, const Step& step);
+// Whether the worker has the label and the free resources of the step.
+bool hasRoom(const PlannedWorker& planned, const Step& step);
+// Also whether it accepts tasks.
+bool fits(const PlannedWorker& planned, const Step& step);
+// True when the lasting task leaves the processors reserved for short tasks of its service free.
+bool leavesShortReserve(const Planner& planner, const TaskRef& ref);
+bool isStartLimitReached(const Planner& planner);
+
 // Orders stops of the job's runs that must end, and collects its steps with waiting tasks.
 void reviewJob(Planner& planner, Job& job, int jobRank);
 bool hasRuns(const Job& job);
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -110,14 +110,6 @@
         return age > allowed ? Timeliness::Late : Timeliness::InTime;
     }
 
-    bool isReady(const Occurrence& occurrence, const JobRequest& request, const Step& step)
-    {
-        return std::all_of(step.after.begin(), step.after.end(), [&](int before) {
-            const auto index = static_cast<std::size_t>(before);
-            return index < occurrence.steps.size() && occurrence.steps[index].done == request.steps[index].count;
-        });
-    }
-
     void reviewStep(
         Planner& planner, Job& job, Occurrence& occurrence, int occurrenceNumber, int stepNumber, int jobRank)
     {
@@ -170,6 +162,14 @@
 
 } // namespace
 
+bool isReady(const Occurrence& occurrence, const JobRequest& request, const Step& step)
+{
+    return std::all_of(step.after.begin(), step.after.end(), [&](int before) {
+        const auto index = static_cast<std::size_t>(before);
+        return index < occurrence.steps.size() && occurrence.steps[index].done == request.steps[index].count;
+    });
+}
+
 TaskRef refOf(const Candidate& candidate, int index)
 {
     TaskRef ref;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -20,6 +20,7 @@
 #pragma once
 
 #include "base/event_budget.h"
+#include "scheduler/down_report.h"
 #include "scheduler/interference.h"
 #include "scheduler/recovery_report.h"
 #include "scheduler/types.h"
@@ -86,6 +87,10 @@
     std::string formerWorker; // the only worker that may have a run or an unstored end of the task; empty: any may
     // --- For the reports only ---
     bool wasUnknown = false; // when the term began; neither adopted nor started since
+    Millis downSince = 0;    // of a lasting task; 0: running, or not checked yet
+    Millis downReportedAt = 0;
+    Millis lastEndAt = 0; // when the last end was applied; 0: none in this term
+    EndKind lastEnd = EndKind::Done;
 };
 
 // Decision of the advice service about a worker and a step. Only the ticket expires.
@@ -282,6 +287,7 @@
     bool isReconciled = false;  // every worker has reported, or its lease has expired: Unknown tasks may be placed
     bool hasWorkerList = false; // the workers were listed in this term
     RecoveryReport recovery;
+    DownReport down;
     // --- Outputs that the daemon takes and clears ---
     std::vector<Decision> decisions;
     base::EventBudget decisionBudget;  // since the decisions were taken
--- a/tests/recovery_report_test.cpp
+++ b/tests/recovery_report_test.cpp
@@ -1,9 +1,13 @@
-// Tests of the reports on a new term: which worker delays its accounting, and how far the term has come.
+// Tests of the reports for operators: which worker delays the accounting of a term, how far the term has come, and why
+// lasting tasks do not run.
 #include "scheduler/internal.h"
 #include "scheduler_world.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <map>
+#include <set>
 
 namespace {
 
@@ -19,12 +23,20 @@
     CPPUNIT_TEST(waitingIsLoggedOnceASecond);
     CPPUNIT_TEST(truncatedEndListsAreCounted);
     CPPUNIT_TEST(theFirstFreedStartIsRecorded);
+    CPPUNIT_TEST(unknownTasksNameTheWorkerTheyWaitFor);
+    CPPUNIT_TEST(tasksOnLostWorkersAreReported);
+    CPPUNIT_TEST(unansweredStartsAreReported);
+    CPPUNIT_TEST(eachCauseOfAWaitingTaskIsTold);
+    CPPUNIT_TEST(theReserveForShortTasksIsTold);
+    CPPUNIT_TEST(runningTasksAreNotReported);
+    CPPUNIT_TEST(linesAreBoundedAndCoverAllTasks);
     CPPUNIT_TEST_SUITE_END();
 
     // A deployment of three workers in a new term that w2 does not answer.
     struct Term {
         World world { 1, 3 };
         std::vector<Decision> decisions;
+        scheduler::Millis validMs = 1000; // that the term is valid after each plan
 
         Term()
         {
@@ -37,6 +49,13 @@
 
         Scheduler& state() { return world.scheduler(); }
 
+        void reportAll()
+        {
+            planFor(50);
+            for (int i = 0; i < 3; ++i)
+                report(i);
+        }
+
         void report(int index, bool isEndListTruncated = false)
         {
             scheduler::WorkerReport report;
@@ -56,7 +75,7 @@
             for (scheduler::Millis passed = 0; passed < length; passed += 50) {
                 const scheduler::Millis now = world.now() + passed;
                 scheduler::setWorkers(state(), entries, now);
-                state().validUntil = now + 1000;
+                state().validUntil = now + validMs;
                 starts += static_cast<int>(scheduler::plan(state(), now, now).starts.size());
                 for (Decision& decision : scheduler::takeDecisions(state()))
                     decisions.push_back(std::move(decision));
@@ -142,15 +161,147 @@
     void theFirstFreedStartIsRecorded()
     {
         Term term;
-        term.planFor(50);
-        for (int i = 0; i < 3; ++i)
-            term.report(i);
+        term.reportAll();
         CPPUNIT_ASSERT_EQUAL(scheduler::Millis(0), term.state().recovery.firstFreedStartAt);
         CPPUNIT_ASSERT_EQUAL(2, term.planFor(50));
         CPPUNIT_ASSERT_EQUAL(term.world.now(), term.state().recovery.accountedAt);
         CPPUNIT_ASSERT_EQUAL(term.world.now(), term.state().recovery.firstFreedStartAt);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(2), inputOf(term.eventsOf("termAccounted").front(), "freedTasks"));
     }
+
+    // Guards against a lasting task that waits for the account of all workers without a line that says so.
+    void unknownTasksNameTheWorkerTheyWaitFor()
+    {
+        Term term;
+        term.planFor(50);
+        term.report(0);
+        term.report(1);
+        scheduler::applyContactLoss(term.state(), "w2", term.world.now());
+        term.planFor(5000);
+        const std::vector<Decision> lines = term.eventsOf("lastingTaskDown");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), lines.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("job.0.0.0"), lines.front().task);
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), lines.front().outcome);
+        CPPUNIT_ASSERT_EQUAL(std::string("w2"), lines.front().worker);
+        CPPUNIT_ASSERT(inputOf(lines.front(), "leftMs") > 0);
+        CPPUNIT_ASSERT(inputOf(lines.front(), "downMs") > 3000);
+    }
+
+    // Guards against a task that counts as running although its worker does not answer any more.
+    void tasksOnLostWorkersAreReported()
+    {
+        Term term;
+        term.world.run(2000);
+        const std::string worker = term.state().jobs.at("job")->occurrences.at(0).steps[0].tasks[0].worker;
+        scheduler::applyContactLoss(term.state(), worker, term.world.now());
+        term.planFor(5000);
+        const std::vector<Decision> lines = term.eventsOf("lastingTaskDown");
+        CPPUNIT_ASSERT(!lines.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("workerLost"), lines.front().outcome);
+        CPPUNIT_ASSERT_EQUAL(worker, lines.front().worker);
+        CPPUNIT_ASSERT(inputOf(lines.front(), "leftMs") > 0);
+    }
+
+    // Guards against a start without an answer that looks like one that was never ordered.
+    void unansweredStartsAreReported()
+    {
+        Term term;
+        term.reportAll();
+        term.planFor(5000);
+        const std::vector<Decision> lines = term.eventsOf("lastingTaskDown");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), lines.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("startUnanswered"), lines.front().outcome);
+        CPPUNIT_ASSERT(!lines.front().worker.empty() && lines.front().run > 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+            term.state().down.lines[static_cast<std::size_t>(scheduler::DownReason::StartUnanswered)]);
+    }
+
+    // Guards against causes of a late start that the log cannot tell apart.
+    void eachCauseOfAWaitingTaskIsTold()
+    {
+        struct Case {
+            std::string reason;
+            std::function<void(Term&)> prepare;
+        };
+        const auto avoidAll = [](Term& term) {
+            for (auto& [id, worker] : term.state().workers)
+                worker.avoidUntil = term.world.now() + 60000;
+        };
+        const Case cases[] = {
+            { "noConfiguration", [](Term& term) { term.validMs = 0; } },
+            { "termNotValid",
+                [](Term& term) {
+                    term.validMs = 0;
+                    term.state().configuration.version = 1;
+                } },
+            { "noUsableWorker",
+                [](Term& term) {
+                    term.world.withdraw("dc0");
+                    term.world.withdraw("dc1");
+                } },
+            { "noRoom",
+                [](Term& term) {
+                    for (auto& [id, worker] : term.state().workers)
+                        worker.cpuUsed = worker.entry.capacity.cpuMillicores;
+                } },
+            { "avoidedWorkers", avoidAll },
+            { "startLimit", [](Term& term) { term.state().startLimit = 0; } },
+        };
+        for (const Case& entry : cases) {
+            Term term;
+            term.reportAll();
+            entry.prepare(term);
+            term.planFor(5000);
+            const std::vector<Decision> lines = term.eventsOf("lastingTaskDown");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(entry.reason, std::size_t(1), lines.size());
+            CPPUNIT_ASSERT_EQUAL(entry.reason, lines.front().outcome);
+        }
+    }
+
+    // Guards against first runs that are held back for short tasks and look like a want of room.
+    void theReserveForShortTasksIsTold()
+    {
+        Term term;
+        term.world.submit("wide", { lastingStep(24, 1000, "wide") });
+        term.reportAll();
+        term.state().shortDemand["pool"] = 1e9;
+        term.planFor(12000);
+        std::set<std::string> reserved;
+        for (const Decision& line : term.eventsOf("lastingTaskDown")) {
+            if (line.outcome == "shortReserve")
+                reserved.insert(line.task);
+        }
+        // 15% of 24,000 millicores are kept; 20 lasting tasks fit beside them, one of which is that of `job`.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), reserved.size());
+    }
+
+    // Guards against lines about tasks that serve their users.
+    void runningTasksAreNotReported()
+    {
+        Term term;
+        term.world.run(2000);
+        term.planFor(10000);
+        CPPUNIT_ASSERT(term.eventsOf("lastingTaskDown").empty());
+        CPPUNIT_ASSERT_EQUAL(0, term.state().down.tasks);
+    }
+
+    // Guards against a loss of many tasks that fills the log, or that shows the same few tasks each time.
+    void linesAreBoundedAndCoverAllTasks()
+    {
+        Term term;
+        term.world.submit("wide", { lastingStep(40, 9000, "wide") });
+        term.reportAll();
+        term.planFor(14000); // the first lines after 4 s, then 5 a second
+        const std::vector<Decision> lines = term.eventsOf("lastingTaskDown");
+        CPPUNIT_ASSERT(lines.size() <= std::size_t(50));
+        std::map<std::string, int> byTask;
+        for (const Decision& line : lines)
+            ++byTask[line.task];
+        CPPUNIT_ASSERT_EQUAL(std::size_t(41), byTask.size());
+        for (const auto& [task, count] : byTask)
+            CPPUNIT_ASSERT_MESSAGE(task, count <= 3);
+        CPPUNIT_ASSERT_EQUAL(41, term.state().down.tasks);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecoveryReportTest);
