--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -134,9 +134,10 @@
         applyAccepted(item, true);
     m_jobsRevision = m_accepted.revision;
     m_jobWatchAnsweredAt = now;
-    kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "termLoaded",
+    kernel::logEvent(kernel::LogLevel::Notice, "dispatcher", "termLoaded",
         { { "token", m_term->token() }, { "jobs", static_cast<std::int64_t>(m_scheduler->jobs.size()) },
             { "open", static_cast<std::int64_t>(m_scheduler->active.size()) },
+            { "sinceMs", now - m_term->phases().begunAt },
             { "rememberedWorkers", static_cast<std::int64_t>(m_scheduler->workers.size()) },
             { "revision", m_jobsRevision } });
     m_accepted = {};
@@ -145,6 +146,7 @@
     m_formerLeases.reset();
     m_formerWorkers.clear();
     m_isLoaded = true;
+    recordTermLoaded(m_term->phases(), m_runtime.metrics, now);
     m_workersListedAt = 0;
     m_interferenceStoredAt = now;
     loadInterference();
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -27,6 +27,7 @@
     constexpr int watchGapMs = 40;                     // ms between watch calls; batches jobs that arrive together
     // ms between writes of the lease table that only release workers; a term loses at most this much of their age
     constexpr scheduler::Millis leaseReleasePeriodMs = 1000;
+    constexpr scheduler::Millis dropsPeriodMs = 1000; // ms between lines on dropped decisions
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction less the term's entries
 
     bool endsWith(const std::string& text, const std::string& suffix)
@@ -101,6 +102,8 @@
 
 void DispatcherService::endTerm()
 {
+    if (m_scheduler)
+        logDecisions();
     m_tick.stop();
     m_generation.reset();
     m_loadGeneration.reset();
@@ -115,6 +118,7 @@
     m_storedWorkers.clear();
     m_storedLeases.clear();
     m_isStoringLeases = false;
+    recordTermEnded(m_runtime.metrics);
     m_scheduler.reset();
 }
 
@@ -398,6 +402,7 @@
     m_loadWatch.counts().startWindow = static_cast<int>(m_orderWindow.size);
     m_loadWatch.counts().startLatencyMs = static_cast<int>(m_orderWindow.latencyMs);
     sendOrders(orders);
+    recordRecovery(m_term->phases(), m_runtime.metrics, *m_scheduler);
     updateTable();
     storeInterference();
     removeExpired();
@@ -410,9 +415,9 @@
 void DispatcherService::logDecisions()
 {
     const ActivityScope scope(m_loadWatch, Activity::Log);
-    for (const scheduler::Decision& decision : m_scheduler->decisions) {
+    for (const scheduler::Decision& decision : scheduler::takeDecisions(*m_scheduler)) {
         std::vector<kernel::LogField> fields;
-        fields.reserve(decision.inputs.size() + 6);
+        fields.reserve(decision.inputs.size() + decision.texts.size() + 6);
         if (!decision.job.empty())
             fields.emplace_back("job", decision.job);
         if (!decision.task.empty())
@@ -423,12 +428,23 @@
             fields.emplace_back("run", decision.run);
         for (const auto& [key, value] : decision.inputs)
             fields.emplace_back(key, value);
+        for (const auto& [key, value] : decision.texts)
+            fields.emplace_back(key, value);
         if (!decision.image.empty())
             fields.emplace_back("image", decision.image);
         fields.emplace_back("outcome", decision.outcome);
-        kernel::logEvent(kernel::LogLevel::Info, "dispatcher", decision.event, fields.data(), fields.size());
+        const auto level = scheduler::isSignificant(decision) ? kernel::LogLevel::Notice : kernel::LogLevel::Info;
+        kernel::logEvent(level, "dispatcher", decision.event, fields.data(), fields.size());
     }
-    m_scheduler->decisions.clear();
+    const base::EventDrops dropped = m_scheduler->droppedDecisions;
+    if (dropped == base::EventDrops {} || nowMs() - m_dropsLoggedAt < dropsPeriodMs)
+        return;
+    m_dropsLoggedAt = nowMs();
+    kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "decisionsDropped",
+        { { "routine", dropped.routine }, { "significant", dropped.significant } });
+    m_droppedDecisions.routine += dropped.routine;
+    m_droppedDecisions.significant += dropped.significant;
+    m_scheduler->droppedDecisions = {};
 }
 
 void registerDispatcherService(Runtime& runtime)
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -158,10 +158,11 @@
 
 void TermService::beginTerm(bool isAfterLostAnswer)
 {
-    kernel::logEvent(kernel::LogLevel::Info, "term", "elected",
+    kernel::logEvent(kernel::LogLevel::Notice, "term", "elected",
         { { "token", token() }, { "processorPercent", static_cast<std::int64_t>(100 * m_election.processorShare) },
             { "afterLostAnswer", isAfterLostAnswer } });
     m_resignation.clear();
+    recordTermBegun(m_phases, m_runtime.metrics, nowMs());
     m_onElected();
 }
 
@@ -190,7 +191,10 @@
 {
     kernel::logEvent(kernel::LogLevel::Warning, "term", "termEnded",
         { { "reason", reason }, { "token", token() }, { "revision", m_election.revision },
-            { "renewedMsAgo", nowMs() - m_election.renewSentAt } });
+            { "renewedMsAgo", nowMs() - m_election.renewSentAt }, { "lastedMs", nowMs() - m_phases.begunAt },
+            { "loadedMs", phaseMs(m_phases, m_phases.loadedAt) },
+            { "accountedMs", phaseMs(m_phases, m_phases.accountedAt) },
+            { "firstStartMs", phaseMs(m_phases, m_phases.firstFreedStartAt) } });
     election::stepDown(m_election);
     m_pendingCommits.clear();
     m_onTermEnded();
@@ -214,7 +218,7 @@
     m_resigningSince = nowMs();
     m_finalWrites = std::move(writes);
     m_election.chosenSuccessor = successor;
-    kernel::logEvent(kernel::LogLevel::Info, "term", "resigning",
+    kernel::logEvent(kernel::LogLevel::Notice, "term", "resigning",
         { { "reason", reason }, { "token", token() }, { "successor", successor } });
     QTimer::singleShot(resignTimeoutMs, this, [this] {
         if (!m_onResigned || nowMs() - m_resigningSince < resignTimeoutMs)
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-    // Bound on decisions that wait to be logged. Further ones are dropped without a count; the log counts only the
-    // lines that its own bound drops.
-    constexpr std::size_t maxDecisions = 2000;
-
     Occurrence makeOccurrence(const JobRequest& request, int number)
     {
         Occurrence occurrence;
@@ -64,12 +60,6 @@
 
 } // namespace
 
-void logDecision(Scheduler& scheduler, Decision decision)
-{
-    if (scheduler.decisions.size() < maxDecisions)
-        scheduler.decisions.push_back(std::move(decision));
-}
-
 bool isOccurrenceDone(const JobRequest& request, const Occurrence& occurrence)
 {
     for (std::size_t i = 0; i < request.steps.size(); ++i) {
@@ -259,6 +249,8 @@
         task.failedRuns.push_back(run);
     task.endedRun = std::max(task.endedRun, run);
     task.run = std::max(task.run, run);
+    task.lastEndAt = now;
+    task.lastEnd = kind;
     markDirty(scheduler, job);
     if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed)
         return;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -24,8 +24,11 @@
 //   - A final job state is shown only after it is in the store.
 #pragma once
 
+#include "base/event_budget.h"
+#include "scheduler/down_report.h"
 #include "scheduler/interference.h"
 #include "scheduler/lease_table.h"
+#include "scheduler/recovery_report.h"
 #include "scheduler/types.h"
 
 #include <deque>
@@ -88,6 +91,12 @@
     std::string failedWorker; // worker of the last failure
     // --- While the phase is Unknown ---
     std::string formerWorker; // the only worker that may have a run or an unstored end of the task; empty: any may
+    // --- For the reports only ---
+    bool wasUnknown = false; // when the term began; neither adopted nor started since
+    Millis downSince = 0;    // of a lasting task; 0: running, or not checked yet
+    Millis downReportedAt = 0;
+    Millis lastEndAt = 0; // when the last end was applied; 0: none in this term
+    EndKind lastEnd = EndKind::Done;
 };
 
 // Decision of the advice service about a worker and a step. Only the ticket expires.
@@ -230,6 +239,7 @@
     std::string outcome;
     std::vector<std::pair<const char*, std::int64_t>> inputs;
     std::string image = {}; // of the task, for starts and stops
+    std::vector<std::pair<const char*, std::string>> texts = {};
 };
 
 struct Orders {
@@ -289,9 +299,13 @@
     // be placed.
     bool isReconciled = false;
     bool hasWorkerList = false; // the workers were listed in this term
+    RecoveryReport recovery;
+    DownReport down;
     // --- Outputs that the daemon takes and clears ---
     std::vector<Decision> decisions;
-    std::vector<JobChange> changes; // committed job states, in order
+    base::EventBudget decisionBudget;  // since the decisions were taken
+    base::EventDrops droppedDecisions; // since the daemon took and cleared them
+    std::vector<JobChange> changes;    // committed job states, in order
     // --- Demand for processors that serving tasks leave unused ---
     std::map<std::string, FillDemand> fillDemand; // by filling image
     Millis fillDemandAt = 0;
@@ -375,6 +389,13 @@
 // Removes the job; its records were removed from the store.
 void removeJob(Scheduler& scheduler, const std::string& id);
 
+// --- Logging ---
+
+// Whether the decision changes what the scheduler believes about the term, a worker or a job that is down.
+bool isSignificant(const Decision& decision);
+// Returns the decisions since the last call, in order.
+std::vector<Decision> takeDecisions(Scheduler& scheduler);
+
 // --- Queries ---
 
 std::string taskName(const std::string& job, int occurrence, int step, int index);
--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -20,6 +20,7 @@
     scheduler.formerLeases.reset();
     scheduler.isReconciled = false;
     scheduler.hasWorkerList = false;
+    scheduler.recovery = {};
     for (auto& [id, job] : scheduler.jobs) {
         for (auto& [number, occurrence] : job->occurrences) {
             for (StepProgress& progress : occurrence.steps) {
@@ -27,6 +28,7 @@
                     if (task.phase != TaskPhase::Done && task.phase != TaskPhase::Failed)
                         task.phase = TaskPhase::Unknown;
                     task.formerWorker.clear();
+                    task.wasUnknown = task.phase == TaskPhase::Unknown;
                 }
             }
         }
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -127,6 +127,7 @@
         task.isConfirmed = true;
         task.phaseSince = now;
         task.startedAt = 0;
+        task.wasUnknown = false;
         task.percent = row.percent;
         task.progressAt = now;
         reserveResources(worker, ref);
@@ -370,7 +371,7 @@
     applyClock(scheduler, id, report.clockMs, now);
     if (worker.contact != Contact::Established) {
         logDecision(scheduler,
-            { "workerContact", {}, {}, id, 0, "held",
+            { "workerContact", {}, {}, id, 0, worker.contact == Contact::Lost ? "regained" : "held",
                 { { "running", static_cast<int>(report.running.size()) },
                     { "ended", static_cast<int>(report.ended.size()) } } });
         worker.contact = Contact::Established;
@@ -512,12 +513,7 @@
             = worker.isLeaseExpired && !worker.isListed && now - worker.unlistedSince > unlistedRemovalDelayMs;
         it = isGone ? scheduler.workers.erase(it) : std::next(it);
     }
-    if (isReconciled && !scheduler.isReconciled) {
-        scheduler.isReconciled = true;
-        logDecision(scheduler,
-            { "termAccounted", {}, {}, {}, 0, "unknown tasks may start",
-                { { "token", scheduler.token }, { "sinceMs", now - scheduler.termStartedAt } } });
-    }
+    scheduler.isReconciled = scheduler.isReconciled || isReconciled;
 }
 
 } // namespace lacewing::scheduler
