Refuse entries of other writers whose fields no worker can have

Operators of similar systems saw machines end or stop following the list of executors because of one odd entry. Here none ended, but decodeWorker() took over what it could not use: ports out of range or 0 (read as port 0), host names, an address or id with line breaks (copied into the header lines of every call to that worker), negative capacities and 2e9 millicores (which attract all tasks), labels that are no texts (read as empty), born and remaining_ms of any size (added to times), the id `*` (the marker for an ambiguous worker) and ids with blanks (the separator of the stored ids). A term calls each of these and waits for it.

decodeWorker() moves to platform/worker_entry.*, whose head lists the accepted ranges; an entry out of them names no worker and the error says why. Deep nesting was no fault: QJsonDocument refuses more than 1,024 levels; a million take less than 1 s.

Two inputs of the cache's tests change, because `h:1` is no address any more: the addresses become 10.0.0.1:1 and so on, and the escaped quotes that were in the address are in `machine`. What is compared is the same, and now also the reason.

Tests on (the same assertions): addressesThatNoWorkerCanHaveAreRefused: !isAcceptedWith("address", address) fails idsThatBreakAHeaderOrARecordAreRefused: !isAccepted(validEntry(), id) fails numbersOutOfRangeAreRefused: fails at capacity.cpu: [-1] textsOfAnotherTypeOrLengthAreRefused: fails at a backend of 300 characters With the change they pass.

--- a/fuzz/documents_fuzz.cpp
+++ b/fuzz/documents_fuzz.cpp
@@ -2,6 +2,7 @@
 // again.
 #include "election/election.h"
 #include "platform/documents.h"
+#include "platform/worker_entry.h"
 #include "scheduler/record.h"
 
 #include <cstdlib>
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -6,7 +6,7 @@
 #include "daemon/runtime.h"
 #include "daemon/term_service.h"
 #include "platform/advice_link.h"
-#include "platform/documents.h"
+#include "platform/worker_entry.h"
 #include "platform/worker_link.h"
 #include "scheduler/order_window.h"
 #include "scheduler/scheduler.h"
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -34,11 +34,12 @@
             std::vector<scheduler::WorkerEntry> entries;
             for (const platform::Item& item : result.value().items) {
                 const std::string id = item.key.substr(platform::workersPrefix.size());
-                if (const auto& entry = m_workerEntries.decode(id, item.value))
-                    entries.push_back(*entry);
+                const auto& entry = m_workerEntries.decode(id, item.value);
+                if (entry.has_value())
+                    entries.push_back(entry.value());
                 else
                     kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "workerEntryRefused",
-                        { { "worker", id }, { "revision", item.revision } });
+                        { { "worker", id }, { "revision", item.revision }, { "reason", entry.error() } });
             }
             m_workerEntries.evictUnlisted();
             scheduler::setWorkers(*m_scheduler, entries, nowMs());
--- /dev/null
+++ b/tests/odd_entries_test.cpp
@@ -0,0 +1,166 @@
+// Tests of what another writer may leave in the store or answer in a worker's place: entries, items and reports that
+// are malformed or out of range.
+#include "base/time.h"
+#include "http_support.h"
+#include "platform/documents.h"
+#include "platform/worker_entry.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace {
+
+using namespace lacewing;
+using namespace lacewing::platform;
+using namespace lacewing::test;
+
+QByteArray text(const QJsonObject& json) { return QJsonDocument(json).toJson(QJsonDocument::Compact); }
+
+QJsonObject validEntry()
+{
+    return { { "backend", "pool" }, { "address", "10.0.0.1:80" }, { "zone", "z" }, { "version", "v1" }, { "slots", 8 },
+        { "state", "ready" }, { "cold_remaining_ms", 0 }, { "seq", 4 }, { "clock_ms", 5 },
+        { "capacity", QJsonObject { { "cpu", 16000 }, { "mem_mb", 32768 }, { "gpu", 1 } } },
+        { "labels", QJsonArray { "a", "r1" } }, { "born", qint64(1764857165123) }, { "machine", "m" },
+        { "remaining_ms", 1500 } };
+}
+
+bool isAccepted(const QJsonObject& json, const std::string& id = "i-1")
+{
+    return static_cast<bool>(decodeWorker(id, text(json)));
+}
+
+// The valid entry with one field replaced; `capacity.X` names a field of the capacity.
+bool isAcceptedWith(const QString& field, const QJsonValue& value)
+{
+    QJsonObject json = validEntry();
+    if (field.startsWith("capacity.")) {
+        QJsonObject capacity = json["capacity"].toObject();
+        capacity[field.mid(9)] = value;
+        json["capacity"] = capacity;
+    } else {
+        json[field] = value;
+    }
+    return isAccepted(json);
+}
+
+std::string describe(const char* field, const QJsonValue& value)
+{
+    return field + (": " + QJsonDocument(QJsonArray { value }).toJson(QJsonDocument::Compact)).toStdString();
+}
+
+class OddEntriesTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(OddEntriesTest);
+    CPPUNIT_TEST(addressesThatNoWorkerCanHaveAreRefused);
+    CPPUNIT_TEST(idsThatBreakAHeaderOrARecordAreRefused);
+    CPPUNIT_TEST(numbersOutOfRangeAreRefused);
+    CPPUNIT_TEST(textsOfAnotherTypeOrLengthAreRefused);
+    CPPUNIT_TEST(deeplyNestedEntriesAreDecodedInTime);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against calling an address that no worker announces, and against header lines smuggled into the calls.
+    void addressesThatNoWorkerCanHaveAreRefused()
+    {
+        for (const char* address : { "10.0.0.1:1", "10.255.0.254:65535", "127.0.0.1:21420" })
+            CPPUNIT_ASSERT_MESSAGE(address, isAcceptedWith("address", address));
+        for (const char* address : { "", ":", ":80", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536",
+                 "10.0.0.1:70000", "10.0.0.1:-80", "10.0.0.1:+80", "10.0.0.1: 80", " 10.0.0.1:80", "10.0.0.1:80 ",
+                 "10.0.0.1:0080", "10.0.0.1:8e1", "10.0.0.1:99999999999999999999", "10.0.0.1:80:80", "10.0.1:80",
+                 "10.0.0.256:80", "010.0.0.1:80", "0.0.0.0:80", "255.255.255.255:80", "224.0.0.1:80", "[::1]:80",
+                 "::1:80", "localhost:80", "http://10.0.0.1:80", "10.0.0.1:80/x", "10.0.0.1\r\nX: 1:80" })
+            CPPUNIT_ASSERT_MESSAGE(address, !isAcceptedWith("address", address));
+        for (const QJsonValue& address : { QJsonValue(80), QJsonValue(), QJsonValue(QJsonArray { "10.0.0.1:80" }) })
+            CPPUNIT_ASSERT_MESSAGE(describe("address", address), !isAcceptedWith("address", address));
+        CPPUNIT_ASSERT(!isAcceptedWith("address", QString("10.0.0.1:80") + QChar(0)));
+    }
+
+    // Guards against ids that add header lines to a worker's calls, merge in a stored record, or are read as a marker.
+    void idsThatBreakAHeaderOrARecordAreRefused()
+    {
+        for (const char* id : { "w0", "i-c934716457", "A.b_c:d-9" })
+            CPPUNIT_ASSERT_MESSAGE(id, isAccepted(validEntry(), id));
+        const std::string zero("a\0b", 3);
+        for (const std::string& id : { std::string(), std::string("*"), std::string("a*"), std::string("a b"),
+                 std::string("a/b"), std::string("a\r\nContent-Length: 0"), std::string("\xff\xfe"),
+                 std::string("\xc3\xa4"), std::string("a\x7f"), zero, std::string(201, 'a') })
+            CPPUNIT_ASSERT_MESSAGE(id, !isAccepted(validEntry(), id));
+    }
+
+    // Guards against capacities that overflow or attract all tasks, and times that overflow when they are added.
+    void numbersOutOfRangeAreRefused()
+    {
+        for (const char* field : { "capacity.cpu", "capacity.mem_mb", "capacity.gpu", "born", "remaining_ms" }) {
+            CPPUNIT_ASSERT_MESSAGE(field, isAcceptedWith(field, 1000));
+            for (const QJsonValue& value : { QJsonValue(-1), QJsonValue(-1e300), QJsonValue(1e300), QJsonValue(9.3e18),
+                     QJsonValue(std::numeric_limits<qint64>::max()), QJsonValue(std::numeric_limits<qint64>::min()),
+                     QJsonValue("1000"), QJsonValue(true), QJsonValue(QJsonArray { 1000 }),
+                     QJsonValue(QJsonValue::Null) })
+                CPPUNIT_ASSERT_MESSAGE(describe(field, value), !isAcceptedWith(field, value));
+        }
+        for (const char* field : { "capacity.cpu", "capacity.mem_mb", "capacity.gpu" })
+            CPPUNIT_ASSERT_MESSAGE(field, !isAcceptedWith(field, 2e9) && !isAcceptedWith(field, 0.5));
+        CPPUNIT_ASSERT(!isAcceptedWith("capacity.cpu", 0) && !isAcceptedWith("capacity.mem_mb", 0));
+        CPPUNIT_ASSERT(!isAcceptedWith("born", 1764857165123.5));
+        QByteArray huge = text(validEntry());
+        huge.replace("16000", "1e999");
+        CPPUNIT_ASSERT(!decodeWorker("i-1", huge));
+        // Absent fields: 0 and empty fields may be left out, but no worker is without processor and memory.
+        for (const char* field : { "born", "machine", "remaining_ms", "seq" }) {
+            QJsonObject json = validEntry();
+            json.remove(QLatin1String(field));
+            CPPUNIT_ASSERT_MESSAGE(field, isAccepted(json));
+        }
+    }
+
+    // Guards against texts that are read as empty, and against entries that fill the memory with labels.
+    void textsOfAnotherTypeOrLengthAreRefused()
+    {
+        const QString longText(300, QLatin1Char('x'));
+        for (const char* field : { "backend", "zone", "machine" }) {
+            CPPUNIT_ASSERT_MESSAGE(field, isAcceptedWith(field, "other"));
+            for (const QJsonValue& value : { QJsonValue(7), QJsonValue(QJsonObject()), QJsonValue(QJsonValue::Null),
+                     QJsonValue(longText), QJsonValue(QString("a") + QChar(0) + "b"), QJsonValue("a\nb") })
+                CPPUNIT_ASSERT_MESSAGE(describe(field, value), !isAcceptedWith(field, value));
+        }
+        CPPUNIT_ASSERT(!isAcceptedWith("backend", "") && !isAcceptedWith("zone", ""));
+        QJsonArray many;
+        for (int i = 0; i < 5000; ++i)
+            many.append(QString::number(i));
+        for (const QJsonArray& labels : { QJsonArray { "a", 7 }, QJsonArray { "a", QJsonArray { "r1" } },
+                 QJsonArray { QJsonValue() }, QJsonArray { longText }, QJsonArray { "a\nb" }, many })
+            CPPUNIT_ASSERT_MESSAGE(describe("labels", labels), !isAcceptedWith("labels", labels));
+        for (const char* state : { "", "READY", "stopped", "ready " })
+            CPPUNIT_ASSERT_MESSAGE(state, !isAcceptedWith("state", state));
+    }
+
+    // Guards against a parser that ends the process, or holds up the event loop, on deep nesting.
+    void deeplyNestedEntriesAreDecodedInTime()
+    {
+        constexpr int depths[] = { 1000, 1023, 1024, 1025, 100000, 1000000 };
+        for (const int depth : depths) {
+            const QByteArray arrays = QByteArray(depth, '[') + QByteArray(depth, ']');
+            QByteArray objects;
+            for (int i = 0; i < depth; ++i)
+                objects += "{\"a\":";
+            objects += "1" + QByteArray(depth, '}');
+            QByteArray inEntry = text(validEntry());
+            inEntry.replace("\"version\":\"v1\"", "\"version\":" + arrays);
+            constexpr int parsedDepth = 1024; // deepest nesting that QJsonDocument reads
+            const std::vector<std::pair<QByteArray, bool>> entries { { arrays, false }, { objects, false },
+                { QByteArray(depth, '['), false }, { QByteArray(depth, '{'), false },
+                { inEntry, depth < parsedDepth } };
+            for (const auto& [bytes, isUsable] : entries) {
+                const base::TimePoint begun = base::monotonicNow();
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(depth), decodeWorker("i-1", bytes).has_value() == isUsable);
+                CPPUNIT_ASSERT_MESSAGE(
+                    std::to_string(depth), base::toMilliseconds(base::monotonicNow() - begun) < 1000);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OddEntriesTest);
+
+} // namespace
--- a/tests/platform_documents_test.cpp
+++ b/tests/platform_documents_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the platform's document decoders (every field is decoded, invalid bytes are rejected) and of stored records.
 #include "base/rng.h"
 #include "platform/documents.h"
+#include "platform/worker_entry.h"
 #include "scheduler/record.h"
 
 #include <QJsonDocument>
@@ -11,22 +12,27 @@
 using namespace lacewing;
 using namespace lacewing::platform;
 
-QByteArray workerText(const QByteArray& address, qint64 sequence, const QByteArray& state = "ready")
+QByteArray workerText(
+    const QByteArray& address, qint64 sequence, const QByteArray& state = "ready", const QByteArray& machine = "m")
 {
     return R"({"address":")" + address + R"(","backend":"pool","born":99,"capacity":{"cpu":16000,"mem_mb":32768},)"
-        + R"("clock_ms":)" + QByteArray::number(1000 * sequence + 7) + R"(,"labels":["a","r1"],"machine":"m",)"
-        + R"("remaining_ms":0,"seq":)" + QByteArray::number(sequence) + R"(,"state":")" + state + R"(","zone":"z"})";
+        + R"("clock_ms":)" + QByteArray::number(1000 * sequence + 7) + R"(,"labels":["a","r1"],"machine":")" + machine
+        + R"(",)" + R"("remaining_ms":0,"seq":)" + QByteArray::number(sequence) + R"(,"state":")" + state
+        + R"(","zone":"z"})";
 }
 
-bool isEqual(const std::optional<scheduler::WorkerEntry>& a, const std::optional<scheduler::WorkerEntry>& b)
+using DecodedEntry = base::Result<scheduler::WorkerEntry, std::string>;
+
+bool isEqual(const DecodedEntry& decodedA, const DecodedEntry& decodedB)
 {
-    if (!a || !b)
-        return !a && !b;
-    return a->id == b->id && a->service == b->service && a->address == b->address && a->dataCentre == b->dataCentre
-        && a->machine == b->machine && a->labels == b->labels && a->capacity.cpuMillicores == b->capacity.cpuMillicores
-        && a->capacity.memoryMb == b->capacity.memoryMb && a->capacity.gpus == b->capacity.gpus
-        && a->incarnationUnixMs == b->incarnationUnixMs && a->isDraining == b->isDraining
-        && a->remainingMs == b->remainingMs;
+    if (decodedA.has_error() || decodedB.has_error())
+        return decodedA.has_error() && decodedB.has_error() && decodedA.error() == decodedB.error();
+    const scheduler::WorkerEntry& a = decodedA.value();
+    const scheduler::WorkerEntry& b = decodedB.value();
+    return a.id == b.id && a.service == b.service && a.address == b.address && a.dataCentre == b.dataCentre
+        && a.machine == b.machine && a.labels == b.labels && a.capacity.cpuMillicores == b.capacity.cpuMillicores
+        && a.capacity.memoryMb == b.capacity.memoryMb && a.capacity.gpus == b.capacity.gpus
+        && a.incarnationUnixMs == b.incarnationUnixMs && a.isDraining == b.isDraining && a.remainingMs == b.remainingMs;
 }
 
 class PlatformDocumentsTest : public CppUnit::TestFixture {
@@ -68,9 +74,11 @@
             = R"({"backend":"pool","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"draining",
                 "capacity":{"cpu":16000,"mem_mb":32768,"gpu":1},"labels":["a","r1"],"clock_ms":5,"seq":4,"born":99,
                 "remaining_ms":1500})";
-        const auto entry = decodeWorker("i-1", valid);
-        CPPUNIT_ASSERT(entry && entry->isDraining && entry->remainingMs == 1500 && entry->incarnationUnixMs == 99);
-        CPPUNIT_ASSERT(entry->capacity.cpuMillicores == 16000 && entry->capacity.gpus == 1);
+        const auto decoded = decodeWorker("i-1", valid);
+        CPPUNIT_ASSERT(decoded.has_value());
+        const scheduler::WorkerEntry& entry = decoded.value();
+        CPPUNIT_ASSERT(entry.isDraining && entry.remainingMs == 1500 && entry.incarnationUnixMs == 99);
+        CPPUNIT_ASSERT(entry.capacity.cpuMillicores == 16000 && entry.capacity.gpus == 1);
         for (const char* field : { "backend", "address", "zone", "state", "capacity", "labels" }) {
             QByteArray broken = valid;
             broken.replace('"' + QByteArray(field) + '"', "\"other\"");
@@ -125,32 +133,32 @@
     {
         WorkerEntryCache cache;
         const auto check = [&cache](const std::string& id, const QByteArray& bytes) {
-            const std::optional<scheduler::WorkerEntry> plain = decodeWorker(id, bytes);
+            const DecodedEntry plain = decodeWorker(id, bytes);
             CPPUNIT_ASSERT_MESSAGE(bytes.toStdString(), isEqual(plain, cache.decode(id, bytes)));
             return plain.has_value();
         };
-        CPPUNIT_ASSERT(check("i-1", workerText("h:1", 9)));
-        CPPUNIT_ASSERT(check("i-2", workerText("h:2", 9)));
+        CPPUNIT_ASSERT(check("i-1", workerText("10.0.0.1:1", 9)));
+        CPPUNIT_ASSERT(check("i-2", workerText("10.0.0.1:2", 9)));
         cache.evictUnlisted();
-        CPPUNIT_ASSERT(check("i-1", workerText("h:1", 10)));
-        CPPUNIT_ASSERT(check("i-1", workerText("h:2", 10)));
-        CPPUNIT_ASSERT(check("i-1", workerText("h:2", 11, "draining")));
+        CPPUNIT_ASSERT(check("i-1", workerText("10.0.0.1:1", 10)));
+        CPPUNIT_ASSERT(check("i-1", workerText("10.0.0.1:2", 10)));
+        CPPUNIT_ASSERT(check("i-1", workerText("10.0.0.1:2", 11, "draining")));
         cache.evictUnlisted();
-        CPPUNIT_ASSERT(check("i-2", workerText("h:3", 11))); // was missing from one list
+        CPPUNIT_ASSERT(check("i-2", workerText("10.0.0.1:3", 11))); // was missing from one list
         CPPUNIT_ASSERT(!check("i-1", "garbage"));
         CPPUNIT_ASSERT(!check("i-1", ""));
-        CPPUNIT_ASSERT(check("i-1", workerText("h:2", 12)));
-        QByteArray other = workerText("h:2", 12);
+        CPPUNIT_ASSERT(check("i-1", workerText("10.0.0.1:2", 12)));
+        QByteArray other = workerText("10.0.0.1:2", 12);
         other.replace("\"seq\":12", "\"seq\":012"); // not valid JSON
         CPPUNIT_ASSERT(!check("i-1", other));
         CPPUNIT_ASSERT(!check("i-1", other));
-        CPPUNIT_ASSERT(check("i-1", workerText("h:2", 12)));
-        other = workerText("h:2", 12);
+        CPPUNIT_ASSERT(check("i-1", workerText("10.0.0.1:2", 12)));
+        other = workerText("10.0.0.1:2", 12);
         other.replace("\"seq\":12", "\"seq\":\"12\"");
         CPPUNIT_ASSERT(check("i-1", other));
-        for (const char* address : { "h\\\",\\\"seq\\\":1,", "h\\\",\\\"seq\\\":2,", "h\\\\", "\\\"seq\\\":3" })
-            CPPUNIT_ASSERT(check("i-1", workerText(address, 13)));
-        QByteArray capacity = workerText("h:2", 13);
+        for (const char* machine : { "h\\\",\\\"seq\\\":1,", "h\\\",\\\"seq\\\":2,", "h\\\\", "\\\"seq\\\":3" })
+            CPPUNIT_ASSERT(check("i-1", workerText("10.0.0.1:2", 13, "ready", machine)));
+        QByteArray capacity = workerText("10.0.0.1:2", 13);
         capacity.replace("\"cpu\":16000", "\"cpu\":8000");
         CPPUNIT_ASSERT(check("i-1", capacity));
     }
@@ -165,13 +173,13 @@
         for (std::uint64_t seed = 1; seed <= 300; ++seed) {
             base::Rng rng(seed);
             WorkerEntryCache cache;
-            QByteArray bytes = workerText("h:1", 1);
+            QByteArray bytes = workerText("10.0.0.1:1", 1);
             for (int i = 0; i < 100; ++i) {
                 const auto at = static_cast<qsizetype>(base::below(rng, static_cast<std::uint64_t>(bytes.size()) + 1));
                 const QByteArray& piece = pieces[base::below(rng, pieces.size())];
                 switch (base::below(rng, 4)) {
                 case 0:
-                    bytes = workerText("h:1", static_cast<qint64>(base::below(rng, 3000)));
+                    bytes = workerText("10.0.0.1:1", static_cast<qint64>(base::below(rng, 3000)));
                     break;
                 case 1:
                     bytes.insert(at, piece);
