Report a refused worker entry once, with the reason, and count it

A writer of many entries could crowd out the other lines of the log, whose number a second is limited.

WorkerListReader compares the refusals with those of the last list: an entry is reported when it is first refused and when the reason changes, at most 20 a list; those over the limit follow with the next lists. The metrics show the number in the newest list and the number reported.

--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -5,8 +5,8 @@
 #include "daemon/load_watch.h"
 #include "daemon/runtime.h"
 #include "daemon/term_service.h"
+#include "daemon/worker_list.h"
 #include "platform/advice_link.h"
-#include "platform/worker_entry.h"
 #include "platform/worker_link.h"
 #include "scheduler/order_window.h"
 #include "scheduler/scheduler.h"
@@ -127,7 +127,7 @@
     QTimer m_tick;
     scheduler::Millis m_workersListedAt = 0;
     bool m_isListingWorkers = false;
-    platform::WorkerEntryCache m_workerEntries;
+    WorkerListReader m_workerList;
     scheduler::Millis m_interferenceStoredAt = 0;
     http::ChannelCounters m_traffic; // with workers and the advice service
     LoadWatch m_loadWatch;
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -31,18 +31,21 @@
             m_isListingWorkers = false;
             if (result.has_error())
                 return;
-            std::vector<scheduler::WorkerEntry> entries;
-            for (const platform::Item& item : result.value().items) {
-                const std::string id = item.key.substr(platform::workersPrefix.size());
-                const auto& entry = m_workerEntries.decode(id, item.value);
-                if (entry.has_value())
-                    entries.push_back(entry.value());
-                else
-                    kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "workerEntryRefused",
-                        { { "worker", id }, { "revision", item.revision }, { "reason", entry.error() } });
+            const WorkerList list = m_workerList.read(result.value());
+            for (const RefusedEntry& entry : list.newlyRefused) {
+                m_runtime.metrics
+                    .counter(
+                        "lacewing_worker_entries_refused_total", "Entries that name no worker to use, when first seen.")
+                    .value
+                    += 1;
+                kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "workerEntryRefused",
+                    { { "worker", entry.id }, { "revision", entry.revision }, { "reason", entry.reason } });
             }
-            m_workerEntries.evictUnlisted();
-            scheduler::setWorkers(*m_scheduler, entries, nowMs());
+            m_runtime.metrics
+                .gauge("lacewing_refused_worker_entries", "Entries of the newest list that name no worker to use.")
+                .value
+                = static_cast<double>(list.refused);
+            scheduler::setWorkers(*m_scheduler, list.entries, nowMs());
             storeWorkers();
             renewDueLeases();
             schedulePlan();
--- /dev/null
+++ b/src/daemon/worker_list.cpp
@@ -0,0 +1,35 @@
+// Decodes each entry through the cache and compares the refusals with those of the last list.
+#include "daemon/worker_list.h"
+
+#include "platform/documents.h"
+
+namespace lacewing::daemon {
+
+WorkerList WorkerListReader::read(const platform::ItemList& list)
+{
+    WorkerList result;
+    result.entries.reserve(list.items.size());
+    std::unordered_map<std::string, std::string> reported;
+    for (const platform::Item& item : list.items) {
+        const std::string id = item.key.substr(platform::workersPrefix.size());
+        const auto& decoded = m_cache.decode(id, item.value);
+        if (decoded.has_value()) {
+            result.entries.push_back(decoded.value());
+            continue;
+        }
+        ++result.refused;
+        const std::string reason = decoded.error();
+        const auto known = m_reported.find(id);
+        const bool isNew = known == m_reported.end() || known->second != reason;
+        if (isNew && result.newlyRefused.size() >= maxReports)
+            continue;
+        if (isNew)
+            result.newlyRefused.push_back({ id, item.revision, reason });
+        reported.emplace(id, reason);
+    }
+    m_cache.evictUnlisted();
+    m_reported = std::move(reported);
+    return result;
+}
+
+} // namespace lacewing::daemon
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -1,6 +1,7 @@
 // Tests of what another writer may leave in the store or answer in a worker's place: entries, items and reports that
 // are malformed or out of range.
 #include "base/time.h"
+#include "daemon/worker_list.h"
 #include "http_support.h"
 #include "platform/documents.h"
 #include "platform/worker_entry.h"
@@ -57,6 +58,7 @@
     CPPUNIT_TEST(numbersOutOfRangeAreRefused);
     CPPUNIT_TEST(textsOfAnotherTypeOrLengthAreRefused);
     CPPUNIT_TEST(deeplyNestedEntriesAreDecodedInTime);
+    CPPUNIT_TEST(refusedEntriesAreReportedOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -159,6 +161,47 @@
             }
         }
     }
+
+    // Guards against a log that fills with the same refusals at each list.
+    void refusedEntriesAreReportedOnce()
+    {
+        ItemList list;
+        const auto put = [&list](const std::string& id, const QByteArray& value) {
+            list.items.push_back(
+                { workersPrefix + id, value, static_cast<std::int64_t>(list.items.size()) + 1, 1, false });
+        };
+        put("w1", text(validEntry()));
+        put("odd", "{");
+        daemon::WorkerListReader reader;
+        const auto first = reader.read(list);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.entries.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.newlyRefused.size());
+        CPPUNIT_ASSERT(first.newlyRefused[0].id == "odd" && first.newlyRefused[0].revision == 2);
+        CPPUNIT_ASSERT(!first.newlyRefused[0].reason.empty());
+        for (int i = 0; i < 5; ++i) {
+            list.items[1].value = "{" + QByteArray::number(i); // written again and again
+            const auto next = reader.read(list);
+            CPPUNIT_ASSERT(next.newlyRefused.empty() && next.refused == 1 && next.entries.size() == 1);
+        }
+        QJsonObject stopped = validEntry();
+        stopped["state"] = "stopped";
+        list.items[1].value = text(stopped);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), reader.read(list).newlyRefused.size());
+        list.items[1].value = text(validEntry());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), reader.read(list).entries.size());
+        list.items[1].value = text(stopped);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), reader.read(list).newlyRefused.size());
+        for (int i = 0; i < 50; ++i)
+            put("more" + std::to_string(i), "7");
+        std::size_t reported = 0;
+        for (int i = 0; i < 4; ++i) {
+            const auto next = reader.read(list);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(51), next.refused);
+            CPPUNIT_ASSERT(next.newlyRefused.size() <= daemon::WorkerListReader::maxReports);
+            reported += next.newlyRefused.size();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(50), reported);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntriesTest);
