Leave out workers of services that nothing names

The list now keeps only workers of services that the configuration in force names, in its services or as the backend of a route, or that an open job of a removed queue needs. Before a configuration is loaded nothing is left out; nothing starts then either. A worker that becomes unlisted in this way keeps its runs, as any unlisted worker does.

entriesOfUnnamedServicesAreRefused: the reader did not know the services before.

--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -16,6 +16,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace lacewing::daemon {
@@ -68,6 +70,7 @@
     void relistJobs();
     void applyAccepted(const platform::Item& item, bool isNewInTerm);
     void listWorkers();
+    std::optional<std::set<std::string>> namedServices() const;
     void storeProgress();
     void storeWorkers();
     void storeInterference();
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -1,6 +1,7 @@
 // Workers: reading their list from the store, renewing their leases, sending orders.
 #include "daemon/dispatcher_service.h"
 
+#include "daemon/configuration_service.h"
 #include "kernel/log.h"
 #include "platform/documents.h"
 
@@ -31,7 +32,7 @@
             m_isListingWorkers = false;
             if (result.has_error())
                 return;
-            const WorkerList list = m_workerList.read(result.value());
+            const WorkerList list = m_workerList.read(result.value(), namedServices());
             for (const RefusedEntry& entry : list.newlyRefused) {
                 m_runtime.metrics
                     .counter(
@@ -52,6 +53,21 @@
         });
 }
 
+// The services of the configuration, and those of open jobs whose queue has been removed.
+std::optional<std::set<std::string>> DispatcherService::namedServices() const
+{
+    if (!m_configuration->isLoaded())
+        return std::nullopt;
+    std::set<std::string> names;
+    for (const auto& [name, service] : m_configuration->current().services)
+        names.insert(name);
+    for (const scheduler::Queue& queue : m_configuration->current().queues)
+        names.insert(queue.policy.service);
+    for (const std::string& id : m_scheduler->active)
+        names.insert(m_scheduler->jobs.at(id)->policy.service);
+    return names;
+}
+
 void DispatcherService::renewDueLeases()
 {
     if (!m_isLoaded)
--- a/src/daemon/worker_list.cpp
+++ b/src/daemon/worker_list.cpp
@@ -5,7 +5,7 @@
 
 namespace lacewing::daemon {
 
-WorkerList WorkerListReader::read(const platform::ItemList& list)
+WorkerList WorkerListReader::read(const platform::ItemList& list, const std::optional<std::set<std::string>>& services)
 {
     WorkerList result;
     result.entries.reserve(list.items.size());
@@ -13,12 +13,15 @@
     for (const platform::Item& item : list.items) {
         const std::string id = item.key.substr(platform::workersPrefix.size());
         const auto& decoded = m_cache.decode(id, item.value);
-        if (decoded.has_value()) {
+        const bool isOfNamedService
+            = decoded.has_value() && (!services || services->count(decoded.value().service) > 0);
+        if (isOfNamedService) {
             result.entries.push_back(decoded.value());
             continue;
         }
         ++result.refused;
-        const std::string reason = decoded.error();
+        const std::string reason
+            = decoded.has_error() ? decoded.error() : std::string("the configuration does not name its service");
         const auto known = m_reported.find(id);
         const bool isNew = known == m_reported.end() || known->second != reason;
         if (isNew && result.newlyRefused.size() >= maxReports)
--- a/src/daemon/worker_list.h
+++ b/src/daemon/worker_list.h
@@ -7,6 +7,8 @@
 #include "platform/worker_entry.h"
 
 #include <cstdint>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,7 +33,9 @@
     // cannot crowd out the other lines of the log.
     static constexpr std::size_t maxReports = 20;
 
-    WorkerList read(const platform::ItemList& list);
+    // An entry of a service that is not among `services` is refused; without a configuration (nullopt) the services are
+    // not known yet.
+    WorkerList read(const platform::ItemList& list, const std::optional<std::set<std::string>>& services);
 
 private:
     platform::WorkerEntryCache m_cache;
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(textsOfAnotherTypeOrLengthAreRefused);
     CPPUNIT_TEST(deeplyNestedEntriesAreDecodedInTime);
     CPPUNIT_TEST(refusedEntriesAreReportedOnce);
+    CPPUNIT_TEST(entriesOfUnnamedServicesAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -173,35 +174,49 @@
         put("w1", text(validEntry()));
         put("odd", "{");
         daemon::WorkerListReader reader;
-        const auto first = reader.read(list);
+        const auto first = reader.read(list, std::nullopt);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.entries.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.newlyRefused.size());
         CPPUNIT_ASSERT(first.newlyRefused[0].id == "odd" && first.newlyRefused[0].revision == 2);
         CPPUNIT_ASSERT(!first.newlyRefused[0].reason.empty());
         for (int i = 0; i < 5; ++i) {
             list.items[1].value = "{" + QByteArray::number(i); // written again and again
-            const auto next = reader.read(list);
+            const auto next = reader.read(list, std::nullopt);
             CPPUNIT_ASSERT(next.newlyRefused.empty() && next.refused == 1 && next.entries.size() == 1);
         }
         QJsonObject stopped = validEntry();
         stopped["state"] = "stopped";
         list.items[1].value = text(stopped);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), reader.read(list).newlyRefused.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), reader.read(list, std::nullopt).newlyRefused.size());
         list.items[1].value = text(validEntry());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), reader.read(list).entries.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), reader.read(list, std::nullopt).entries.size());
         list.items[1].value = text(stopped);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), reader.read(list).newlyRefused.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), reader.read(list, std::nullopt).newlyRefused.size());
         for (int i = 0; i < 50; ++i)
             put("more" + std::to_string(i), "7");
         std::size_t reported = 0;
         for (int i = 0; i < 4; ++i) {
-            const auto next = reader.read(list);
+            const auto next = reader.read(list, std::nullopt);
             CPPUNIT_ASSERT_EQUAL(std::size_t(51), next.refused);
             CPPUNIT_ASSERT(next.newlyRefused.size() <= daemon::WorkerListReader::maxReports);
             reported += next.newlyRefused.size();
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(50), reported);
     }
+
+    // Guards against calling, and waiting for, workers that no queue can use.
+    void entriesOfUnnamedServicesAreRefused()
+    {
+        ItemList list;
+        list.items.push_back({ workersPrefix + "w1", text(validEntry()), 1, 1, false });
+        daemon::WorkerListReader reader;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), reader.read(list, std::nullopt).entries.size());
+        const auto other = reader.read(list, std::set<std::string> { "other" });
+        CPPUNIT_ASSERT(other.entries.empty() && other.refused == 1 && other.newlyRefused.size() == 1);
+        CPPUNIT_ASSERT(reader.read(list, std::set<std::string> { "other" }).newlyRefused.empty());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t(1), reader.read(list, std::set<std::string> { "other", "pool" }).entries.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntriesTest);
