Leave unreadable items out of lists and watches

One row that cannot be read spoilt the rows beside it. A key with bytes that are no UTF-8 made QJsonDocument refuse the whole list, as long as the key existed. Base64 that is none was decoded to other bytes, and a revision of another type became 0. An answer of a watch without `at` was applied and asked for again at once.

Rows need a key under the prefix, a whole revision above 0 and base64 text, if there is a value; the others are left out, counted (lacewing_store_malformed_items) and named every 10 s at most. Bytes that are no UTF-8 are replaced and the answer parsed again. A list or watch without a valid `at`, or with rows of another type, is malformed, which all callers retry after a delay; absent rows are no rows.

--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -319,6 +319,8 @@
     gauge("lacewing_store_watches", "Watch calls since the start.", static_cast<double>(store.watches));
     gauge("lacewing_store_writes", "Transactions since the start.", static_cast<double>(store.writes));
     gauge("lacewing_store_failures", "Calls to the store that failed.", static_cast<double>(store.failures));
+    gauge("lacewing_store_malformed_items", "Items of lists and watches that could not be read.",
+        static_cast<double>(store.malformedItems));
     gauge("lacewing_log_lines_written", "Log lines written.", static_cast<double>(kernel::logCounters().written));
     gauge("lacewing_log_lines_dropped", "Log lines dropped over a bound.",
         static_cast<double>(kernel::logCounters().dropped));
--- a/src/daemon/runtime.cpp
+++ b/src/daemon/runtime.cpp
@@ -10,6 +10,9 @@
     // ms; a store that has been failing for less counts as reachable: single lost answers are common.
     constexpr scheduler::Millis storeFailingMs = 800;
 
+    // ms between two lines about items that cannot be read; each list repeats them, and the counter has them all.
+    constexpr scheduler::Millis malformedItemLogMs = 10000;
+
     platform::StoreSettings toStoreSettings(const Settings& settings)
     {
         platform::StoreSettings store;
@@ -28,6 +31,14 @@
         kernel::logEvent(isReachable ? kernel::LogLevel::Info : kernel::LogLevel::Warning, "store",
             isReachable ? "dependencyRegained" : "dependencyLost", { { "dependency", "store" }, { "detail", detail } });
     });
+    store->onMalformedItem([this, loggedAt = scheduler::Millis(0)](const std::string& key) mutable {
+        const scheduler::Millis now = nowMs();
+        if (loggedAt > 0 && now - loggedAt < malformedItemLogMs)
+            return;
+        loggedAt = now;
+        kernel::logEvent(kernel::LogLevel::Warning, "store", "itemRefused",
+            { { "key", key }, { "refused", static_cast<std::int64_t>(store->counters().malformedItems) } });
+    });
 }
 
 scheduler::Millis nowMs() { return base::toMilliseconds(base::monotonicNow().time_since_epoch()); }
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -4,6 +4,7 @@
 #include "daemon/worker_list.h"
 #include "http_support.h"
 #include "platform/documents.h"
+#include "platform/store.h"
 #include "platform/worker_entry.h"
 
 #include <QJsonArray>
@@ -51,6 +52,46 @@
     return field + (": " + QJsonDocument(QJsonArray { value }).toJson(QJsonDocument::Compact)).toStdString();
 }
 
+QByteArray answer(const QByteArray& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+}
+
+// Rows of a list or watch of `servers/`: `servers/a` and `servers/b` around items that cannot be read.
+const QByteArray oddRows = R"({"key":"servers/a","value":"YQ==","revision":5,"created":5,"lease":0},
+         {"value":"YQ==","revision":6}, {"key":7,"value":"YQ==","revision":6}, {"key":"","value":"YQ==","revision":6},
+         {"key":"s","value":"YQ==","revision":6}, {"key":"status/x","value":"YQ==","revision":6},
+         {"key":"servers/c","value":"@@@@","revision":6}, {"key":"servers/d","value":"YQ=","revision":6},
+         {"key":"servers/e","value":7,"revision":6}, {"key":"servers/f","value":null,"revision":6},
+         {"key":"servers/g","value":"YQ==","revision":"6"}, {"key":"servers/h","value":"YQ==","revision":1e300},
+         {"key":"servers/i","value":"YQ==","revision":-6}, {"key":"servers/j","value":"YQ=="},
+         {"key":"servers/k","value":"YQ==","revision":6.5}, 7, [], null, "servers/l",
+         {"key":"servers/b","value":"Yg==","revision":7,"created":7,"lease":0})";
+constexpr std::uint64_t oddRowCount = 18;
+
+struct ListAnswer {
+    std::optional<base::Result<ItemList, StoreError>> result;
+
+    StoreCallback<ItemList> callback()
+    {
+        return [this](base::Result<ItemList, StoreError> value) { result.emplace(std::move(value)); };
+    }
+    std::string keys() const
+    {
+        std::string text;
+        for (const Item& item : result->value().items)
+            text += item.key + (item.isDeleted ? "- " : " ");
+        return text;
+    }
+};
+
+StoreSettings settingsFor(const RawEndpoint& endpoint)
+{
+    StoreSettings settings;
+    settings.address = "127.0.0.1:" + QString::number(endpoint.port);
+    return settings;
+}
+
 class OddEntriesTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(OddEntriesTest);
     CPPUNIT_TEST(addressesThatNoWorkerCanHaveAreRefused);
@@ -58,6 +99,9 @@
     CPPUNIT_TEST(numbersOutOfRangeAreRefused);
     CPPUNIT_TEST(textsOfAnotherTypeOrLengthAreRefused);
     CPPUNIT_TEST(deeplyNestedEntriesAreDecodedInTime);
+    CPPUNIT_TEST(listsSkipItemsThatCannotBeRead);
+    CPPUNIT_TEST(listsWithInvalidCharactersAreRead);
+    CPPUNIT_TEST(watchesSkipItemsThatCannotBeRead);
     CPPUNIT_TEST(refusedEntriesAreReportedOnce);
     CPPUNIT_TEST(entriesOfUnnamedServicesAreRefused);
     CPPUNIT_TEST_SUITE_END();
@@ -163,6 +207,65 @@
         }
     }
 
+    // Guards against a list that fails, or a daemon that ends, because of one item; the caller cuts the prefix off
+    // keys.
+    void listsSkipItemsThatCannotBeRead()
+    {
+        RawEndpoint endpoint([](QTcpSocket& socket, const QByteArray&) {
+            socket.write(answer("{\"items\":[" + oddRows + "],\"has_more\":false,\"at\":9}"));
+        });
+        Store store(settingsFor(endpoint));
+        ListAnswer list;
+        store.list(workersPrefix, Freshness::Linearizable, list.callback());
+        CPPUNIT_ASSERT(waitUntil([&] { return list.result.has_value(); }));
+        CPPUNIT_ASSERT(list.result->has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("servers/a servers/b "), list.keys());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), list.result->value().revision);
+        CPPUNIT_ASSERT(list.result->value().items.at(1).value == "b");
+        CPPUNIT_ASSERT_EQUAL(oddRowCount, store.counters().malformedItems);
+    }
+
+    // Guards against a list that is lost because one key holds bytes that are no text.
+    void listsWithInvalidCharactersAreRead()
+    {
+        RawEndpoint endpoint([](QTcpSocket& socket, const QByteArray&) {
+            socket.write(answer("{\"items\":[{\"key\":\"servers/a\",\"value\":\"YQ==\",\"revision\":5},"
+                                "{\"key\":\"servers/\xff\xfe\",\"value\":\"YQ==\",\"revision\":6},"
+                                "{\"key\":\"servers/b\",\"value\":\"YQ==\",\"revision\":7}],\"at\":9}"));
+        });
+        Store store(settingsFor(endpoint));
+        ListAnswer list;
+        store.list(workersPrefix, Freshness::Linearizable, list.callback());
+        CPPUNIT_ASSERT(waitUntil([&] { return list.result.has_value(); }));
+        CPPUNIT_ASSERT(list.result->has_value());
+        const std::vector<Item>& items = list.result->value().items;
+        CPPUNIT_ASSERT(items.front().key == "servers/a" && items.back().key == "servers/b");
+    }
+
+    // Guards against a watch that stops at one event or asks for it for ever.
+    void watchesSkipItemsThatCannotBeRead()
+    {
+        QByteArray body
+            = "{\"events\":[" + oddRows + ",{\"key\":\"servers/a\",\"revision\":8,\"tombstone\":true}],\"at\":9}";
+        RawEndpoint endpoint([&body](QTcpSocket& socket, const QByteArray&) { socket.write(answer(body)); });
+        Store store(settingsFor(endpoint));
+        const auto watch = [&] {
+            ListAnswer list;
+            store.watch("test", workersPrefix, 4, 100, list.callback());
+            CPPUNIT_ASSERT(waitUntil([&] { return list.result.has_value(); }));
+            return list;
+        };
+        const ListAnswer list = watch();
+        CPPUNIT_ASSERT(list.result->has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("servers/a servers/b servers/a- "), list.keys());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), list.result->value().revision);
+        for (const char* odd : { "{}", R"({"events":[]})", R"({"events":[],"at":"9"})", R"({"events":[],"at":1e300})",
+                 R"({"events":[],"at":-9})", R"({"events":7,"at":9})" }) {
+            body = odd;
+            CPPUNIT_ASSERT_MESSAGE(odd, watch().result->has_error());
+        }
+    }
+
     // Guards against a log that fills with the same refusals at each list.
     void refusedEntriesAreReportedOnce()
     {
