End a list whose pages do not advance

The next page was asked for after the key of the last item, whatever that was. With an empty key the first page was read again, and with the key of the page before the same page, for ever, with the items of each page added in memory; the caller never had its list.

--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(deeplyNestedEntriesAreDecodedInTime);
     CPPUNIT_TEST(listsSkipItemsThatCannotBeRead);
     CPPUNIT_TEST(listsWithInvalidCharactersAreRead);
+    CPPUNIT_TEST(listsWhosePagesDoNotAdvanceEnd);
     CPPUNIT_TEST(watchesSkipItemsThatCannotBeRead);
     CPPUNIT_TEST(refusedEntriesAreReportedOnce);
     CPPUNIT_TEST(entriesOfUnnamedServicesAreRefused);
@@ -242,6 +243,24 @@
         CPPUNIT_ASSERT(items.front().key == "servers/a" && items.back().key == "servers/b");
     }
 
+    // Guards against reading the first page again and again, with memory that grows by each page.
+    void listsWhosePagesDoNotAdvanceEnd()
+    {
+        for (const QByteArray& row : { QByteArray(R"({"key":"servers/a","value":"YQ==","revision":5})"),
+                 QByteArray(R"({"key":"servers/a","value":"YQ==","revision":5},{"value":"YQ==","revision":6})") }) {
+            RawEndpoint endpoint([&row](QTcpSocket& socket, const QByteArray&) {
+                socket.write(answer("{\"items\":[" + row + "],\"has_more\":true,\"at\":9}"));
+            });
+            Store store(settingsFor(endpoint));
+            ListAnswer list;
+            store.list(workersPrefix, Freshness::Linearizable, list.callback());
+            CPPUNIT_ASSERT(waitUntil([&] { return list.result.has_value() || endpoint.requests > 50; }));
+            CPPUNIT_ASSERT(list.result.has_value() && list.result->has_error());
+            CPPUNIT_ASSERT(list.result->error().code == StoreCode::Malformed);
+            CPPUNIT_ASSERT_EQUAL(2, endpoint.requests);
+        }
+    }
+
     // Guards against a watch that stops at one event or asks for it for ever.
     void watchesSkipItemsThatCannotBeRead()
     {
