--- a/tests/platform_worker_link_test.cpp
+++ b/tests/platform_worker_link_test.cpp
@@ -62,6 +62,8 @@
     CPPUNIT_TEST(stopNamesTaskAndRun);
     CPPUNIT_TEST(renewalCarriesLeaseAndWait);
     CPPUNIT_TEST(reportIsDecoded);
+    CPPUNIT_TEST(reportsOutOfRangeAreRefused);
+    CPPUNIT_TEST(roughFiguresOfAReportAreClamped);
     CPPUNIT_TEST(refusalsAreDecoded);
     CPPUNIT_TEST(ordersQueuedBehindASilentWorkerAreNotUnsent);
     CPPUNIT_TEST_SUITE_END();
@@ -182,6 +184,59 @@
         CPPUNIT_ASSERT(renew(worker, {}, 0).error() == LinkError::Refused);
     }
 
+    // Guards against run numbers, clocks and end numbers that overflow, or hide later ends, when a process that is no
+    // worker answers in its place.
+    void reportsOutOfRangeAreRefused()
+    {
+        Worker worker;
+        const auto isRefused = [&worker](const QByteArray& body) {
+            worker.answer = body;
+            const auto result = renew(worker, {}, 0);
+            return result.has_error() && result.error() == LinkError::Refused;
+        };
+        const auto report = [](const QByteArray& clock, const QByteArray& born, const QByteArray& running,
+                                const QByteArray& finished) {
+            return R"({"clock_ms":)" + clock + R"(,"born":)" + born + R"(,"running":[)" + running + R"(],"finished":[)"
+                + finished + "]}";
+        };
+        CPPUNIT_ASSERT(!isRefused(report("5", "42", R"(["j.0.0.0",1,"",0])", R"([1,"j.0.0.1",1,"done",""])")));
+        for (const char* number : { "-1", "1e300", "9223372036854775807", "0.5", "\"5\"", "null", "[]" }) {
+            CPPUNIT_ASSERT_MESSAGE(number, isRefused(report(number, "42", "", "")));
+            CPPUNIT_ASSERT_MESSAGE(number, isRefused(report("5", number, "", "")));
+            const QByteArray text(number);
+            CPPUNIT_ASSERT_MESSAGE(number, isRefused(report("5", "42", R"(["j.0.0.0",)" + text + R"(,"",0])", "")));
+            CPPUNIT_ASSERT_MESSAGE(number, isRefused(report("5", "42", "", "[" + text + R"(,"j.0.0.1",1,"done",""])")));
+            CPPUNIT_ASSERT_MESSAGE(
+                number, isRefused(report("5", "42", "", R"([1,"j.0.0.1",)" + text + R"(,"done",""])")));
+        }
+        for (const char* run : { "2147483647", "2147483648", "0" })
+            CPPUNIT_ASSERT_MESSAGE(
+                run, isRefused(report("5", "42", R"(["j.0.0.0",)" + QByteArray(run) + R"(,"",0])", "")));
+        for (const char* row : { "7", "[]", R"([7,1,"",0])", R"({"task":"j.0.0.0"})", R"(["",1,"",0])" })
+            CPPUNIT_ASSERT_MESSAGE(row, isRefused(report("5", "42", row, "")));
+    }
+
+    // Guards against undefined conversions of figures that are rough by contract.
+    void roughFiguresOfAReportAreClamped()
+    {
+        Worker worker;
+        const auto first = [&worker](const QByteArray& percent, const QByteArray& reading) {
+            worker.answer
+                = R"({"clock_ms":5,"running":[["j.0.0.0",1,"",)" + percent + "," + reading + R"(]],"finished":[]})";
+            const auto result = renew(worker, {}, 0);
+            CPPUNIT_ASSERT(result.has_value());
+            return result.value().running.at(0);
+        };
+        CPPUNIT_ASSERT(first("50", "12.7").percent == 50 && first("50", "12.7").reading == 12);
+        CPPUNIT_ASSERT(first("1e300", "1e300").percent == 100);
+        CPPUNIT_ASSERT_EQUAL(1'000'000'000, first("1e300", "1e300").reading);
+        CPPUNIT_ASSERT(first("-5", "-1e300").percent == 0 && first("-5", "-1e300").reading == 0);
+        worker.answer = R"({"clock_ms":-9223372036854775808})";
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), start(worker, {}).clockMs);
+        worker.answer = R"({"clock_ms":9223372036854775807})";
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), start(worker, {}).clockMs);
+    }
+
     void refusalsAreDecoded()
     {
         Worker worker;
