--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -99,7 +99,10 @@
         CPPUNIT_ASSERT_EQUAL(std::string("t1"), approval->approved[0].ticket);
         CPPUNIT_ASSERT_EQUAL(scheduler::Millis(1500), approval->validMs);
         CPPUNIT_ASSERT(seen.startsWith("POST /advise"));
-        for (const char* other : { "{}", "[]", R"({"allowed":[[1,2]],"valid_ms":1})", R"({"allowed":[]})" }) {
+        for (const char* other : { "{}", "[]", R"({"allowed":[[1,2]],"valid_ms":1})", R"({"allowed":[]})",
+                 R"({"allowed":[["w1","t1"]],"valid_ms":9223372036854775807})",
+                 R"({"allowed":[["w1","t1"]],"valid_ms":-1})", R"({"allowed":[["w1","t1"]],"valid_ms":"1500"})",
+                 R"({"allowed":[["w1","t1"],7],"valid_ms":1500})" }) {
             reply = other;
             CPPUNIT_ASSERT(!ask().has_value());
         }
