Skip stored workers without id or address

The stored list of workers holds copies of what was listed. A row without id or address, also of another type, became a worker that no call can reach, and each new term waited for the longest lease until it was reconciled. Nothing can have been started on such a worker, so the row is skipped; the others hold.

storedWorkersWithoutIdOrAddressAreSkipped on: workers->size() == 2 fails; now it passes.

--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -336,6 +336,8 @@
             entry.labels.push_back(base::textOf(label));
         entry.capacity = { json["cpuMillicores"].toInt(), json["memoryMb"].toInt(), json["gpus"].toInt() };
         entry.incarnationUnixMs = json["bornUnixMs"].toInteger();
+        if (entry.id.empty() || entry.address.empty()) // no worker: nothing can have been started there
+            continue;
         entries.push_back(std::move(entry));
     }
     return entries;
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -6,6 +6,7 @@
 #include "platform/documents.h"
 #include "platform/store.h"
 #include "platform/worker_entry.h"
+#include "scheduler/record.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -103,6 +104,7 @@
     CPPUNIT_TEST(listsWithInvalidCharactersAreRead);
     CPPUNIT_TEST(listsWhosePagesDoNotAdvanceEnd);
     CPPUNIT_TEST(watchesSkipItemsThatCannotBeRead);
+    CPPUNIT_TEST(storedWorkersWithoutIdOrAddressAreSkipped);
     CPPUNIT_TEST(refusedEntriesAreReportedOnce);
     CPPUNIT_TEST(entriesOfUnnamedServicesAreRefused);
     CPPUNIT_TEST_SUITE_END();
@@ -285,6 +287,19 @@
         }
     }
 
+    // Guards against a new term that calls, and waits for, a remembered worker that no call can reach.
+    void storedWorkersWithoutIdOrAddressAreSkipped()
+    {
+        const QByteArray record = "["
+            + QByteArray(R"({"id":"i-1","address":"10.0.0.1:80"},7,null,[],{},{"id":"i-2"},)"
+                         R"({"address":"10.0.0.2:80"},{"id":7,"address":"10.0.0.2:80"},)"
+                         R"({"id":"i-3","address":""},{"id":"i-4","address":"10.0.0.4:80"})")
+            + "]";
+        const auto workers = scheduler::decodeWorkers(record);
+        CPPUNIT_ASSERT(workers && workers->size() == 2);
+        CPPUNIT_ASSERT(workers->at(0).id == "i-1" && workers->at(1).id == "i-4");
+    }
+
     // Guards against a log that fills with the same refusals at each list.
     void refusedEntriesAreReportedOnce()
     {
