Refuse jobs whose tasks do not fit into the memory of a daemon

One job of a caller could end every daemon, again and again: it is stored, so each new term loads it. A repeat_count of up to 2e9, and 1,000 steps of 10,000 tasks, were accepted, and addJob() creates the state of each task of each occurrence.

A job has at most 100,000 tasks and 10,000 steps over all its occurrences, so that its progress also fits into one value of the store; decodeJob() refuses others to the caller, and decodeAccepted() a record that an earlier version stored. start_at_ms and interval_ms are whole numbers up to 10^13, so that the start of the last occurrence does not overflow.

jobsTooLargeForTheMemoryAreRefused before the change: !isAccepted(many + R"(,{"count":1})") fails (with bounds twice as high, at which this line fails as well); now it passes.

--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -109,6 +109,16 @@
     setState(scheduler, job, JobState::Running, now);
 }
 
+bool isStorable(const JobRequest& request)
+{
+    std::int64_t tasks = 0; // of one occurrence
+    for (const Step& step : request.steps)
+        tasks += step.count;
+    const std::int64_t occurrences = std::max(1, request.repeatCount);
+    const auto steps = static_cast<std::int64_t>(request.steps.size());
+    return tasks * occurrences <= maxTasksPerJob && steps * occurrences <= maxStepsPerJob;
+}
+
 Job& addJob(Scheduler& scheduler, JobRequest request, QueuePolicy policy, std::int64_t acceptedUnixMs, Millis now)
 {
     auto& slot = scheduler.jobs[request.id];
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -216,6 +216,8 @@
     job.request.repeatCount = (*json)["repeatCount"].toInt();
     job.request.firstStartUnixMs = (*json)["firstStartUnixMs"].toInteger();
     job.request.intervalMs = (*json)["intervalMs"].toInteger();
+    if (!isStorable(job.request))
+        return std::nullopt;
     job.policy = policyFromJson((*json)["policy"].toObject());
     job.acceptedUnixMs = (*json)["acceptedUnixMs"].toInteger();
     return job;
--- a/tests/platform_documents_test.cpp
+++ b/tests/platform_documents_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(cachedEntriesEqualDecodedOnesForAnyBytes);
     CPPUNIT_TEST(everyFieldOfAJobIsDecodedAndStored);
     CPPUNIT_TEST(badJobsAreRefusedWithAReason);
+    CPPUNIT_TEST(jobsTooLargeForTheMemoryAreRefused);
     CPPUNIT_TEST(jobIdsAreSixteenHexadecimalDigits);
     CPPUNIT_TEST(progressSurvivesTheRecord);
     CPPUNIT_TEST(progressRecordsKeepTheirFormat);
@@ -128,6 +129,32 @@
         CPPUNIT_ASSERT(decodeJob("0123456789abcdef", longSpec).has_error());
     }
 
+    // Guards against one job that ends every daemon that takes the term, because its tasks need more memory than there
+    // is.
+    void jobsTooLargeForTheMemoryAreRefused()
+    {
+        const auto isAccepted = [](const QByteArray& steps, const QByteArray& rest = {}) {
+            return decodeJob("0123456789abcdef", R"({"spec":"s","steps":[)" + steps + "]" + rest + "}").has_value();
+        };
+        const QByteArray step = R"({"count":10000,"cpu":1})";
+        QByteArray many = step;
+        for (int i = 1; i < 10; ++i)
+            many += "," + step;
+        CPPUNIT_ASSERT(isAccepted(many));
+        CPPUNIT_ASSERT(!isAccepted(many + R"(,{"count":1})"));
+        CPPUNIT_ASSERT(!isAccepted(many, R"(,"repeat_count":2)"));
+        CPPUNIT_ASSERT(isAccepted(R"({"count":1})", R"(,"repeat_count":10000)"));
+        CPPUNIT_ASSERT(!isAccepted(R"({"count":1})", R"(,"repeat_count":10001)"));
+        CPPUNIT_ASSERT(!isAccepted(R"({"count":1})", R"(,"repeat_count":2000000000)"));
+        CPPUNIT_ASSERT(
+            !scheduler::decodeAccepted(R"({"id":"0123456789abcdef","steps":[{"count":1}],"repeatCount":2000000000})"));
+        for (const char* time : { "9223372036854775807", "-1", "1e300", "0.5", "\"5\"" }) {
+            for (const char* field : { "start_at_ms", "interval_ms" })
+                CPPUNIT_ASSERT_MESSAGE(
+                    time, !isAccepted(R"({"count":1})", R"(,"repeat_count":2,")" + QByteArray(field) + "\":" + time));
+        }
+    }
+
     // Guards against placing work by a stale cached entry after it was changed, removed, added again or overwritten.
     void changedEntriesAreDecodedAgain()
     {
