Keep a channel whose connection is refused at once in memory

QTcpSocket::connectToHost() reports some refusals before it returns: a closed port on loopback, port 0, which a port out of range is read as, an unreachable network. The callback of the request may destroy the channel then, as the interface allows; openSocket() went on with the destroyed state, and the state deleted the socket whose connectToHost() was on the stack. Which caller does so today was not traced.

openSocket() checks that the channel still exists, and a dropped socket has no parent until it is deleted later.

--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -107,8 +107,10 @@
         });
         QObject::connect(socket, &QTcpSocket::readyRead, this, [this] { onReadable(); });
         QObject::connect(socket, &QTcpSocket::errorOccurred, this, [this] { onError(); });
+        const QPointer<State> self(this); // a refusal may arrive here already, and its callback may destroy the channel
         socket->connectToHost(target.host, target.port);
-        armTimer();
+        if (self)
+            armTimer();
     }
 
     void dropSocket()
@@ -117,6 +119,7 @@
             return;
         socket->disconnect(this);
         socket->abort();
+        socket->setParent(nullptr); // it may be further up the stack when the channel is destroyed
         socket->deleteLater();
         socket = nullptr;
     }
--- a/tests/http_channel_test.cpp
+++ b/tests/http_channel_test.cpp
@@ -126,6 +126,7 @@
     CPPUNIT_TEST(requestsBehindExpiredOnesAreSent);
     CPPUNIT_TEST(steadyRequestsAreSentAfterAnExpiry);
     CPPUNIT_TEST(requestsFailInTimeWhileAnOldConnectionAttemptHangs);
+    CPPUNIT_TEST(channelsMayBeDestroyedWhenTheirConnectionIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
     static ChannelRequest post(int timeoutMs = 2000)
@@ -351,6 +352,23 @@
         CPPUNIT_ASSERT(waitUntil([&] { return failed == 2; }, 3000));
     }
 
+    // Guards against memory used after its release when the system refuses a connection at once (seen with sanitizers).
+    void channelsMayBeDestroyedWhenTheirConnectionIsRefused()
+    {
+        for (const char* address : { "127.0.0.1:1", "127.0.0.1:0", "127.0.0.1:70000", "255.255.255.255:80", "" }) {
+            ChannelCounters counters;
+            auto channel = std::make_unique<Channel>(address, ChannelLimits {}, &counters);
+            std::optional<ClientResult> result;
+            channel->send(post(3000), [&](ClientResult value) {
+                result = std::move(value);
+                channel.reset();
+            });
+            CPPUNIT_ASSERT_MESSAGE(address, waitUntil([&] { return result.has_value(); }));
+            CPPUNIT_ASSERT_MESSAGE(address, result->failure == Failure::ConnectFailed);
+            CPPUNIT_ASSERT_MESSAGE(address, result->bytesSent == BytesSent::None);
+        }
+    }
+
 private:
     static void answerFromSecondConnection(RawServer& server)
     {
