--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -5,8 +5,8 @@
 #include "daemon/load_watch.h"
 #include "daemon/runtime.h"
 #include "daemon/term_service.h"
+#include "daemon/worker_list.h"
 #include "platform/advice_link.h"
-#include "platform/documents.h"
 #include "platform/worker_link.h"
 #include "scheduler/order_window.h"
 #include "scheduler/scheduler.h"
@@ -16,6 +16,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace lacewing::daemon {
@@ -70,6 +72,7 @@
     void relistJobs();
     void applyAccepted(const platform::Item& item, bool isNewInTerm);
     void listWorkers();
+    std::optional<std::set<std::string>> namedServices() const;
     void storeProgress();
     void storeWorkers();
     // Stores the lease table when a worker waits for its first lease, and otherwise once in a period when it changes.
@@ -136,7 +139,7 @@
     QTimer m_tick;
     scheduler::Millis m_workersListedAt = 0;
     bool m_isListingWorkers = false;
-    platform::WorkerEntryCache m_workerEntries;
+    WorkerListReader m_workerList;
     scheduler::Millis m_interferenceStoredAt = 0;
     http::ChannelCounters m_traffic; // with workers and the advice service
     LoadWatch m_loadWatch;
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -1,6 +1,7 @@
 // Workers: reading their list from the store, renewing their leases, sending orders.
 #include "daemon/dispatcher_service.h"
 
+#include "daemon/configuration_service.h"
 #include "kernel/log.h"
 #include "platform/documents.h"
 
@@ -31,23 +32,42 @@
             m_isListingWorkers = false;
             if (result.has_error())
                 return;
-            std::vector<scheduler::WorkerEntry> entries;
-            for (const platform::Item& item : result.value().items) {
-                const std::string id = item.key.substr(platform::workersPrefix.size());
-                if (const auto& entry = m_workerEntries.decode(id, item.value))
-                    entries.push_back(*entry);
-                else
-                    kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "workerEntryRefused",
-                        { { "worker", id }, { "revision", item.revision } });
+            const WorkerList list = m_workerList.read(result.value(), namedServices());
+            for (const RefusedEntry& entry : list.newlyRefused) {
+                m_runtime.metrics
+                    .counter(
+                        "lacewing_worker_entries_refused_total", "Entries that name no worker to use, when first seen.")
+                    .value
+                    += 1;
+                kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "workerEntryRefused",
+                    { { "worker", entry.id }, { "revision", entry.revision }, { "reason", entry.reason } });
             }
-            m_workerEntries.evictUnlisted();
-            scheduler::setWorkers(*m_scheduler, entries, nowMs());
+            m_runtime.metrics
+                .gauge("lacewing_refused_worker_entries", "Entries of the newest list that name no worker to use.")
+                .value
+                = static_cast<double>(list.refused);
+            scheduler::setWorkers(*m_scheduler, list.entries, nowMs());
             storeWorkers();
             renewDueLeases();
             schedulePlan();
         });
 }
 
+// The services of the configuration, and those of open jobs whose queue has been removed.
+std::optional<std::set<std::string>> DispatcherService::namedServices() const
+{
+    if (!m_configuration->isLoaded())
+        return std::nullopt;
+    std::set<std::string> names;
+    for (const auto& [name, service] : m_configuration->current().services)
+        names.insert(name);
+    for (const scheduler::Queue& queue : m_configuration->current().queues)
+        names.insert(queue.policy.service);
+    for (const std::string& id : m_scheduler->active)
+        names.insert(m_scheduler->jobs.at(id)->policy.service);
+    return names;
+}
+
 void DispatcherService::renewDueLeases()
 {
     if (!m_isLoaded)
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -216,6 +216,8 @@
     job.request.repeatCount = (*json)["repeatCount"].toInt();
     job.request.firstStartUnixMs = (*json)["firstStartUnixMs"].toInteger();
     job.request.intervalMs = (*json)["intervalMs"].toInteger();
+    if (!isStorable(job.request))
+        return std::nullopt;
     job.policy = policyFromJson((*json)["policy"].toObject());
     job.acceptedUnixMs = (*json)["acceptedUnixMs"].toInteger();
     return job;
@@ -336,6 +338,8 @@
             entry.labels.push_back(base::textOf(label));
         entry.capacity = { json["cpuMillicores"].toInt(), json["memoryMb"].toInt(), json["gpus"].toInt() };
         entry.incarnationUnixMs = json["bornUnixMs"].toInteger();
+        if (entry.id.empty() || entry.address.empty()) // no worker: nothing can have been started there
+            continue;
         entries.push_back(std::move(entry));
     }
     return entries;
