Fuzz odd worker entries and reports

The documents target now decodes reports of workers, and checks that an accepted entry survives the stored list of workers.

--- a/fuzz/documents_fuzz.cpp
+++ b/fuzz/documents_fuzz.cpp
@@ -3,6 +3,7 @@
 #include "election/election.h"
 #include "platform/documents.h"
 #include "platform/worker_entry.h"
+#include "platform/worker_link.h"
 #include "scheduler/record.h"
 
 #include <cstdlib>
@@ -12,7 +13,13 @@
     using namespace lacewing;
     const QByteArray input(reinterpret_cast<const char*>(data), static_cast<qsizetype>(size));
     (void)platform::decodeConfiguration(input);
-    (void)platform::decodeWorker("worker", input);
+    if (const auto worker = platform::decodeWorker("worker", input); worker.has_value()) {
+        const auto stored = scheduler::decodeWorkers(scheduler::encodeWorkers({ worker.value() }));
+        if (!stored || stored->size() != 1 || stored->at(0).address != worker.value().address
+            || stored->at(0).labels != worker.value().labels)
+            std::abort();
+    }
+    (void)platform::decodeReport(input);
     const auto request = platform::decodeJob("0123456789abcdef", input);
     if (request.has_value()) {
         const auto stored = scheduler::decodeAccepted(scheduler::encodeAccepted({ request.value(), {}, 1 }));
