--- a/src/daemon/recovery_watch.cpp
+++ b/src/daemon/recovery_watch.cpp
@@ -35,9 +35,10 @@
     return reachedAt > 0 ? reachedAt - phases.begunAt : -1;
 }
 
-void recordTermBegun(TermPhases& phases, base::Metrics& metrics, scheduler::Millis now)
+void recordTermBegun(TermPhases& phases, base::Metrics& metrics, std::int64_t token, scheduler::Millis now)
 {
     phases = {};
+    phases.token = token;
     phases.begunAt = now;
     ++metrics.counter("lacewing_terms_begun_total", "Terms of this daemon.").value;
 }
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -150,7 +150,7 @@
         { { "token", token() }, { "processorPercent", static_cast<std::int64_t>(100 * m_election.processorShare) },
             { "afterLostAnswer", isAfterLostAnswer } });
     m_resignation.clear();
-    recordTermBegun(m_phases, m_runtime.metrics, nowMs());
+    recordTermBegun(m_phases, m_runtime.metrics, token(), nowMs());
     m_onElected();
 }
 
@@ -178,7 +178,7 @@
 void TermService::endTerm(const std::string& reason)
 {
     kernel::logEvent(kernel::LogLevel::Warning, "term", "termEnded",
-        { { "reason", reason }, { "token", token() }, { "revision", m_election.revision },
+        { { "reason", reason }, { "token", m_phases.token }, { "revision", m_election.revision },
             { "renewedMsAgo", nowMs() - m_election.renewSentAt }, { "lastedMs", nowMs() - m_phases.begunAt },
             { "loadedMs", phaseMs(m_phases, m_phases.loadedAt) },
             { "accountedMs", phaseMs(m_phases, m_phases.accountedAt) },
