Grant leases of 6 s at most, also where workers allow longer ones

The lease that is granted has a bound of its own. A term whose history is unknown still waits for the longest lease that the platform allows.

longLeasesDoNotKeepTasksOfSilentWorkersDown failed before and passes; 321 tests pass.

--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -48,7 +48,10 @@
 // --- Limits ---
 
 struct Limits {
-    Millis maxLeaseMs = 6000;      // longest lease of a worker (platform limit)
+    Millis maxLeaseMs = 6000; // longest lease of a worker (platform limit)
+    // Longest lease that is granted: with callDelayMs, clock rate and a plan below the 9000 ms after which the platform
+    // counts a lasting task of a silent worker as lost.
+    Millis grantedLeaseMs = 6000;
     Millis stopTimeoutMs = 900;    // longest time that a worker takes to stop a task (platform limit)
     double workerClockRate = 0.98; // slowest worker clock relative to this daemon's (platform limit)
     Millis callDelayMs = 400;      // longest time that a call of an earlier term is in flight (time-out of an order)
@@ -400,6 +403,8 @@
 
 std::string taskName(const std::string& job, int occurrence, int step, int index);
 
+// Length of the leases that this term grants.
+Millis leaseLengthMs(const Limits& limits);
 std::optional<TaskRef> findTask(Scheduler& scheduler, const std::string& name);
 bool hasLabel(const WorkerEntry& entry, const std::string& label);
 // Number of accepted jobs without a started task, by queue; queues without such jobs are left out.
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -21,11 +21,13 @@
     // ms after leaving the list until a worker that is out of contact, and whose lease has expired, is removed.
     constexpr Millis unlistedRemovalDelayMs = 2000;
 
-    // Time from the last renewal of a lease until it is over, for calls in flight and on the slowest clock.
+    // Time from the last renewal of a lease until it is over, for calls in flight and on the slowest clock. Terms of
+    // unknown history may have granted the longest lease.
     Millis longestLeaseMs(const Scheduler& scheduler)
     {
-        const double longest = static_cast<double>(scheduler.limits.maxLeaseMs) / scheduler.limits.workerClockRate;
-        return scheduler.limits.callDelayMs + static_cast<Millis>(longest);
+        const Limits& limits = scheduler.limits;
+        const Millis lengthMs = scheduler.history.isKnown ? leaseLengthMs(limits) : limits.maxLeaseMs;
+        return limits.callDelayMs + static_cast<Millis>(static_cast<double>(lengthMs) / limits.workerClockRate);
     }
 
     // Latest end of a lease that an earlier term granted to the worker; 0: it holds none.
@@ -309,12 +311,14 @@
     // each attempt would extend the lease that has to expire.
     if (worker.clockReadAt > 0 && worker.contact != Contact::Lost && worker.isLeaseGranted) {
         worker.renewedAt = now;
-        request.expiresClockMs = latestClock(worker, now) + scheduler.limits.maxLeaseMs;
+        request.expiresClockMs = latestClock(worker, now) + leaseLengthMs(scheduler.limits);
         worker.leaseEndClockMs = std::max(worker.leaseEndClockMs, request.expiresClockMs);
     }
     return request;
 }
 
+Millis leaseLengthMs(const Limits& limits) { return std::min(limits.maxLeaseMs, limits.grantedLeaseMs); }
+
 bool hasUngrantedWorkers(const Scheduler& scheduler)
 {
     return std::any_of(scheduler.workers.begin(), scheduler.workers.end(),
--- a/tests/scheduler_recovery_test.cpp
+++ b/tests/scheduler_recovery_test.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(workersThatNeverAnsweredDoNotDelayATerm);
     CPPUNIT_TEST(workersLostAfterTheirReportDoNotDelayATerm);
     CPPUNIT_TEST(downTimeDoesNotGrowWithTheDeployment);
+    CPPUNIT_TEST(longLeasesDoNotKeepTasksOfSilentWorkersDown);
     CPPUNIT_TEST(noWorkerGetsALeaseBeforeTheTableGrantsIt);
     CPPUNIT_TEST(releasedWorkersGetNoLeaseUntilTheyAreGrantedAgain);
     CPPUNIT_TEST(leasesOfATermEndWithTheNextOne);
@@ -162,6 +163,25 @@
         }
     }
 
+    // Guards against tasks of a worker that is gone for good that stay down until a lease of the platform's longest
+    // length is over.
+    void longLeasesDoNotKeepTasksOfSilentWorkersDown()
+    {
+        World world(1, 8);
+        world.limits.maxLeaseMs = 10000;
+        world.replaceTerm();
+        world.submit("job", { lastingStep(8, 3000, "image") });
+        DownTimes times(world);
+        times.run(1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), times.known());
+        world.restartWorker(0);
+        world.worker(0).unreachableUntil = world.now() + 1000000;
+        times.run(20000);
+        CPPUNIT_ASSERT_MESSAGE("down for " + std::to_string(times.longest()) + " ms", times.longest() <= maxDownMs);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), times.down());
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
     // Guards against a start that a new term does not know to wait for.
     void noWorkerGetsALeaseBeforeTheTableGrantsIt()
     {
