Check the lease table in the model

The model of runs has the table: a term waits only for granted workers, and starts go only to them. The protocol has no counterexample; the new variant NO_GRANT_BEFORE_START has one, as the seven others.

--- a/model/runs.pml
+++ b/model/runs.pml
@@ -25,6 +25,7 @@
 byte placedWorker = NONE;       /* placements of the resigned term: worker with a run or an unstored end; NONE: no worker */
 bool hasPlacements = false;
 bool doneStored = false;
+bool granted[WORKERS];          /* lease table: the worker may hold a lease */
 
 /* --- Workers --- */
 byte fence[WORKERS];
@@ -47,7 +48,7 @@
 byte runNo[DAEMONS];
 byte ownTerm[DAEMONS];          /* 0: not the leader */
 bool isTermValid[DAEMONS];      /* validUntil is in the future: the daemon may act as leader */
-/* For each daemon and worker: the worker reported in this term, or its lease of an earlier term expired. */
+/* For each daemon and worker: the worker reported in this term, or it holds no lease of an earlier term any more. */
 bool accounted[WORKERS * DAEMONS];
 byte possibleWorker[DAEMONS];   /* the only worker that may have the task; NONE: any */
 bool endUnstored[DAEMONS];      /* an end was reported and is not stored yet */
@@ -73,6 +74,11 @@
 #define IS_PAST_DEADLINE(d) (!(startTo[0] == runWorker[d] + 1 && startTerm[0] == ownTerm[d]) && \
     !(startTo[1] == runWorker[d] + 1 && startTerm[1] == ownTerm[d]))
 #endif
+#ifdef NO_GRANT_BEFORE_START
+#define IS_GRANTED(w) true
+#else
+#define IS_GRANTED(w) granted[w]
+#endif
 #ifdef NO_STORE_BEFORE_ACKNOWLEDGE
 #define MAY_ACKNOWLEDGE true
 #else
@@ -88,12 +94,24 @@
     ACC(d, 0) = false; ACC(d, 1) = false; possibleWorker[d] = NONE; endUnstored[d] = false; isResigning[d] = false
 }
 
+inline resolveUnknown(d) {
+    if
+    :: phase[d] == unknown && (possibleWorker[d] == NONE -> (ACC(d, 0) && ACC(d, 1)) : ACC(d, possibleWorker[d])) ->
+        phase[d] = waiting
+#ifdef NO_ACCOUNT
+    :: phase[d] == unknown -> phase[d] = waiting
+#endif
+    :: else -> skip
+    fi
+}
+
 /* Takeover, possible once the former leader may no longer act: it resigned, or (assumption, validityMs < takeoverMs) the
  * validity of its term has expired. */
 inline takeOver(d) {
     resetDaemon(d);
     term++;
     ownTerm[d] = term; isTermValid[d] = true;
+    ACC(d, 0) = !granted[0]; ACC(d, 1) = !granted[1];
     runNo[d] = (highestEndedRun[0] > highestEndedRun[1] -> highestEndedRun[0] : highestEndedRun[1]);
     if
     :: doneStored -> phase[d] = done
@@ -104,7 +122,8 @@
         :: else -> skip
         fi
     fi;
-    leader = d; resigned = false; hasPlacements = false; placedWorker = NONE
+    leader = d; resigned = false; hasPlacements = false; placedWorker = NONE;
+    resolveUnknown(d)
 }
 
 /* The worker's report to a leader whose token is not fenced: raises the fence and lists the run or its end. */
@@ -129,17 +148,6 @@
     fi
 }
 
-inline resolveUnknown(d) {
-    if
-    :: phase[d] == unknown && (possibleWorker[d] == NONE -> (ACC(d, 0) && ACC(d, 1)) : ACC(d, possibleWorker[d])) ->
-        phase[d] = waiting
-#ifdef NO_ACCOUNT
-    :: phase[d] == unknown -> phase[d] = waiting
-#endif
-    :: else -> skip
-    fi
-}
-
 proctype daemon(byte d) {
     byte w; byte s;
     do
@@ -170,11 +178,14 @@
         if :: startTo[0] == 1 && startTerm[0] != ownTerm[d] -> startTo[0] = 0 :: else -> skip fi;
         if :: startTo[1] == 1 && startTerm[1] != ownTerm[d] -> startTo[1] = 0 :: else -> skip fi;
         resolveUnknown(d) }
+    /* The lease table is stored before the first lease or start, in a transaction on the condition of the term record. */
+    :: atomic { leads(d) && isTermValid[d] && leader == d && term == ownTerm[d] && !resigned && !isResigning[d] ->
+        if :: w = 0 :: w = 1 fi; granted[w] = true }
     /* --- Start --- */
     :: atomic { leads(d) && phase[d] == waiting && runNo[d] < MAXRUN && (startTo[0] == 0 || startTo[1] == 0) &&
             MAY_START(d) -> if :: w = 0 :: w = 1 fi;
         if
-        :: ACC(d, w) ->
+        :: ACC(d, w) && IS_GRANTED(w) ->
             runNo[d]++;
             s = (startTo[0] == 0 -> 0 : 1);
             startTo[s] = w + 1; startRun[s] = runNo[d]; startTerm[s] = ownTerm[d];
