Count a former term from the end of its leader's right to act

A reply says now whether its sender has the right to act. Once that has lapsed, only a renewal in the store restores it, and the take-over is conditional on the record without that renewal; so the former term ended validityMs after the last reply of an acting leader, or after the last change of the record.

--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -112,7 +112,7 @@
         }
         if (!hasNoContact)
             return std::nullopt;
-        return Vacancy { std::max(election.changedAt, election.lastContactAt) + limits.takeoverMs, delay, regainDelay };
+        return Vacancy { std::max(election.changedAt, election.leaderActedAt) + limits.takeoverMs, delay, regainDelay };
     }
 
     // Waits for the strongest daemons first, and only while the store is known to answer.
@@ -154,10 +154,11 @@
 
 namespace {
 
-    // The former leader acts neither longer after a renewal nor longer after an acknowledgement of this daemon.
+    // The former leader acts no longer after a renewal or after an acknowledgement of this daemon. Once its right to
+    // act has lapsed, only another renewal would have restored it.
     Millis formerTermEnd(const Election& election)
     {
-        return std::max(election.changedAt, election.lastContactAt) + election.limits.validityMs;
+        return std::max(election.changedAt, election.leaderActedAt) + election.limits.validityMs;
     }
 
 } // namespace
@@ -249,8 +250,11 @@
     election.isRecordKnown = true;
 }
 
-void observeContact(Election& election, std::int64_t revision, const std::set<std::string>& members, Millis now)
+void observeContact(
+    Election& election, std::int64_t revision, const std::set<std::string>& members, bool isActing, Millis now)
 {
+    if (isActing)
+        election.leaderActedAt = now;
     election.members = members;
     election.lastContactAt = now;
     election.vacantFrom = 0;
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -133,6 +133,7 @@
     bool isStoreFailing = false;
     // --- Follower ---
     Millis lastContactAt = 0;      // last reply of the leader
+    Millis leaderActedAt = 0;      // last reply of a leader that had the right to act
     std::set<std::string> members; // daemons known to this or earlier leaders; each may take over
     double largestShare = 0;       // of the record or the leader's last reply
     Millis vacantFrom = 0;   // start of the vacancy after the leader's process has stopped leading; 0: it may lead
@@ -167,8 +168,9 @@
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
 // A read has shown this record: true when it is this daemon's take-over, whose answer was lost; it leads now.
 bool applyRead(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
-// The leader reported its revision and the daemons that it knows in a message.
-void observeContact(Election& election, std::int64_t revision, const std::set<std::string>& members, Millis now);
+// The leader reported its revision and the daemons that it knows in a message, and whether it has the right to act.
+void observeContact(
+    Election& election, std::int64_t revision, const std::set<std::string>& members, bool isActing, Millis now);
 // Daemons from which the leader received a message within peerTimeoutMs, or that earlier leaders knew; itself included.
 std::set<std::string> knownMembers(const Election& election, Millis now);
 // Cores of the strongest daemon that may succeed this one. Until it has heard from each of them, at least the value of
