Tell when the right to act lapsed, so that an outage of the store counts towards the leases

A leader whose right to act has lapsed tells in its replies since when. The next leader counts the former term from then, if the record still has the revision of that reply; any renewal in between would have changed it.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -172,9 +172,8 @@
     }
     const scheduler::Millis now = nowMs();
     m_lastReplyNumber = reply["number"].toInteger();
-    // Without the key, the leader is of a version that does not tell.
     election::observeContact(
-        state, reply["revision"].toInteger(), m_memberCopy.names(), reply["isActing"].toBool(true), now);
+        state, reply["revision"].toInteger(), m_memberCopy.names(), reply["lapsedMs"].toInteger(), now);
     if (!m_hasContact)
         kernel::logEvent(kernel::LogLevel::Notice, "sync", "dependencyRegained",
             { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
@@ -252,7 +251,7 @@
     reply["number"] = static_cast<qint64>(last.number);
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
-    reply["isActing"] = election::validUntil(state, now) > now;
+    reply["lapsedMs"] = static_cast<qint64>(election::lapsedFor(state, now));
     reply["largestShare"] = election::largestKnownShare(state, now);
     updateMembers(daemon, request, now);
     const QByteArray members = m_memberList.encodeFor(decodeVersion(request["membersHave"]));
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -154,10 +154,12 @@
 
 namespace {
 
-    // The former leader acts no longer after a renewal or after an acknowledgement of this daemon. Once its right to
-    // act has lapsed, only another renewal would have restored it.
+    // When the former leader had stopped acting at the latest. Once its right to act has lapsed, only another renewal,
+    // which changes the revision, restores it.
     Millis formerTermEnd(const Election& election)
     {
+        if (election.leaderLapsedAt > 0 && election.leaderLapsedRevision == election.revision)
+            return election.leaderLapsedAt;
         return std::max(election.changedAt, election.leaderActedAt) + election.limits.validityMs;
     }
 
@@ -251,10 +253,12 @@
 }
 
 void observeContact(
-    Election& election, std::int64_t revision, const std::set<std::string>& members, bool isActing, Millis now)
+    Election& election, std::int64_t revision, const std::set<std::string>& members, Millis lapsedMs, Millis now)
 {
-    if (isActing)
+    if (lapsedMs <= 0)
         election.leaderActedAt = now;
+    election.leaderLapsedAt = lapsedMs > 0 ? now - lapsedMs : 0;
+    election.leaderLapsedRevision = revision;
     election.members = members;
     election.lastContactAt = now;
     election.vacantFrom = 0;
@@ -380,10 +384,19 @@
     return hasPeer ? std::max(byStore, byPeers) : byStore;
 }
 
+Millis lapsedFor(const Election& election, Millis now)
+{
+    return election.hasLapsed ? std::max<Millis>(1, now - election.lapsedAt) : 0;
+}
+
 void applyPeerMessage(
     Election& election, const std::string& name, Millis acknowledgedAt, Millis storeReachedAt, Millis now)
 {
-    election.hasLapsed = election.hasLapsed || validUntil(election, now) <= now;
+    const Millis until = validUntil(election, now);
+    if (election.role == Role::Leader && !election.hasLapsed && until <= now) {
+        election.hasLapsed = true;
+        election.lapsedAt = until;
+    }
     Peer& peer = election.peers[name];
     peer.lastMessageAt = now;
     peer.acknowledgedAt = std::max(peer.acknowledgedAt, acknowledgedAt);
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -132,10 +132,12 @@
     Millis storeRegainedAt = 0;         // first answer after the last failure
     bool isStoreFailing = false;
     // --- Follower ---
-    Millis lastContactAt = 0;      // last reply of the leader
-    Millis leaderActedAt = 0;      // last reply of a leader that had the right to act
-    std::set<std::string> members; // daemons known to this or earlier leaders; each may take over
-    double largestShare = 0;       // of the record or the leader's last reply
+    Millis lastContactAt = 0;              // last reply of the leader
+    Millis leaderActedAt = 0;              // last reply of a leader that had the right to act
+    Millis leaderLapsedAt = 0;             // when that right lapsed, by its last reply; 0: it has not
+    std::int64_t leaderLapsedRevision = 0; // of its last successful renewal, by that reply
+    std::set<std::string> members;         // daemons known to this or earlier leaders; each may take over
+    double largestShare = 0;               // of the record or the leader's last reply
     Millis vacantFrom = 0;   // start of the vacancy after the leader's process has stopped leading; 0: it may lead
     bool isNamed = false;    // ... in favour of this daemon
     bool isStopping = false; // does not take over
@@ -153,6 +155,7 @@
     // Daemons that were named as successors and from which the term came back within peerTimeoutMs, with that time.
     std::map<std::string, Millis> failedSuccessors;
     bool hasLapsed = false; // validity ended since the last renewal; acknowledgements alone do not restore it
+    Millis lapsedAt = 0;    // when it ended; valid with hasLapsed
     std::map<std::string, Peer> peers;
 };
 
@@ -168,9 +171,10 @@
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
 // A read has shown this record: true when it is this daemon's take-over, whose answer was lost; it leads now.
 bool applyRead(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
-// The leader reported its revision and the daemons that it knows in a message, and whether it has the right to act.
+// The leader reported its revision and the daemons that it knows in a message, and for how long its right to act has
+// lapsed (0: it has not).
 void observeContact(
-    Election& election, std::int64_t revision, const std::set<std::string>& members, bool isActing, Millis now);
+    Election& election, std::int64_t revision, const std::set<std::string>& members, Millis lapsedMs, Millis now);
 // Daemons from which the leader received a message within peerTimeoutMs, or that earlier leaders knew; itself included.
 std::set<std::string> knownMembers(const Election& election, Millis now);
 // Cores of the strongest daemon that may succeed this one. Until it has heard from each of them, at least the value of
@@ -193,6 +197,9 @@
 
 // Time until which the leader may act; 0 for followers.
 Millis validUntil(const Election& election, Millis now);
+// ms since the leader's right to act has lapsed for good, until its next renewal; 0: it has not. Call after
+// applyPeerMessage.
+Millis lapsedFor(const Election& election, Millis now);
 // A daemon sent a message. `acknowledgedAt` is when the last reply that it has received was sent; 0: none.
 void applyPeerMessage(
     Election& election, const std::string& peer, Millis acknowledgedAt, Millis storeReachedAt, Millis now);
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -87,7 +87,7 @@
     }
     applyPeerMessage(leader.election, follower.election.self, follower.lastReplyAt, now, now);
     observeContact(follower.election, leader.election.revision, knownMembers(leader.election, now),
-        validUntil(leader.election, now) > now, now);
+        lapsedFor(leader.election, now), now);
     follower.lastReplyAt = now;
 }
 
@@ -134,6 +134,7 @@
     CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
     CPPUNIT_TEST(recordsWithoutATermClockHideFormerTerms);
     CPPUNIT_TEST(repliesOfALapsedLeaderDoNotExtendItsTerm);
+    CPPUNIT_TEST(renewalsSeenLateDoNotExtendALapsedTerm);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -233,7 +234,7 @@
         weak.election.processorShare = 0.07;
         const Record record { "leader", 1, "127.0.0.1:1", 1, 3, false, "", { "weak", "strong" }, 0.5 };
         observe(weak.election, record, 5, 1000);
-        observeContact(weak.election, 5, { "weak", "strong" }, true, 2900);
+        observeContact(weak.election, 5, { "weak", "strong" }, 0, 2900);
         observeStore(weak.election, true, 2900);
         observeHandOver(weak.election, "leader", 1, 3000);
         CPPUNIT_ASSERT(nextAction(weak.election, 3010) == Action::TakeOver);
@@ -256,7 +257,7 @@
         Daemon c = makeDaemon("c");
         act(cell, a, 1000);
         observe(c.election, cell.record, cell.revision, 1100);
-        observeContact(c.election, cell.revision, {}, true, 1100);
+        observeContact(c.election, cell.revision, {}, 0, 1100);
         cell.record->isResigned = true;
         observe(b.election, cell.record, cell.revision, 1200);
         act(cell, b, 1500);
@@ -304,7 +305,7 @@
         Daemon b = makeDaemon("b");
         const Record resigned { "a", 1, "127.0.0.1:1", 4, 3, true, "c", { "a", "b", "c" } };
         observe(b.election, resigned, 5, 1000);
-        observeContact(b.election, 7, { "a", "b", "c" }, true, 1500);
+        observeContact(b.election, 7, { "a", "b", "c" }, 0, 1500);
         const Millis late = 1500 + b.election.limits.takeoverMs - 1;
         CPPUNIT_ASSERT(nextAction(b.election, late) != Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(b.election, late + 1) == Action::TakeOver);
@@ -359,7 +360,7 @@
         for (Daemon* daemon : { &weak, &strong }) {
             daemon->election.largestShare = 0.5;
             observe(daemon->election, cell.record, cell.revision, 1100);
-            observeContact(daemon->election, cell.revision, {}, true, 2900);
+            observeContact(daemon->election, cell.revision, {}, 0, 2900);
         }
         observeLeaderGone(weak.election, "leader", 1, 3000);
         observeHandOver(strong.election, "leader", 1, 3000);
@@ -577,6 +578,34 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(endedAt), endedAt <= 3000 + b.election.limits.validityMs);
     }
 
+    // Guards against a wait for leases that counts from the end of an outage because the next leader had missed the
+    // last renewals.
+    void renewalsSeenLateDoNotExtendALapsedTerm()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        Daemon b = makeDaemon("b");
+        for (Millis now = 1000; now < 12500; now += 50) {
+            if (now == 2000)
+                b.peersUnreachableUntil = 6000;
+            if (now == 2000)
+                b.storeUnreachableUntil = 12000;
+            if (now == 3000)
+                a.storeUnreachableUntil = 20000;
+            act(cell, a, now);
+            act(cell, b, now);
+            if (b.election.role == Role::Follower && b.election.record)
+                sync(b, a, now);
+        }
+        stepDown(a.election);
+        observeHandOver(b.election, "a", 1, 12500);
+        for (Millis now = 12500; now < 14000; now += 50)
+            act(cell, b, now);
+        CPPUNIT_ASSERT(b.election.role == Role::Leader);
+        const Millis endedAt = 14000 - (termClock(b.election, 14000) - b.election.terms.back().formerEndMs);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(endedAt), endedAt <= 3000 + b.election.limits.validityMs);
+    }
+
     // Guards against a leader of a version without the term clock whose term is taken for ended.
     void recordsWithoutATermClockHideFormerTerms()
     {
