Add a fault soak of real processes, and the interrupted recovery as its first scenario

lacewing-soak starts daemons and the stand-in as processes, disturbs them from outside (signals, loopback proxies to the store, to the workers and between daemons, faults of the store, workers that crash) and checks what clients and workers see against the promises.

--- /dev/null
+++ b/soak/checks.cpp
@@ -0,0 +1,220 @@
+// The promises over the log of runs.
+#include "soak/checks.h"
+
+#include "scheduler/scheduler.h"
+
+#include <algorithm>
+
+namespace lacewing::soak {
+
+namespace {
+
+    using platform::standin::RunEvent;
+
+    constexpr std::size_t idLength = 16;
+
+    std::string ofRun(const Checks& checks, const RunEvent& event)
+    {
+        return event.task + " run " + std::to_string(event.run) + " on " + event.worker + " at "
+            + timeText(checks, event.at);
+    }
+
+    // Names the runs of the task that were in progress or done.
+    std::string otherRuns(const Checks& checks, const TaskFacts& task, int except)
+    {
+        std::string text;
+        for (const auto& [number, run] : task.runs) {
+            if (number != except && (run.endedAt == 0 || run.how == "done"))
+                text += "; run " + std::to_string(number) + " on " + run.worker + " since "
+                    + timeText(checks, run.startedAt)
+                    + (run.endedAt == 0 ? "" : " " + run.how + " at " + timeText(checks, run.endedAt));
+        }
+        return text;
+    }
+
+    void applyStart(Checks& checks, const RunEvent& event, JobFacts& job, TaskFacts& task)
+    {
+        ++checks.starts;
+        if (task.running > 0)
+            addViolation(checks, "two runs of a task: " + ofRun(checks, event) + otherRuns(checks, task, event.run));
+        if (task.isDoneAcknowledged)
+            addViolation(checks,
+                "start after an acknowledged end: " + ofRun(checks, event) + otherRuns(checks, task, event.run));
+        if (job.isRefused)
+            addViolation(checks, "a refused job runs: " + ofRun(checks, event));
+        if (job.cancelledAt > 0 && event.at > job.cancelledAt + cancelMs
+            && isCalm(checks.disturbances, job.cancelledAt - calmMs, event.at))
+            addViolation(checks,
+                "start after the cancel: " + ofRun(checks, event) + ", cancelled at "
+                    + timeText(checks, job.cancelledAt));
+        if (job.shape.isLasting && !task.runs.empty() && task.running == 0) {
+            const auto last = std::max_element(task.runs.begin(), task.runs.end(),
+                [](const auto& a, const auto& b) { return a.second.endedAt < b.second.endedAt; });
+            checks.gaps.push_back({ event.task, last->second.endedAt, event.at });
+        }
+        task.isReportedDown = false;
+        ++task.running;
+        task.runs[event.run] = { event.worker, event.at, 0, {} };
+    }
+
+    void applyEvent(Checks& checks, const RunEvent& event)
+    {
+        const std::string id = event.task.substr(0, idLength);
+        if (checks.jobs.count(id) == 0)
+            addViolation(checks, "a job that nobody submitted runs: " + ofRun(checks, event));
+        JobFacts& job = checks.jobs[id];
+        TaskFacts& task = checks.tasks[event.task];
+        if (event.what == "started") {
+            applyStart(checks, event, job, task);
+        } else if (event.what == "acknowledged") {
+            task.isDoneAcknowledged = true;
+            for (const auto& [number, run] : task.runs) {
+                if (number > event.run && run.startedAt > task.runs[event.run].endedAt)
+                    addViolation(checks,
+                        "start after an end that was then acknowledged: " + ofRun(checks, event)
+                            + otherRuns(checks, task, event.run));
+            }
+        } else {
+            --task.running;
+            RunFacts& run = task.runs[event.run];
+            run.endedAt = event.at;
+            run.how = event.what;
+            task.failed += event.what == "failed" ? 1 : 0;
+            if (event.what == "done" && task.doneAt == 0)
+                task.doneAt = event.at;
+        }
+    }
+
+    // When the task was last seen running, or when its job was accepted.
+    std::int64_t downSince(const Checks& checks, const JobFacts& job, const std::string& name)
+    {
+        std::int64_t since = job.acceptedAt;
+        const auto task = checks.tasks.find(name);
+        if (task != checks.tasks.end()) {
+            for (const auto& [number, run] : task->second.runs)
+                since = std::max(since, run.endedAt);
+        }
+        return since;
+    }
+
+    void checkLasting(Checks& checks, const JobFacts& job, const std::string& id)
+    {
+        for (const std::string& name : lastingTasks(checks, id)) {
+            TaskFacts& task = checks.tasks[name];
+            const std::int64_t since = downSince(checks, job, name);
+            if (task.running > 0 || task.isReportedDown || checks.knownUntil - since < lastingDownMs
+                || !isCalm(checks.disturbances, checks.knownUntil - absentMs - calmMs, checks.knownUntil))
+                continue;
+            task.isReportedDown = true;
+            addViolation(checks,
+                "a lasting task does not run: " + name + " since " + timeText(checks, since) + ", seen at "
+                    + timeText(checks, checks.knownUntil) + ", last disturbance ended at "
+                    + timeText(checks, lastEnd(checks.disturbances)));
+        }
+    }
+
+    void checkCancelled(Checks& checks, const JobFacts& job, const std::string& id)
+    {
+        const std::int64_t from = checks.knownUntil - cancelMs - stopTimeoutMs;
+        if (job.cancelledAt > from || !isCalm(checks.disturbances, from - calmMs, checks.knownUntil))
+            return;
+        for (auto it = checks.tasks.lower_bound(id); it != checks.tasks.end() && it->first.rfind(id, 0) == 0; ++it) {
+            TaskFacts& task = it->second;
+            if (task.running > 0 && !task.isReportedDown) {
+                task.isReportedDown = true;
+                addViolation(checks,
+                    "a cancelled task runs on: " + it->first + " at " + timeText(checks, checks.knownUntil)
+                        + ", cancelled at " + timeText(checks, job.cancelledAt));
+            }
+        }
+    }
+
+} // namespace
+
+bool isCalm(const Disturbances& disturbances, std::int64_t from, std::int64_t to)
+{
+    return std::none_of(disturbances.begin(), disturbances.end(),
+        [&](const Disturbance& disturbance) { return disturbance.from <= to && disturbance.to >= from; });
+}
+
+bool isCalmButForStops(const Disturbances& disturbances, std::int64_t from, std::int64_t to)
+{
+    return std::none_of(disturbances.begin(), disturbances.end(), [&](const Disturbance& disturbance) {
+        return !disturbance.isPlanned && disturbance.from <= to && disturbance.to >= from;
+    });
+}
+
+std::int64_t lastEnd(const Disturbances& disturbances)
+{
+    std::int64_t end = 0;
+    for (const Disturbance& disturbance : disturbances)
+        end = std::max(end, disturbance.to);
+    return end;
+}
+
+std::string timeText(const Checks& checks, std::int64_t at) { return std::to_string(at - checks.origin) + " ms"; }
+
+void addViolation(Checks& checks, const std::string& text) { checks.violations.push_back(text); }
+
+void applyRuns(Checks& checks, const platform::standin::RunLog& log)
+{
+    for (const RunEvent& event : log.events) {
+        if (event.number <= checks.lastEvent)
+            continue;
+        if (event.number != checks.lastEvent + 1)
+            addViolation(checks, "the log of runs lacks events before " + std::to_string(event.number));
+        checks.lastEvent = event.number;
+        applyEvent(checks, event);
+    }
+    checks.knownUntil = std::max(checks.knownUntil, log.at);
+}
+
+void checkFinalState(Checks& checks, const std::string& id, scheduler::JobState state)
+{
+    const JobFacts& job = checks.jobs[id];
+    if (state == scheduler::JobState::Failed)
+        addViolation(checks, "a job that can be done is shown as failed: " + id);
+    if (state == scheduler::JobState::Cancelled && job.cancelSentAt == 0)
+        addViolation(checks, "a job that nobody cancelled is shown as cancelled: " + id);
+    if (state != scheduler::JobState::Completed)
+        return;
+    int done = 0;
+    for (auto it = checks.tasks.lower_bound(id); it != checks.tasks.end() && it->first.rfind(id, 0) == 0; ++it)
+        done += it->second.doneAt > 0 ? 1 : 0;
+    if (job.shape.isLasting || done < job.shape.firstTasks + job.shape.secondTasks)
+        addViolation(checks, "a job is shown as completed before its tasks are done: " + id);
+}
+
+void checkRunning(Checks& checks)
+{
+    for (const auto& [id, job] : checks.jobs) {
+        if (job.cancelledAt > 0)
+            checkCancelled(checks, job, id);
+        else if (job.shape.isLasting && job.acceptedAt > 0 && job.cancelSentAt == 0)
+            checkLasting(checks, job, id);
+    }
+}
+
+std::vector<std::string> lastingTasks(const Checks& checks, const std::string& job)
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < checks.jobs.at(job).shape.firstTasks; ++i)
+        names.push_back(scheduler::taskName(job, 0, 0, i));
+    return names;
+}
+
+bool areLastingTasksRunning(const Checks& checks)
+{
+    for (const auto& [id, job] : checks.jobs) {
+        if (!job.shape.isLasting || job.cancelSentAt > 0 || job.isRefused)
+            continue;
+        for (const std::string& name : lastingTasks(checks, id)) {
+            const auto task = checks.tasks.find(name);
+            if (task == checks.tasks.end() || task->second.running == 0)
+                return false;
+        }
+    }
+    return true;
+}
+
+} // namespace lacewing::soak
--- /dev/null
+++ b/soak/run.cpp
@@ -0,0 +1,207 @@
+// Plays one schedule of faults.
+#include "soak/run.h"
+
+#include <QTimer>
+#include <algorithm>
+#include <csignal>
+
+namespace lacewing::soak {
+
+namespace {
+
+    constexpr int tickMs = 25;      // between looks at what clients have to send
+    constexpr int runsPollMs = 100; // between reads of the log of runs
+    constexpr int tasksPerLastingJob = 3;
+    constexpr int firstStartsMs = 30000; // until all lasting tasks run before the faults, on a busy machine
+    constexpr int graceMs = 6000;        // platform's bound of a planned stop, after which it kills the process
+
+    class Player : public QObject {
+    public:
+        explicit Player(const RunPlan& plan)
+            : m_plan(plan)
+            , m_cluster(plan.cluster)
+            , m_clients(m_cluster, m_checks, plan.seed, plan.cluster.daemons)
+        {
+            QObject::connect(&m_tick, &QTimer::timeout, this, [this] { tick(); });
+        }
+
+        RunResult play();
+
+    private:
+        void tick();
+        void readRuns();
+        void begin(const Fault& fault);
+        void beginLinkFault(const Fault& fault, Proxy& proxy);
+        void after(int delayMs, std::function<void()> action);
+        void waitForEnd();
+        RunResult result() const;
+
+        const RunPlan& m_plan;
+        Checks m_checks;
+        Cluster m_cluster;
+        Clients m_clients;
+        QTimer m_tick;
+        bool m_hasTraffic = false;
+        bool m_isReading = false;
+        std::int64_t m_readAt = 0;
+        std::int64_t m_origin = 0;
+    };
+
+    RunResult Player::play()
+    {
+        std::string error;
+        if (!m_cluster.start(error)) {
+            addViolation(m_checks, "the cluster did not start: " + error);
+            return result();
+        }
+        for (int i = 0; i < m_plan.lastingJobs; ++i)
+            m_clients.submitLasting(tasksPerLastingJob);
+        m_tick.start(tickMs);
+        if (!waitUntil([this] { return areLastingTasksRunning(m_checks); }, firstStartsMs)) {
+            addViolation(m_checks, "the lasting tasks do not start before the faults");
+            return result();
+        }
+        m_origin = nowMs();
+        m_checks.origin = m_origin;
+        m_hasTraffic = true;
+        for (const Fault& fault : m_plan.faults)
+            after(fault.atMs, [this, fault] { begin(fault); });
+        waitUntil([this] { return nowMs() - m_origin >= m_plan.durationMs; }, m_plan.durationMs);
+        m_hasTraffic = false;
+        waitForEnd();
+        m_tick.stop();
+        for (const std::string& end : m_cluster.unexpectedEnds())
+            addViolation(m_checks, end);
+        for (const std::string& end : m_cluster.stopDaemons())
+            addViolation(m_checks, "planned stop at the end: " + end);
+        return result();
+    }
+
+    // Until every bound on the time after the last disturbance has passed, and every job has ended.
+    void Player::waitForEnd()
+    {
+        const auto calmFrom = [this] { return std::max(m_origin + m_plan.durationMs, lastEnd(m_checks.disturbances)); };
+        std::string open;
+        waitUntil(
+            [&] {
+                const std::int64_t calm = std::min(nowMs(), m_checks.knownUntil) - calmFrom();
+                const bool isOver = calm > calmMs + lastingDownMs && m_clients.isFinished(open);
+                return isOver || calm > finishMs;
+            },
+            m_plan.durationMs + 2 * finishMs);
+        if (!m_clients.isFinished(open))
+            addViolation(m_checks,
+                "a job has no final state " + std::to_string(nowMs() - calmFrom())
+                    + " ms after the last disturbance: " + open);
+    }
+
+    void Player::tick()
+    {
+        m_clients.tick(m_hasTraffic);
+        if (!m_isReading && nowMs() - m_readAt >= runsPollMs)
+            readRuns();
+    }
+
+    void Player::readRuns()
+    {
+        m_isReading = true;
+        m_readAt = nowMs();
+        m_cluster.sendToOperator(
+            platform::standin::runsRequest(m_checks.lastEvent), [this](const http::ClientResult& result) {
+                m_isReading = false;
+                const auto log = result.ok() ? platform::standin::decodeRuns(result.body) : std::nullopt;
+                if (!log)
+                    return; // read again; the end of the run needs a recent answer
+                applyRuns(m_checks, *log);
+                checkRunning(m_checks);
+            });
+    }
+
+    void Player::after(int delayMs, std::function<void()> action)
+    {
+        QTimer::singleShot(delayMs, Qt::PreciseTimer, this, std::move(action));
+    }
+
+    void Player::begin(const Fault& fault)
+    {
+        const std::int64_t now = nowMs();
+        const bool isPlanned = fault.kind == FaultKind::StopDaemon;
+        m_checks.disturbances.push_back({ now, now + fault.durationMs, isPlanned });
+        const bool isOfWorker = fault.kind == FaultKind::WorkerLink || fault.kind == FaultKind::CrashWorker;
+        const int target = fault.target != leaderTarget || isOfWorker ? fault.target : m_cluster.leader().value_or(0);
+        const auto atEnd = [&](std::function<void()> action) {
+            if (fault.durationMs > 0)
+                after(fault.durationMs, std::move(action));
+        };
+        using namespace platform::standin;
+        switch (fault.kind) {
+        case FaultKind::KillDaemon:
+            m_cluster.signalDaemon(target, SIGKILL);
+            atEnd([this, target] { m_cluster.startDaemon(target); });
+            break;
+        case FaultKind::PauseDaemon:
+            m_cluster.signalDaemon(target, SIGSTOP);
+            atEnd([this, target] { m_cluster.signalDaemon(target, SIGCONT); });
+            break;
+        case FaultKind::StopDaemon:
+            m_cluster.signalDaemon(target, SIGTERM);
+            after(graceMs, [this, target, process = m_cluster.processName(target)] {
+                if (m_cluster.processName(target) == process)
+                    m_cluster.signalDaemon(target, SIGKILL);
+                m_cluster.startDaemon(target);
+            });
+            atEnd([this, target] { m_cluster.startDaemon(target); });
+            break;
+        case FaultKind::StoreDown:
+            m_cluster.sendToOperator(storeFaultRequest(true, 0));
+            atEnd([this] { m_cluster.sendToOperator(storeFaultRequest(false, 0)); });
+            break;
+        case FaultKind::StoreLosesAnswers:
+            m_cluster.sendToOperator(storeFaultRequest(false, fault.lostAnswers));
+            break;
+        case FaultKind::StoreLink:
+            beginLinkFault(fault, m_cluster.storeProxy(target));
+            break;
+        case FaultKind::PeerLink:
+            beginLinkFault(fault, m_cluster.peerProxy(target));
+            break;
+        case FaultKind::WorkerLink:
+            beginLinkFault(fault, m_cluster.workerProxy(target));
+            break;
+        case FaultKind::CrashWorker:
+            m_cluster.sendToOperator(workerFaultRequest(target, true, fault.keepsEntry));
+            atEnd([this, target] { m_cluster.sendToOperator(workerFaultRequest(target, false, false)); });
+            break;
+        }
+    }
+
+    void Player::beginLinkFault(const Fault& fault, Proxy& proxy)
+    {
+        proxy.setFault(fault.link, fault.delayMs);
+        if (fault.durationMs > 0)
+            after(fault.durationMs, [&proxy] { proxy.setFault(LinkFault::None, 0); });
+    }
+
+    RunResult Player::result() const
+    {
+        RunResult result;
+        result.violations = m_checks.violations;
+        result.terms = describe(m_cluster.terms(), m_origin);
+        result.termCount = static_cast<int>(m_cluster.terms().terms.size());
+        std::copy_if(m_checks.gaps.begin(), m_checks.gaps.end(), std::back_inserter(result.gaps),
+            [this](const Gap& gap) { return gap.to >= m_origin; });
+        result.origin = m_origin;
+        result.clients = m_clients.counts();
+        result.starts = m_checks.starts;
+        return result;
+    }
+
+} // namespace
+
+RunResult play(const RunPlan& plan)
+{
+    Player player(plan);
+    return player.play();
+}
+
+} // namespace lacewing::soak
--- /dev/null
+++ b/soak/run.h
@@ -0,0 +1,35 @@
+// One run of the soak: starts the cluster, plays a schedule of faults beside clients, and checks the promises until the
+// end of a calm phase.
+#pragma once
+
+#include "soak/clients.h"
+#include "soak/schedule.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lacewing::soak {
+
+struct RunPlan {
+    std::uint64_t seed = 0;
+    ClusterSettings cluster;
+    std::vector<Fault> faults;
+    int durationMs = 20000; // of traffic beside faults
+    int lastingJobs = 5;
+};
+
+struct RunResult {
+    std::vector<std::string> violations;
+    std::vector<std::string> terms; // described
+    std::vector<Gap> gaps;          // of lasting tasks, from the begin of the faults on
+    std::int64_t origin = 0;        // begin of the faults, ms of the steady clock
+    ClientCounts clients;
+    int starts = 0;
+    int termCount = 0;
+};
+
+// Blocks and runs the event loop. Ends all processes that it started.
+RunResult play(const RunPlan& plan);
+
+} // namespace lacewing::soak
--- /dev/null
+++ b/soak/schedule.cpp
@@ -0,0 +1,138 @@
+// Random and fixed schedules of faults.
+#include "soak/schedule.h"
+
+#include "base/rng.h"
+
+#include <algorithm>
+
+namespace lacewing::soak {
+
+namespace {
+
+    constexpr int meanGapMs = 1500; // between two faults; shorter than their mean duration, so that they overlap
+    constexpr int shortestMs = 200;
+    constexpr int longestMs = 6000; // a whole lease of a worker
+    constexpr int restartMs = 3000; // longest time until a daemon is started again
+    constexpr int longestDelayMs = 400;
+    constexpr int mostLostAnswers = 6;
+    constexpr double forGoodShare = 0.5; // of the crashes of workers
+    constexpr double seriesShare = 0.3;  // of the faults of daemons that are followed by one of the next leader
+    constexpr int seriesGapMs = 3000;    // longest time until that one
+    constexpr int goneShare = 4;         // at most one in so many workers is gone for good
+
+    int between(base::Rng& rng, int low, int high)
+    {
+        return low + static_cast<int>(base::below(rng, static_cast<std::uint64_t>(high - low + 1)));
+    }
+
+    LinkFault drawLinkFault(base::Rng& rng)
+    {
+        constexpr LinkFault faults[] = { LinkFault::Delay, LinkFault::Reset, LinkFault::CutToServer,
+            LinkFault::CutToClient, LinkFault::Silence };
+        return faults[base::below(rng, std::size(faults))];
+    }
+
+    Fault drawDaemonFault(base::Rng& rng, const ScheduleShape& shape)
+    {
+        constexpr FaultKind kinds[] = { FaultKind::KillDaemon, FaultKind::PauseDaemon, FaultKind::StopDaemon };
+        Fault fault;
+        fault.kind = kinds[base::below(rng, std::size(kinds))];
+        fault.target = base::chance(rng, 0.6) ? leaderTarget : between(rng, 0, shape.daemons - 1);
+        fault.durationMs = between(rng, shortestMs, restartMs);
+        return fault;
+    }
+
+    Fault drawOtherFault(base::Rng& rng, const ScheduleShape& shape)
+    {
+        constexpr FaultKind kinds[] = { FaultKind::StoreDown, FaultKind::StoreLosesAnswers, FaultKind::StoreLink,
+            FaultKind::PeerLink, FaultKind::WorkerLink, FaultKind::WorkerLink, FaultKind::CrashWorker };
+        Fault fault;
+        fault.kind = kinds[base::below(rng, std::size(kinds))];
+        fault.durationMs = between(rng, shortestMs, longestMs);
+        const bool isOfWorker = fault.kind == FaultKind::WorkerLink || fault.kind == FaultKind::CrashWorker;
+        fault.target = isOfWorker    ? between(rng, 0, shape.workers - 1)
+            : base::chance(rng, 0.4) ? leaderTarget
+                                     : between(rng, 0, shape.daemons - 1);
+        fault.link = drawLinkFault(rng);
+        fault.delayMs = between(rng, 20, longestDelayMs);
+        fault.lostAnswers = between(rng, 1, mostLostAnswers);
+        fault.keepsEntry = base::chance(rng, 0.5);
+        return fault;
+    }
+
+    bool isLinkKind(FaultKind kind)
+    {
+        return kind == FaultKind::StoreLink || kind == FaultKind::PeerLink || kind == FaultKind::WorkerLink;
+    }
+
+} // namespace
+
+std::vector<Fault> drawSchedule(std::uint64_t seed, const ScheduleShape& shape)
+{
+    base::Rng rng(seed);
+    std::vector<Fault> faults;
+    int gone = 0;
+    double at = base::exponential(rng, meanGapMs);
+    while (at < shape.durationMs) {
+        const bool isOfDaemon = base::chance(rng, 0.4);
+        Fault fault = isOfDaemon ? drawDaemonFault(rng, shape) : drawOtherFault(rng, shape);
+        fault.atMs = static_cast<int>(at);
+        const bool mayBeForGood = fault.kind == FaultKind::CrashWorker
+            || (fault.kind == FaultKind::WorkerLink && fault.link == LinkFault::Silence);
+        if (mayBeForGood && gone < shape.workers / goneShare && base::chance(rng, forGoodShare)) {
+            fault.durationMs = 0;
+            ++gone;
+        }
+        faults.push_back(fault);
+        if (isOfDaemon && base::chance(rng, seriesShare)) {
+            Fault next = drawDaemonFault(rng, shape);
+            next.target = leaderTarget;
+            next.atMs = fault.atMs + between(rng, 0, seriesGapMs);
+            faults.push_back(next);
+        }
+        at += base::exponential(rng, meanGapMs);
+    }
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault& a, const Fault& b) { return a.atMs < b.atMs; });
+    return faults;
+}
+
+std::vector<Fault> interruptedRecoverySchedule(const ScheduleShape& shape)
+{
+    constexpr int storeDownMs = 6000;
+    constexpr int secondKillMs = storeDownMs + 1000;
+    const auto ofWorker = [&](FaultKind kind, int target, bool keepsEntry) {
+        Fault fault;
+        fault.kind = kind;
+        fault.target = target % shape.workers;
+        fault.link = LinkFault::Silence;
+        fault.keepsEntry = keepsEntry;
+        return fault;
+    };
+    Fault firstKill;
+    firstKill.durationMs = 3000;
+    Fault store;
+    store.kind = FaultKind::StoreDown;
+    store.durationMs = storeDownMs;
+    Fault secondKill;
+    secondKill.atMs = secondKillMs;
+    return { ofWorker(FaultKind::CrashWorker, 0, false), ofWorker(FaultKind::CrashWorker, 3, true),
+        ofWorker(FaultKind::WorkerLink, 7, true), firstKill, store, secondKill };
+}
+
+std::string describe(const Fault& fault)
+{
+    std::string text = std::to_string(fault.atMs) + " ms: " + std::string(base::nameOf(faultKindNames, fault.kind));
+    if (fault.kind != FaultKind::StoreDown && fault.kind != FaultKind::StoreLosesAnswers)
+        text += fault.target == leaderTarget ? " (leader)" : ' ' + std::to_string(fault.target);
+    if (isLinkKind(fault.kind))
+        text += ", " + std::string(base::nameOf(linkFaultNames, fault.link));
+    if (isLinkKind(fault.kind) && fault.link == LinkFault::Delay)
+        text += ' ' + std::to_string(fault.delayMs) + " ms";
+    if (fault.kind == FaultKind::StoreLosesAnswers)
+        return text + ", " + std::to_string(fault.lostAnswers);
+    if (fault.kind == FaultKind::CrashWorker && fault.keepsEntry)
+        text += ", keeps its entry";
+    return text + (fault.durationMs == 0 ? ", for good" : ", for " + std::to_string(fault.durationMs) + " ms");
+}
+
+} // namespace lacewing::soak
--- /dev/null
+++ b/soak/schedule.h
@@ -0,0 +1,68 @@
+// Faults of one run, drawn from its seed before it starts.
+//
+// Invariant: every disturbance ends within the schedule, or is one that the system must bear for good (a worker that is
+// gone).
+#pragma once
+
+#include "base/names.h"
+#include "soak/proxy.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lacewing::soak {
+
+enum class FaultKind {
+    KillDaemon,  // SIGKILL, started again at the end
+    PauseDaemon, // SIGSTOP, SIGCONT at the end
+    StopDaemon,  // SIGTERM, started again at the end
+    StoreDown,
+    StoreLosesAnswers,
+    StoreLink, // of one daemon
+    PeerLink,  // of all other daemons to one daemon
+    WorkerLink,
+    CrashWorker, // restarted at the end
+};
+
+constexpr base::EnumNames<FaultKind, 9> faultKindNames { {
+    { FaultKind::KillDaemon, "kill daemon" },
+    { FaultKind::PauseDaemon, "pause daemon" },
+    { FaultKind::StopDaemon, "stop daemon" },
+    { FaultKind::StoreDown, "store down" },
+    { FaultKind::StoreLosesAnswers, "store loses answers" },
+    { FaultKind::StoreLink, "store link of daemon" },
+    { FaultKind::PeerLink, "peer link of daemon" },
+    { FaultKind::WorkerLink, "link of worker" },
+    { FaultKind::CrashWorker, "crash worker" },
+} };
+
+constexpr int leaderTarget = -1; // the daemon that schedules when the fault begins
+
+struct Fault {
+    int atMs = 0;       // ms after the begin of the faults
+    int durationMs = 0; // 0: for good
+    FaultKind kind = FaultKind::KillDaemon;
+    int target = leaderTarget;        // index of a daemon or worker
+    LinkFault link = LinkFault::None; // of the kinds ...Link
+    int delayMs = 0;                  // of LinkFault::Delay
+    int lostAnswers = 0;
+    bool keepsEntry = false; // of CrashWorker
+};
+
+struct ScheduleShape {
+    int daemons = 3;
+    int workers = 12;
+    int durationMs = 20000;
+};
+
+// Single faults, series (the leader ends, and the next one soon after) and overlapping faults.
+std::vector<Fault> drawSchedule(std::uint64_t seed, const ScheduleShape& shape);
+
+// The leader is killed while the store goes down for 6 s and workers vanish for good; the next leader is killed 1 s
+// after the store is back.
+std::vector<Fault> interruptedRecoverySchedule(const ScheduleShape& shape);
+
+std::string describe(const Fault& fault);
+
+} // namespace lacewing::soak
