--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -197,8 +197,10 @@
 
 std::vector<std::string> lastingTasks(const Checks& checks, const std::string& job)
 {
+    const int tasks = checks.jobs.at(job).shape.firstTasks;
     std::vector<std::string> names;
-    for (int i = 0; i < checks.jobs.at(job).shape.firstTasks; ++i)
+    names.reserve(static_cast<std::size_t>(tasks));
+    for (int i = 0; i < tasks; ++i)
         names.push_back(scheduler::taskName(job, 0, 0, i));
     return names;
 }
--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -34,7 +34,6 @@
     : m_cluster(cluster)
     , m_checks(checks)
     , m_rng(seed)
-    , m_daemons(daemons)
 {
     for (int i = 0; i < daemons * connectionsPerDaemon; ++i)
         m_channels.push_back(std::make_unique<http::Channel>(
@@ -116,9 +115,8 @@
     Job& job = m_jobs[index];
     job.isCalling = true;
     ++m_counts.calls;
-    const int daemon = static_cast<int>(drawBetween(m_rng, 0, m_daemons));
-    const auto channel
-        = static_cast<std::size_t>(daemon * connectionsPerDaemon + drawBetween(m_rng, 0, connectionsPerDaemon));
+    const std::size_t channel = base::below(m_rng, m_channels.size());
+    const int daemon = static_cast<int>(channel) / connectionsPerDaemon;
     http::ChannelRequest request;
     request.method = method;
     request.target = callersPrefix + QByteArray::fromStdString(job.id);
--- a/soak/clients.h
+++ b/soak/clients.h
@@ -76,7 +76,6 @@
     Cluster& m_cluster;
     Checks& m_checks;
     base::Rng m_rng;
-    int m_daemons;
     std::int64_t m_nextJobAt = 0;
     std::vector<Job> m_jobs;
     std::vector<ShownState> m_shown;
--- a/soak/cluster.cpp
+++ b/soak/cluster.cpp
@@ -166,11 +166,15 @@
 
 void Cluster::startDaemon(int index)
 {
-    if (isRunning(index))
-        return;
     Daemon& daemon = m_daemons[static_cast<std::size_t>(index)];
+    if (isRunning(index)) {
+        daemon.startsAgain = daemon.isEndExpected;
+        return;
+    }
+    m_onDaemonStart();
     const std::string name = nameOf(index);
     daemon.isEndExpected = false;
+    daemon.startsAgain = false;
     daemon.stopSentAt = 0;
     ++daemon.starts;
     daemon.process = makeProcess(
@@ -187,7 +191,10 @@
 {
     peerProxy(index).close();
     applyProcessEnd(m_terms, nameOf(index));
-    if (!m_daemons[static_cast<std::size_t>(index)].isEndExpected)
+    const Daemon& daemon = m_daemons[static_cast<std::size_t>(index)];
+    if (daemon.startsAgain) // not here: the process object is in use
+        QTimer::singleShot(0, this, [this, index] { startDaemon(index); });
+    if (!daemon.isEndExpected)
         m_unexpectedEnds.push_back(nameOf(index) + " ended by itself, "
             + (status == QProcess::CrashExit ? "signal" : "code " + std::to_string(exitCode)));
 }
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -45,6 +45,7 @@
     std::vector<std::string> stopDaemons();
 
     // --- Daemons, by index ---
+    // While a process that was told to end has not ended yet, the start waits for its end.
     void startDaemon(int index);
     void signalDaemon(int index, int number);
     bool isRunning(int index) const;
@@ -67,11 +68,14 @@
     // Processes that ended by themselves, with their exit codes.
     const std::vector<std::string>& unexpectedEnds() const { return m_unexpectedEnds; }
     const TermLog& terms() const { return m_terms; }
+    // The callback runs at each start of a daemon.
+    void onDaemonStart(std::function<void()> callback) { m_onDaemonStart = std::move(callback); }
 
 private:
     struct Daemon {
         std::unique_ptr<QProcess> process;
         bool isEndExpected = false; // it was signalled to end
+        bool startsAgain = false;   // when it has ended
         int starts = 0;
         std::int64_t stopSentAt = 0;
     };
@@ -92,6 +96,7 @@
     std::unique_ptr<http::Channel> m_operator;
     std::vector<std::string> m_unexpectedEnds;
     TermLog m_terms;
+    std::function<void()> m_onDaemonStart = [] {};
 };
 
 // Runs the event loop until the condition holds; false after the time limit.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -128,9 +128,7 @@
     return static_cast<int>(failures == 0 ? ExitCode::Passed : ExitCode::Violated);
 }
 
-} // namespace
-
-int main(int argc, char** argv)
+int runProgram(int argc, char** argv)
 {
     cxxopts::Options options("lacewing-soak", "Fault soak of daemons as processes on the stand-in.\n");
     const auto text = [](const char* value) { return cxxopts::value<std::string>()->default_value(value); };
@@ -144,13 +142,20 @@
         number("22000"))("programs", "folder of lacewingd and lacewing-standin", text("build"))("logs",
         "folder of the logs", text("/tmp/lacewing-soak"))("keep-logs", "keep the logs of runs without violations")(
         "verbose", "print terms and lasting tasks of every run")("h,help", "print this help and exit");
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help")) {
+        std::cout << options.help();
+        return static_cast<int>(ExitCode::Passed);
+    }
+    return run(arguments, argc, argv);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
     try {
-        const auto arguments = options.parse(argc, argv);
-        if (arguments.count("help")) {
-            std::cout << options.help();
-            return static_cast<int>(ExitCode::Passed);
-        }
-        return run(arguments, argc, argv);
+        return runProgram(argc, argv);
     } catch (const std::exception& error) {
         std::cerr << "lacewing-soak: " << error.what() << "; see --help" << std::endl;
         return static_cast<int>(ExitCode::Usage);
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -69,9 +69,9 @@
 
 void ProxyConnection::read(Pipe& pipe)
 {
-    const QByteArray bytes = pipe.from->readAll();
-    if (bytes.isEmpty())
+    if (!pipe.from->isOpen() || pipe.from->bytesAvailable() == 0)
         return;
+    const QByteArray bytes = pipe.from->readAll();
     const std::int64_t dueAt = nowMs() + (m_state.fault == LinkFault::Delay ? m_state.delayMs : 0);
     pipe.chunks.push_back({ pipe.chunks.empty() ? dueAt : std::max(dueAt, pipe.chunks.back().dueAt), bytes });
     pump(pipe);
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -22,6 +22,7 @@
             , m_cluster(plan.cluster)
             , m_clients(m_cluster, m_checks, plan.seed, plan.cluster.daemons)
         {
+            m_cluster.onDaemonStart([this] { m_checks.disturbances.push_back({ nowMs(), nowMs(), false }); });
             QObject::connect(&m_tick, &QTimer::timeout, this, [this] { tick(); });
         }
 
@@ -148,7 +149,6 @@
             after(graceMs, [this, target, process = m_cluster.processName(target)] {
                 if (m_cluster.processName(target) == process)
                     m_cluster.signalDaemon(target, SIGKILL);
-                m_cluster.startDaemon(target);
             });
             atEnd([this, target] { m_cluster.startDaemon(target); });
             break;
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -9,7 +9,11 @@
 
 namespace {
 
-    constexpr int meanGapMs = 1500; // between two faults; shorter than their mean duration, so that they overlap
+    constexpr int meanGapMs = 900; // between two faults; shorter than their mean duration, so that they overlap
+    constexpr int shortestStormMs = 1000;
+    constexpr int longestStormMs = 8000;
+    constexpr int calmMs = 15000;       // between storms; longer than a fault lasts and every bound after it
+    constexpr double stormShare = 0.75; // of the seeds; the others have faults all the time
     constexpr int shortestMs = 200;
     constexpr int longestMs = 6000; // a whole lease of a worker
     constexpr int restartMs = 3000; // longest time until a daemon is started again
@@ -22,7 +26,7 @@
 
     int between(base::Rng& rng, int low, int high)
     {
-        return low + static_cast<int>(base::below(rng, static_cast<std::uint64_t>(high - low + 1)));
+        return low + static_cast<int>(base::below(rng, static_cast<std::uint64_t>(high - low) + 1));
     }
 
     LinkFault drawLinkFault(base::Rng& rng)
@@ -72,7 +76,9 @@
     base::Rng rng(seed);
     std::vector<Fault> faults;
     int gone = 0;
+    const bool hasCalms = base::chance(rng, stormShare);
     double at = base::exponential(rng, meanGapMs);
+    double stormEnd = hasCalms ? between(rng, shortestStormMs, longestStormMs) : shape.durationMs;
     while (at < shape.durationMs) {
         const bool isOfDaemon = base::chance(rng, 0.4);
         Fault fault = isOfDaemon ? drawDaemonFault(rng, shape) : drawOtherFault(rng, shape);
@@ -91,6 +97,10 @@
             faults.push_back(next);
         }
         at += base::exponential(rng, meanGapMs);
+        if (at > stormEnd) {
+            at = std::max(at, stormEnd + calmMs);
+            stormEnd = at + between(rng, shortestStormMs, longestStormMs);
+        }
     }
     std::stable_sort(faults.begin(), faults.end(), [](const Fault& a, const Fault& b) { return a.atMs < b.atMs; });
     return faults;
