--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -90,6 +90,8 @@
                 return isOver || calm > finishMs;
             },
             m_plan.durationMs + 2 * finishMs);
+        if (m_checks.knownUntil - calmFrom() <= calmMs + lastingDownMs)
+            addViolation(m_checks, "the log of runs could not be read until the end of the calm phase");
         if (!m_clients.isFinished(open))
             addViolation(m_checks,
                 "a job has no final state " + std::to_string(nowMs() - calmFrom())
@@ -153,11 +155,11 @@
             atEnd([this, target] { m_cluster.startDaemon(target); });
             break;
         case FaultKind::StoreDown:
-            m_cluster.sendToOperator(storeFaultRequest(true, 0));
-            atEnd([this] { m_cluster.sendToOperator(storeFaultRequest(false, 0)); });
+            m_cluster.sendToOperator(storeDownRequest(true));
+            atEnd([this] { m_cluster.sendToOperator(storeDownRequest(false)); });
             break;
         case FaultKind::StoreLosesAnswers:
-            m_cluster.sendToOperator(storeFaultRequest(false, fault.lostAnswers));
+            m_cluster.sendToOperator(lostAnswersRequest(fault.lostAnswers));
             break;
         case FaultKind::StoreLink:
             beginLinkFault(fault, m_cluster.storeProxy(target));
