--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -19,10 +19,12 @@
     constexpr int restartMs = 3000; // longest time until a daemon is started again
     constexpr int longestDelayMs = 400;
     constexpr int mostLostAnswers = 6;
-    constexpr double forGoodShare = 0.5; // of the crashes of workers
-    constexpr double seriesShare = 0.3;  // of the faults of daemons that are followed by one of the next leader
-    constexpr int seriesGapMs = 3000;    // longest time until that one
-    constexpr int goneShare = 4;         // at most one in so many workers is gone for good
+    constexpr double forGoodShare = 0.5;     // of the crashes and silences of workers
+    constexpr double killForGoodShare = 0.3; // of the kills of daemons
+    constexpr int fewestDaemons = 2;         // that are not gone for good
+    constexpr double seriesShare = 0.3;      // of the faults of daemons that are followed by one of the next leader
+    constexpr int seriesGapMs = 3000;        // longest time until that one
+    constexpr int goneShare = 4;             // at most one in so many workers is gone for good
 
     int between(base::Rng& rng, int low, int high)
     {
@@ -76,6 +78,7 @@
     base::Rng rng(seed);
     std::vector<Fault> faults;
     int gone = 0;
+    int goneDaemons = 0;
     const bool hasCalms = base::chance(rng, stormShare);
     double at = base::exponential(rng, meanGapMs);
     double stormEnd = hasCalms ? between(rng, shortestStormMs, longestStormMs) : shape.durationMs;
@@ -89,6 +92,11 @@
             fault.durationMs = 0;
             ++gone;
         }
+        if (fault.kind == FaultKind::KillDaemon && goneDaemons < shape.daemons - fewestDaemons
+            && base::chance(rng, killForGoodShare)) {
+            fault.durationMs = 0;
+            ++goneDaemons;
+        }
         faults.push_back(fault);
         if (isOfDaemon && base::chance(rng, seriesShare)) {
             Fault next = drawDaemonFault(rng, shape);
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -1,7 +1,7 @@
 // Faults of one run, drawn from its seed before it starts.
 //
-// Invariant: every disturbance ends within the schedule, or is one that the system must bear for good (a worker that is
-// gone).
+// Invariant: every disturbance ends, or is one that the system must bear for good: a quarter of the workers and all
+// daemons but two may be gone.
 #pragma once
 
 #include "base/names.h"
