Add a soak scenario for workers that go on running out of reach

The interrupted recovery does not show a new term that starts tasks too early: all leases lapse while the store is down. In this scenario three workers keep their runs out of reach while three terms follow each other.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -92,7 +92,8 @@
         throw std::runtime_error("cannot create " + folder.filePath(name).toStdString());
     plan.cluster.folder = folder.absoluteFilePath(name);
     const ScheduleShape shape { plan.cluster.daemons, plan.cluster.workers, plan.durationMs };
-    plan.faults = scenario.empty() ? drawSchedule(seed, shape) : interruptedRecoverySchedule(shape);
+    const auto fixed = base::valueOf(scenarioNames, scenario);
+    plan.faults = fixed ? scenarioSchedule(*fixed, shape) : drawSchedule(seed, shape);
     std::cout << name.toStdString() << " (seed " << seed << "), faults:\n";
     for (const Fault& fault : plan.faults)
         std::cout << "  " << describe(fault) << '\n';
@@ -110,7 +111,7 @@
 {
     QCoreApplication application(argc, argv);
     const std::string scenario = arguments["scenario"].as<std::string>();
-    if (!scenario.empty() && scenario != "interrupted-recovery")
+    if (!scenario.empty() && !base::valueOf(scenarioNames, scenario))
         throw std::runtime_error("no scenario has the name " + scenario);
     std::vector<std::uint64_t> seeds = parseSeeds(arguments["seeds"].as<std::string>());
     if (arguments.count("seed-file"))
@@ -134,8 +135,8 @@
     const auto text = [](const char* value) { return cxxopts::value<std::string>()->default_value(value); };
     const auto number = [](const char* value) { return cxxopts::value<int>()->default_value(value); };
     options.add_options()("seeds", "seeds, such as 1-5,9", text("1"))("seed-file",
-        "file with a seed at the begin of each line, instead of --seeds",
-        cxxopts::value<std::string>())("scenario", "fixed faults instead of drawn ones: interrupted-recovery",
+        "file with a seed at the begin of each line, instead of --seeds", cxxopts::value<std::string>())("scenario",
+        "fixed faults instead of drawn ones: interrupted-recovery or unreachable-workers",
         text(""))("seconds", "length of the traffic beside faults", number("20"))("daemons", "number of daemons",
         number("3"))("workers", "number of workers", number("12"))("lasting-jobs", "lasting jobs of three tasks each",
         number("5"))("odd-entries", "entries that name no worker", number("0"))("base-port", "first of 700 ports",
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -114,27 +114,37 @@
     return faults;
 }
 
-std::vector<Fault> interruptedRecoverySchedule(const ScheduleShape& shape)
+std::vector<Fault> scenarioSchedule(Scenario scenario, const ScheduleShape& shape)
 {
-    constexpr int storeDownMs = 6000;
-    constexpr int secondKillMs = storeDownMs + 1000;
-    const auto ofWorker = [&](FaultKind kind, int target, bool keepsEntry) {
+    const auto ofDaemon = [](FaultKind kind, int atMs, int durationMs) {
         Fault fault;
+        fault.atMs = atMs;
+        fault.durationMs = durationMs;
+        fault.kind = kind;
+        return fault;
+    };
+    const auto ofWorker = [&](FaultKind kind, int target, LinkFault link, int durationMs) {
+        Fault fault;
+        fault.durationMs = durationMs;
         fault.kind = kind;
         fault.target = target % shape.workers;
-        fault.link = LinkFault::Silence;
-        fault.keepsEntry = keepsEntry;
+        fault.link = link;
+        fault.keepsEntry = target % 2 == 1;
         return fault;
     };
-    Fault firstKill;
-    firstKill.durationMs = 3000;
-    Fault store;
-    store.kind = FaultKind::StoreDown;
-    store.durationMs = storeDownMs;
-    Fault secondKill;
-    secondKill.atMs = secondKillMs;
-    return { ofWorker(FaultKind::CrashWorker, 0, false), ofWorker(FaultKind::CrashWorker, 3, true),
-        ofWorker(FaultKind::WorkerLink, 7, true), firstKill, store, secondKill };
+    if (scenario == Scenario::UnreachableWorkers) {
+        constexpr int unreachableMs = 12000; // two leases
+        return { ofWorker(FaultKind::WorkerLink, 0, LinkFault::Silence, unreachableMs),
+            ofWorker(FaultKind::WorkerLink, 3, LinkFault::CutToClient, unreachableMs),
+            ofWorker(FaultKind::WorkerLink, 7, LinkFault::CutToServer, unreachableMs),
+            ofDaemon(FaultKind::KillDaemon, 200, 1500), ofDaemon(FaultKind::PauseDaemon, 3500, 4000),
+            ofDaemon(FaultKind::StopDaemon, 10000, 2000) };
+    }
+    constexpr int storeDownMs = 6000;
+    return { ofWorker(FaultKind::CrashWorker, 0, LinkFault::None, 0),
+        ofWorker(FaultKind::CrashWorker, 3, LinkFault::None, 0),
+        ofWorker(FaultKind::WorkerLink, 7, LinkFault::Silence, 0), ofDaemon(FaultKind::KillDaemon, 0, 3000),
+        ofDaemon(FaultKind::StoreDown, 0, storeDownMs), ofDaemon(FaultKind::KillDaemon, storeDownMs + 1000, 0) };
 }
 
 std::string describe(const Fault& fault)
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -59,9 +59,20 @@
 // Single faults, series (the leader ends, and the next one soon after) and overlapping faults.
 std::vector<Fault> drawSchedule(std::uint64_t seed, const ScheduleShape& shape);
 
-// The leader is killed while the store goes down for 6 s and workers vanish for good; the next leader is killed 1 s
-// after the store is back.
-std::vector<Fault> interruptedRecoverySchedule(const ScheduleShape& shape);
+enum class Scenario {
+    // The leader is killed while the store goes down for 6 s and workers vanish for good; the next leader is killed 1 s
+    // after the store is back.
+    InterruptedRecovery,
+    // Workers that cannot be reached go on running their tasks, one of them with renewed leases, while leaders change.
+    UnreachableWorkers,
+};
+
+constexpr base::EnumNames<Scenario, 2> scenarioNames { {
+    { Scenario::InterruptedRecovery, "interrupted-recovery" },
+    { Scenario::UnreachableWorkers, "unreachable-workers" },
+} };
+
+std::vector<Fault> scenarioSchedule(Scenario scenario, const ScheduleShape& shape);
 
 std::string describe(const Fault& fault);
 
