End some storms of the soak with a leader that is gone for good

A restarted leader is a disturbance of its own and takes its own term back, so the bound on lasting tasks is tight only after a kill without restart.

--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -21,6 +21,7 @@
     constexpr int mostLostAnswers = 6;
     constexpr double forGoodShare = 0.5;     // of the crashes and silences of workers
     constexpr double killForGoodShare = 0.3; // of the kills of daemons
+    constexpr double lastKillShare = 0.5;    // of the storms, at their end
     constexpr int fewestDaemons = 2;         // that are not gone for good
     constexpr double seriesShare = 0.3;      // of the faults of daemons that are followed by one of the next leader
     constexpr int seriesGapMs = 3000;        // longest time until that one
@@ -106,6 +107,12 @@
         }
         at += base::exponential(rng, meanGapMs);
         if (at > stormEnd) {
+            if (goneDaemons < shape.daemons - fewestDaemons && base::chance(rng, lastKillShare)) {
+                Fault kill; // of the leader, for good: the next term has to recover from the storm in calm time
+                kill.atMs = static_cast<int>(stormEnd);
+                faults.push_back(kill);
+                ++goneDaemons;
+            }
             at = std::max(at, stormEnd + calmMs);
             stormEnd = at + between(rng, shortestStormMs, longestStormMs);
         }
