--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -4,6 +4,7 @@
 #include "platform/documents.h"
 
 #include <QString>
+#include <algorithm>
 
 namespace lacewing::soak {
 
--- a/soak/cluster.cpp
+++ b/soak/cluster.cpp
@@ -11,6 +11,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QTimer>
+#include <algorithm>
 #include <csignal>
 
 namespace lacewing::soak {
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -15,6 +15,7 @@
 #include <QString>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +32,9 @@
     QString folder;         // of settings and logs
 };
 
+constexpr int mostDaemons = 30; // by the ranges of ports
+constexpr int mostWorkers = 200;
+
 inline const QByteArray callersHost = "127.0.0.1"; // as in the addresses that clients call
 inline const QByteArray callersPrefix = "/jobs/";
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -6,6 +6,7 @@
 
 #include <QCoreApplication>
 #include <QDir>
+#include <algorithm>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -85,6 +86,9 @@
     plan.cluster.workers = arguments["workers"].as<int>();
     plan.cluster.oddEntries = arguments["odd-entries"].as<int>();
     plan.cluster.programs = QString::fromStdString(arguments["programs"].as<std::string>());
+    if (plan.cluster.daemons < 1 || plan.cluster.daemons > mostDaemons || plan.cluster.workers < 1
+        || plan.cluster.workers > mostWorkers)
+        throw std::runtime_error("the number of daemons or workers is out of range");
     QDir folder(QString::fromStdString(arguments["logs"].as<std::string>()));
     const QString name = scenario.empty() ? QStringLiteral("seed-%1").arg(seed) : QString::fromStdString(scenario);
     QDir(folder.filePath(name)).removeRecursively();
