--- a/soak/cluster.cpp
+++ b/soak/cluster.cpp
@@ -13,6 +13,7 @@
 #include <QTimer>
 #include <algorithm>
 #include <csignal>
+#include <sys/prctl.h>
 
 namespace lacewing::soak {
 
@@ -86,6 +87,7 @@
 {
     auto process = std::make_unique<QProcess>();
     process->setProcessChannelMode(QProcess::MergedChannels);
+    process->setChildProcessModifier([] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); }); // none outlives a killed soak
     auto* log = new QFile(m_settings.folder + '/' + name + ".log", process.get());
     if (!log->open(QIODevice::WriteOnly | QIODevice::Append))
         qWarning("the log of %s cannot be opened", qPrintable(name));
