Ignore a lease table that no known term has stored

The lease table has no mark of the term that stored it. Versions without a table leave it in place: after a term of such a version, and a term of this one that ended before it stored its first table, the next term knows its predecessor's clock and took the old table for valid. Workers that are not in it counted as without a lease, so that their tasks could get a second run at once; release times of the old clock lie in the future of the new one.

The table carries the token of its term. A term uses it only if that term is among the recent ones of its history, which begins anew after a version without a term clock; otherwise it waits for every worker as before.

SchedulerRecoveryTest::tablesOfOtherTermsThanTheRecentOnesAreIgnored failed before (assertion !state.isReconciled).

--- a/src/scheduler/lease_table.cpp
+++ b/src/scheduler/lease_table.cpp
@@ -10,6 +10,12 @@
 
 namespace lacewing::scheduler {
 
+bool isOfKnownTerm(const LeaseTable& table, const TermHistory& history)
+{
+    return std::any_of(history.terms.begin(), history.terms.end(),
+        [&](const base::TermStart& term) { return term.token == table.token; });
+}
+
 std::optional<Millis> lastRenewalClock(const LeaseTable& table, const TermHistory& history, const std::string& worker)
 {
     if (const auto released = table.released.find(worker); released != table.released.end())
@@ -34,16 +40,18 @@
     QJsonObject released;
     for (const auto& [worker, clockMs] : table.released)
         released[QString::fromStdString(worker)] = static_cast<qint64>(clockMs);
-    const QJsonObject json { { "granted", granted }, { "released", released } };
+    const QJsonObject json { { "token", static_cast<qint64>(table.token) }, { "granted", granted },
+        { "released", released } };
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
 std::optional<LeaseTable> decodeLeaseTable(const QByteArray& bytes)
 {
     const std::optional<QJsonObject> json = base::parseObject(bytes);
-    if (!json || !(*json)["granted"].isObject() || !(*json)["released"].isObject())
+    if (!json || !(*json)["token"].isDouble() || !(*json)["granted"].isObject() || !(*json)["released"].isObject())
         return std::nullopt;
     LeaseTable table;
+    table.token = (*json)["token"].toInteger();
     const QJsonObject granted = (*json)["granted"].toObject();
     for (auto term = granted.begin(); term != granted.end(); ++term) {
         bool isNumber = false;
--- a/src/scheduler/lease_table.h
+++ b/src/scheduler/lease_table.h
@@ -25,10 +25,14 @@
 };
 
 struct LeaseTable {
+    std::int64_t token = 0;                      // of the term that stored the table
     std::map<std::string, std::int64_t> granted; // by worker: token of the term that may renew the lease until its end
     std::map<std::string, Millis> released; // by worker: term clock of the last renewal; no term has renewed it since
 };
 
+// False for a table that a term before the known ones stored: terms after it may have granted leases without a table.
+bool isOfKnownTerm(const LeaseTable& table, const TermHistory& history);
+
 // Latest possible time of the last renewal of the worker's lease, on the term clock; nullopt: it holds no lease of an
 // earlier term.
 std::optional<Millis> lastRenewalClock(const LeaseTable& table, const TermHistory& history, const std::string& worker);
--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -37,7 +37,7 @@
 
 void setFormerLeases(Scheduler& scheduler, LeaseTable table, Millis now)
 {
-    if (!scheduler.history.isKnown)
+    if (!scheduler.history.isKnown || !isOfKnownTerm(table, scheduler.history))
         return;
     std::vector<WorkerEntry> unknown; // their addresses are known once they are listed
     const auto add = [&](const std::string& id) {
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -328,6 +328,7 @@
 LeaseTable nextLeaseTable(Scheduler& scheduler, bool mayRelease)
 {
     LeaseTable table;
+    table.token = scheduler.token;
     const Millis clockOffset = scheduler.history.clockMs - scheduler.termStartedAt;
     for (auto& [id, worker] : scheduler.workers) {
         worker.isLeaseGranted = worker.isLeaseGranted && (worker.contact == Contact::Established || !mayRelease);
--- a/tests/scheduler_recovery_test.cpp
+++ b/tests/scheduler_recovery_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(releasedWorkersGetNoLeaseUntilTheyAreGrantedAgain);
     CPPUNIT_TEST(leasesOfATermEndWithTheNextOne);
     CPPUNIT_TEST(unknownHistoryWaitsForEveryWorker);
+    CPPUNIT_TEST(tablesOfOtherTermsThanTheRecentOnesAreIgnored);
     CPPUNIT_TEST(malformedLeaseTablesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -250,18 +251,41 @@
         CPPUNIT_ASSERT(state.isReconciled);
     }
 
+    // Guards against a table that was stored before a term of a version without one, and does not list its leases.
+    void tablesOfOtherTermsThanTheRecentOnesAreIgnored()
+    {
+        scheduler::Scheduler former;
+        scheduler::beginTerm(former, 3, 1000, { true, 100000, { { 3, 99000 } } });
+        scheduler::LeaseTable table = scheduler::nextLeaseTable(former, true);
+
+        // The term 5 granted leases without a table, and the term 7 ended before it had stored one.
+        scheduler::Scheduler state;
+        scheduler::beginTerm(state, 8, 50000, { true, 40000, { { 7, 0 }, { 8, 39000 } } });
+        scheduler::setFormerLeases(state, std::move(table), 50000);
+        scheduler::WorkerEntry entry;
+        entry.id = "w";
+        scheduler::setWorkers(state, { entry }, 50000);
+        scheduler::plan(state, 51000, 0);
+        CPPUNIT_ASSERT(!state.isReconciled);
+        scheduler::plan(state, 51000 + 2 * state.limits.maxLeaseMs, 0);
+        CPPUNIT_ASSERT(state.isReconciled);
+    }
+
     // Guards against a damaged lease table that is taken for an empty one.
     void malformedLeaseTablesAreRejected()
     {
-        for (const char* text :
-            { "", "[]", "{}", "{\"granted\":[],\"released\":{}}", "{\"granted\":{\"x\":[]},\"released\":{}}",
-                "{\"granted\":{\"1\":7},\"released\":{}}", "{\"granted\":{},\"released\":{\"w\":\"1\"}}" })
+        for (const char* text : { "", "[]", "{}", "{\"granted\":{},\"released\":{}}",
+                 "{\"token\":1,\"granted\":[],\"released\":{}}", "{\"token\":1,\"granted\":{\"x\":[]},\"released\":{}}",
+                 "{\"token\":1,\"granted\":{\"1\":7},\"released\":{}}",
+                 "{\"token\":1,\"granted\":{},\"released\":{\"w\":\"1\"}}" })
             CPPUNIT_ASSERT(!scheduler::decodeLeaseTable(text));
         scheduler::LeaseTable table;
         table.granted = { { "a", 1 }, { "b", 2 }, { "c", 1 } };
         table.released = { { "d", 5 } };
+        table.token = 3;
         const auto copy = scheduler::decodeLeaseTable(scheduler::encodeLeaseTable(table));
-        CPPUNIT_ASSERT(copy && copy->granted == table.granted && copy->released == table.released);
+        CPPUNIT_ASSERT(
+            copy && copy->token == table.token && copy->granted == table.granted && copy->released == table.released);
     }
 };
 
