Wait for long leases of versions without a lease table over terms in a row

Terms of unknown history have ended when the term clock is 0. Every term now counts the longest length from there, for every worker. The clock of a deployment without an earlier term begins at one hour instead of 0, so that nothing is waited for there.

SchedulerRecoveryTest::longLeasesOfUnknownTermsAreKeptOverTermsInARow failed before (assertion !second.isReconciled). 39 scheduler and 28 election tests pass.

--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -57,7 +57,9 @@
 namespace {
 
     constexpr std::size_t maxTermStarts = 16; // in the record; without older ones, terms seem to have ended later
-    constexpr double strongerRatio = 1.25;    // of processor time; smaller differences are not worth a delay
+    // Term clock before the first term, above the length of any lease: no older term can have granted one.
+    constexpr Millis firstClockMs = 3600000;
+    constexpr double strongerRatio = 1.25; // of processor time; smaller differences are not worth a delay
 
     // Delay of this daemon's take-over in favour of clearly stronger ones. They may see a change later than this one
     // when the store has just come back.
@@ -200,7 +202,7 @@
     void readClock(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
     {
         election.hasClock = !record || record->clockMs.has_value();
-        election.clockMs = record ? record->clockMs.value_or(0) : 0;
+        election.clockMs = record ? record->clockMs.value_or(0) : firstClockMs;
         election.clockAt = now;
         election.terms = election.hasClock && record ? record->terms : std::vector<base::TermStart> {};
         if (election.hasClock && record && record->token == 0)
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -13,9 +13,9 @@
 // than the strongest one delay their take-over, so that stronger ones take over first. The delay runs while the store
 // answers, because no daemon can take over before that.
 //
-// Each write of the record carries the term clock, a lower bound of the time since the first term. A daemon that takes
-// over continues it from the last value that it has read, so that the age of former terms is known across terms without
-// a common clock.
+// Each write of the record carries the term clock. A daemon that takes over continues it from the last value that it
+// has read, so that the age of former terms is known across terms without a common clock. It is a lower bound of the
+// time since the last term whose record has no clock; where there was none, it begins above the length of any lease.
 //
 // Pure: the caller reads clocks and carries out the actions.
 //
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -21,13 +21,17 @@
     // ms after leaving the list until a worker that is out of contact, and whose lease has expired, is removed.
     constexpr Millis unlistedRemovalDelayMs = 2000;
 
-    // Time from the last renewal of a lease until it is over, for calls in flight and on the slowest clock. Terms of
-    // unknown history may have granted the longest lease.
+    // Time from the last renewal of a lease until it is over, for calls in flight and on the slowest clock.
+    Millis leaseOverMs(const Limits& limits, Millis lengthMs)
+    {
+        return limits.callDelayMs + static_cast<Millis>(static_cast<double>(lengthMs) / limits.workerClockRate);
+    }
+
+    // The same for leases of earlier terms. Terms of unknown history may have granted the longest lease.
     Millis longestLeaseMs(const Scheduler& scheduler)
     {
         const Limits& limits = scheduler.limits;
-        const Millis lengthMs = scheduler.history.isKnown ? leaseLengthMs(limits) : limits.maxLeaseMs;
-        return limits.callDelayMs + static_cast<Millis>(static_cast<double>(lengthMs) / limits.workerClockRate);
+        return leaseOverMs(limits, scheduler.history.isKnown ? leaseLengthMs(limits) : limits.maxLeaseMs);
     }
 
     // Latest end of a lease that an earlier term granted to the worker; 0: it holds none.
@@ -40,9 +44,13 @@
             renewedAtClock = lastRenewalClock(*scheduler.formerLeases, history, worker);
         else if (!isFirstTerm)
             renewedAtClock = history.clockMs;
+        // Terms of unknown history had ended when the term clock was 0.
+        const Millis unknownLeaseMs = leaseOverMs(scheduler.limits, scheduler.limits.maxLeaseMs) - history.clockMs;
+        const Millis unknownEndAt = unknownLeaseMs > 0 ? scheduler.termStartedAt + unknownLeaseMs : 0;
         if (!renewedAtClock)
-            return 0;
-        return scheduler.termStartedAt - (history.clockMs - *renewedAtClock) + longestLeaseMs(scheduler);
+            return unknownEndAt;
+        return std::max(
+            unknownEndAt, scheduler.termStartedAt - (history.clockMs - *renewedAtClock) + longestLeaseMs(scheduler));
     }
 
     bool isEnded(const Task& task) { return task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed; }
--- a/tests/scheduler_recovery_test.cpp
+++ b/tests/scheduler_recovery_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(releasedWorkersGetNoLeaseUntilTheyAreGrantedAgain);
     CPPUNIT_TEST(leasesOfATermEndWithTheNextOne);
     CPPUNIT_TEST(unknownHistoryWaitsForEveryWorker);
+    CPPUNIT_TEST(longLeasesOfUnknownTermsAreKeptOverTermsInARow);
     CPPUNIT_TEST(tablesOfOtherTermsThanTheRecentOnesAreIgnored);
     CPPUNIT_TEST(malformedLeaseTablesAreRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -251,6 +252,29 @@
         CPPUNIT_ASSERT(state.isReconciled);
     }
 
+    // Guards against a second run beside one whose lease a version without a lease table granted, two terms ago.
+    void longLeasesOfUnknownTermsAreKeptOverTermsInARow()
+    {
+        scheduler::WorkerEntry entry;
+        entry.id = "w";
+        scheduler::Scheduler first;
+        first.limits.maxLeaseMs = 10000;
+        scheduler::beginTerm(first, 7, 1000, { false, 0, { { 7, 0 } } });
+        scheduler::setWorkers(first, { entry }, 1000);
+        scheduler::plan(first, 1500, 0);
+        scheduler::LeaseTable table = scheduler::nextLeaseTable(first, true);
+
+        scheduler::Scheduler second;
+        second.limits.maxLeaseMs = 10000;
+        scheduler::beginTerm(second, 8, 2000, { true, 1000, { { 7, 0 }, { 8, 900 } } });
+        scheduler::setFormerLeases(second, std::move(table), 2000);
+        scheduler::setWorkers(second, { entry }, 2000);
+        scheduler::plan(second, 1000 + second.limits.maxLeaseMs, 0);
+        CPPUNIT_ASSERT(!second.isReconciled);
+        scheduler::plan(second, 1000 + 2 * second.limits.maxLeaseMs, 0);
+        CPPUNIT_ASSERT(second.isReconciled);
+    }
+
     // Guards against a table that was stored before a term of a version without one, and does not list its leases.
     void tablesOfOtherTermsThanTheRecentOnesAreIgnored()
     {
