Do not take an unreadable term record for the absence of terms

A record that does not decode was read as if there had been no term: the daemon that takes over claimed to know all former terms and could start tasks at once. Now only an absent record means that.

ElectionTest::unreadableRecordsHideFormerTerms failed before (assertion !a.election.knowsFormerTerms). 29 election tests pass.

--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -201,8 +201,9 @@
     // Continues the term clock from a record.
     void readClock(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
     {
-        election.hasClock = !record || record->clockMs.has_value();
-        election.clockMs = record ? record->clockMs.value_or(0) : firstClockMs;
+        const bool isAbsent = !record && revision == 0; // otherwise it does not decode
+        election.hasClock = isAbsent || (record && record->clockMs.has_value());
+        election.clockMs = isAbsent ? firstClockMs : record ? record->clockMs.value_or(0) : 0;
         election.clockAt = now;
         election.terms = election.hasClock && record ? record->terms : std::vector<base::TermStart> {};
         if (election.hasClock && record && record->token == 0)
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -132,6 +132,7 @@
     CPPUNIT_TEST(leadersDoNotResignAgainForASuccessorThatDidNotTakeOver);
     CPPUNIT_TEST(resignedLeadersNameTheDaemonThatWasStartedLast);
     CPPUNIT_TEST(recordsWithoutATermClockHideFormerTerms);
+    CPPUNIT_TEST(unreadableRecordsHideFormerTerms);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -569,6 +570,18 @@
         CPPUNIT_ASSERT(copy && copy->clockMs == cell.record->clockMs && copy->terms.size() == 1);
     }
 
+    // Guards against a damaged record that is taken for the absence of earlier terms.
+    void unreadableRecordsHideFormerTerms()
+    {
+        Cell cell;
+        cell.revision = 7;
+        Daemon a = makeDaemon("a");
+        for (Millis now = 1000; now < 5000; now += 50)
+            act(cell, a, now);
+        CPPUNIT_ASSERT(a.election.role == Role::Leader);
+        CPPUNIT_ASSERT(!a.election.knowsFormerTerms);
+    }
+
     // Guards against two leaders acting at once, under random network partitions of daemons and data centres,
     // freezes and restarts (bench day trouble-1, seed 539847510921). A frozen daemon does not act.
     void neverTwoActingLeaders()
