Wait for former workers when the term record has been lost

When the record of the term is removed from the store, the next daemon takes its term for the first one, and workers counted as without a lease: tasks of workers that did not report got a second run at once. Stored workers or a table of an unknown term now show that the term is not the first one; it waits as after a term of unknown history.

--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -35,10 +35,20 @@
     }
 }
 
+void hideHistoryOfFirstTerm(Scheduler& scheduler)
+{
+    if (scheduler.history.terms.size() <= 1)
+        scheduler.history.isKnown = false;
+}
+
 void setFormerLeases(Scheduler& scheduler, LeaseTable table, Millis now)
 {
-    if (!scheduler.history.isKnown || !isOfKnownTerm(table, scheduler.history))
+    if (!scheduler.history.isKnown)
         return;
+    if (!isOfKnownTerm(table, scheduler.history)) {
+        hideHistoryOfFirstTerm(scheduler);
+        return;
+    }
     std::vector<WorkerEntry> unknown; // their addresses are known once they are listed
     const auto add = [&](const std::string& id) {
         WorkerEntry entry;
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -286,6 +286,8 @@
 
 void addFormerWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now)
 {
+    if (!entries.empty())
+        hideHistoryOfFirstTerm(scheduler);
     for (const WorkerEntry& entry : entries) {
         const auto [found, isNew] = scheduler.workers.try_emplace(entry.id);
         Worker& worker = found->second;
--- a/tests/scheduler_recovery_test.cpp
+++ b/tests/scheduler_recovery_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(unknownHistoryWaitsForEveryWorker);
     CPPUNIT_TEST(longLeasesOfUnknownTermsAreKeptOverTermsInARow);
     CPPUNIT_TEST(tablesOfOtherTermsThanTheRecentOnesAreIgnored);
+    CPPUNIT_TEST(lostTermRecordsDoNotHideFormerWorkers);
     CPPUNIT_TEST(malformedLeaseTablesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -295,6 +296,28 @@
         CPPUNIT_ASSERT(state.isReconciled);
     }
 
+    // Guards against starts beside runs of earlier terms when the record of the term has been removed from the store.
+    void lostTermRecordsDoNotHideFormerWorkers()
+    {
+        scheduler::WorkerEntry entry;
+        entry.id = "w";
+        scheduler::LeaseTable table;
+        table.token = 3;
+        table.granted = { { "w", 3 } };
+        for (const bool hasTable : { true, false }) {
+            scheduler::Scheduler state;
+            scheduler::beginTerm(state, 7, 1000, { true, 3600000, { { 7, 3600000 } } });
+            if (hasTable)
+                scheduler::setFormerLeases(state, table, 1000);
+            scheduler::addFormerWorkers(state, { entry }, 1000);
+            scheduler::setWorkers(state, { entry }, 1000);
+            scheduler::plan(state, 2000, 0);
+            CPPUNIT_ASSERT(!state.isReconciled);
+            scheduler::plan(state, 1000 + 2 * state.limits.maxLeaseMs, 0);
+            CPPUNIT_ASSERT(state.isReconciled);
+        }
+    }
+
     // Guards against a damaged lease table that is taken for an empty one.
     void malformedLeaseTablesAreRejected()
     {
