--- a/tests/scheduler_recovery_test.cpp
+++ b/tests/scheduler_recovery_test.cpp
@@ -94,6 +94,9 @@
     CPPUNIT_TEST(releasedWorkersGetNoLeaseUntilTheyAreGrantedAgain);
     CPPUNIT_TEST(leasesOfATermEndWithTheNextOne);
     CPPUNIT_TEST(unknownHistoryWaitsForEveryWorker);
+    CPPUNIT_TEST(longLeasesOfUnknownTermsAreKeptOverTermsInARow);
+    CPPUNIT_TEST(tablesOfOtherTermsThanTheRecentOnesAreIgnored);
+    CPPUNIT_TEST(lostTermRecordsDoNotHideFormerWorkers);
     CPPUNIT_TEST(malformedLeaseTablesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -250,18 +253,86 @@
         CPPUNIT_ASSERT(state.isReconciled);
     }
 
+    // Guards against a second run beside one whose lease a version without a lease table granted, two terms ago.
+    void longLeasesOfUnknownTermsAreKeptOverTermsInARow()
+    {
+        scheduler::WorkerEntry entry;
+        entry.id = "w";
+        scheduler::Scheduler first;
+        first.limits.maxLeaseMs = 10000;
+        scheduler::beginTerm(first, 7, 1000, { false, 0, { { 7, 0 } } });
+        scheduler::setWorkers(first, { entry }, 1000);
+        scheduler::plan(first, 1500, 0);
+        scheduler::LeaseTable table = scheduler::nextLeaseTable(first, true);
+
+        scheduler::Scheduler second;
+        second.limits.maxLeaseMs = 10000;
+        scheduler::beginTerm(second, 8, 2000, { true, 1000, { { 7, 0 }, { 8, 900 } } });
+        scheduler::setFormerLeases(second, std::move(table), 2000);
+        scheduler::setWorkers(second, { entry }, 2000);
+        scheduler::plan(second, 1000 + second.limits.maxLeaseMs, 0);
+        CPPUNIT_ASSERT(!second.isReconciled);
+        scheduler::plan(second, 1000 + 2 * second.limits.maxLeaseMs, 0);
+        CPPUNIT_ASSERT(second.isReconciled);
+    }
+
+    // Guards against a table that was stored before a term of a version without one, and does not list its leases.
+    void tablesOfOtherTermsThanTheRecentOnesAreIgnored()
+    {
+        scheduler::Scheduler former;
+        scheduler::beginTerm(former, 3, 1000, { true, 100000, { { 3, 99000 } } });
+        scheduler::LeaseTable table = scheduler::nextLeaseTable(former, true);
+
+        // The term 5 granted leases without a table, and the term 7 ended before it had stored one.
+        scheduler::Scheduler state;
+        scheduler::beginTerm(state, 8, 50000, { true, 40000, { { 7, 0 }, { 8, 39000 } } });
+        scheduler::setFormerLeases(state, std::move(table), 50000);
+        scheduler::WorkerEntry entry;
+        entry.id = "w";
+        scheduler::setWorkers(state, { entry }, 50000);
+        scheduler::plan(state, 51000, 0);
+        CPPUNIT_ASSERT(!state.isReconciled);
+        scheduler::plan(state, 51000 + 2 * state.limits.maxLeaseMs, 0);
+        CPPUNIT_ASSERT(state.isReconciled);
+    }
+
+    // Guards against starts beside runs of earlier terms when the record of the term has been removed from the store.
+    void lostTermRecordsDoNotHideFormerWorkers()
+    {
+        scheduler::WorkerEntry entry;
+        entry.id = "w";
+        scheduler::LeaseTable table;
+        table.token = 3;
+        table.granted = { { "w", 3 } };
+        for (const bool hasTable : { true, false }) {
+            scheduler::Scheduler state;
+            scheduler::beginTerm(state, 7, 1000, { true, 3600000, { { 7, 3600000 } } });
+            if (hasTable)
+                scheduler::setFormerLeases(state, table, 1000);
+            scheduler::addFormerWorkers(state, { entry }, 1000);
+            scheduler::setWorkers(state, { entry }, 1000);
+            scheduler::plan(state, 2000, 0);
+            CPPUNIT_ASSERT(!state.isReconciled);
+            scheduler::plan(state, 1000 + 2 * state.limits.maxLeaseMs, 0);
+            CPPUNIT_ASSERT(state.isReconciled);
+        }
+    }
+
     // Guards against a damaged lease table that is taken for an empty one.
     void malformedLeaseTablesAreRejected()
     {
-        for (const char* text :
-            { "", "[]", "{}", "{\"granted\":[],\"released\":{}}", "{\"granted\":{\"x\":[]},\"released\":{}}",
-                "{\"granted\":{\"1\":7},\"released\":{}}", "{\"granted\":{},\"released\":{\"w\":\"1\"}}" })
+        for (const char* text : { "", "[]", "{}", "{\"granted\":{},\"released\":{}}",
+                 "{\"token\":1,\"granted\":[],\"released\":{}}", "{\"token\":1,\"granted\":{\"x\":[]},\"released\":{}}",
+                 "{\"token\":1,\"granted\":{\"1\":7},\"released\":{}}",
+                 "{\"token\":1,\"granted\":{},\"released\":{\"w\":\"1\"}}" })
             CPPUNIT_ASSERT(!scheduler::decodeLeaseTable(text));
         scheduler::LeaseTable table;
         table.granted = { { "a", 1 }, { "b", 2 }, { "c", 1 } };
         table.released = { { "d", 5 } };
+        table.token = 3;
         const auto copy = scheduler::decodeLeaseTable(scheduler::encodeLeaseTable(table));
-        CPPUNIT_ASSERT(copy && copy->granted == table.granted && copy->released == table.released);
+        CPPUNIT_ASSERT(
+            copy && copy->token == table.token && copy->granted == table.granted && copy->released == table.released);
     }
 };
 
