Take the term clock over from each reply of the leader

After a sudden end of a long term it could count a lease of a released worker as over before it was.

Replies carry the leader's term clock. followersWithFasterClocksDoNotAgeLeases failed without the rule (assertion on the difference of the clocks) and passes.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -172,8 +172,10 @@
     }
     const scheduler::Millis now = nowMs();
     m_lastReplyNumber = reply["number"].toInteger();
-    election::observeContact(
-        state, reply["revision"].toInteger(), m_memberCopy.names(), reply["lapsedMs"].toInteger(), now);
+    election::LeaderState leader { reply["revision"].toInteger(), reply["lapsedMs"].toInteger() };
+    if (reply["clockMs"].isDouble())
+        leader.clockMs = reply["clockMs"].toInteger();
+    election::observeContact(state, leader, m_memberCopy.names(), now);
     if (!m_hasContact)
         kernel::logEvent(kernel::LogLevel::Notice, "sync", "dependencyRegained",
             { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
@@ -251,6 +253,7 @@
     reply["number"] = static_cast<qint64>(last.number);
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
+    reply["clockMs"] = static_cast<qint64>(election::termClock(state, now));
     reply["lapsedMs"] = static_cast<qint64>(election::lapsedFor(state, now));
     reply["largestShare"] = election::largestKnownShare(state, now);
     updateMembers(daemon, request, now);
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -255,18 +255,21 @@
     election.isRecordKnown = true;
 }
 
-void observeContact(
-    Election& election, std::int64_t revision, const std::set<std::string>& members, Millis lapsedMs, Millis now)
+void observeContact(Election& election, const LeaderState& leader, const std::set<std::string>& members, Millis now)
 {
-    if (lapsedMs <= 0)
+    if (leader.lapsedMs <= 0)
         election.leaderActedAt = now;
-    election.leaderLapsedAt = lapsedMs > 0 ? now - lapsedMs : 0;
-    election.leaderLapsedRevision = revision;
+    election.leaderLapsedAt = leader.lapsedMs > 0 ? now - leader.lapsedMs : 0;
+    election.leaderLapsedRevision = leader.revision;
+    if (election.hasClock && leader.clockMs) {
+        election.clockMs = *leader.clockMs;
+        election.clockAt = now;
+    }
     election.members = members;
     election.lastContactAt = now;
     election.vacantFrom = 0;
-    if (revision > election.revision) {
-        election.revision = revision;
+    if (leader.revision > election.revision) {
+        election.revision = leader.revision;
         election.changedAt = now;
         if (election.record)
             election.record->isResigned = false; // it leads again
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -171,10 +171,14 @@
 void observe(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
 // A read has shown this record: true when it is this daemon's take-over, whose answer was lost; it leads now.
 bool applyRead(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
-// The leader reported its revision and the daemons that it knows in a message, and for how long its right to act has
-// lapsed (0: it has not).
-void observeContact(
-    Election& election, std::int64_t revision, const std::set<std::string>& members, Millis lapsedMs, Millis now);
+// The leader's state in a reply.
+struct LeaderState {
+    std::int64_t revision = 0;
+    Millis lapsedMs = 0;                // for how long its right to act has lapsed; 0: it has not
+    std::optional<Millis> clockMs = {}; // term clock; absent in replies of versions without one
+};
+
+void observeContact(Election& election, const LeaderState& leader, const std::set<std::string>& members, Millis now);
 // Daemons from which the leader received a message within peerTimeoutMs, or that earlier leaders knew; itself included.
 std::set<std::string> knownMembers(const Election& election, Millis now);
 // Cores of the strongest daemon that may succeed this one. Until it has heard from each of them, at least the value of
--- a/tests/election_recovery_test.cpp
+++ b/tests/election_recovery_test.cpp
@@ -228,7 +228,8 @@
     applyPeerMessage(other, state.self, follower.lastReplyAt, world.now, world.now);
     other.peers[state.self].processorShare = state.processorShare;
     other.peers[state.self].incarnation = state.incarnation;
-    observeContact(state, other.revision, knownMembers(other, world.now), lapsedFor(other, world.now), world.now);
+    observeContact(state, { other.revision, lapsedFor(other, world.now), termClock(other, world.now) },
+        knownMembers(other, world.now), world.now);
     follower.lastReplyAt = world.now;
     state.largestShare = largestKnownShare(other, world.now);
 }
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -86,8 +86,9 @@
         return;
     }
     applyPeerMessage(leader.election, follower.election.self, follower.lastReplyAt, now, now);
-    observeContact(follower.election, leader.election.revision, knownMembers(leader.election, now),
-        lapsedFor(leader.election, now), now);
+    observeContact(follower.election,
+        { leader.election.revision, lapsedFor(leader.election, now), termClock(leader.election, now) },
+        knownMembers(leader.election, now), now);
     follower.lastReplyAt = now;
 }
 
@@ -135,6 +136,7 @@
     CPPUNIT_TEST(recordsWithoutATermClockHideFormerTerms);
     CPPUNIT_TEST(repliesOfALapsedLeaderDoNotExtendItsTerm);
     CPPUNIT_TEST(renewalsSeenLateDoNotExtendALapsedTerm);
+    CPPUNIT_TEST(followersWithFasterClocksDoNotAgeLeases);
     CPPUNIT_TEST(unreadableRecordsHideFormerTerms);
     CPPUNIT_TEST_SUITE_END();
 
@@ -235,7 +237,7 @@
         weak.election.processorShare = 0.07;
         const Record record { "leader", 1, "127.0.0.1:1", 1, 3, false, "", { "weak", "strong" }, 0.5 };
         observe(weak.election, record, 5, 1000);
-        observeContact(weak.election, 5, { "weak", "strong" }, 0, 2900);
+        observeContact(weak.election, { 5 }, { "weak", "strong" }, 2900);
         observeStore(weak.election, true, 2900);
         observeHandOver(weak.election, "leader", 1, 3000);
         CPPUNIT_ASSERT(nextAction(weak.election, 3010) == Action::TakeOver);
@@ -258,7 +260,7 @@
         Daemon c = makeDaemon("c");
         act(cell, a, 1000);
         observe(c.election, cell.record, cell.revision, 1100);
-        observeContact(c.election, cell.revision, {}, 0, 1100);
+        observeContact(c.election, { cell.revision }, {}, 1100);
         cell.record->isResigned = true;
         observe(b.election, cell.record, cell.revision, 1200);
         act(cell, b, 1500);
@@ -306,7 +308,7 @@
         Daemon b = makeDaemon("b");
         const Record resigned { "a", 1, "127.0.0.1:1", 4, 3, true, "c", { "a", "b", "c" } };
         observe(b.election, resigned, 5, 1000);
-        observeContact(b.election, 7, { "a", "b", "c" }, 0, 1500);
+        observeContact(b.election, { 7 }, { "a", "b", "c" }, 1500);
         const Millis late = 1500 + b.election.limits.takeoverMs - 1;
         CPPUNIT_ASSERT(nextAction(b.election, late) != Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(b.election, late + 1) == Action::TakeOver);
@@ -361,7 +363,7 @@
         for (Daemon* daemon : { &weak, &strong }) {
             daemon->election.largestShare = 0.5;
             observe(daemon->election, cell.record, cell.revision, 1100);
-            observeContact(daemon->election, cell.revision, {}, 0, 2900);
+            observeContact(daemon->election, { cell.revision }, {}, 2900);
         }
         observeLeaderGone(weak.election, "leader", 1, 3000);
         observeHandOver(strong.election, "leader", 1, 3000);
@@ -607,6 +609,26 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(endedAt), endedAt <= 3000 + b.election.limits.validityMs);
     }
 
+    // Guards against a lease that seems to be over because the next leader's clock has gained seconds during a long
+    // term.
+    void followersWithFasterClocksDoNotAgeLeases()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        Daemon b = makeDaemon("b");
+        Millis ahead = 0; // of b's clock
+        for (Millis now = 1000; now < 61000; now += 50) {
+            ahead += now % 1000 == 0 ? 50 : 0;
+            act(cell, a, now);
+            act(cell, b, now + ahead);
+            applyPeerMessage(a.election, "b", now, now, now);
+            observeContact(b.election, { a.election.revision, 0, termClock(a.election, now) },
+                knownMembers(a.election, now), now + ahead);
+        }
+        CPPUNIT_ASSERT(b.election.role == Role::Follower);
+        CPPUNIT_ASSERT(termClock(b.election, 61000 + ahead) <= termClock(a.election, 61000) + 50);
+    }
+
     // Guards against a leader of a version without the term clock whose term is taken for ended.
     void recordsWithoutATermClockHideFormerTerms()
     {
