Determine the cause of a wait for tasks of every kind

Callers saw accepted jobs that never ran although most workers had room; the log gives a reason for a waiting task only if it is a lasting one, and doesn't tell interference, processors beside serving tasks over their target, or a step that was skipped for an equal one from a constraint of the step.

The cause moves from down_report to wait_cause: one table of reasons and one function, used by the report on lasting tasks and, next, by the one on jobs without runs. A step that the plan didn't come to has the reason `order`, or `startLimit` when the plan might order no start at all; before, a want of room was told although the plan had not looked at the step. `stepConstraint` is told only for steps that have a constraint; what remains is `passedOver`. The other reasons and all keys of `lastingTaskDown` stay.

The test of the lasting tasks follows the new name of the type, without any other change. The recorded orders (scheduler_plan_test) are unchanged.

--- a/src/daemon/recovery_watch.cpp
+++ b/src/daemon/recovery_watch.cpp
@@ -66,7 +66,7 @@
     for (std::size_t i = 0; i < down.lines.size(); ++i) {
         if (down.lines[i] == 0)
             continue;
-        const auto& [reason, name] = scheduler::downReasonNames[i];
+        const auto& [reason, name] = scheduler::waitReasonNames[i];
         metrics
             .counter("lacewing_lasting_task_down_lines_total", "Lines lastingTaskDown by reason.",
                 { { "reason", std::string(name) } })
--- a/src/scheduler/colocation.cpp
+++ b/src/scheduler/colocation.cpp
@@ -112,6 +112,12 @@
         });
     }
 
+    // Since the task may be placed.
+    Millis waitedMs(const Planner& planner, const TaskRef& ref)
+    {
+        return planner.now - std::max(ref.task->phaseSince, ref.progress->readySince);
+    }
+
     struct Demand {
         double millicores = 0;
         int tasks = 0;
@@ -190,13 +196,29 @@
     return growth / headroom;
 }
 
+TrialState trialState(const Planner& planner, const Worker& worker, const TaskRef& ref)
+{
+    if (planner.now - planner.scheduler.lastTrialAt < trialIntervalMs)
+        return TrialState::RecentTrial;
+    if (waitedMs(planner, ref) < trialWaitMs)
+        return TrialState::ShortWait;
+    return planner.now - worker.lastFillEvictionAt < trialQuietMs ? TrialState::RecentEviction : TrialState::Due;
+}
+
+bool isTrialLimited(Planner& planner, const PlannedWorker& worker, std::size_t fillImage)
+{
+    const auto& images = worker.worker->servingImages;
+    return std::any_of(images.begin(), images.end(), [&](const auto& entry) {
+        const std::size_t serving = imageNumber(planner, entry.first);
+        return pairOf(planner, serving, fillImage).isUncertain && !isTrialAllowed(planner, serving, fillImage);
+    });
+}
+
 double interferenceLimit(const Planner& planner, const Worker& worker, const TaskRef& ref)
 {
-    const Millis waited = planner.now - std::max(ref.task->phaseSince, ref.progress->readySince);
-    const bool isTrialDue = planner.now - planner.scheduler.lastTrialAt >= trialIntervalMs;
-    if (!isTrialDue || waited < trialWaitMs || planner.now - worker.lastFillEvictionAt < trialQuietMs)
+    if (trialState(planner, worker, ref) != TrialState::Due)
         return baseInterferenceLimit;
-    return baseInterferenceLimit * static_cast<double>(waited) / trialWaitMs;
+    return baseInterferenceLimit * static_cast<double>(waitedMs(planner, ref)) / trialWaitMs;
 }
 
 void recordFillStart(Planner& planner, PlannedWorker& worker, const Step& fill)
--- a/src/scheduler/colocation.h
+++ b/src/scheduler/colocation.h
@@ -18,6 +18,24 @@
 double interferenceOfFill(Planner& planner, PlannedWorker& worker, const Step& fill, std::size_t fillImage);
 // Interference of the filling tasks on the worker with a new serving task; 1 takes it to its latency target.
 double interferenceOnServing(Planner& planner, const Worker& worker, const Step& serving);
+// Whether the task may be started on the worker in spite of the predicted interference.
+enum class TrialState {
+    Due,
+    RecentTrial,    // one was started a short time ago on some worker
+    ShortWait,      // the task has not waited long enough
+    RecentEviction, // a filling task was evicted from the worker a short time ago
+};
+
+constexpr base::EnumNames<TrialState, 4> trialStateNames { {
+    { TrialState::Due, "due" },
+    { TrialState::RecentTrial, "recentTrial" },
+    { TrialState::ShortWait, "shortWait" },
+    { TrialState::RecentEviction, "recentEviction" },
+} };
+
+TrialState trialState(const Planner& planner, const Worker& worker, const TaskRef& ref);
+// True when an uncertain pair of the image and a serving image on the worker runs on as many workers as it may.
+bool isTrialLimited(Planner& planner, const PlannedWorker& worker, std::size_t fillImage);
 // Interference that the filling task may cause on the worker. The limit rises with the wait of the task when a trial is
 // due: a start in spite of the predicted interference, whose readings correct the estimates.
 double interferenceLimit(const Planner& planner, const Worker& worker, const TaskRef& ref);
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -380,15 +380,20 @@
             || candidate.job->policy.approval.isNeeded;
     }
 
+    // True when a step of that shape asks for no more.
+    bool asksForNoMore(const UnplacedShape& shape, const Step& step, std::size_t image)
+    {
+        const Step& other = *shape.step;
+        return shape.image == image && step.cpuMillicores >= other.cpuMillicores && step.memoryMb >= other.memoryMb
+            && step.gpus >= other.gpus && step.isFilling == other.isFilling
+            && step.requiredLabel == other.requiredLabel;
+    }
+
     // True when a step that asks for no more has found no worker in this plan.
     bool isKnownUnplaceable(const Pool& pool, const Step& step, std::size_t image)
     {
-        return std::any_of(pool.unplaced.begin(), pool.unplaced.end(), [&](const UnplacedShape& shape) {
-            const Step& other = *shape.step;
-            return shape.image == image && step.cpuMillicores >= other.cpuMillicores && step.memoryMb >= other.memoryMb
-                && step.gpus >= other.gpus && step.isFilling == other.isFilling
-                && step.requiredLabel == other.requiredLabel;
-        });
+        return std::any_of(pool.unplaced.begin(), pool.unplaced.end(),
+            [&](const UnplacedShape& shape) { return asksForNoMore(shape, step, image); });
     }
 
     void placeStep(Planner& planner, const Candidate& candidate)
@@ -436,7 +441,7 @@
                 continue;
             if (!worker) { // the other tasks of the step have the same shape
                 if (!hasStepConstraints(candidate, step))
-                    pool.unplaced.push_back({ &step, image });
+                    pool.unplaced.push_back({ &step, image, planner.triedCandidates });
                 return;
             }
             startOn(planner, pool, ref, *worker, std::max(ref.task->run, ref.task->endedRun) + 1);
@@ -485,13 +490,30 @@
     return cpu->second.lasting + ref.step->cpuMillicores + reserve <= cpu->second.capacity;
 }
 
+bool suffices(double freeFillCpu, const Step& step) { return freeFillCpu >= step.cpuMillicores * minFillCpuShare; }
+
+bool hasProcessors(const PlannedWorker& planned, const Step& step)
+{
+    return step.isFilling ? suffices(planned.freeFillCpu, step) : step.cpuMillicores <= planned.freeCpu;
+}
+
+bool wasSkipped(const Pool& pool, const Step& step, std::size_t image, std::size_t position)
+{
+    return std::any_of(pool.unplaced.begin(), pool.unplaced.end(),
+        [&](const UnplacedShape& shape) { return shape.position < position && asksForNoMore(shape, step, image); });
+}
+
+bool waitsForRack(const Planner& planner, const Step& step, const StepProgress& progress)
+{
+    return (step.isSameRack || !step.dataRack.empty()) && planner.now - progress.readySince <= dataRackWaitMs;
+}
+
 bool hasRoom(const PlannedWorker& planned, const Step& step)
 {
     if (step.memoryMb > planned.freeMemory || step.gpus > planned.freeGpus)
         return false;
-    const bool hasCpu = step.isFilling ? planned.freeFillCpu >= step.cpuMillicores * minFillCpuShare
-                                       : step.cpuMillicores <= planned.freeCpu;
-    return hasCpu && (step.requiredLabel.empty() || hasLabel(planned.worker->entry, step.requiredLabel));
+    return hasProcessors(planned, step)
+        && (step.requiredLabel.empty() || hasLabel(planned.worker->entry, step.requiredLabel));
 }
 
 bool fits(const PlannedWorker& planned, const Step& step) { return planned.acceptsTasks && hasRoom(planned, step); }
@@ -571,6 +593,7 @@
         if (isStartLimitReached(planner))
             break;
         placeStep(planner, candidate);
+        ++planner.triedCandidates;
     }
     planner.stepTasksByWorker.clear();
     planner.orders.question = nextQuestion(
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -12,6 +12,12 @@
     PastGracePeriod, // later than that; has to finish nevertheless
 };
 
+constexpr base::EnumNames<Timeliness, 3> timelinessNames { {
+    { Timeliness::InTime, "inTime" },
+    { Timeliness::Late, "late" },
+    { Timeliness::PastGracePeriod, "pastGracePeriod" },
+} };
+
 // A step with waiting tasks.
 struct Candidate {
     Job* job = nullptr;
@@ -98,6 +104,7 @@
 struct UnplacedShape {
     const Step* step = nullptr;
     std::size_t image = 0;
+    std::size_t position = 0; // of the step in the order of the plan
 };
 
 // Workers of one service and what placement has computed for them.
@@ -116,7 +123,8 @@
     std::int64_t nowUnixMs;
     Orders orders = {};
     std::vector<Candidate> candidates = {};
-    bool hasDraining = false; // at least one worker is draining
+    std::size_t triedCandidates = 0; // from the first on, in the order of the plan; the limit of starts ended it there
+    bool hasDraining = false;        // at least one worker is draining
     double meanSlowness = 1;
     std::unordered_map<const Worker*, int> stepTasksByWorker = {}; // runs of the step being placed
     std::map<std::string, ServiceCpu> serviceCpu = {};             // by service
@@ -124,6 +132,7 @@
     std::unordered_map<const Worker*, PlannedWorker*> plannedByWorker = {}; // filled on first use
     std::map<std::string, std::vector<const Worker*>> workersByRack = {};   // all workers; filled on first use
     Images images = {};
+    std::unordered_map<const StepProgress*, const Candidate*> candidatesByProgress = {}; // filled on first use
 };
 
 TaskRef refOf(const Candidate& candidate, int index);
@@ -134,11 +143,19 @@
 bool isReady(const Occurrence& occurrence, const JobRequest& request, const Step& step);
 // Whether the worker has the label and the free resources of the step.
 bool hasRoom(const PlannedWorker& planned, const Step& step);
+// The part of hasRoom that concerns processors.
+bool hasProcessors(const PlannedWorker& planned, const Step& step);
+// Whether so many idle millicores are enough to start the filling task.
+bool suffices(double freeFillCpu, const Step& step);
 // Also whether it accepts tasks.
 bool fits(const PlannedWorker& planned, const Step& step);
 // True when the lasting task leaves the processors reserved for short tasks of its service free.
 bool leavesShortReserve(const Planner& planner, const TaskRef& ref);
 bool isStartLimitReached(const Planner& planner);
+// Whether the step was skipped because one before it that asks for no more had found no worker.
+bool wasSkipped(const Pool& pool, const Step& step, std::size_t image, std::size_t position);
+// Whether tasks of the step may still be held back for want of a worker on their rack.
+bool waitsForRack(const Planner& planner, const Step& step, const StepProgress& progress);
 
 // Orders stops of the job's runs that must end, and collects its steps with waiting tasks.
 void reviewJob(Planner& planner, Job& job, int jobRank);
--- /dev/null
+++ b/src/scheduler/wait_cause.cpp
@@ -0,0 +1,305 @@
+// Why a task does not run: the checks of placement in their order, on the state that the plan has left.
+#include "scheduler/wait_cause.h"
+
+#include "scheduler/approval.h"
+#include "scheduler/colocation.h"
+#include "scheduler/planner.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lacewing::scheduler {
+
+namespace {
+
+    // Worker whose report or lease end the task waits for.
+    WaitCause unknownCause(const Planner& planner, const Task& task)
+    {
+        const Scheduler& scheduler = planner.scheduler;
+        WaitCause cause { WaitReason::Unknown, task.formerWorker, {} };
+        if (cause.worker.empty())
+            cause.worker = scheduler.recovery.lastWorker;
+        const auto worker = scheduler.workers.find(cause.worker);
+        if (worker != scheduler.workers.end())
+            cause.inputs = { { "leftMs", leaseLeftMs(scheduler, worker->second, planner.now) } };
+        cause.inputs.emplace_back("isWorkerKnown", task.formerWorker.empty() ? 0 : 1);
+        return cause;
+    }
+
+    WaitCause placedCause(const Planner& planner, const Task& task)
+    {
+        if (task.host->contact != Contact::Established)
+            return { WaitReason::WorkerLost, task.worker,
+                { { "leftMs", leaseLeftMs(planner.scheduler, *task.host, planner.now) } } };
+        const WaitReason reason
+            = task.phase == TaskPhase::Stopping ? WaitReason::Stopping : WaitReason::StartUnanswered;
+        return { reason, task.worker, { { "phaseMs", planner.now - task.phaseSince } } };
+    }
+
+    WaitCause noUsableWorkerCause(const Planner& planner, const std::string& service)
+    {
+        int known = 0;
+        int unreachable = 0;
+        int draining = 0;
+        for (const auto& [id, worker] : planner.scheduler.workers) {
+            if (worker.entry.service != service)
+                continue;
+            ++known;
+            unreachable += worker.contact != Contact::Established ? 1 : 0;
+            draining += worker.entry.isDraining ? 1 : 0;
+        }
+        return { WaitReason::NoUsableWorker, {},
+            { { "knownWorkers", known }, { "unreachable", unreachable }, { "draining", draining } } };
+    }
+
+    // What the usable workers of a service lack for a task.
+    struct WorkerSurvey {
+        // --- Workers with the processors, memory and GPUs ---
+        int withRoom = 0; // that accept tasks and have the label
+        int avoided = 0;  // that do not accept tasks
+        int unlabelled = 0;
+        // --- Other workers; the first that applies ---
+        int withoutMemory = 0;
+        int withoutGpus = 0;
+        int overTarget = 0; // have the idle processors for the filling task, but serving tasks over their targets
+        int withoutProcessors = 0;
+        // --- Part of withRoom; the first that applies ---
+        int excluded = 0;   // by the last failure of the task
+        int unapproved = 0; // by the advice service, or not asked yet
+        int overLimit = 0;  // of interference
+        int suitable = 0;
+        // --- Interference ---
+        int trialLimited = 0; // part of overLimit: an uncertain pair of images runs on as many workers as it may
+        double lowestInterference = std::numeric_limits<double>::infinity(); // of the workers over the limit
+        std::int64_t members = 0;                                            // tasks that fit on the suitable workers
+        // --- Examples; null: none ---
+        const PlannedWorker* largest = nullptr; // most free processors
+        const PlannedWorker* largestAvoided = nullptr;
+        const PlannedWorker* largestWithRoom = nullptr;
+        const PlannedWorker* leastDisturbed = nullptr; // lowest interference
+    };
+
+    void keepLarger(const PlannedWorker*& best, const PlannedWorker& planned, bool isFilling)
+    {
+        const auto free = [isFilling](const PlannedWorker& worker) {
+            return isFilling ? worker.freeFillCpu : static_cast<double>(worker.freeCpu);
+        };
+        if (!best || free(planned) > free(*best))
+            best = &planned;
+    }
+
+    // Tasks of the step that fit on the worker together; at least 1.
+    std::int64_t membersOn(const PlannedWorker& planned, const Step& step)
+    {
+        double members = step.count;
+        const auto limitBy = [&members](double free, int needed) {
+            if (needed > 0)
+                members = std::min(members, free / needed);
+        };
+        limitBy(step.isFilling ? planned.freeFillCpu : planned.freeCpu, step.cpuMillicores);
+        limitBy(planned.freeMemory, step.memoryMb);
+        limitBy(planned.freeGpus, step.gpus);
+        return std::max<std::int64_t>(1, static_cast<std::int64_t>(members));
+    }
+
+    void surveyRoom(Planner& planner, PlannedWorker& planned, const TaskRef& ref, WorkerSurvey& survey)
+    {
+        const Worker& worker = *planned.worker;
+        ++survey.withRoom;
+        keepLarger(survey.largestWithRoom, planned, ref.step->isFilling);
+        if (!ref.task->failedWorker.empty() && ref.task->failedWorker == worker.entry.id) {
+            ++survey.excluded;
+            return;
+        }
+        if (ref.job->policy.approval.isNeeded && !isApproved(ref, worker.entry.id, planner.now)) {
+            ++survey.unapproved;
+            return;
+        }
+        if (ref.step->isFilling && worker.servingCpu > 0) {
+            const std::size_t image = imageNumber(planner, ref.step->image);
+            const double interference = interferenceOfFill(planner, planned, *ref.step, image);
+            if (interference > interferenceLimit(planner, worker, ref)) {
+                ++survey.overLimit;
+                survey.trialLimited += isTrialLimited(planner, planned, image) ? 1 : 0;
+                if (interference < survey.lowestInterference) {
+                    survey.lowestInterference = interference;
+                    survey.leastDisturbed = &planned;
+                }
+                return;
+            }
+        }
+        ++survey.suitable;
+        survey.members += membersOn(planned, *ref.step);
+    }
+
+    WorkerSurvey surveyOf(Planner& planner, Pool& pool, const TaskRef& ref)
+    {
+        const Step& step = *ref.step;
+        WorkerSurvey survey;
+        for (PlannedWorker& planned : pool.workers) {
+            const Worker& worker = *planned.worker;
+            keepLarger(survey.largest, planned, step.isFilling);
+            if (step.memoryMb > planned.freeMemory) {
+                ++survey.withoutMemory;
+            } else if (step.gpus > planned.freeGpus) {
+                ++survey.withoutGpus;
+            } else if (!hasProcessors(planned, step)) {
+                const bool isOverTarget
+                    = step.isFilling && worker.overTargetSince != 0 && suffices(freeFillCpu(worker), step);
+                ++(isOverTarget ? survey.overTarget : survey.withoutProcessors);
+            } else if (!step.requiredLabel.empty() && !hasLabel(worker.entry, step.requiredLabel)) {
+                ++survey.unlabelled;
+            } else if (!planned.acceptsTasks) {
+                ++survey.avoided;
+                keepLarger(survey.largestAvoided, planned, step.isFilling);
+            } else {
+                surveyRoom(planner, planned, ref, survey);
+            }
+        }
+        return survey;
+    }
+
+    WaitReason roomReason(const WorkerSurvey& survey, const Step& step)
+    {
+        if (survey.avoided > 0)
+            return WaitReason::AvoidedWorkers;
+        if (survey.overTarget > 0)
+            return WaitReason::ServingOverTarget;
+        if (survey.unlabelled > 0)
+            return WaitReason::Label;
+        return step.isFilling && survey.withoutProcessors > 0 ? WaitReason::NoFillingRoom : WaitReason::NoRoom;
+    }
+
+    WaitReason constraintReason(const Planner& planner, const WorkerSurvey& survey, const TaskRef& ref, bool isSkipped)
+    {
+        const Step& step = *ref.step;
+        if (step.isLasting && ref.task->run == 0 && !leavesShortReserve(planner, ref))
+            return WaitReason::ShortReserve;
+        if (survey.suitable == 0) {
+            if (survey.overLimit > 0)
+                return WaitReason::Interference;
+            return survey.unapproved > 0 ? WaitReason::NoApproval : WaitReason::StepConstraint;
+        }
+        if (isSkipped)
+            return WaitReason::Skipped;
+        if (step.isGang && survey.members < step.count)
+            return WaitReason::NoGangRoom;
+        if (waitsForRack(planner, step, *ref.progress))
+            return WaitReason::Rack;
+        const bool isConstrained = step.maxPerWorker > 0 || step.isSameRack || !step.dataRack.empty()
+            || !ref.task->failedWorker.empty() || ref.job->policy.approval.isNeeded;
+        return isConstrained ? WaitReason::StepConstraint : WaitReason::PassedOver;
+    }
+
+    std::int64_t percentOf(double ratio) { return static_cast<std::int64_t>(100 * ratio); }
+
+    void addInterference(Planner& planner, const WorkerSurvey& survey, const TaskRef& ref, WaitCause& cause)
+    {
+        const Worker& worker = *survey.leastDisturbed->worker;
+        cause.inputs.insert(cause.inputs.end(),
+            { { "overLimit", survey.overLimit }, { "trialLimited", survey.trialLimited },
+                { "interferencePercent", percentOf(survey.lowestInterference) },
+                { "limitPercent", percentOf(interferenceLimit(planner, worker, ref)) },
+                { "lastTrialMs", planner.now - planner.scheduler.lastTrialAt },
+                { "lastEvictionMs", worker.lastFillEvictionAt > 0 ? planner.now - worker.lastFillEvictionAt : -1 } });
+        cause.texts.emplace_back("trial", nameOf(trialStateNames, trialState(planner, worker, ref)));
+    }
+
+    WaitCause waitingCause(Planner& planner, const TaskRef& ref)
+    {
+        const Scheduler& scheduler = planner.scheduler;
+        if (planner.now >= scheduler.validUntil)
+            return { scheduler.configuration.version == 0 ? WaitReason::NoConfiguration : WaitReason::TermNotValid, {},
+                {} };
+        if (!scheduler.hasWorkerList)
+            return { WaitReason::NoWorkerList, {}, {} };
+        const Step& step = *ref.step;
+        const std::string& service = ref.job->policy.service;
+        const auto pool = std::find_if(
+            planner.pools.begin(), planner.pools.end(), [&](const Pool& entry) { return entry.service == service; });
+        if (pool == planner.pools.end() || pool->workers.empty())
+            return noUsableWorkerCause(planner, service);
+        const Candidate* candidate = candidateOf(planner, *ref.progress);
+        const auto position = candidate ? static_cast<std::size_t>(candidate - planner.candidates.data()) : 0;
+        const bool isTried = !candidate || position < planner.triedCandidates;
+        const bool isSkipped
+            = candidate && isTried && wasSkipped(*pool, step, imageNumber(planner, step.image), position);
+        const WorkerSurvey survey = surveyOf(planner, *pool, ref);
+        WaitCause cause;
+        const PlannedWorker* example = survey.largest;
+        if (survey.withRoom > 0)
+            example = survey.suitable == 0 && survey.leastDisturbed ? survey.leastDisturbed : survey.largestWithRoom;
+        else if (survey.avoided > 0)
+            example = survey.largestAvoided;
+        if (!isTried)
+            cause.reason = scheduler.startLimit > 0 ? WaitReason::Order : WaitReason::StartLimit;
+        else if (survey.withRoom > 0)
+            cause.reason = constraintReason(planner, survey, ref, isSkipped);
+        else
+            cause.reason = roomReason(survey, step);
+        cause.worker = example->worker->entry.id;
+        cause.inputs = { { "usableWorkers", static_cast<std::int64_t>(pool->workers.size()) },
+            { "withRoom", survey.withRoom }, { "suitable", survey.suitable }, { "avoided", survey.avoided },
+            { "unlabelled", survey.unlabelled }, { "withoutProcessors", survey.withoutProcessors },
+            { "withoutMemory", survey.withoutMemory }, { "withoutGpus", survey.withoutGpus },
+            { "overTarget", survey.overTarget }, { "millicores", step.cpuMillicores }, { "memoryMb", step.memoryMb },
+            { "gpus", step.gpus }, { "freeMillicores", example->freeCpu },
+            { "idleMillicores", static_cast<std::int64_t>(freeFillCpu(*example->worker)) },
+            { "freeMemoryMb", example->freeMemory },
+            { "startsOrdered", static_cast<std::int64_t>(planner.orders.starts.size()) },
+            { "startLimit", scheduler.startLimit },
+            { "position", candidate ? static_cast<std::int64_t>(position) : -1 },
+            { "tried", static_cast<std::int64_t>(planner.triedCandidates) },
+            { "candidates", static_cast<std::int64_t>(planner.candidates.size()) },
+            { "isSkipped", isSkipped ? 1 : 0 } };
+        if (survey.leastDisturbed)
+            addInterference(planner, survey, ref, cause);
+        return cause;
+    }
+
+} // namespace
+
+bool isOpen(const Job& job, const Occurrence& occurrence, std::int64_t nowUnixMs)
+{
+    return !isFinal(job.state) && occurrence.dueUnixMs <= nowUnixMs;
+}
+
+bool isRunning(const Task& task)
+{
+    const bool isUp = task.phase == TaskPhase::Running || (task.phase == TaskPhase::Stopping && task.isConfirmed);
+    return isUp && task.host && task.host->contact == Contact::Established;
+}
+
+Millis notRunningSince(const Scheduler& scheduler, const Task& task, Millis now)
+{
+    if (task.phase == TaskPhase::Unknown)
+        return scheduler.termStartedAt;
+    if (task.host && task.host->contact != Contact::Established && task.host->reportedAt > 0)
+        return task.host->reportedAt;
+    return task.phaseSince > 0 ? task.phaseSince : now;
+}
+
+const Candidate* candidateOf(Planner& planner, const StepProgress& progress)
+{
+    if (planner.candidatesByProgress.empty()) {
+        for (const Candidate& candidate : planner.candidates)
+            planner.candidatesByProgress[&candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)]]
+                = &candidate;
+    }
+    const auto found = planner.candidatesByProgress.find(&progress);
+    return found == planner.candidatesByProgress.end() ? nullptr : found->second;
+}
+
+WaitCause waitCause(Planner& planner, const TaskRef& ref)
+{
+    const Task& task = *ref.task;
+    if (task.host)
+        return placedCause(planner, task);
+    if (task.phase == TaskPhase::Unknown)
+        return unknownCause(planner, task);
+    if (task.phase == TaskPhase::Failed || task.phase == TaskPhase::Done)
+        return { WaitReason::Failed, {}, {} };
+    return waitingCause(planner, ref);
+}
+
+} // namespace lacewing::scheduler
--- a/tests/recovery_report_test.cpp
+++ b/tests/recovery_report_test.cpp
@@ -214,7 +214,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("startUnanswered"), lines.front().outcome);
         CPPUNIT_ASSERT(!lines.front().worker.empty() && lines.front().run > 0);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
-            term.state().down.lines[static_cast<std::size_t>(scheduler::DownReason::StartUnanswered)]);
+            term.state().down.lines[static_cast<std::size_t>(scheduler::WaitReason::StartUnanswered)]);
     }
 
     // Guards against causes of a late start that the log cannot tell apart.
