Log why jobs have nothing running

Callers saw LOST: jobs that could run and had nothing running for up to a minute. Neither logs nor metrics told whether the order of the plan, the window of starts, room, or interference with serving tasks kept them waiting.

Once a second, after the placement: `jobWaiting` for jobs with a ready step and nothing running or starting for 1 s, longest wait first, at most 8 lines a second; the time between two lines of a job grows with its wait, so that the lines reach all jobs. `placement` sums up workers without serving tasks and with serving tasks over their targets, idle processors, waiting tasks by kind and jobs without runs by reason. Metrics lacewing_jobs_without_runs{reason} and lacewing_job_waiting_lines_total{reason}. Causes are computed for at most 500 jobs and 20,000 visits of a worker in a check, but always for 8 jobs; jobs beyond that count as `unchecked`.

The report reads the state that the plan has left and decides nothing: the recorded orders (scheduler_plan_test) are unchanged.

--- a/src/daemon/recovery_watch.cpp
+++ b/src/daemon/recovery_watch.cpp
@@ -28,6 +28,31 @@
             = count;
     }
 
+    using ReasonLines = std::array<std::uint64_t, scheduler::waitReasonNames.size()>;
+
+    // Adds the lines to the counter of their reason, and clears them.
+    void countLines(base::Metrics& metrics, const char* name, const char* help, ReasonLines& lines)
+    {
+        for (std::size_t i = 0; i < lines.size(); ++i) {
+            if (lines[i] == 0)
+                continue;
+            const std::string reason(scheduler::waitReasonNames[i].second);
+            metrics.counter(name, help, { { "reason", reason } }).value += lines[i];
+            lines[i] = 0;
+        }
+    }
+
+    void setJobsWithoutRuns(base::Metrics& metrics, const scheduler::WaitingReport& waiting)
+    {
+        constexpr auto name = "lacewing_jobs_without_runs";
+        constexpr auto help = "Jobs with a ready step and without runs for 1 s, by reason, each second.";
+        for (std::size_t i = 0; i < waiting.byReason.size(); ++i) {
+            const std::string reason(scheduler::waitReasonNames[i].second);
+            metrics.gauge(name, help, { { "reason", reason } }).value = waiting.byReason[i];
+        }
+        metrics.gauge(name, help, { { "reason", "unchecked" } }).value = waiting.unchecked;
+    }
+
 } // namespace
 
 scheduler::Millis phaseMs(const TermPhases& phases, scheduler::Millis reachedAt)
@@ -63,16 +88,12 @@
     }
     setUnknownTasks(metrics, report.unknown.tasks, report.unknown.lasting);
     setLastingDown(metrics, down.tasks);
-    for (std::size_t i = 0; i < down.lines.size(); ++i) {
-        if (down.lines[i] == 0)
-            continue;
-        const auto& [reason, name] = scheduler::waitReasonNames[i];
-        metrics
-            .counter("lacewing_lasting_task_down_lines_total", "Lines lastingTaskDown by reason.",
-                { { "reason", std::string(name) } })
-            .value
-            += down.lines[i];
-        down.lines[i] = 0;
+    countLines(metrics, "lacewing_lasting_task_down_lines_total", "Lines lastingTaskDown by reason.", down.lines);
+    scheduler::WaitingReport& waiting = scheduler.waiting;
+    if (waiting.hasNewCounts) {
+        setJobsWithoutRuns(metrics, waiting);
+        countLines(metrics, "lacewing_job_waiting_lines_total", "Lines jobWaiting by reason.", waiting.lines);
+        waiting.hasNewCounts = false;
     }
 }
 
@@ -80,6 +101,7 @@
 {
     setUnknownTasks(metrics, 0, 0);
     setLastingDown(metrics, 0);
+    setJobsWithoutRuns(metrics, {});
 }
 
 } // namespace lacewing::daemon
--- a/src/scheduler/decision_log.cpp
+++ b/src/scheduler/decision_log.cpp
@@ -11,9 +11,11 @@
 
     constexpr std::size_t maxDecisions = 2000; // that wait to be logged; about 0.5 MB
 
-    constexpr std::array<std::string_view, 8> significantEvents {
+    constexpr std::array<std::string_view, 10> significantEvents {
+        "jobWaiting",
         "lastingTaskDown",
         "leaseExpired",
+        "placement",
         "placementsApplied",
         "termAccounted",
         "termWaiting",
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -261,6 +261,7 @@
     task.run = std::max(task.run, run);
     task.lastEndAt = now;
     task.lastEnd = kind;
+    ref.progress->lastEndAt = now;
     markDirty(scheduler, job);
     if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed)
         return;
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -576,6 +576,7 @@
     protectLatencyTargets(scheduler, planner.orders, now);
     if (now >= scheduler.validUntil || !scheduler.hasWorkerList) {
         reportDownTasks(planner);
+        reportWaitingJobs(planner);
         return std::move(planner.orders);
     }
     collectWorkers(planner);
@@ -600,6 +601,7 @@
         planner, [&](const Worker& worker, const TaskRef& ref) { return placementScore(planner, worker, ref); });
     scheduler.isQuestionPending = scheduler.isQuestionPending || planner.orders.question.has_value();
     reportDownTasks(planner);
+    reportWaitingJobs(planner);
     return std::move(planner.orders);
 }
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -30,6 +30,7 @@
 #include "scheduler/lease_table.h"
 #include "scheduler/recovery_report.h"
 #include "scheduler/types.h"
+#include "scheduler/waiting_report.h"
 
 #include <deque>
 #include <functional>
@@ -116,6 +117,7 @@
     std::int64_t resolvedToken = -1;                 // token of the term that found no task Unknown or Failed
     Millis readySince = 0;                           // when the steps before it were first seen finished; 0: not ready
     std::map<std::string, WorkerApproval> approvals; // by worker; only for queues that need approval
+    Millis lastEndAt = 0; // for the reports only: when the last end of a run was applied; 0: none in this term
 };
 
 struct Occurrence {
@@ -131,8 +133,9 @@
     std::int64_t acceptedUnixMs = 0;
     JobState state = JobState::Queued;
     std::map<int, Occurrence> occurrences; // by number
-    bool hasStarted = false;    // a worker has acknowledged or reported a run; a start order alone does not count
-    Millis criticalPathMs = -1; // critical path of the steps, by their estimates; -1: not computed yet
+    bool hasStarted = false;      // a worker has acknowledged or reported a run; a start order alone does not count
+    Millis criticalPathMs = -1;   // critical path of the steps, by their estimates; -1: not computed yet
+    Millis waitingReportedAt = 0; // for the reports only: last line `jobWaiting`; 0: none in this term
     // --- Store ---
     std::uint64_t version = 0;          // incremented by each change that has to be stored
     std::uint64_t committedVersion = 0; // version in the store; at most `version`
@@ -304,6 +307,7 @@
     bool hasWorkerList = false; // the workers were listed in this term
     RecoveryReport recovery;
     DownReport down;
+    WaitingReport waiting;
     // --- Outputs that the daemon takes and clears ---
     std::vector<Decision> decisions;
     base::EventBudget decisionBudget;  // since the decisions were taken
