Compare images by number in the cause of a wait

For each visited worker, the cause looked up the numbers of its images by their names; it takes them from the headrooms that the plan has already computed.

--- a/src/scheduler/colocation.cpp
+++ b/src/scheduler/colocation.cpp
@@ -205,12 +205,12 @@
     return planner.now - worker.lastFillEvictionAt < trialQuietMs ? TrialState::RecentEviction : TrialState::Due;
 }
 
-bool isTrialLimited(Planner& planner, const PlannedWorker& worker, std::size_t fillImage)
+bool isTrialLimited(Planner& planner, PlannedWorker& worker, std::size_t fillImage)
 {
-    const auto& images = worker.worker->servingImages;
-    return std::any_of(images.begin(), images.end(), [&](const auto& entry) {
-        const std::size_t serving = imageNumber(planner, entry.first);
-        return pairOf(planner, serving, fillImage).isUncertain && !isTrialAllowed(planner, serving, fillImage);
+    const std::vector<LatencyHeadroom>& headrooms = headroomsOf(planner, worker);
+    return std::any_of(headrooms.begin(), headrooms.end(), [&](const LatencyHeadroom& serving) {
+        return pairOf(planner, serving.image, fillImage).isUncertain
+            && !isTrialAllowed(planner, serving.image, fillImage);
     });
 }
 
--- a/src/scheduler/colocation.h
+++ b/src/scheduler/colocation.h
@@ -35,7 +35,7 @@
 
 TrialState trialState(const Planner& planner, const Worker& worker, const TaskRef& ref);
 // True when an uncertain pair of the image and a serving image on the worker runs on as many workers as it may.
-bool isTrialLimited(Planner& planner, const PlannedWorker& worker, std::size_t fillImage);
+bool isTrialLimited(Planner& planner, PlannedWorker& worker, std::size_t fillImage);
 // Interference that the filling task may cause on the worker. The limit rises with the wait of the task when a trial is
 // due: a start in spite of the predicted interference, whose readings correct the estimates.
 double interferenceLimit(const Planner& planner, const Worker& worker, const TaskRef& ref);
--- a/src/scheduler/wait_cause.cpp
+++ b/src/scheduler/wait_cause.cpp
@@ -102,7 +102,8 @@
         return std::max<std::int64_t>(1, static_cast<std::int64_t>(members));
     }
 
-    void surveyRoom(Planner& planner, PlannedWorker& planned, const TaskRef& ref, WorkerSurvey& survey)
+    void surveyRoom(
+        Planner& planner, PlannedWorker& planned, const TaskRef& ref, std::size_t image, WorkerSurvey& survey)
     {
         const Worker& worker = *planned.worker;
         ++survey.withRoom;
@@ -116,7 +117,6 @@
             return;
         }
         if (ref.step->isFilling && worker.servingCpu > 0) {
-            const std::size_t image = imageNumber(planner, ref.step->image);
             const double interference = interferenceOfFill(planner, planned, *ref.step, image);
             if (interference > interferenceLimit(planner, worker, ref)) {
                 ++survey.overLimit;
@@ -135,6 +135,7 @@
     WorkerSurvey surveyOf(Planner& planner, Pool& pool, const TaskRef& ref)
     {
         const Step& step = *ref.step;
+        const std::size_t image = imageNumber(planner, step.image);
         WorkerSurvey survey;
         for (PlannedWorker& planned : pool.workers) {
             const Worker& worker = *planned.worker;
@@ -153,7 +154,7 @@
                 ++survey.avoided;
                 keepLarger(survey.largestAvoided, planned, step.isFilling);
             } else {
-                surveyRoom(planner, planned, ref, survey);
+                surveyRoom(planner, planned, ref, image, survey);
             }
         }
         return survey;
--- a/src/scheduler/waiting_report.cpp
+++ b/src/scheduler/waiting_report.cpp
@@ -15,7 +15,7 @@
     constexpr Millis waitingCheckPeriodMs = 1000;   // ms between checks
     constexpr Millis waitingRepeatMs = 3000;        // ms between lines of one job, at least
     constexpr std::size_t waitingLinesPerCheck = 8; // bounds the lines to 8 a second
-    constexpr std::size_t maxWorkerVisits = 20000;  // of all causes of a check; 10,000 take about 1 ms
+    constexpr std::size_t maxWorkerVisits = 20000;  // of all causes of a check
     constexpr std::size_t maxCauses = 500;          // of a check
 
     // A job with a ready step and nothing running.
