--- a/src/scheduler/wait_cause.cpp
+++ b/src/scheduler/wait_cause.cpp
@@ -201,7 +201,7 @@
             { { "overLimit", survey.overLimit }, { "trialLimited", survey.trialLimited },
                 { "interferencePercent", percentOf(survey.lowestInterference) },
                 { "limitPercent", percentOf(interferenceLimit(planner, worker, ref)) },
-                { "lastTrialMs", planner.now - planner.scheduler.lastTrialAt },
+                { "lastTrialMs", planner.scheduler.lastTrialAt > 0 ? planner.now - planner.scheduler.lastTrialAt : -1 },
                 { "lastEvictionMs", worker.lastFillEvictionAt > 0 ? planner.now - worker.lastFillEvictionAt : -1 } });
         cause.texts.emplace_back("trial", nameOf(trialStateNames, trialState(planner, worker, ref)));
     }
