--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -36,18 +36,23 @@
 }
 
 World::World(std::uint64_t seed, int workers)
+    : World(seed, std::vector<scheduler::Capacity>(static_cast<std::size_t>(workers), { workerCpu, workerMemory, 0 }))
+{
+}
+
+World::World(std::uint64_t seed, const std::vector<scheduler::Capacity>& workers)
     : m_rng(seed)
 {
-    for (int i = 0; i < workers; ++i) {
+    for (std::size_t i = 0; i < workers.size(); ++i) {
         SimWorker worker;
         worker.entry.id = "w" + std::to_string(i);
         worker.entry.service = "pool";
         worker.entry.address = "127.0.0.1:" + std::to_string(1000 + i);
         worker.entry.dataCentre = "dc" + std::to_string(i % 2);
         worker.entry.labels = { "a", "rack" + std::to_string(i / 4) };
-        worker.entry.capacity = { workerCpu, workerMemory, 0 };
+        worker.entry.capacity = workers[i];
         worker.entry.incarnationUnixMs = 1;
-        worker.clockOffset = -50000 - i;
+        worker.clockOffset = -50000 - static_cast<std::int64_t>(i);
         m_workers.push_back(std::move(worker));
     }
     replaceTerm();
@@ -55,18 +60,25 @@
 
 void World::submit(const std::string& id, std::vector<scheduler::Step> steps, int maxAttempts, int priority,
     const scheduler::ApprovalPolicy& approval)
+{
+    scheduler::QueuePolicy policy;
+    policy.name = "queue";
+    policy.maxAttempts = maxAttempts;
+    policy.priority = priority;
+    policy.approval = approval;
+    submit(id, std::move(steps), std::move(policy));
+}
+
+void World::submit(const std::string& id, std::vector<scheduler::Step> steps, scheduler::QueuePolicy policy)
 {
     scheduler::AcceptedJob job;
     job.request.id = id;
     job.request.payload = "payload";
     job.request.steps = std::move(steps);
-    job.policy.name = "queue";
+    job.policy = std::move(policy);
     job.policy.service = "pool";
-    job.policy.maxAttempts = maxAttempts;
-    job.policy.priority = priority;
-    job.policy.approval = approval;
     job.acceptedUnixMs = m_now;
-    m_maxAttempts[id] = maxAttempts;
+    m_maxAttempts[id] = job.policy.maxAttempts;
     ++m_revision;
     m_accepted[id].record = scheduler::encodeAccepted(job);
     scheduler::addJob(*m_scheduler, job.request, job.policy, job.acceptedUnixMs, m_now);
@@ -136,7 +148,7 @@
     const SimRun run = worker.running.at(task);
     worker.running.erase(task);
     worker.highestEndedRun[task] = std::max(worker.highestEndedRun[task], run.run);
-    worker.ended.push_back({ ++worker.lastNumber, task, run.run, kind, {} });
+    worker.ended.push_back({ ++worker.lastNumber, task, run.run, kind, run.checkpoint });
 }
 
 void World::endRuns()
@@ -146,6 +158,8 @@
         for (const auto& [task, run] : running) {
             if (m_now >= worker.leaseEndsAt)
                 end(worker, task, EndKind::Lapsed);
+            else if (run.stopsAt > 0 && m_now >= run.stopsAt)
+                end(worker, task, EndKind::Stopped);
             else if (run.endsAt > 0 && m_now >= run.endsAt)
                 end(worker, task, run.willFail ? EndKind::Failed : EndKind::Done);
         }
@@ -194,6 +208,7 @@
     run.step = *ref->step;
     run.endsAt = run.step.isLasting ? 0 : m_now + std::max(1, run.step.estimateMs);
     run.willFail = base::chance(m_rng, faults.failedRun);
+    run.checkpoint = order.checkpoint;
     worker.running[order.task] = run;
     worker.leaseEndsAt = std::max(worker.leaseEndsAt, order.deadlineClockMs - worker.clockOffset);
     ++m_starts[order.task];
@@ -213,7 +228,11 @@
             continue;
         worker.highestEndedRun[order.task] = std::max(worker.highestEndedRun[order.task], order.run);
         const auto running = worker.running.find(order.task);
-        if (running != worker.running.end() && running->second.run <= order.run)
+        if (running == worker.running.end() || running->second.run > order.run || running->second.stopsAt > 0)
+            continue;
+        if (faults.stopMs > 0)
+            running->second.stopsAt = m_now + faults.stopMs;
+        else
             end(worker, order.task, EndKind::Stopped);
     }
     if (orders.question)
@@ -301,10 +320,11 @@
         report.incarnationUnixMs = worker.entry.incarnationUnixMs;
         for (const auto& [task, run] : worker.running) {
             const Millis length = std::max<Millis>(1, run.endsAt - run.startedAt);
-            const int percent = run.step.isLasting ? 100 : static_cast<int>(100 * (m_now - run.startedAt) / length);
+            const int elapsedPercent
+                = run.step.isLasting ? 100 : static_cast<int>(100 * (m_now - run.startedAt) / length);
             const auto reading = worker.readings.find(task);
-            report.running.push_back(
-                { task, run.run, {}, percent, reading == worker.readings.end() ? 0 : reading->second });
+            report.running.push_back({ task, run.run, run.checkpoint, run.percent >= 0 ? run.percent : elapsedPercent,
+                reading == worker.readings.end() ? 0 : reading->second });
         }
         report.ended.assign(worker.ended.begin(), worker.ended.end());
         scheduler::applyReport(*m_scheduler, id, report, m_now, m_now);
@@ -366,7 +386,10 @@
 {
     m_now += length;
     injectFaults();
+    updateRuns(length);
     endRuns();
+    if (faults.isLeaderless)
+        return;
     std::vector<scheduler::WorkerEntry> entries;
     for (const SimWorker& worker : m_workers)
         entries.push_back(worker.entry);
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -31,6 +31,8 @@
     double termPerStep = 0;          // probability in each step that the term is lost and another one begins
     double resignPerStep = 0;        // probability in each step that the term is resigned and another one begins
     bool isStoreUnavailable = false; // commits fail
+    Millis stopMs = 0;               // time that a run goes on after its stop
+    bool isLeaderless = false;       // no daemon schedules; replaceTerm begins the term after it
 };
 
 struct SimRun {
@@ -39,6 +41,9 @@
     Millis startedAt = 0;
     bool willFail = false;
     scheduler::Step step;
+    int percent = -1; // reported progress; -1: follows from the times
+    std::string checkpoint;
+    Millis stopsAt = 0; // 0: not being stopped
 };
 
 struct SimWorker {
@@ -73,12 +78,17 @@
 class World {
 public:
     World(std::uint64_t seed, int workers);
+    World(std::uint64_t seed, const std::vector<scheduler::Capacity>& workers);
+    World(const World&) = delete;
+    World& operator=(const World&) = delete;
+    virtual ~World() = default;
 
     // --- Set-up ---
     scheduler::Limits limits;
     Faults faults;
     void submit(const std::string& id, std::vector<scheduler::Step> steps, int maxAttempts = 3, int priority = 0,
         const scheduler::ApprovalPolicy& approval = {});
+    void submit(const std::string& id, std::vector<scheduler::Step> steps, scheduler::QueuePolicy policy);
     void cancel(const std::string& id);
     void withdraw(const std::string& dataCentre);
     // Starts a new incarnation of the worker, which has lost all runs and ends.
@@ -102,6 +112,10 @@
     int rejectedTickets() const { return m_rejectedTickets; }
     const std::string& violation() const { return m_violation; }
 
+protected:
+    // Called in each step before runs end: may change the runs and readings of the workers.
+    virtual void updateRuns(Millis /*length*/) { }
+
 private:
     struct Accepted {
         QByteArray record;
