Move serving tasks together while filling tasks wait for workers

Cause: serving tasks stay for life where they were placed. As others end, each worker keeps the last few of its own, and no worker is left to filling tasks that interfere.

Change: while filling tasks wait, workers with few serving tasks are vacated, the emptiest first, if other workers have room for all their serving tasks. One task of a step is moved at a time, while all others of it are at work; a bounded number at once. New serving tasks leave empty and vacated workers to filling tasks that need them.

In fewServingTasksDoNotOccupyAllWorkers the serving tasks were eight of one job with one task per worker on eight workers, which no placement can bring together; they are now eight jobs of one task, the rest of the test is as it was and failed before the change as well.

--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -344,6 +344,8 @@
             static_cast<double>(scheduler->failedRuns));
         gauge("lacewing_evictions", "Runs that were stopped though their job goes on.",
             static_cast<double>(scheduler->evictions));
+        gauge("lacewing_serving_moves", "Serving tasks that were moved, so that filling tasks get their workers.",
+            static_cast<double>(scheduler->servingMoves));
         gauge("lacewing_rejected_starts", "Starts refused for want of room.",
             static_cast<double>(scheduler->rejectedStarts));
     }
--- /dev/null
+++ b/src/scheduler/consolidation.cpp
@@ -0,0 +1,249 @@
+// Selection of the workers to vacate, and moves of the serving tasks on them.
+#include "scheduler/consolidation.h"
+
+#include <algorithm>
+
+namespace lacewing::scheduler {
+
+namespace {
+
+    constexpr Millis consolidationPeriodMs = 250; // ms between passes
+    constexpr Millis demandWaitMs = 1000;         // ms; filling tasks that have waited longer count as demand
+    constexpr Millis vacantMs = 4000; // ms without demand after which a vacated worker takes serving tasks again
+    constexpr double maxVacatedShare
+        = 0.6;                         // of a worker's processors; workers with more serving tasks stay as they are
+    constexpr int workersPerMove = 12; // of a service, for each serving task that may be on the move
+    // Demand that is worth vacating a worker, as a share of its processors; for a job with nothing running, any is.
+    constexpr double minDemandShare = 0.5;
+
+    bool isServing(const Step& step) { return step.latencyTargetMs > 0; }
+
+    bool isVacated(const Worker& worker) { return worker.vacantUntil > 0; }
+
+    bool isAtWork(const Task& task)
+    {
+        return task.phase == TaskPhase::Running && task.percent >= 100 && task.host
+            && task.host->contact == Contact::Established;
+    }
+
+    // Moves make one task of a step unavailable at a time, and none while another one is down for any reason.
+    bool mayMove(const TaskRef& ref)
+    {
+        return std::all_of(ref.progress->tasks.begin(), ref.progress->tasks.end(), isAtWork);
+    }
+
+    // Free resources of a worker that may receive serving tasks.
+    struct Room {
+        const Worker* worker = nullptr;
+        int cpuMillicores = 0;
+        int memoryMb = 0;
+        int gpus = 0;
+    };
+
+    bool hasRoomFor(const Room& room, const TaskRef& ref)
+    {
+        const Step& step = *ref.step;
+        const auto isOnWorker = [&](const Task& task) { return task.host == room.worker; };
+        return room.worker != ref.task->host && room.cpuMillicores >= step.cpuMillicores
+            && room.memoryMb >= step.memoryMb && room.gpus >= step.gpus
+            && (step.requiredLabel.empty() || hasLabel(room.worker->entry, step.requiredLabel))
+            && (step.maxPerWorker <= 0
+                || std::count_if(ref.progress->tasks.begin(), ref.progress->tasks.end(), isOnWorker)
+                    < step.maxPerWorker);
+    }
+
+    // Takes the room for the task from the fullest worker that has it; false: there is none.
+    bool takeRoom(std::vector<Room>& rooms, const TaskRef& ref)
+    {
+        Room* fullest = nullptr;
+        for (Room& room : rooms) {
+            if (hasRoomFor(room, ref) && (!fullest || room.cpuMillicores < fullest->cpuMillicores))
+                fullest = &room;
+        }
+        if (!fullest)
+            return false;
+        fullest->cpuMillicores -= ref.step->cpuMillicores;
+        fullest->memoryMb -= ref.step->memoryMb;
+        fullest->gpus -= ref.step->gpus;
+        return true;
+    }
+
+    std::vector<TaskRef> servingTasks(const Worker& worker)
+    {
+        std::vector<TaskRef> tasks;
+        for (const auto& [name, ref] : worker.tasks) {
+            if (isServing(*ref.step))
+                tasks.push_back(ref);
+        }
+        return tasks;
+    }
+
+    // Filling tasks of a service that have waited for long.
+    struct Demand {
+        double millicores = 0;
+        bool hasIdleJob = false; // a job with nothing running is among them
+    };
+
+    Demand waitingDemand(const Planner& planner, const std::string& service)
+    {
+        Demand demand;
+        for (const Candidate& candidate : planner.candidates) {
+            const auto index = static_cast<std::size_t>(candidate.stepNumber);
+            const Step& step = candidate.job->request.steps[index];
+            const StepProgress& progress = candidate.occurrence->steps[index];
+            if (!step.isFilling || candidate.job->policy.service != service
+                || planner.now - progress.readySince < demandWaitMs)
+                continue;
+            const auto waiting = std::count_if(progress.tasks.begin(), progress.tasks.end(),
+                [](const Task& task) { return task.phase == TaskPhase::Waiting; });
+            demand.millicores += static_cast<double>(waiting) * step.cpuMillicores;
+            demand.hasIdleJob = demand.hasIdleJob || (candidate.idleSince > 0 && progress.placed == 0);
+        }
+        return demand;
+    }
+
+    // Lasting tasks that lost their run get the room first.
+    bool isRestartWaiting(const Planner& planner)
+    {
+        return std::any_of(planner.candidates.begin(), planner.candidates.end(), [](const Candidate& candidate) {
+            const StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
+            return candidate.isRestart
+                && std::any_of(progress.tasks.begin(), progress.tasks.end(),
+                    [](const Task& task) { return task.phase == TaskPhase::Waiting; });
+        });
+    }
+
+    // One pass over the workers of a service.
+    struct Consolidation {
+        Planner& planner;
+        Pool& pool;
+        Demand demand = {};
+        double vacating = 0; // millicores of the workers that are being vacated
+        int moving = 0;      // serving tasks that are not at work
+        int maxMoving = 1;
+        std::vector<Room> rooms = {}; // of workers that keep their serving tasks
+    };
+
+    void updateVacated(Consolidation& pass, Worker& worker)
+    {
+        if (!isVacated(worker))
+            return;
+        if (pass.demand.millicores > 0)
+            worker.vacantUntil = pass.planner.now + vacantMs;
+        if (pass.planner.now < worker.vacantUntil)
+            return;
+        worker.vacantUntil = 0;
+        logDecision(pass.planner.scheduler,
+            { "workerVacated", {}, {}, worker.entry.id, 0, "takes serving tasks again",
+                { { "servingMillicores", worker.servingCpu } } });
+    }
+
+    void survey(Consolidation& pass)
+    {
+        for (PlannedWorker& planned : pass.pool.workers) {
+            Worker& worker = *planned.worker;
+            updateVacated(pass, worker);
+            for (const TaskRef& ref : servingTasks(worker))
+                pass.moving += isAtWork(*ref.task) ? 0 : 1;
+            if (worker.servingCpu == 0)
+                continue;
+            if (isVacated(worker))
+                pass.vacating += worker.entry.capacity.cpuMillicores;
+            else if (planned.acceptsTasks)
+                pass.rooms.push_back({ &worker, planned.freeCpu, planned.freeMemory, planned.freeGpus });
+        }
+    }
+
+    // Orders the stops of as many serving tasks of a vacated worker as may move now.
+    void moveTasks(Consolidation& pass, Worker& worker)
+    {
+        Scheduler& scheduler = pass.planner.scheduler;
+        for (const TaskRef& ref : servingTasks(worker)) {
+            if (pass.moving >= pass.maxMoving)
+                return;
+            if (!mayMove(ref) || !takeRoom(pass.rooms, ref))
+                continue;
+            ++pass.moving;
+            ++scheduler.servingMoves;
+            orderStop(scheduler, pass.planner.orders, ref, "worker is vacated",
+                { { "demandMillicores", static_cast<std::int64_t>(pass.demand.millicores) },
+                    { "servingMillicores", worker.servingCpu } },
+                pass.planner.now);
+        }
+    }
+
+    bool isWorthVacating(const Consolidation& pass, const Worker& worker)
+    {
+        const int capacity = worker.entry.capacity.cpuMillicores;
+        const bool isWanted = pass.demand.millicores - pass.vacating >= minDemandShare * capacity
+            || (pass.demand.hasIdleJob && pass.vacating == 0);
+        return isWanted && !isVacated(worker) && worker.servingCpu > 0
+            && worker.servingCpu <= maxVacatedShare * capacity;
+    }
+
+    // Workers that are worth vacating, those with the smallest share of serving tasks first.
+    std::vector<Worker*> vacatableWorkers(const Consolidation& pass)
+    {
+        std::vector<Worker*> workers;
+        for (const PlannedWorker& planned : pass.pool.workers) {
+            if (isWorthVacating(pass, *planned.worker))
+                workers.push_back(planned.worker);
+        }
+        std::sort(workers.begin(), workers.end(), [](const Worker* a, const Worker* b) {
+            return cpuShareOf(*a, a->servingCpu) < cpuShareOf(*b, b->servingCpu);
+        });
+        return workers;
+    }
+
+    // False when other workers do not have room for all serving tasks of the worker.
+    bool vacate(Consolidation& pass, Worker& worker)
+    {
+        std::vector<Room> others;
+        std::copy_if(pass.rooms.begin(), pass.rooms.end(), std::back_inserter(others),
+            [&](const Room& room) { return room.worker != &worker; });
+        std::vector<Room> left = others;
+        const std::vector<TaskRef> tasks = servingTasks(worker);
+        if (!std::all_of(tasks.begin(), tasks.end(), [&](const TaskRef& ref) { return takeRoom(left, ref); }))
+            return false;
+        pass.rooms = std::move(others);
+        pass.vacating += worker.entry.capacity.cpuMillicores;
+        worker.vacantUntil = pass.planner.now + vacantMs;
+        logDecision(pass.planner.scheduler,
+            { "workerVacated", {}, {}, worker.entry.id, 0, "vacating",
+                { { "servingMillicores", worker.servingCpu },
+                    { "demandMillicores", static_cast<std::int64_t>(pass.demand.millicores) } } });
+        return true;
+    }
+
+    void consolidatePool(Planner& planner, Pool& pool)
+    {
+        Consolidation pass { planner, pool };
+        pass.demand = waitingDemand(planner, pool.service);
+        pass.maxMoving = std::max(1, static_cast<int>(pool.workers.size()) / workersPerMove);
+        survey(pass);
+        for (PlannedWorker& planned : pool.workers) {
+            if (isVacated(*planned.worker))
+                moveTasks(pass, *planned.worker);
+        }
+        for (Worker* worker : vacatableWorkers(pass)) {
+            if (pass.moving >= pass.maxMoving)
+                return;
+            if (isWorthVacating(pass, *worker) && vacate(pass, *worker))
+                moveTasks(pass, *worker);
+        }
+    }
+
+} // namespace
+
+void consolidateServing(Planner& planner)
+{
+    Scheduler& scheduler = planner.scheduler;
+    if (planner.now - scheduler.consolidatedAt < consolidationPeriodMs || !scheduler.isReconciled
+        || isRestartWaiting(planner))
+        return;
+    scheduler.consolidatedAt = planner.now;
+    for (Pool& pool : planner.pools)
+        consolidatePool(planner, pool);
+}
+
+} // namespace lacewing::scheduler
--- a/src/scheduler/decision_log.cpp
+++ b/src/scheduler/decision_log.cpp
@@ -11,7 +11,7 @@
 
     constexpr std::size_t maxDecisions = 2000; // that wait to be logged; about 0.5 MB
 
-    constexpr std::array<std::string_view, 10> significantEvents {
+    constexpr std::array<std::string_view, 11> significantEvents {
         "jobWaiting",
         "lastingTaskDown",
         "leaseExpired",
@@ -22,6 +22,7 @@
         "workerAvoided",
         "workerDraining",
         "workerRestarted",
+        "workerVacated",
     };
 
     // The first announcement of a worker and its first report in a term are routine; these outcomes are not.
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -5,6 +5,7 @@
 // block smaller ones behind it.
 #include "scheduler/approval.h"
 #include "scheduler/colocation.h"
+#include "scheduler/consolidation.h"
 #include "scheduler/planner.h"
 
 #include <algorithm>
@@ -23,6 +24,7 @@
     constexpr double dataRackWeight = 10;         // on the rack of the data; outweighs all other terms
     constexpr double interferenceWeight = 2;      // interference that a filling task would cause
     constexpr double scarcityWeight = 1;          // demand of other filling images for the worker
+    constexpr double vacatedWorkerWeight = 8;     // penalty of a vacated worker for serving tasks; outweighs all others
     constexpr double slowWorkerWeight = 5;        // penalty of a slow worker; outweighs all terms but the rack
     constexpr Millis dataRackWaitMs = 1500;       // ms that a task waits for a worker on the rack of its data
     constexpr double shortDemandDecayMs = 15000;  // ms; time constant of the decay of the peak demand
@@ -86,10 +88,12 @@
         // Tasks are spread by unallocated processors, filling tasks by idle ones.
         double score = (step.isFilling ? freeFillCpu(worker) : capacity - worker.cpuUsed) / capacity;
         // Serving tasks are packed, those of one image on the same workers, so that the filling images that interfere
-        // with them can use the other workers.
+        // with them can use the other workers. They leave workers without serving tasks free while such images wait.
         if (step.latencyTargetMs > 0)
             score = sameImageWeight * sameImageShare(worker, step)
-                - std::min(1.0, interferenceOnServing(planner, worker, step)) - score;
+                - std::min(1.0, interferenceOnServing(planner, worker, step)) - score
+                - (worker.servingCpu == 0 ? scarcityWeight * scarcity(planner, planned) : 0)
+                - (worker.vacantUntil > 0 ? vacatedWorkerWeight : 0);
         if (step.isFilling)
             score -= scarcityWeight * scarcity(planner, planned);
         if (!step.dataRack.empty() && hasLabel(worker.entry, step.dataRack))
@@ -600,6 +604,7 @@
     planner.orders.question = nextQuestion(
         planner, [&](const Worker& worker, const TaskRef& ref) { return placementScore(planner, worker, ref); });
     scheduler.isQuestionPending = scheduler.isQuestionPending || planner.orders.question.has_value();
+    consolidateServing(planner);
     reportDownTasks(planner);
     reportWaitingJobs(planner);
     return std::move(planner.orders);
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -27,6 +27,7 @@
     std::int64_t deadlineUnixMs = 0; // of the job's end; of its start for lasting jobs
     Timeliness timeliness = Timeliness::InTime;
     bool isRestart = false; // lasting tasks that ran before; their users are without service
+    Millis idleSince = 0;   // when its job last had something running, or the step became ready; 0: the job has runs
     int waiting = 0;        // tasks, at least 1
     int priority = 0;       // of the job's queue
     int jobRank = 0;        // position of the job among all open jobs in the order of their ids
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -117,7 +117,7 @@
     std::int64_t resolvedToken = -1;                 // token of the term that found no task Unknown or Failed
     Millis readySince = 0;                           // when the steps before it were first seen finished; 0: not ready
     std::map<std::string, WorkerApproval> approvals; // by worker; only for queues that need approval
-    Millis lastEndAt = 0; // for the reports only: when the last end of a run was applied; 0: none in this term
+    Millis lastEndAt = 0;                            // when the last end of a run was applied; 0: none in this term
 };
 
 struct Occurrence {
@@ -231,6 +231,8 @@
     Millis modelUpdatedAt = 0;  // last report whose readings went into the interference model
     Millis lastFillEvictionAt = 0; // last eviction of a filling task that interfered with a serving task
     Millis drainEndsAt = 0;        // when a draining worker may stop at the earliest; 0: not draining
+    Millis vacantUntil
+        = 0; // serving tasks are kept off it until then, or longer while filling tasks wait; 0: not vacated
 };
 
 // --- Outputs ---
@@ -316,6 +318,7 @@
     // --- Demand for processors that serving tasks leave unused ---
     std::map<std::string, FillDemand> fillDemand; // by filling image
     Millis fillDemandAt = 0;
+    Millis consolidatedAt = 0; // last pass of the consolidation of serving tasks
     Millis lastTrialAt = 0; // last trial start of a filling task beside an image with which it is expected to interfere
     // --- Reserve of processors for short tasks ---
     // Millicores of running and waiting short tasks by service, decaying maximum.
@@ -326,7 +329,8 @@
     std::uint64_t rejectedStarts = 0;
     std::uint64_t doneTasks = 0;
     std::uint64_t failedRuns = 0;
-    std::uint64_t evictions = 0; // runs that were stopped while their job was not final
+    std::uint64_t servingMoves = 0; // serving tasks that were stopped to vacate their worker; part of the evictions
+    std::uint64_t evictions = 0;    // runs that were stopped while their job was not final
 };
 
 // --- Input from the store ---
--- a/tests/scheduler_colocation_test.cpp
+++ b/tests/scheduler_colocation_test.cpp
@@ -199,14 +199,15 @@
         World world(1, 8);
         world.step(stepMs);
         world.scheduler().interference = knownSlope("serving", "fill", aloneMs, 8 * headroom);
-        for (const std::string job : { "s0", "s1" }) {
-            scheduler::Step step = test::lastingStep(8, 2500, "serving");
-            step.maxPerWorker = 1;
-            world.submit(job, { step });
+        for (int i = 0; i < 8; ++i) { // together as large as a worker
+            world.submit("s" + std::to_string(i), { test::lastingStep(1, 2500, "serving") });
+            world.submit("ended" + std::to_string(i), { test::lastingStep(1, 5500, "serving") });
+            world.run(200);
         }
         world.run(1000);
         CPPUNIT_ASSERT_EQUAL(16, world.runningTasks());
-        world.cancel("s1");
+        for (int i = 0; i < 8; ++i)
+            world.cancel("ended" + std::to_string(i));
         world.run(1000);
         CPPUNIT_ASSERT_EQUAL(8, world.runningTasks());
         world.submit("f", { fillingStep(1, 2000, 1000) });
--- /dev/null
+++ b/tests/scheduler_waiting_jobs_test.cpp
@@ -0,0 +1,142 @@
+// Tests of jobs that wait with nothing running while workers have room: serving tasks spread over all workers, and the
+// order of waiting jobs.
+#include "scheduler_world.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace lacewing;
+using namespace lacewing::test;
+using scheduler::Step;
+
+Step fillingStep(int count, int cpuMillicores, int estimateMs)
+{
+    Step step = plainStep(count, cpuMillicores, estimateMs);
+    step.isFilling = true;
+    step.image = "fill";
+    return step;
+}
+
+std::string workerOf(World& world, const std::string& task)
+{
+    for (const SimWorker& worker : world.workers()) {
+        if (worker.running.count(task) > 0)
+            return worker.entry.id;
+    }
+    return {};
+}
+
+int servingWorkers(World& world)
+{
+    return static_cast<int>(std::count_if(world.workers().begin(), world.workers().end(), [](const SimWorker& worker) {
+        return std::any_of(worker.running.begin(), worker.running.end(),
+            [](const auto& entry) { return entry.second.step.latencyTargetMs > 0; });
+    }));
+}
+
+class SchedulerWaitingJobsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(SchedulerWaitingJobsTest);
+    CPPUNIT_TEST(spreadServingTasksDoNotKeepFillingTasksWaiting);
+    CPPUNIT_TEST(movesLeaveTheOtherTasksOfTheStepAtWork);
+    CPPUNIT_TEST(servingTasksStayWithoutRoomElsewhere);
+    CPPUNIT_TEST(servingTasksStayWithoutWaitingFillingTasks);
+    CPPUNIT_TEST(newServingTasksDoNotOccupyVacatedWorkers);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Leaves one serving task of `cpuMillicores` on each worker; the jobs are called kept0, kept1 ...
+    static void spreadServingTasks(World& world, int cpuMillicores)
+    {
+        const int workers = static_cast<int>(world.workers().size());
+        for (int i = 0; i < workers; ++i) { // as large as a worker, so that each gets one
+            world.submit("kept" + std::to_string(i), { lastingStep(1, cpuMillicores, "serving") });
+            world.submit("ended" + std::to_string(i), { lastingStep(1, 8000 - cpuMillicores, "serving") });
+            world.run(200);
+        }
+        world.run(1000);
+        for (int i = 0; i < workers; ++i)
+            world.cancel("ended" + std::to_string(i));
+        world.run(2000);
+        CPPUNIT_ASSERT_EQUAL(workers, servingWorkers(world));
+    }
+
+public:
+    // Guards against filling tasks without a worker because each worker keeps the last few of its serving tasks.
+    void spreadServingTasksDoNotKeepFillingTasksWaiting()
+    {
+        World world(1, 8);
+        spreadServingTasks(world, 1500);
+        world.submit("fill", { fillingStep(60, 4000, 1000) });
+        world.run(15000);
+        CPPUNIT_ASSERT(servingWorkers(world) <= 3); // two workers hold them
+        CPPUNIT_ASSERT(world.committedState("fill") == scheduler::JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
+    // Guards against moves that make several tasks of one serving step unavailable.
+    void movesLeaveTheOtherTasksOfTheStepAtWork()
+    {
+        World world(1, 6);
+        Step spread = lastingStep(6, 1500, "serving");
+        spread.maxPerWorker = 1;
+        spread.maxUnavailable = 1;
+        world.submit("spread", { spread });
+        world.run(1000);
+        for (int i = 0; i < 6; ++i)
+            world.submit("single" + std::to_string(i), { lastingStep(1, 1500, "serving") });
+        world.run(1000);
+        world.submit("fill", { fillingStep(60, 4000, 1000) });
+        for (int i = 0; i < 300; ++i) {
+            world.step();
+            int atWork = 0;
+            for (int task = 0; task < 6; ++task)
+                atWork += workerOf(world, "spread.0.0." + std::to_string(task)).empty() ? 0 : 1;
+            CPPUNIT_ASSERT(atWork >= 5);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
+    // Guards against stops of serving tasks that would find no other worker.
+    void servingTasksStayWithoutRoomElsewhere()
+    {
+        World world(1, 6);
+        for (int i = 0; i < 6; ++i)
+            world.submit("serving" + std::to_string(i), { lastingStep(1, 4500, "serving") });
+        world.run(1000);
+        world.submit("fill", { fillingStep(60, 4000, 1000) });
+        world.run(15000);
+        for (int i = 0; i < 6; ++i)
+            CPPUNIT_ASSERT_EQUAL(1, world.starts("serving" + std::to_string(i) + ".0.0.0"));
+    }
+
+    // Guards against moves that help nobody.
+    void servingTasksStayWithoutWaitingFillingTasks()
+    {
+        World world(1, 6);
+        spreadServingTasks(world, 1500);
+        world.run(10000);
+        for (int i = 0; i < 6; ++i)
+            CPPUNIT_ASSERT_EQUAL(1, world.starts("kept" + std::to_string(i) + ".0.0.0"));
+    }
+
+    // Guards against workers that are vacated for filling tasks and taken by the next serving tasks.
+    void newServingTasksDoNotOccupyVacatedWorkers()
+    {
+        World world(1, 8);
+        spreadServingTasks(world, 1500);
+        world.submit("fill", { fillingStep(200, 4000, 2000) });
+        world.run(10000);
+        const int before = servingWorkers(world);
+        for (int i = 0; i < 4; ++i)
+            world.submit("new" + std::to_string(i), { lastingStep(1, 1000, "other") });
+        world.run(3000);
+        CPPUNIT_ASSERT(servingWorkers(world) <= before + 1);
+        for (int i = 0; i < 4; ++i)
+            CPPUNIT_ASSERT_EQUAL(1, world.starts("new" + std::to_string(i) + ".0.0.0"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerWaitingJobsTest);
+
+} // namespace
