Give jobs with nothing running a turn of their own

Cause: waiting steps were ordered by timeliness and deadline alone, and each took all the room it could use.

Change: a job with nothing running gets a turn for one task of each ready step: before the jobs that have missed their deadline start further tasks, and before all others of its priority after 1.5 s. It takes a task's room, not a step's, so that jobs in time go on.

--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -1,17 +1,16 @@
 // Placement: decides which waiting task starts on which worker.
 //
-// Waiting tasks are ordered by the priority of their queue, then jobs that can still meet their deadline (the critical
-// path times the allowed stretch) before those that cannot, then by the deadline. A task that fits nowhere does not
-// block smaller ones behind it.
+// Waiting tasks take their turns in the order of placement_order.h. A task that fits nowhere does not block smaller
+// ones behind it.
 #include "scheduler/approval.h"
 #include "scheduler/colocation.h"
 #include "scheduler/consolidation.h"
+#include "scheduler/placement_order.h"
 #include "scheduler/planner.h"
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <tuple>
 
 namespace lacewing::scheduler {
 
@@ -400,13 +399,15 @@
             [&](const UnplacedShape& shape) { return asksForNoMore(shape, step, image); });
     }
 
-    void placeStep(Planner& planner, const Candidate& candidate)
+    // Places at most maxStarts tasks of the step; a gang as a whole.
+    void placeStep(Planner& planner, const Candidate& candidate, int maxStarts)
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
         StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
         Pool& pool = poolOf(planner, candidate.job->policy.service);
         const std::size_t image = imageNumber(planner, step.image);
-        if (isKnownUnplaceable(pool, step, image))
+        const bool isPlacedGang = step.isGang && progress.placed > 0; // in an earlier turn of this plan
+        if (isPlacedGang || isKnownUnplaceable(pool, step, image))
             return;
         countStepTasks(planner, candidate);
         Shape& shape = shapeOf(pool, step, image);
@@ -420,7 +421,8 @@
             }
             return;
         }
-        for (int i = 0; i < step.count; ++i) {
+        int started = 0;
+        for (int i = 0; i < step.count && started < maxStarts; ++i) {
             const TaskRef ref = refOf(candidate, i);
             if (isStartLimitReached(planner))
                 return;
@@ -445,10 +447,11 @@
                 continue;
             if (!worker) { // the other tasks of the step have the same shape
                 if (!hasStepConstraints(candidate, step))
-                    pool.unplaced.push_back({ &step, image, planner.triedCandidates });
+                    pool.unplaced.push_back({ &step, image, planner.triedTurns });
                 return;
             }
             startOn(planner, pool, ref, *worker, std::max(ref.task->run, ref.task->endedRun) + 1);
+            ++started;
             if (step.isLasting)
                 planner.serviceCpu[ref.job->policy.service].lasting += step.cpuMillicores;
         }
@@ -590,15 +593,15 @@
     for (const auto& [id, worker] : scheduler.workers)
         sum += worker.slowness;
     planner.meanSlowness = scheduler.workers.empty() ? 1 : sum / static_cast<double>(scheduler.workers.size());
-    std::sort(planner.candidates.begin(), planner.candidates.end(), [](const Candidate& a, const Candidate& b) {
-        return std::tuple(!a.isRestart, a.priority, a.timeliness, a.deadlineUnixMs, a.jobRank)
-            < std::tuple(!b.isRestart, b.priority, b.timeliness, b.deadlineUnixMs, b.jobRank);
-    });
-    for (const Candidate& candidate : planner.candidates) {
+    planner.turns = placementOrder(planner);
+    for (const Turn& turn : planner.turns) {
         if (isStartLimitReached(planner))
             break;
-        placeStep(planner, candidate);
-        ++planner.triedCandidates;
+        if (!isFirstRun(turn))
+            placeStep(planner, *turn.candidate, turn.candidate->waiting);
+        else if (!hasRuns(*turn.candidate->job))
+            placeStep(planner, *turn.candidate, 1);
+        ++planner.triedTurns;
     }
     planner.stepTasksByWorker.clear();
     planner.orders.question = nextQuestion(
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -33,6 +33,29 @@
     int jobRank = 0;        // position of the job among all open jobs in the order of their ids
 };
 
+// Place of a turn among those of one priority.
+enum class Order {
+    Starved,         // one task, of a job that has had nothing running for long
+    InTime,          // all tasks, of jobs that can still meet their deadline; also lasting tasks
+    FirstRun,        // one task, of a job with nothing running that has missed its deadline
+    Late,            // all tasks
+    PastGracePeriod, // all tasks
+};
+
+constexpr base::EnumNames<Order, 5> orderNames { {
+    { Order::Starved, "starved" },
+    { Order::InTime, "inTime" },
+    { Order::FirstRun, "firstRun" },
+    { Order::Late, "late" },
+    { Order::PastGracePeriod, "pastGracePeriod" },
+} };
+
+// Turn of a step to be placed. A step may have two: one for a first task, one for all.
+struct Turn {
+    const Candidate* candidate = nullptr;
+    Order order = Order::InTime;
+};
+
 // Processor capacity and use of one service, in millicores.
 struct ServiceCpu {
     double capacity = 0;
@@ -105,7 +128,7 @@
 struct UnplacedShape {
     const Step* step = nullptr;
     std::size_t image = 0;
-    std::size_t position = 0; // of the step in the order of the plan
+    std::size_t position = 0; // of the turn in the order of the plan
 };
 
 // Workers of one service and what placement has computed for them.
@@ -124,8 +147,9 @@
     std::int64_t nowUnixMs;
     Orders orders = {};
     std::vector<Candidate> candidates = {};
-    std::size_t triedCandidates = 0; // from the first on, in the order of the plan; the limit of starts ended it there
-    bool hasDraining = false;        // at least one worker is draining
+    std::vector<Turn> turns = {}; // in the order of the plan
+    std::size_t triedTurns = 0;   // from the first on; the limit of starts ended the plan there
+    bool hasDraining = false;     // at least one worker is draining
     double meanSlowness = 1;
     std::unordered_map<const Worker*, int> stepTasksByWorker = {}; // runs of the step being placed
     std::map<std::string, ServiceCpu> serviceCpu = {};             // by service
@@ -133,7 +157,8 @@
     std::unordered_map<const Worker*, PlannedWorker*> plannedByWorker = {}; // filled on first use
     std::map<std::string, std::vector<const Worker*>> workersByRack = {};   // all workers; filled on first use
     Images images = {};
-    std::unordered_map<const StepProgress*, const Candidate*> candidatesByProgress = {}; // filled on first use
+    std::unordered_map<const StepProgress*, std::size_t> turnsByProgress
+        = {}; // position of the first; filled on first use
 };
 
 TaskRef refOf(const Candidate& candidate, int index);
--- a/src/scheduler/wait_cause.cpp
+++ b/src/scheduler/wait_cause.cpp
@@ -220,11 +220,10 @@
             planner.pools.begin(), planner.pools.end(), [&](const Pool& entry) { return entry.service == service; });
         if (pool == planner.pools.end() || pool->workers.empty())
             return noUsableWorkerCause(planner, service);
-        const Candidate* candidate = candidateOf(planner, *ref.progress);
-        const auto position = candidate ? static_cast<std::size_t>(candidate - planner.candidates.data()) : 0;
-        const bool isTried = !candidate || position < planner.triedCandidates;
-        const bool isSkipped
-            = candidate && isTried && wasSkipped(*pool, step, imageNumber(planner, step.image), position);
+        const Turn* turn = turnOf(planner, *ref.progress);
+        const auto position = turn ? static_cast<std::size_t>(turn - planner.turns.data()) : 0;
+        const bool isTried = !turn || position < planner.triedTurns;
+        const bool isSkipped = turn && isTried && wasSkipped(*pool, step, imageNumber(planner, step.image), position);
         const WorkerSurvey survey = surveyOf(planner, *pool, ref);
         WaitCause cause;
         const PlannedWorker* example = survey.largest;
@@ -248,11 +247,9 @@
             { "idleMillicores", static_cast<std::int64_t>(freeFillCpu(*example->worker)) },
             { "freeMemoryMb", example->freeMemory },
             { "startsOrdered", static_cast<std::int64_t>(planner.orders.starts.size()) },
-            { "startLimit", scheduler.startLimit },
-            { "position", candidate ? static_cast<std::int64_t>(position) : -1 },
-            { "tried", static_cast<std::int64_t>(planner.triedCandidates) },
-            { "candidates", static_cast<std::int64_t>(planner.candidates.size()) },
-            { "isSkipped", isSkipped ? 1 : 0 } };
+            { "startLimit", scheduler.startLimit }, { "position", turn ? static_cast<std::int64_t>(position) : -1 },
+            { "tried", static_cast<std::int64_t>(planner.triedTurns) },
+            { "turns", static_cast<std::int64_t>(planner.turns.size()) }, { "isSkipped", isSkipped ? 1 : 0 } };
         if (survey.leastDisturbed)
             addInterference(planner, survey, ref, cause);
         return cause;
@@ -280,15 +277,17 @@
     return task.phaseSince > 0 ? task.phaseSince : now;
 }
 
-const Candidate* candidateOf(Planner& planner, const StepProgress& progress)
+const Turn* turnOf(Planner& planner, const StepProgress& progress)
 {
-    if (planner.candidatesByProgress.empty()) {
-        for (const Candidate& candidate : planner.candidates)
-            planner.candidatesByProgress[&candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)]]
-                = &candidate;
+    if (planner.turnsByProgress.empty()) {
+        for (std::size_t i = 0; i < planner.turns.size(); ++i) {
+            const Candidate& candidate = *planner.turns[i].candidate;
+            planner.turnsByProgress.try_emplace(
+                &candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)], i);
+        }
     }
-    const auto found = planner.candidatesByProgress.find(&progress);
-    return found == planner.candidatesByProgress.end() ? nullptr : found->second;
+    const auto found = planner.turnsByProgress.find(&progress);
+    return found == planner.turnsByProgress.end() ? nullptr : &planner.turns[found->second];
 }
 
 WaitCause waitCause(Planner& planner, const TaskRef& ref)
--- a/src/scheduler/wait_cause.h
+++ b/src/scheduler/wait_cause.h
@@ -11,7 +11,6 @@
 
 namespace lacewing::scheduler {
 
-struct Candidate;
 struct Job;
 struct Occurrence;
 struct Planner;
@@ -19,6 +18,7 @@
 struct StepProgress;
 struct Task;
 struct TaskRef;
+struct Turn;
 
 enum class WaitReason {
     Unknown,           // may run on a worker that has not reported in this term
@@ -85,8 +85,8 @@
 // of the service.
 WaitCause waitCause(Planner& planner, const TaskRef& ref);
 
-// The step in the order of the plan; null when the plan has not ordered it.
-const Candidate* candidateOf(Planner& planner, const StepProgress& progress);
+// First turn of the step in the plan; null when the plan has not ordered it.
+const Turn* turnOf(Planner& planner, const StepProgress& progress);
 bool isOpen(const Job& job, const Occurrence& occurrence, std::int64_t nowUnixMs);
 // True until the end of a confirmed run is reported, while its worker answers.
 bool isRunning(const Task& task);
--- a/src/scheduler/waiting_report.cpp
+++ b/src/scheduler/waiting_report.cpp
@@ -127,8 +127,10 @@
             ref.step->image };
         decision.inputs.insert(decision.inputs.end(), cause.inputs.begin(), cause.inputs.end());
         decision.texts = std::move(cause.texts);
-        if (const Candidate* candidate = candidateOf(planner, *ref.progress))
-            decision.texts.emplace_back("timeliness", nameOf(timelinessNames, candidate->timeliness));
+        if (const Turn* turn = turnOf(planner, *ref.progress)) {
+            decision.texts.emplace_back("timeliness", nameOf(timelinessNames, turn->candidate->timeliness));
+            decision.texts.emplace_back("order", nameOf(orderNames, turn->order));
+        }
         logDecision(scheduler, std::move(decision));
     }
 
--- a/tests/scheduler_waiting_jobs_test.cpp
+++ b/tests/scheduler_waiting_jobs_test.cpp
@@ -11,6 +11,9 @@
 using namespace lacewing::test;
 using scheduler::Step;
 
+// ms that a job may have nothing running while workers have room (rule of the platform)
+constexpr Millis maxIdleMs = 3000;
+
 Step fillingStep(int count, int cpuMillicores, int estimateMs)
 {
     Step step = plainStep(count, cpuMillicores, estimateMs);
@@ -43,6 +46,7 @@
     CPPUNIT_TEST(servingTasksStayWithoutRoomElsewhere);
     CPPUNIT_TEST(servingTasksStayWithoutWaitingFillingTasks);
     CPPUNIT_TEST(newServingTasksDoNotOccupyVacatedWorkers);
+    CPPUNIT_TEST(jobsWithNothingRunningDoNotWaitBehindNewerOnes);
     CPPUNIT_TEST_SUITE_END();
 
     // Leaves one serving task of `cpuMillicores` on each worker; the jobs are called kept0, kept1 ...
@@ -135,6 +139,29 @@
         for (int i = 0; i < 4; ++i)
             CPPUNIT_ASSERT_EQUAL(1, world.starts("new" + std::to_string(i) + ".0.0.0"));
     }
+
+    // Guards against a job past its deadline that gets nothing as long as newer jobs keep the workers busy.
+    void jobsWithNothingRunningDoNotWaitBehindNewerOnes()
+    {
+        World world(1, 2);                                 // room for four tasks
+        world.submit("old", { plainStep(2000, 4000, 1) }); // the estimate gives it a deadline that has passed at once
+        Millis lastRunAt = world.now();
+        Millis longestIdle = 0;
+        for (int i = 0; i < 400; ++i) {
+            if (world.scheduler().active.size() < 3)
+                world.submit("new" + std::to_string(i), { plainStep(8, 4000, 600) });
+            world.step();
+            const auto& workers = world.workers();
+            const bool isRunning = std::any_of(workers.begin(), workers.end(), [](const SimWorker& worker) {
+                return std::any_of(worker.running.begin(), worker.running.end(),
+                    [](const auto& entry) { return entry.first.rfind("old.", 0) == 0; });
+            });
+            if (isRunning)
+                lastRunAt = world.now();
+            longestIdle = std::max(longestIdle, world.now() - lastRunAt);
+        }
+        CPPUNIT_ASSERT(longestIdle <= maxIdleMs);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerWaitingJobsTest);
