Let the interference limit depend on the wait of each step with nothing running

Cause: two limits for all instead of each. A refusal was taken over for every step of the same shape, although the limit rises with the wait of the step. The rise itself was tied to the trials, whose purpose is to correct the estimates that all workers share.

Change: a step with nothing running may cause interference up to half of the headroom after some 2 s, on any worker without a recent eviction; beyond that only as a trial, one at a time as before, because what is learned from it serves all. Steps with runs keep the base limit. A refusal holds for steps whose limit is no higher.

--- a/src/scheduler/colocation.cpp
+++ b/src/scheduler/colocation.cpp
@@ -9,6 +9,8 @@
 
     constexpr double servingUtilization = 0.45;    // share of its requested cpu that a serving task uses on average
     constexpr double baseInterferenceLimit = 0.35; // share of a serving image's headroom; the rest is for its own load
+    // Share of the headroom that a job with nothing running may use up; half is left for the serving tasks' own load.
+    constexpr double idleInterferenceLimit = 0.5;
     constexpr Millis trialWaitMs = 1500;     // ms; queue wait after which a task may start in spite of interference
     constexpr Millis trialIntervalMs = 1400; // ms between such trials on all workers together
     constexpr Millis trialQuietMs = 4000;   // ms without an eviction for interference on the worker before such a trial
@@ -118,6 +120,13 @@
         return planner.now - std::max(ref.task->phaseSince, ref.progress->readySince);
     }
 
+    bool isTrialDue(const Planner& planner) { return planner.now - planner.scheduler.lastTrialAt >= trialIntervalMs; }
+
+    bool isQuiet(const Planner& planner, const Worker& worker)
+    {
+        return planner.now - worker.lastFillEvictionAt >= trialQuietMs;
+    }
+
     struct Demand {
         double millicores = 0;
         int tasks = 0;
@@ -198,11 +207,13 @@
 
 TrialState trialState(const Planner& planner, const Worker& worker, const TaskRef& ref)
 {
-    if (planner.now - planner.scheduler.lastTrialAt < trialIntervalMs)
-        return TrialState::RecentTrial;
+    if (ref.progress->placed > 0)
+        return TrialState::HasRuns;
     if (waitedMs(planner, ref) < trialWaitMs)
         return TrialState::ShortWait;
-    return planner.now - worker.lastFillEvictionAt < trialQuietMs ? TrialState::RecentEviction : TrialState::Due;
+    if (!isQuiet(planner, worker))
+        return TrialState::RecentEviction;
+    return isTrialDue(planner) ? TrialState::Due : TrialState::RecentTrial;
 }
 
 bool isTrialLimited(Planner& planner, PlannedWorker& worker, std::size_t fillImage)
@@ -214,17 +225,24 @@
     });
 }
 
-double interferenceLimit(const Planner& planner, const Worker& worker, const TaskRef& ref)
+double interferenceLimit(const Planner& planner, const TaskRef& ref)
 {
-    if (trialState(planner, worker, ref) != TrialState::Due)
+    const Millis waited = waitedMs(planner, ref);
+    if (ref.progress->placed > 0 || waited < trialWaitMs)
         return baseInterferenceLimit;
-    return baseInterferenceLimit * static_cast<double>(waitedMs(planner, ref)) / trialWaitMs;
+    const double limit = baseInterferenceLimit * static_cast<double>(waited) / trialWaitMs;
+    return isTrialDue(planner) ? limit : std::min(limit, idleInterferenceLimit);
+}
+
+double interferenceLimitOn(const Planner& planner, const Worker& worker, double limit)
+{
+    return isQuiet(planner, worker) ? limit : std::min(limit, baseInterferenceLimit);
 }
 
 void recordFillStart(Planner& planner, PlannedWorker& worker, const Step& fill)
 {
     const std::size_t fillImage = imageNumber(planner, fill.image);
-    if (interferenceOfFill(planner, worker, fill, fillImage) > baseInterferenceLimit)
+    if (interferenceOfFill(planner, worker, fill, fillImage) > idleInterferenceLimit)
         planner.scheduler.lastTrialAt = planner.now; // also when it was not started as one
     const double share = cpuShareOf(*worker.worker, fill.cpuMillicores);
     for (LatencyHeadroom& serving : headroomsOf(planner, worker)) {
--- a/src/scheduler/colocation.h
+++ b/src/scheduler/colocation.h
@@ -21,13 +21,15 @@
 // Whether the task may be started on the worker in spite of the predicted interference.
 enum class TrialState {
     Due,
+    HasRuns,        // other tasks of the step run
     RecentTrial,    // one was started a short time ago on some worker
     ShortWait,      // the task has not waited long enough
     RecentEviction, // a filling task was evicted from the worker a short time ago
 };
 
-constexpr base::EnumNames<TrialState, 4> trialStateNames { {
+constexpr base::EnumNames<TrialState, 5> trialStateNames { {
     { TrialState::Due, "due" },
+    { TrialState::HasRuns, "hasRuns" },
     { TrialState::RecentTrial, "recentTrial" },
     { TrialState::ShortWait, "shortWait" },
     { TrialState::RecentEviction, "recentEviction" },
@@ -36,9 +38,12 @@
 TrialState trialState(const Planner& planner, const Worker& worker, const TaskRef& ref);
 // True when an uncertain pair of the image and a serving image on the worker runs on as many workers as it may.
 bool isTrialLimited(Planner& planner, PlannedWorker& worker, std::size_t fillImage);
-// Interference that the filling task may cause on the worker. The limit rises with the wait of the task when a trial is
-// due: a start in spite of the predicted interference, whose readings correct the estimates.
-double interferenceLimit(const Planner& planner, const Worker& worker, const TaskRef& ref);
+// Interference that the filling task may cause. The limit rises with the wait of a step with nothing running: up to
+// half of the headroom, and further when a trial is due, a start in spite of the predicted interference whose readings
+// correct the estimates. All workers share the estimates, so that one trial at a time is enough for all.
+double interferenceLimit(const Planner& planner, const TaskRef& ref);
+// The part of such a limit that holds on the worker: it is not raised soon after an eviction there.
+double interferenceLimitOn(const Planner& planner, const Worker& worker, double limit);
 // Updates interference and trial counts for a filling task that this plan starts.
 void recordFillStart(Planner& planner, PlannedWorker& worker, const Step& fill);
 // Highest ratio of demand to supply among the filling images that are compatible with the worker.
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -191,7 +191,8 @@
     //
     // Workers are rated only when the task may use them, because some inputs of a rating are computed on first use and
     // then cached for the rest of the plan.
-    PlannedWorker* chooseWorker(Planner& planner, Pool& pool, Shape& shape, const TaskRef& ref, const std::string& rack)
+    PlannedWorker* chooseWorker(Planner& planner, Pool& pool, Shape& shape, const TaskRef& ref, const std::string& rack,
+        double interferenceLimit)
     {
         refresh(pool, shape);
         if (shape.fitting.empty())
@@ -213,7 +214,7 @@
                 rate(planner, shape, planned, rated);
             if (best && rated.score <= bestScore)
                 continue;
-            if (rated.hasInterference && rated.interference > interferenceLimit(planner, worker, ref))
+            if (rated.hasInterference && rated.interference > interferenceLimitOn(planner, worker, interferenceLimit))
                 continue;
             best = &planned;
             bestScore = rated.score;
@@ -350,6 +351,7 @@
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
         std::vector<PlacedMember> placed;
+        const double limit = interferenceLimit(planner, refOf(candidate, 0));
         int run = 0;
         std::string checkpoint;
         for (int i = 0; i < step.count; ++i) {
@@ -357,7 +359,7 @@
             run = std::max({ run, ref.task->run, ref.task->endedRun });
             if (checkpoint.empty())
                 checkpoint = ref.task->checkpoint;
-            PlannedWorker* worker = chooseWorker(planner, pool, shape, ref, rack);
+            PlannedWorker* worker = chooseWorker(planner, pool, shape, ref, rack, limit);
             if (!worker)
                 break;
             reserveOn(planner, pool, *worker, ref);
@@ -384,19 +386,31 @@
     }
 
     // True when a step of that shape asks for no more.
-    bool asksForNoMore(const UnplacedShape& shape, const Step& step, std::size_t image)
+    bool asksForNoMore(const UnplacedShape& shape, const Step& step, std::size_t image, double interferenceLimit)
     {
         const Step& other = *shape.step;
         return shape.image == image && step.cpuMillicores >= other.cpuMillicores && step.memoryMb >= other.memoryMb
-            && step.gpus >= other.gpus && step.isFilling == other.isFilling
-            && step.requiredLabel == other.requiredLabel;
+            && step.gpus >= other.gpus && step.isFilling == other.isFilling && step.requiredLabel == other.requiredLabel
+            && interferenceLimit <= shape.interferenceLimit;
     }
 
     // True when a step that asks for no more has found no worker in this plan.
-    bool isKnownUnplaceable(const Pool& pool, const Step& step, std::size_t image)
+    bool isKnownUnplaceable(const Pool& pool, const Step& step, std::size_t image, double interferenceLimit)
     {
         return std::any_of(pool.unplaced.begin(), pool.unplaced.end(),
-            [&](const UnplacedShape& shape) { return asksForNoMore(shape, step, image); });
+            [&](const UnplacedShape& shape) { return asksForNoMore(shape, step, image, interferenceLimit); });
+    }
+
+    // Highest interference limit of the waiting tasks of the step; 0 for steps that do not fill.
+    double highestLimit(const Planner& planner, const Candidate& candidate, const Step& step)
+    {
+        double highest = 0;
+        for (int i = 0; step.isFilling && i < step.count; ++i) {
+            const TaskRef ref = refOf(candidate, i);
+            if (ref.task->phase == TaskPhase::Waiting)
+                highest = std::max(highest, interferenceLimit(planner, ref));
+        }
+        return highest;
     }
 
     // Places at most maxStarts tasks of the step; a gang as a whole.
@@ -407,7 +421,7 @@
         Pool& pool = poolOf(planner, candidate.job->policy.service);
         const std::size_t image = imageNumber(planner, step.image);
         const bool isPlacedGang = step.isGang && progress.placed > 0; // in an earlier turn of this plan
-        if (isPlacedGang || isKnownUnplaceable(pool, step, image))
+        if (isPlacedGang || isKnownUnplaceable(pool, step, image, highestLimit(planner, candidate, step)))
             return;
         countStepTasks(planner, candidate);
         Shape& shape = shapeOf(pool, step, image);
@@ -422,6 +436,7 @@
             return;
         }
         int started = 0;
+        double refusedLimit = -1; // highest interference limit of a task that found no worker; -1: all have found one
         for (int i = 0; i < step.count && started < maxStarts; ++i) {
             const TaskRef ref = refOf(candidate, i);
             if (isStartLimitReached(planner))
@@ -431,9 +446,12 @@
             const bool isFirstRun = ref.task->run == 0;
             if (step.isLasting && isFirstRun && !leavesShortReserve(planner, ref))
                 continue;
+            const double limit = step.isFilling ? interferenceLimit(planner, ref) : 0;
+            if (limit <= refusedLimit) // the tasks of the step have the same shape
+                continue;
             PlannedWorker* worker = nullptr;
             for (const std::string& rack : racks) {
-                worker = chooseWorker(planner, pool, shape, ref, rack);
+                worker = chooseWorker(planner, pool, shape, ref, rack, limit);
                 if (worker)
                     break;
             }
@@ -445,10 +463,11 @@
                 = worker && !step.dataRack.empty() && !hasLabel(worker->worker->entry, step.dataRack);
             if (isOffDataRack && planner.now - progress.readySince < dataRackWaitMs)
                 continue;
-            if (!worker) { // the other tasks of the step have the same shape
+            if (!worker) {
                 if (!hasStepConstraints(candidate, step))
-                    pool.unplaced.push_back({ &step, image, planner.triedTurns });
-                return;
+                    pool.unplaced.push_back({ &step, image, limit, planner.triedTurns });
+                refusedLimit = limit;
+                continue;
             }
             startOn(planner, pool, ref, *worker, std::max(ref.task->run, ref.task->endedRun) + 1);
             ++started;
@@ -504,10 +523,11 @@
     return step.isFilling ? suffices(planned.freeFillCpu, step) : step.cpuMillicores <= planned.freeCpu;
 }
 
-bool wasSkipped(const Pool& pool, const Step& step, std::size_t image, std::size_t position)
+bool wasSkipped(const Pool& pool, const Step& step, std::size_t image, double interferenceLimit, std::size_t position)
 {
-    return std::any_of(pool.unplaced.begin(), pool.unplaced.end(),
-        [&](const UnplacedShape& shape) { return shape.position < position && asksForNoMore(shape, step, image); });
+    return std::any_of(pool.unplaced.begin(), pool.unplaced.end(), [&](const UnplacedShape& shape) {
+        return shape.position < position && asksForNoMore(shape, step, image, interferenceLimit);
+    });
 }
 
 bool waitsForRack(const Planner& planner, const Step& step, const StepProgress& progress)
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -124,10 +124,11 @@
 };
 
 // Requirements for which no worker was found in this plan. Tasks with the same constraints that ask for at least as
-// much are skipped.
+// much, and may cause no more interference, are skipped.
 struct UnplacedShape {
     const Step* step = nullptr;
     std::size_t image = 0;
+    double interferenceLimit = 0;
     std::size_t position = 0; // of the turn in the order of the plan
 };
 
@@ -179,7 +180,7 @@
 bool leavesShortReserve(const Planner& planner, const TaskRef& ref);
 bool isStartLimitReached(const Planner& planner);
 // Whether the step was skipped because one before it that asks for no more had found no worker.
-bool wasSkipped(const Pool& pool, const Step& step, std::size_t image, std::size_t position);
+bool wasSkipped(const Pool& pool, const Step& step, std::size_t image, double interferenceLimit, std::size_t position);
 // Whether tasks of the step may still be held back for want of a worker on their rack.
 bool waitsForRack(const Planner& planner, const Step& step, const StepProgress& progress);
 
