Number runs uniquely over terms, and match ends by worker and run

Cause: a run number did not identify a run. A term without records left out one number, but the former leader had used more while the store was away: two runs had the number 2. The late end of the first freed the task while the second went on, because endRun() compared run numbers alone.

Change: each term numbers the runs of a job in blocks that are derived from its fencing token relative to the store revision at which the job was accepted (run_number.h). A block bounds the starts between two records of the job; a task that has used it up waits until its record is stored. An end, a report row, a stray and an answer change the current run only when worker and run number are those of the current run. A missing run is found by name and number, and the checkpoint of an earlier run does not replace a later one. Records keep their format; run numbers are 64 bits wide, exact in JSON up to 2^53.

The check for run numbers out of range in reports has the new bound, and a number that no term can have given is refused by the scheduler as well.

--- a/soak/checks.h
+++ b/soak/checks.h
@@ -63,8 +63,8 @@
 };
 
 struct TaskFacts {
-    std::map<int, RunFacts> runs; // by number
-    std::int64_t doneAt = 0;      // first end as done; 0: none
+    std::map<std::int64_t, RunFacts> runs; // by number
+    std::int64_t doneAt = 0;               // first end as done; 0: none
     int running = 0;
     int failed = 0;
     bool isDoneAcknowledged = false;
--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -295,7 +295,7 @@
                     tasks.append(QJsonObject { { "task",
                                                    toQString(scheduler::taskName(
                                                        id, number, static_cast<int>(step), static_cast<int>(index))) },
-                        { "phase", phaseName(list[index].phase) }, { "run", list[index].run },
+                        { "phase", phaseName(list[index].phase) }, { "run", static_cast<qint64>(list[index].run) },
                         { "failures", static_cast<qint64>(list[index].failedRuns.size()) },
                         { "worker", toQString(list[index].worker) }, { "percent", list[index].percent } });
             }
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -174,7 +174,8 @@
         return;
     }
     applyState(*m_table, id, scheduler::JobState::Queued, nowMs());
-    scheduler::addJob(*m_scheduler, std::move(job->request), std::move(job->policy), job->acceptedUnixMs, nowMs());
+    scheduler::addJob(*m_scheduler, std::move(job->request), std::move(job->policy), job->acceptedUnixMs,
+        item.createdRevision, nowMs());
     if (isNewInTerm)
         kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "jobSeen",
             { { "job", id }, { "revision", item.revision },
--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -19,8 +19,11 @@
 // Orders the stop of the current run, and logs the reason and the inputs of the decision.
 void orderStop(Scheduler& scheduler, Orders& orders, const TaskRef& ref, const std::string& reason,
     std::vector<std::pair<const char*, std::int64_t>> inputs, Millis now);
-// Applies the end of the current run, or of a run that this term did not track.
-void endRun(Scheduler& scheduler, const TaskRef& ref, EndKind kind, int run, Millis now);
+// True when the worker's run is the current run of the task.
+bool isCurrentRun(const Task& task, const std::string& worker, RunNumber run);
+// Applies the end of the worker's run. Only the end of the current run frees the task and its resources.
+void endRun(
+    Scheduler& scheduler, const TaskRef& ref, const std::string& worker, EndKind kind, RunNumber run, Millis now);
 // Bounds of the worker's clock at `now`, given the slowest clock rate.
 std::int64_t earliestClock(const Scheduler& scheduler, const Worker& worker, Millis now);
 std::int64_t latestClock(const Worker& worker, Millis now);
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -109,7 +109,8 @@
     return tasks * occurrences <= maxTasksPerJob && steps * occurrences <= maxStepsPerJob;
 }
 
-Job& addJob(Scheduler& scheduler, JobRequest request, QueuePolicy policy, std::int64_t acceptedUnixMs, Millis now)
+Job& addJob(Scheduler& scheduler, JobRequest request, QueuePolicy policy, std::int64_t acceptedUnixMs,
+    std::int64_t acceptedRevision, Millis now)
 {
     auto& slot = scheduler.jobs[request.id];
     if (slot)
@@ -118,6 +119,7 @@
     Job& job = *slot;
     job.acceptedAt = now;
     job.acceptedUnixMs = acceptedUnixMs;
+    job.acceptedRevision = acceptedRevision;
     const int occurrences = std::max(1, request.repeatCount);
     for (int number = 0; number < occurrences; ++number)
         job.occurrences.emplace(number, makeOccurrence(request, number));
@@ -245,15 +247,22 @@
         { "stop", ref.job->request.id, name, task.worker, task.run, reason, std::move(inputs), ref.step->image });
 }
 
-void endRun(Scheduler& scheduler, const TaskRef& ref, EndKind kind, int run, Millis now)
+bool isCurrentRun(const Task& task, const std::string& worker, RunNumber run)
+{
+    return isPlaced(task) && task.run == run && task.worker == worker;
+}
+
+void endRun(
+    Scheduler& scheduler, const TaskRef& ref, const std::string& worker, EndKind kind, RunNumber run, Millis now)
 {
     Task& task = *ref.task;
     Job& job = *ref.job;
-    if (isPlaced(task) && task.run <= run)
+    const bool isCurrent = isCurrentRun(task, worker, run);
+    if (isCurrent)
         releaseResources(ref);
     const bool isCounted = std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end();
     const bool isNewFailure = kind == EndKind::Failed && !isCounted; // reports of workers arrive in any order
-    if (run <= task.endedRun && kind != EndKind::Done && !isNewFailure)
+    if (!isCurrent && run <= task.endedRun && kind != EndKind::Done && !isNewFailure)
         return;
     if (isNewFailure)
         task.failedRuns.push_back(run);
@@ -279,7 +288,7 @@
     const std::size_t failures = countedFailures(*ref.step, *ref.progress, task);
     const bool isOutOfAttempts
         = !ref.step->isLasting && failures >= static_cast<std::size_t>(std::max(1, job.policy.maxAttempts));
-    if (isPlaced(task) && !isOutOfAttempts) // a later run is active on another worker
+    if (isPlaced(task) && !isOutOfAttempts) // another run is active
         return;
     // The end of an earlier run does not rule out a later run on a worker that has not reported in this term.
     const bool mayRunElsewhere = task.phase == TaskPhase::Unknown && !scheduler.isReconciled;
@@ -316,6 +325,7 @@
         return;
     Job& job = *found->second;
     job.committedVersion = std::max(job.committedVersion, version);
+    ++job.commitsInTerm;
     if (job.committedVersion >= job.version)
         scheduler.dirty.erase(id);
     if (job.committedState != state && !isFinal(job.committedState)) {
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -6,6 +6,7 @@
 #include "scheduler/approval.h"
 #include "scheduler/colocation.h"
 #include "scheduler/planner.h"
+#include "scheduler/run_number.h"
 
 #include <algorithm>
 #include <cmath>
@@ -240,7 +241,20 @@
             --planner.stepTasksByWorker[planned.worker];
     }
 
-    void startOn(Planner& planner, Pool& pool, const TaskRef& ref, PlannedWorker& planned, int run)
+    RunNumber latestRun(const Task& task) { return std::max(task.run, task.endedRun); }
+
+    // Number for a start; when the numbers are used up, the job's record is stored to get further ones.
+    std::optional<RunNumber> takeRun(Scheduler& scheduler, Job& job, RunNumber latest)
+    {
+        const std::optional<RunNumber> run = nextRun(scheduler, job, latest);
+        if (!run && job.version <= job.committedVersion) {
+            markDirty(scheduler, job);
+            logDecision(scheduler, { "runNumbersUsedUp", job.request.id, {}, {}, latest, "waits for its record", {} });
+        }
+        return run;
+    }
+
+    void startOn(Planner& planner, Pool& pool, const TaskRef& ref, PlannedWorker& planned, RunNumber run)
     {
         Scheduler& scheduler = planner.scheduler;
         Worker& worker = *planned.worker;
@@ -347,13 +361,13 @@
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
         std::vector<PlacedMember> placed;
-        int run = 0;
-        std::string checkpoint;
+        RunNumber latest = 0;
+        const Task* saved = nullptr; // member with the latest checkpoint; it is valid for all
         for (int i = 0; i < step.count; ++i) {
             const TaskRef ref = refOf(candidate, i);
-            run = std::max({ run, ref.task->run, ref.task->endedRun });
-            if (checkpoint.empty())
-                checkpoint = ref.task->checkpoint;
+            latest = std::max(latest, latestRun(*ref.task));
+            if (!ref.task->checkpoint.empty() && (!saved || ref.task->checkpointRun > saved->checkpointRun))
+                saved = ref.task;
             PlannedWorker* worker = chooseWorker(planner, pool, shape, ref, rack);
             if (!worker)
                 break;
@@ -364,10 +378,16 @@
             releaseFrom(planner, pool, *member.worker, refOf(candidate, member.index));
         if (static_cast<int>(placed.size()) < step.count)
             return false;
+        const std::optional<RunNumber> run = takeRun(planner.scheduler, *candidate.job, latest);
+        if (!run)
+            return false;
+        const std::string checkpoint = saved ? saved->checkpoint : std::string();
+        const RunNumber checkpointRun = saved ? saved->checkpointRun : 0;
         for (const PlacedMember& member : placed) {
             const TaskRef ref = refOf(candidate, member.index);
             ref.task->checkpoint = checkpoint;
-            startOn(planner, pool, ref, *member.worker, run + 1);
+            ref.task->checkpointRun = checkpointRun;
+            startOn(planner, pool, ref, *member.worker, *run);
         }
         return true;
     }
@@ -417,7 +437,7 @@
                 return;
             if (ref.task->phase != TaskPhase::Waiting)
                 continue;
-            const bool isFirstRun = ref.task->run == 0;
+            const bool isFirstRun = ref.task->run == 0 && !ref.task->mayHaveRun;
             if (step.isLasting && isFirstRun && !leavesShortReserve(planner, ref))
                 continue;
             PlannedWorker* worker = nullptr;
@@ -439,7 +459,10 @@
                     pool.unplaced.push_back({ &step, image });
                 return;
             }
-            startOn(planner, pool, ref, *worker, std::max(ref.task->run, ref.task->endedRun) + 1);
+            const std::optional<RunNumber> run = takeRun(planner.scheduler, *candidate.job, latestRun(*ref.task));
+            if (!run)
+                continue;
+            startOn(planner, pool, ref, *worker, *run);
             if (step.isLasting)
                 planner.serviceCpu[ref.job->policy.service].lasting += step.cpuMillicores;
         }
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -131,11 +131,11 @@
             if (task.phase == TaskPhase::Done)
                 continue;
             if (task.endedRun > 0)
-                ended[key] = task.endedRun;
+                ended[key] = static_cast<qint64>(task.endedRun);
             if (!task.failedRuns.empty()) {
                 QJsonArray runs;
-                for (const int run : task.failedRuns)
-                    runs.append(run);
+                for (const RunNumber run : task.failedRuns)
+                    runs.append(static_cast<qint64>(run));
                 failures[key] = runs;
             }
             if (!task.checkpoint.empty())
@@ -170,10 +170,10 @@
             } else if (mark == failedMark) {
                 task.phase = TaskPhase::Failed;
             }
-            task.endedRun = ended[key].toInt();
-            task.run = task.endedRun;
+            task.endedRun = ended[key].toInteger();
+            task.run = task.checkpointRun = task.endedRun;
             for (const QJsonValue run : failures[key].toArray())
-                task.failedRuns.push_back(run.toInt());
+                task.failedRuns.push_back(run.toInteger());
             task.checkpoint = base::textOf(checkpoints[key]);
         }
         return true;
@@ -280,7 +280,7 @@
 {
     std::map<std::string, QJsonArray> byWorker;
     for (const Placement& placement : placements.tasks)
-        byWorker[placement.worker].append(QJsonArray { text(placement.task), placement.run });
+        byWorker[placement.worker].append(QJsonArray { text(placement.task), static_cast<qint64>(placement.run) });
     QJsonObject workers;
     for (const auto& [worker, tasks] : byWorker)
         workers[text(worker)] = tasks;
@@ -301,7 +301,7 @@
     const QJsonObject workers = (*json)["workers"].toObject();
     for (auto it = workers.begin(); it != workers.end(); ++it) {
         for (const QJsonValue row : it.value().toArray())
-            placements.tasks.push_back({ base::textOf(row[0]), it.key().toStdString(), row[1].toInt() });
+            placements.tasks.push_back({ base::textOf(row[0]), it.key().toStdString(), row[1].toInteger() });
     }
     return placements;
 }
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -13,7 +13,6 @@
     constexpr Millis freshReportMs = 2500;    // ms; older reports are not used to judge progress
     constexpr Millis stalledWorkerMs = 4000;  // ms without new tasks for a worker with a stalled task
     constexpr Millis lateFactor = 3; // a late job is of value up to this multiple of its allowed time (platform rule)
-    constexpr int unrecordedRunGap = 1; // run numbers skipped for lost, unrecorded starts of an earlier term
 
     Millis criticalPathMs(const JobRequest& request)
     {
@@ -99,6 +98,8 @@
         return worker != scheduler.workers.end() && isAccounted(worker->second);
     }
 
+    bool hasEverRun(const Task& task) { return task.run > 0 || task.mayHaveRun; }
+
     // The estimates of the following steps are too inaccurate to be included.
     Timeliness timelinessOf(Millis age, Millis allowed, const Step& step)
     {
@@ -127,7 +128,7 @@
                     task.phase = TaskPhase::Waiting;
                     task.formerWorker.clear();
                     task.phaseSince = planner.now;
-                    task.run = std::max(task.run, task.endedRun) + unrecordedRunGap;
+                    task.mayHaveRun = true;
                 }
                 if (task.host)
                     reviewRun(planner, candidate, step, task, i);
@@ -151,7 +152,7 @@
         const std::int64_t begun = std::max(job.acceptedUnixMs, occurrence.dueUnixMs);
         candidate.isRestart = step.isLasting
             && std::any_of(progress.tasks.begin(), progress.tasks.end(),
-                [](const Task& task) { return task.phase == TaskPhase::Waiting && task.run > 0; });
+                [](const Task& task) { return task.phase == TaskPhase::Waiting && hasEverRun(task); });
         candidate.deadlineUnixMs = begun + allowed;
         candidate.timeliness = timelinessOf(planner.nowUnixMs - begun, allowed, step);
         candidate.priority = job.policy.priority;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -20,6 +20,8 @@
 //     for the workers in the table.
 //   - A task has at most one run that a worker may be executing. It is placed again only after the end of that run was
 //     reported, the worker is known to have lost it, or the worker's lease has expired even on the slowest clock.
+//   - A run number is used by one start on one worker, over all terms. An end, a report row or an answer changes the
+//     current run of a task only when both worker and run number are those of the current run.
 //   - The end of a run is acknowledged to its worker only after the job record that contains it is in the store.
 //   - A final job state is shown only after it is in the store.
 #pragma once
@@ -76,10 +78,11 @@
 
 struct Task {
     TaskPhase phase = TaskPhase::Waiting;
-    int run = 0;                 // highest run number used
-    int endedRun = 0;            // highest run whose end was applied; ends up to it are duplicates
-    std::vector<int> failedRuns; // failed runs, each listed once; counted against maxAttempts
+    RunNumber run = 0;                 // latest run known to this term
+    RunNumber endedRun = 0;            // latest run whose end was applied; no run up to it is adopted
+    std::vector<RunNumber> failedRuns; // failed runs, each listed once; counted against maxAttempts
     std::string checkpoint;
+    RunNumber checkpointRun = 0; // the checkpoint is of this run or a later one
     // --- Run in progress ---
     std::string worker;     // id; empty: not placed
     Worker* host = nullptr; // state of that worker; null if and only if the id is empty
@@ -94,6 +97,7 @@
     std::string failedWorker; // worker of the last failure
     // --- While the phase is Unknown ---
     std::string formerWorker; // the only worker that may have a run or an unstored end of the task; empty: any may
+    bool mayHaveRun = false;  // it was Unknown until its workers were accounted for: an earlier term may have run it
     // --- For the reports only ---
     bool wasUnknown = false; // when the term began; neither adopted nor started since
     Millis downSince = 0;    // of a lasting task; 0: running, or not checked yet
@@ -129,6 +133,7 @@
     QueuePolicy policy;
     Millis acceptedAt = 0; // when this process added the job
     std::int64_t acceptedUnixMs = 0;
+    std::int64_t acceptedRevision = 0; // store revision at which the job was accepted; tokens are of the same sequence
     JobState state = JobState::Queued;
     std::map<int, Occurrence> occurrences; // by number
     bool hasStarted = false;    // a worker has acknowledged or reported a run; a start order alone does not count
@@ -136,6 +141,7 @@
     // --- Store ---
     std::uint64_t version = 0;          // incremented by each change that has to be stored
     std::uint64_t committedVersion = 0; // version in the store; at most `version`
+    std::int64_t commitsInTerm = 0;     // records stored by this term, each at a store revision of its own
     JobState committedState = JobState::Queued;
     bool hasCancelRequest = false; // in the store
     std::int64_t endedUnixMs = 0;  // 0: not ended, or the stored record has no end time
@@ -157,7 +163,7 @@
 
 // A run that a worker reports and that is not the current run of an open task. It is stopped.
 struct StrayRun {
-    int run = 0;
+    RunNumber run = 0;
     Millis lastStopAt = 0;
 };
 
@@ -238,7 +244,7 @@
     std::string job;
     std::string task;
     std::string worker;
-    int run = 0;
+    RunNumber run = 0;
     std::string outcome;
     std::vector<std::pair<const char*, std::int64_t>> inputs;
     std::string image = {}; // of the task, for starts and stops
@@ -255,7 +261,7 @@
 struct Placement {
     std::string task;
     std::string worker;
-    int run = 0;
+    RunNumber run = 0;
 };
 
 struct Placements {
@@ -343,7 +349,9 @@
 void addFormerWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now);
 std::vector<WorkerEntry> knownWorkers(const Scheduler& scheduler);
 // Adds an accepted job; returns the existing one when the id is known.
-Job& addJob(Scheduler& scheduler, JobRequest request, QueuePolicy policy, std::int64_t acceptedUnixMs, Millis now);
+// acceptedRevision: store revision at which the record of the accepted job was created.
+Job& addJob(Scheduler& scheduler, JobRequest request, QueuePolicy policy, std::int64_t acceptedUnixMs,
+    std::int64_t acceptedRevision, Millis now);
 void cancelJob(Scheduler& scheduler, const std::string& id, Millis now);
 
 // --- Input from workers and the advice service ---
--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -22,12 +22,14 @@
     scheduler.hasWorkerList = false;
     scheduler.recovery = {};
     for (auto& [id, job] : scheduler.jobs) {
+        job->commitsInTerm = 0;
         for (auto& [number, occurrence] : job->occurrences) {
             for (StepProgress& progress : occurrence.steps) {
                 for (Task& task : progress.tasks) {
                     if (task.phase != TaskPhase::Done && task.phase != TaskPhase::Failed)
                         task.phase = TaskPhase::Unknown;
                     task.formerWorker.clear();
+                    task.mayHaveRun = false;
                     task.wasUnknown = task.phase == TaskPhase::Unknown;
                 }
             }
--- a/src/scheduler/types.h
+++ b/src/scheduler/types.h
@@ -14,6 +14,9 @@
 namespace lacewing::scheduler {
 
 using Millis = std::int64_t;
+// Identifies a run of a task over all terms and workers; of two runs, the later one has the higher number
+// (run_number.h).
+using RunNumber = std::int64_t;
 using base::nameOf; // found by argument-dependent look-up for the tables below
 
 // --- Jobs ---
@@ -139,7 +142,7 @@
 
 struct RunningTask {
     std::string task;
-    int run = 0;
+    RunNumber run = 0;
     std::string checkpoint;
     int percent = 0;
     int reading = 0; // serving task: tail latency in ms; any other task: millicores in use
@@ -159,7 +162,7 @@
 struct EndedTask {
     std::int64_t number = 0; // sequence number within the worker's incarnation, from 1
     std::string task;
-    int run = 0;
+    RunNumber run = 0;
     EndKind kind = EndKind::Lapsed;
     std::string checkpoint;
 };
@@ -178,7 +181,7 @@
 struct StartOrder {
     std::string worker;
     std::string task;
-    int run = 0;
+    RunNumber run = 0;
     std::string payload;
     std::string checkpoint;
     std::string ticket;               // of the advice service; empty: not required
@@ -188,7 +191,7 @@
 struct StopOrder {
     std::string worker;
     std::string task;
-    int run = 0;
+    RunNumber run = 0;
 };
 
 // Question to the advice service: which of these workers may run the step?
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -1,5 +1,6 @@
 // Workers: announcements, leases, reports of running and ended runs, answers to start orders.
 #include "scheduler/internal.h"
+#include "scheduler/run_number.h"
 
 #include <algorithm>
 #include <cmath>
@@ -53,6 +54,8 @@
             unknownEndAt, scheduler.termStartedAt - (history.clockMs - *renewedAtClock) + longestLeaseMs(scheduler));
     }
 
+    using RunName = std::pair<std::string_view, RunNumber>; // task and run
+
     bool isEnded(const Task& task) { return task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed; }
 
     void updateEntry(Scheduler& scheduler, Worker& worker, const WorkerEntry& entry, Millis now)
@@ -101,16 +104,37 @@
         }
     }
 
+    // False for a run that no term can have started, so that a process that is no worker cannot use up the numbers.
+    bool isPossibleRun(Scheduler& scheduler, const TaskRef& ref, const Worker& worker, RunNumber run)
+    {
+        const RunNumber limit = runLimit(scheduler, *ref.job);
+        if (run < limit)
+            return true;
+        logDecision(scheduler,
+            { "runRefused", ref.job->request.id, nameOf(ref), worker.entry.id, run, "was never started",
+                { { "limit", limit } } });
+        return false;
+    }
+
+    // Ends arrive in any order: a checkpoint of an earlier run does not replace that of a later one.
+    void takeCheckpoint(Task& task, const std::string& checkpoint, RunNumber run)
+    {
+        if (checkpoint.empty() || (!task.checkpoint.empty() && run < task.checkpointRun))
+            return;
+        task.checkpoint = checkpoint;
+        task.checkpointRun = run;
+    }
+
     void applyEnd(Scheduler& scheduler, Worker& worker, const EndedTask& end, Millis now)
     {
         UnacknowledgedEnd pending;
         pending.number = end.number;
         const std::optional<TaskRef> ref = findTask(scheduler, end.task);
-        if (ref) {
+        if (ref && isPossibleRun(scheduler, *ref, worker, end.run)) {
             Task& task = *ref->task;
-            const bool isTracked = task.worker == worker.entry.id && task.run == end.run;
-            if (!end.checkpoint.empty() && !isEnded(task))
-                task.checkpoint = end.checkpoint;
+            const bool isTracked = isCurrentRun(task, worker.entry.id, end.run);
+            if (!isEnded(task))
+                takeCheckpoint(task, end.checkpoint, end.run);
             markStarted(scheduler, *ref->job, now);
             if (isTracked)
                 updateWorkerHistory(scheduler, worker, *ref, end, now);
@@ -119,12 +143,14 @@
                     std::string(nameOf(endKindNames, end.kind)),
                     { { "number", end.number }, { "runningMs", task.startedAt > 0 ? now - task.startedAt : 0 },
                         { "failures", static_cast<std::int64_t>(task.failedRuns.size()) } } });
-            endRun(scheduler, *ref, end.kind, end.run, now);
+            endRun(scheduler, *ref, worker.entry.id, end.kind, end.run, now);
             pending.job = ref->job->request.id;
             pending.task = end.task;
             pending.version = ref->job->version;
         }
-        worker.strays.erase(end.task);
+        const auto stray = worker.strays.find(end.task);
+        if (stray != worker.strays.end() && stray->second.run == end.run)
+            worker.strays.erase(stray);
         worker.unacknowledged.push_back(std::move(pending));
     }
 
@@ -149,17 +175,24 @@
     void applyRunning(Scheduler& scheduler, Worker& worker, const RunningTask& row, Millis now)
     {
         const std::optional<TaskRef> ref = findTask(scheduler, row.task);
-        const auto markStray = [&] { worker.strays[row.task].run = row.run; };
-        if (!ref || isFinal(ref->job->state) || isEnded(*ref->task) || row.run <= ref->task->endedRun) {
-            const bool isOwnStop = ref && ref->task->worker == worker.entry.id && ref->task->run == row.run;
-            if (!isOwnStop)
-                markStray();
+        const auto markStray = [&] {
+            StrayRun& stray = worker.strays[row.task];
+            if (stray.run != row.run)
+                stray = { row.run, 0 };
+        };
+        const bool isCurrent = ref && isCurrentRun(*ref->task, worker.entry.id, row.run);
+        const bool isOver = !ref || isFinal(ref->job->state) || isEnded(*ref->task);
+        if (isOver && isCurrent) // its stop is ordered by the review
+            return;
+        if (isOver
+            || (!isCurrent && (row.run <= ref->task->endedRun || !isPossibleRun(scheduler, *ref, worker, row.run)))) {
+            markStray();
             return;
         }
         Task& task = *ref->task;
         if (!isPlaced(task) && row.run >= task.run)
             adopt(scheduler, worker, *ref, row, now);
-        if (task.worker != worker.entry.id || task.run != row.run) {
+        if (!isCurrentRun(task, worker.entry.id, row.run)) {
             markStray();
             return;
         }
@@ -173,19 +206,18 @@
             task.percent = row.percent;
             task.progressAt = now;
         }
-        if (!row.checkpoint.empty())
-            task.checkpoint = row.checkpoint;
+        takeCheckpoint(task, row.checkpoint, row.run);
         task.reading = row.reading;
     }
 
     // Ends runs that the worker reports neither as running nor as ended. The report must have been requested after the
     // start order of the run was settled. `running` is sorted.
     void endMissingRuns(
-        Scheduler& scheduler, Worker& worker, const std::vector<std::string_view>& running, Millis sentAt, Millis now)
+        Scheduler& scheduler, Worker& worker, const std::vector<RunName>& running, Millis sentAt, Millis now)
     {
         std::vector<std::pair<std::string, TaskRef>> missing; // endRun modifies worker.tasks
         for (const auto& [name, ref] : worker.tasks) {
-            if (!std::binary_search(running.begin(), running.end(), name))
+            if (!std::binary_search(running.begin(), running.end(), RunName(name, ref.task->run)))
                 missing.emplace_back(name, ref);
         }
         for (const auto& [name, ref] : missing) {
@@ -198,7 +230,7 @@
             logDecision(scheduler,
                 { "runMissing", ref.job->request.id, name, worker.entry.id, task.run, "waiting",
                     { { "phaseMs", now - task.phaseSince } } });
-            endRun(scheduler, ref, EndKind::Lapsed, task.run, now);
+            endRun(scheduler, ref, worker.entry.id, EndKind::Lapsed, task.run, now);
         }
     }
 
@@ -212,7 +244,7 @@
         const std::map<std::string, TaskRef> tasks = worker.tasks;
         for (const auto& [name, ref] : tasks) {
             if (!survives(name, *ref.task))
-                endRun(scheduler, ref, EndKind::Lapsed, ref.task->run, now);
+                endRun(scheduler, ref, worker.entry.id, EndKind::Lapsed, ref.task->run, now);
         }
         worker.strays.clear();
         worker.lastAppliedEnd = worker.lastAcknowledgedEnd = 0;
@@ -399,7 +431,7 @@
         worker.lastAppliedEnd = end.number;
         applyEnd(scheduler, worker, end, now);
     }
-    std::vector<std::string_view> running;
+    std::vector<RunName> running;
     running.reserve(report.running.size());
     for (auto it = worker.strays.begin(); it != worker.strays.end();) {
         const bool isListed = std::any_of(report.running.begin(), report.running.end(),
@@ -407,7 +439,7 @@
         it = isListed ? std::next(it) : worker.strays.erase(it);
     }
     for (const RunningTask& row : report.running) {
-        running.emplace_back(row.task);
+        running.emplace_back(row.task, row.run);
         applyRunning(scheduler, worker, row, now);
     }
     std::sort(running.begin(), running.end());
@@ -456,7 +488,7 @@
         applyRestart(scheduler, order.worker, now);
         return;
     }
-    if (!ref || ref->task->worker != order.worker || ref->task->run != order.run)
+    if (!ref || !isCurrentRun(*ref->task, order.worker, order.run))
         return;
     Task& task = *ref->task;
     task.isConfirmed = task.isConfirmed || outcome == StartOutcome::Started;
@@ -520,7 +552,7 @@
                         { { "tasks", static_cast<int>(worker.tasks.size()) }, { "lostMs", now - worker.lostAt } } });
                 const std::map<std::string, TaskRef> tasks = worker.tasks;
                 for (const auto& [name, ref] : tasks)
-                    endRun(scheduler, ref, EndKind::Lapsed, ref.task->run, now);
+                    endRun(scheduler, ref, worker.entry.id, EndKind::Lapsed, ref.task->run, now);
             }
         }
         isReconciled = isReconciled && isAccounted(worker);
--- a/tests/platform_documents_test.cpp
+++ b/tests/platform_documents_test.cpp
@@ -242,7 +242,7 @@
         request.id = "0123456789abcdef";
         request.steps.resize(1);
         request.steps[0].count = 3;
-        scheduler::Job& job = scheduler::addJob(state, request, {}, 0, 0);
+        scheduler::Job& job = scheduler::addJob(state, request, {}, 0, 0, 0);
         auto& tasks = job.occurrences.at(0).steps.at(0).tasks;
         tasks[0].phase = scheduler::TaskPhase::Done;
         job.occurrences.at(0).steps.at(0).done = 1;
@@ -251,11 +251,12 @@
         tasks[2].checkpoint = "saved";
         job.version = 9;
         scheduler::Scheduler next;
-        scheduler::Job& copy = scheduler::addJob(next, request, {}, 0, 0);
+        scheduler::Job& copy = scheduler::addJob(next, request, {}, 0, 0, 0);
         CPPUNIT_ASSERT(scheduler::restoreProgress(copy, scheduler::encodeProgress(job)));
         const auto& restored = copy.occurrences.at(0).steps.at(0);
         CPPUNIT_ASSERT(restored.done == 1 && restored.tasks[0].phase == scheduler::TaskPhase::Done);
-        CPPUNIT_ASSERT(restored.tasks[1].endedRun == 4 && restored.tasks[1].failedRuns == std::vector<int>({ 2, 4 }));
+        CPPUNIT_ASSERT(restored.tasks[1].endedRun == 4
+            && restored.tasks[1].failedRuns == std::vector<scheduler::RunNumber>({ 2, 4 }));
         CPPUNIT_ASSERT(restored.tasks[2].checkpoint == "saved");
         CPPUNIT_ASSERT(!scheduler::restoreProgress(copy, "{\"state\":\"asleep\"}"));
         CPPUNIT_ASSERT(!scheduler::decodeAccepted("{\"id\":\"j\",\"steps\":[{\"count\":-1}]}"));
@@ -271,7 +272,7 @@
         request.steps.resize(2);
         request.steps[0].count = 4;
         request.steps[1].count = 1;
-        scheduler::Job& job = scheduler::addJob(state, request, {}, 0, 0);
+        scheduler::Job& job = scheduler::addJob(state, request, {}, 0, 0, 0);
         auto& tasks = job.occurrences.at(0).steps.at(0).tasks;
         tasks[0].phase = scheduler::TaskPhase::Done;
         tasks[0].endedRun = 1;
@@ -305,6 +306,7 @@
     // escape.
     void anyProgressSurvivesTheRecord()
     {
+        constexpr std::uint64_t maxRun = 9'007'199'254'740'991; // largest exact whole number in JSON
         for (std::uint64_t seed = 1; seed <= 200; ++seed) {
             base::Rng rng(seed);
             scheduler::Scheduler state;
@@ -313,19 +315,20 @@
             request.steps.resize(1 + base::below(rng, 3));
             for (scheduler::Step& step : request.steps)
                 step.count = 1 + static_cast<int>(base::below(rng, 25));
-            scheduler::Job& job = scheduler::addJob(state, request, {}, 0, 0);
+            scheduler::Job& job = scheduler::addJob(state, request, {}, 0, 0, 0);
             for (scheduler::StepProgress& step : job.occurrences.at(0).steps) {
                 for (scheduler::Task& task : step.tasks) {
                     task.phase = base::chance(rng, 0.2) ? scheduler::TaskPhase::Failed : scheduler::TaskPhase::Waiting;
-                    task.endedRun = base::chance(rng, 0.5) ? static_cast<int>(base::below(rng, 1000)) : 0;
+                    task.endedRun
+                        = base::chance(rng, 0.5) ? static_cast<scheduler::RunNumber>(base::below(rng, maxRun)) : 0;
                     for (std::uint64_t i = base::below(rng, 3); i > 0; --i)
-                        task.failedRuns.push_back(static_cast<int>(base::below(rng, 1000)));
+                        task.failedRuns.push_back(static_cast<scheduler::RunNumber>(base::below(rng, maxRun)));
                     for (std::uint64_t i = base::below(rng, 8); i > 0; --i)
                         task.checkpoint += static_cast<char>(base::below(rng, 128)); // control characters included
                 }
             }
             scheduler::Scheduler next;
-            scheduler::Job& copy = scheduler::addJob(next, request, {}, 0, 0);
+            scheduler::Job& copy = scheduler::addJob(next, request, {}, 0, 0, 0);
             CPPUNIT_ASSERT(scheduler::restoreProgress(copy, scheduler::encodeProgress(job)));
             for (std::size_t i = 0; i < request.steps.size(); ++i) {
                 const auto& tasks = job.occurrences.at(0).steps[i].tasks;
--- a/tests/platform_worker_link_test.cpp
+++ b/tests/platform_worker_link_test.cpp
@@ -209,9 +209,10 @@
             CPPUNIT_ASSERT_MESSAGE(
                 number, isRefused(report("5", "42", "", R"([1,"j.0.0.1",)" + text + R"(,"done",""])")));
         }
-        for (const char* run : { "2147483647", "2147483648", "0" })
+        for (const char* run : { "9007199254740992", "9223372036854775807", "0" })
             CPPUNIT_ASSERT_MESSAGE(
                 run, isRefused(report("5", "42", R"(["j.0.0.0",)" + QByteArray(run) + R"(,"",0])", "")));
+        CPPUNIT_ASSERT(!isRefused(report("5", "42", R"(["j.0.0.0",9007199254740991,"",0])", "")));
         for (const char* row : { "7", "[]", R"([7,1,"",0])", R"({"task":"j.0.0.0"})", R"(["",1,"",0])" })
             CPPUNIT_ASSERT_MESSAGE(row, isRefused(report("5", "42", row, "")));
     }
--- a/tests/scheduler_plan_test.cpp
+++ b/tests/scheduler_plan_test.cpp
@@ -29,7 +29,7 @@
 };
 
 struct Run {
-    int number = 0;
+    scheduler::RunNumber number = 0;
     Millis endsAt = 0; // 0: lasting task
     const Step* step = nullptr;
 };
@@ -163,7 +163,7 @@
         policy.priority = priority;
         policy.goalMs = 1000;
         policy.approval = { needsApproval, 10, 1, 3000 };
-        scheduler::addJob(m_state, std::move(request), policy, m_now, m_now);
+        scheduler::addJob(m_state, std::move(request), policy, m_now, 1, m_now);
     }
 
     void submitRandomJob()
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -67,9 +67,9 @@
     job.policy.approval = approval;
     job.acceptedUnixMs = m_now;
     m_maxAttempts[id] = maxAttempts;
-    ++m_revision;
     m_accepted[id].record = scheduler::encodeAccepted(job);
-    scheduler::addJob(*m_scheduler, job.request, job.policy, job.acceptedUnixMs, m_now);
+    m_accepted[id].revision = ++m_revision;
+    scheduler::addJob(*m_scheduler, job.request, job.policy, job.acceptedUnixMs, m_revision, m_now);
 }
 
 void World::cancel(const std::string& id)
@@ -99,7 +99,7 @@
     const std::int64_t token = ++m_revision;
     for (const auto& [id, accepted] : m_accepted) {
         auto job = scheduler::decodeAccepted(accepted.record);
-        scheduler::addJob(*m_scheduler, job->request, job->policy, job->acceptedUnixMs, m_now);
+        scheduler::addJob(*m_scheduler, job->request, job->policy, job->acceptedUnixMs, accepted.revision, m_now);
         const auto progress = m_progress.find(id);
         if (progress != m_progress.end())
             check(scheduler::restoreProgress(*m_scheduler->jobs.at(id), progress->second), "progress does not decode");
@@ -188,6 +188,9 @@
         ref->step->isFilling || cpu <= worker.entry.capacity.cpuMillicores, worker.entry.id + " is over its capacity");
     const Accepted& accepted = m_accepted[job];
     check(!accepted.isCancelled || m_now - accepted.cancelledAt < 3000, order.task + " started after it was cancelled");
+    const auto [holder, isNew] = m_runWorkers[order.task].try_emplace(order.run, worker.entry.id);
+    check(isNew || holder->second == worker.entry.id,
+        order.task + " run " + std::to_string(order.run) + " started on two workers");
     SimRun run;
     run.run = order.run;
     run.startedAt = m_now;
@@ -315,6 +318,7 @@
 {
     if (faults.isStoreUnavailable)
         return;
+    ++m_revision;
     for (const std::string& id : scheduler::nextCommitBatch(*m_scheduler, 30)) {
         const scheduler::Job& job = *m_scheduler->jobs.at(id);
         m_progress[id] = scheduler::encodeProgress(job);
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -34,7 +34,7 @@
 };
 
 struct SimRun {
-    int run = 0;
+    scheduler::RunNumber run = 0;
     Millis endsAt = 0; // 0: does not end by itself
     Millis startedAt = 0;
     bool willFail = false;
@@ -46,7 +46,7 @@
     std::int64_t token = 0; // highest fencing token seen
     Millis leaseEndsAt = 0; // on the virtual clock
     std::map<std::string, SimRun> running;
-    std::map<std::string, int> highestEndedRun; // highest run that ended or was stopped, by task
+    std::map<std::string, scheduler::RunNumber> highestEndedRun; // highest run that ended or was stopped, by task
     std::deque<scheduler::EndedTask> ended;
     std::int64_t lastNumber = 0;
     std::int64_t clockOffset = 0;
@@ -105,6 +105,7 @@
 private:
     struct Accepted {
         QByteArray record;
+        std::int64_t revision = 0;
         bool isCancelled = false;
         Millis cancelledAt = 0;
     };
@@ -123,7 +124,7 @@
 
     base::Rng m_rng;
     Millis m_now = 100000;
-    std::int64_t m_revision = 1; // of the store; incremented, it is the token of the next term
+    std::int64_t m_revision = 1; // of the store; each write increments it, and a new term takes it as its token
     std::unique_ptr<scheduler::Scheduler> m_scheduler;
     std::vector<SimWorker> m_workers;
     std::map<std::string, Accepted> m_accepted;
@@ -136,9 +137,11 @@
     std::vector<DelayedStart> m_delayedStarts;
     std::vector<PendingApproval> m_approvals;
     std::map<std::string, int> m_starts;
-    std::set<std::string> m_acknowledgedDone;                    // tasks with an acknowledged end `done`
-    std::map<std::string, std::set<int>> m_acknowledgedFailures; // acknowledged failed runs by task
-    std::map<std::string, int> m_maxAttempts;                    // by job
+    std::map<std::string, std::map<scheduler::RunNumber, std::string>>
+        m_runWorkers;                         // worker of each started run, by task and run
+    std::set<std::string> m_acknowledgedDone; // tasks with an acknowledged end `done`
+    std::map<std::string, std::set<scheduler::RunNumber>> m_acknowledgedFailures; // acknowledged failed runs by task
+    std::map<std::string, int> m_maxAttempts;                                     // by job
     int m_rejectedTickets = 0;
     std::string m_violation;
 };
