Model unrecorded runs, and document how runs are numbered

Change: terms number runs as in the code, workers keep a list of other ends that arrive late, and a report matches runs by worker and number. Two searches keep the states few: with terms that resign, and with runs that end otherwise than `done` (RUN_ENDS). New variants that must fail: NO_RUN_IDENTITY, the numbering and comparison before the fix, and NO_RUN_MATCH, where any end frees the task.

--- a/model/runs.pml
+++ b/model/runs.pml
@@ -14,9 +14,12 @@
 #ifndef MAXTERM
 #define MAXTERM 2
 #endif
-#ifndef MAXRUN
-#define MAXRUN 2
+#ifndef RUNS
+#define RUNS 2                  /* starts of a term, none of them recorded */
 #endif
+/* Two searches keep the number of states small: with RUN_ENDS runs also end otherwise than `done`, so that a task runs
+ * again in the same term, and no leader resigns; without it, terms are resigned and each run ends `done`. */
+#define MAXRUN (MAXTERM * RUNS)
 
 /* --- Store --- */
 byte term = 0;                  /* token of the term in force */
@@ -31,6 +34,7 @@
 byte fence[WORKERS];
 byte running[WORKERS];          /* run number; 0: none */
 byte highestEndedRun[WORKERS];  /* highest run number that ended on this worker */
+byte otherEnds[WORKERS];        /* a bit for each run that ended here, but not `done`: failed, stopped or lapsed */
 bool endReported[WORKERS];      /* the worker reports an end `done` that is not acknowledged */
 bool hasLeaseExpired[WORKERS];  /* the lease expired after the end: acknowledging that end no longer counts */
 bool isPartitioned[WORKERS];    /* no call reaches the worker, its run continues */
@@ -45,7 +49,7 @@
 mtype = { unknown, waiting, starting, executing, done };
 mtype phase[DAEMONS];
 byte runWorker[DAEMONS];        /* worker of the run */
-byte runNo[DAEMONS];
+byte runNo[DAEMONS];            /* latest run known to the term */
 byte ownTerm[DAEMONS];          /* 0: not the leader */
 bool isTermValid[DAEMONS];      /* validUntil is in the future: the daemon may act as leader */
 /* For each daemon and worker: the worker reported in this term, or it holds no lease of an earlier term any more. */
@@ -79,6 +83,24 @@
 #else
 #define IS_GRANTED(w) granted[w]
 #endif
+/* Numbers of a term, and the end of which run frees the task. NO_RUN_IDENTITY: a term leaves out one number for the
+ * unrecorded runs of earlier terms, and run numbers are compared without the worker. */
+#ifdef NO_RUN_IDENTITY
+#define BEFORE_FIRST_RUN(t) ((t) > 1 -> 1 : 0)
+#define RUN_LIMIT(t) MAXRUN
+#else
+#define BEFORE_FIRST_RUN(t) (((t) - 1) * RUNS)
+#define RUN_LIMIT(t) ((t) * RUNS)
+#endif
+#ifdef NO_RUN_IDENTITY
+#define IS_CURRENT(d, w, r) (runNo[d] <= (r))
+#else
+#ifdef NO_RUN_MATCH
+#define IS_CURRENT(d, w, r) true
+#else
+#define IS_CURRENT(d, w, r) (runWorker[d] == (w) && runNo[d] == (r))
+#endif
+#endif
 #ifdef NO_STORE_BEFORE_ACKNOWLEDGE
 #define MAY_ACKNOWLEDGE true
 #else
@@ -112,7 +134,7 @@
     term++;
     ownTerm[d] = term; isTermValid[d] = true;
     ACC(d, 0) = !granted[0]; ACC(d, 1) = !granted[1];
-    runNo[d] = (highestEndedRun[0] > highestEndedRun[1] -> highestEndedRun[0] : highestEndedRun[1]);
+    runNo[d] = 0;
     if
     :: doneStored -> phase[d] = done
     :: else ->
@@ -126,6 +148,27 @@
     resolveUnknown(d)
 }
 
+/* Ends that do not finish the task. They stay listed: that they are stored and acknowledged is left out, so that no term
+ * knows the runs of an earlier one but from the workers. */
+inline applyOtherEnds(d, w) {
+    r = 1;
+    do
+    :: r <= MAXRUN ->
+        if
+        :: (otherEnds[w] & (1 << r)) != 0 && (phase[d] == starting || phase[d] == executing) && IS_CURRENT(d, w, r) ->
+            phase[d] = waiting; runNo[d] = (r > runNo[d] -> r : runNo[d])
+        :: else -> skip
+        fi;
+        r++
+    :: else -> break
+    od;
+    r = 0
+}
+
+inline endOther(w) {
+    highestEndedRun[w] = running[w]; otherEnds[w] = otherEnds[w] | (1 << running[w]); running[w] = 0
+}
+
 /* The worker's report to a leader whose token is not fenced: raises the fence and lists the run or its end. */
 inline report(d, w) {
     if
@@ -138,18 +181,23 @@
         :: endReported[w] && phase[d] != done ->
             phase[d] = done; endUnstored[d] = true; runWorker[d] = w
         :: endReported[w] && phase[d] == done -> runWorker[d] = w
-        :: !endReported[w] && running[w] != 0 && phase[d] != done ->
-            phase[d] = executing; runWorker[d] = w; runNo[d] = running[w]
-        :: !endReported[w] && running[w] == 0 && phase[d] == executing && runWorker[d] == w ->
-            phase[d] = waiting
-        :: else -> skip
+        :: else ->
+            applyOtherEnds(d, w);
+            if
+            :: running[w] != 0 && phase[d] == starting && runWorker[d] == w && runNo[d] == running[w] ->
+                phase[d] = executing
+            :: running[w] != 0 && (phase[d] == unknown || phase[d] == waiting) && running[w] >= runNo[d] ->
+                phase[d] = executing; runWorker[d] = w; runNo[d] = running[w]
+            :: running[w] != runNo[d] && phase[d] == executing && runWorker[d] == w -> phase[d] = waiting
+            :: else -> skip
+            fi
         fi
     :: else -> skip
     fi
 }
 
 proctype daemon(byte d) {
-    byte w; byte s;
+    byte w; byte s; byte r;
     do
     /* --- Term --- */
     :: atomic { term < MAXTERM && !leads(d) &&
@@ -158,6 +206,7 @@
     :: atomic { leads(d) && term != ownTerm[d] -> resetDaemon(d) } /* observes a newer term */
     :: atomic { leads(d) -> resetDaemon(d); if :: leader == d -> isTermValid[d] = false :: else -> skip fi } /* killed */
     /* Planned stop: writes the placements, sends no order afterwards, then resigns. */
+#ifndef RUN_ENDS
     :: atomic { leads(d) && isTermValid[d] && leader == d && !isResigning[d] &&
             (phase[d] != unknown || possibleWorker[d] != NONE) ->
         hasPlacements = true;
@@ -168,12 +217,16 @@
 #endif
         isResigning[d] = true }
     :: atomic { isResigning[d] && leads(d) && leader == d && term == ownTerm[d] -> resigned = true; resetDaemon(d) }
+#endif
     /* --- Workers --- */
     :: atomic { leads(d) && isTermValid[d] -> if :: w = 0 :: w = 1 fi;
         if :: !isPartitioned[w] -> report(d, w); resolveUnknown(d) :: else -> skip fi }
     /* The lease of an earlier term has expired (assumption: maxHoldMs has passed, and so have the deadlines of that term's
      * starts): the worker has killed its run. */
     :: atomic { leads(d) && isTermValid[d] && isPartitioned[0] && !ACC(d, 0) && !(phase[d] == starting && runWorker[d] == 0) ->
+#ifdef RUN_ENDS
+        if :: running[0] != 0 -> endOther(0) :: else -> skip fi;
+#endif
         running[0] = 0; hasLeaseExpired[0] = true; ACC(d, 0) = true;
         if :: startTo[0] == 1 && startTerm[0] != ownTerm[d] -> startTo[0] = 0 :: else -> skip fi;
         if :: startTo[1] == 1 && startTerm[1] != ownTerm[d] -> startTo[1] = 0 :: else -> skip fi;
@@ -182,11 +235,11 @@
     :: atomic { leads(d) && isTermValid[d] && leader == d && term == ownTerm[d] && !resigned && !isResigning[d] ->
         if :: w = 0 :: w = 1 fi; granted[w] = true }
     /* --- Start --- */
-    :: atomic { leads(d) && phase[d] == waiting && runNo[d] < MAXRUN && (startTo[0] == 0 || startTo[1] == 0) &&
+    :: atomic { leads(d) && phase[d] == waiting && runNo[d] < RUN_LIMIT(ownTerm[d]) && (startTo[0] == 0 || startTo[1] == 0) &&
             MAY_START(d) -> if :: w = 0 :: w = 1 fi;
         if
         :: ACC(d, w) && IS_GRANTED(w) ->
-            runNo[d]++;
+            runNo[d] = (runNo[d] > BEFORE_FIRST_RUN(ownTerm[d]) -> runNo[d] : BEFORE_FIRST_RUN(ownTerm[d])) + 1;
             s = (startTo[0] == 0 -> 0 : 1);
             startTo[s] = w + 1; startRun[s] = runNo[d]; startTerm[s] = ownTerm[d];
             phase[d] = starting; runWorker[d] = w
@@ -232,6 +285,9 @@
     :: atomic { if :: w = 0 :: w = 1 fi;
         if
         :: running[w] != 0 -> highestEndedRun[w] = running[w]; running[w] = 0; endReported[w] = true
+#ifdef RUN_ENDS
+        :: running[w] != 0 -> endOther(w)
+#endif
         :: else -> skip
         fi }
     od
