Keep no list of the failed runs of lasting tasks

Cause: endRun() listed each failed run, although only tasks with a limit on their attempts need the list.

Evidence: SchedulerRunsTest::failuresOfLastingTasksDoNotFillTheRecord failed before the change: 40 failures were listed.

Change: failed runs of lasting tasks are counted in the metrics only. A late end of an earlier run is not counted again.

--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -260,11 +260,15 @@
     const bool isCurrent = isCurrentRun(task, worker, run);
     if (isCurrent)
         releaseResources(ref);
-    const bool isCounted = std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end();
+    // Lasting tasks fail without limit: their failed runs are not listed, and late ends of earlier runs are not
+    // counted.
+    const bool isCounted = ref.step->isLasting
+        ? !isCurrent && run <= task.endedRun
+        : std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end();
     const bool isNewFailure = kind == EndKind::Failed && !isCounted; // reports of workers arrive in any order
     if (!isCurrent && run <= task.endedRun && kind != EndKind::Done && !isNewFailure)
         return;
-    if (isNewFailure)
+    if (isNewFailure && !ref.step->isLasting)
         task.failedRuns.push_back(run);
     task.endedRun = std::max(task.endedRun, run);
     task.run = std::max(task.run, run);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -80,7 +80,7 @@
     TaskPhase phase = TaskPhase::Waiting;
     RunNumber run = 0;                 // latest run known to this term
     RunNumber endedRun = 0;            // latest run whose end was applied; no run up to it is adopted
-    std::vector<RunNumber> failedRuns; // failed runs, each listed once; counted against maxAttempts
+    std::vector<RunNumber> failedRuns; // each listed once, counted against maxAttempts; not of lasting tasks
     std::string checkpoint;
     RunNumber checkpointRun = 0; // the checkpoint is of this run or a later one
     // --- Run in progress ---
--- a/tests/scheduler_runs_test.cpp
+++ b/tests/scheduler_runs_test.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST(checkpointsOfEarlierRunsDoNotReplaceLaterOnes);
     CPPUNIT_TEST(impossibleRunNumbersDoNotUseUpTheNumbers);
     CPPUNIT_TEST(unrecordedStartsOfATermAreBounded);
+    CPPUNIT_TEST(failuresOfLastingTasksDoNotFillTheRecord);
     CPPUNIT_TEST(termsNumberRunsInBlocksOfTheirOwn);
     CPPUNIT_TEST(randomSchedulesKeepOneRunOfATask);
     CPPUNIT_TEST_SUITE_END();
@@ -233,6 +234,25 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
     }
 
+    // Guards against a record that grows with each failure of a task that may fail without limit.
+    void failuresOfLastingTasksDoNotFillTheRecord()
+    {
+        World world(1, 4);
+        const std::string task = "service.0.0.0";
+        world.submit("service", { lastingStep(1, 1000, "image") });
+        world.run(500);
+        constexpr int failures = 40;
+        for (int i = 0; i < failures; ++i) {
+            SimWorker* worker = workerRunning(world, task);
+            CPPUNIT_ASSERT(worker);
+            worker->running.at(task).endsAt = world.now();
+            worker->running.at(task).willFail = true;
+            world.run(300);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(failures), world.scheduler().failedRuns);
+        CPPUNIT_ASSERT(scheduler::findTask(world.scheduler(), task)->task->failedRuns.empty());
+    }
+
     // Guards against numbers that two terms can give, whatever they have stored.
     void termsNumberRunsInBlocksOfTheirOwn()
     {
