--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -66,6 +66,8 @@
         TaskFacts& task = checks.tasks[event.task];
         if (event.what == "started") {
             applyStart(checks, event, job, task);
+        } else if (event.what == "acknowledged" && task.runs[event.run].how == "failed") {
+            return;
         } else if (event.what == "acknowledged") {
             task.isDoneAcknowledged = true;
             for (const auto& [number, run] : task.runs) {
--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -70,7 +70,7 @@
         shape.firstTasks = static_cast<int>(drawBetween(m_rng, 1, 4));
         shape.secondTasks = shape.isLasting ? 0 : static_cast<int>(drawBetween(m_rng, 0, 3));
         shape.runMs = shape.isLasting ? 0 : static_cast<int>(drawBetween(m_rng, shortRunMs, longRunMs));
-        shape.failsFirst = !shape.isLasting && base::chance(m_rng, 0.2);
+        shape.failsBelowRun = !shape.isLasting && base::chance(m_rng, 0.2) ? 2 : 0;
         Job& job = m_jobs[addJob(shape)];
         job.givesUp = base::chance(m_rng, givesUpShare);
         if (shape.isLasting || base::chance(m_rng, cancelShare))
