Soak repeated runs and crowded recovery

No run of the soak had the series of faults that leads there, and no check looked at jobs that wait.

Drawn schedules have failing runs and a silent store as well. A fault of a link no longer ends a later one of the same link.

New checks in all runs: a job with nothing running for 3 s in calm time while under half of the workers' processors are in use; a start after the last attempt, whose ends are acknowledged; a job shown as failed after fewer failed runs than attempts, or as completed although its runs always fail. Runs are kept by their start and no longer by their number, so that two runs with one number are told apart; such starts are counted in the summary. A start after a done end that is acknowledged later counts whatever its number.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -20,26 +20,57 @@
     }
 
     // Names the runs of the task that were in progress or done.
-    std::string otherRuns(const Checks& checks, const TaskFacts& task, int except)
+    std::string otherRuns(const Checks& checks, const TaskFacts& task, const RunFacts* except)
     {
         std::string text;
-        for (const auto& [number, run] : task.runs) {
-            if (number != except && (run.endedAt == 0 || run.how == "done"))
-                text += "; run " + std::to_string(number) + " on " + run.worker + " since "
+        for (const RunFacts& run : task.runs) {
+            if (&run != except && (run.endedAt == 0 || run.how == "done"))
+                text += "; run " + std::to_string(run.number) + " on " + run.worker + " since "
                     + timeText(checks, run.startedAt)
                     + (run.endedAt == 0 ? "" : " " + run.how + " at " + timeText(checks, run.endedAt));
         }
         return text;
     }
 
+    RunFacts* findRun(TaskFacts& task, const RunEvent& event)
+    {
+        const auto run = std::find_if(task.runs.rbegin(), task.runs.rend(),
+            [&](const RunFacts& facts) { return facts.number == event.run && facts.worker == event.worker; });
+        return run == task.runs.rend() ? nullptr : &*run;
+    }
+
+    void updateRoom(Checks& checks, std::int64_t at)
+    {
+        constexpr int roomShare = 2; // platform's rule: under half of the capacity is in use
+        const bool hasRoom
+            = checks.running * platform::standin::taskMillicores * roomShare < checks.workers * workerMillicores;
+        if (!hasRoom)
+            checks.hasRoomFrom = 0;
+        else if (checks.hasRoomFrom == 0)
+            checks.hasRoomFrom = at;
+    }
+
+    // No start after the last attempt, whose end is acknowledged before or after the start.
+    void checkAttempts(Checks& checks, const TaskFacts& task, const std::string& name)
+    {
+        const RunFacts& last = task.runs.back();
+        const auto failed = std::count_if(task.runs.begin(), task.runs.end(), [&](const RunFacts& run) {
+            return run.how == "failed" && run.isAcknowledged && run.endedAt < last.startedAt;
+        });
+        if (failed >= platform::standin::maxAttempts)
+            addViolation(checks,
+                "start after " + std::to_string(failed) + " failed runs: " + name + " run "
+                    + std::to_string(last.number) + " on " + last.worker + " at " + timeText(checks, last.startedAt));
+    }
+
     void applyStart(Checks& checks, const RunEvent& event, JobFacts& job, TaskFacts& task)
     {
         ++checks.starts;
         if (task.running > 0)
-            addViolation(checks, "two runs of a task: " + ofRun(checks, event) + otherRuns(checks, task, event.run));
+            addViolation(checks, "two runs of a task: " + ofRun(checks, event) + otherRuns(checks, task, nullptr));
         if (task.isDoneAcknowledged)
-            addViolation(checks,
-                "start after an acknowledged end: " + ofRun(checks, event) + otherRuns(checks, task, event.run));
+            addViolation(
+                checks, "start after an acknowledged end: " + ofRun(checks, event) + otherRuns(checks, task, nullptr));
         if (job.isRefused)
             addViolation(checks, "a refused job runs: " + ofRun(checks, event));
         if (job.cancelledAt > 0 && event.at > job.cancelledAt + cancelMs
@@ -49,12 +80,34 @@
                     + timeText(checks, job.cancelledAt));
         if (job.shape.isLasting && !task.runs.empty() && task.running == 0) {
             const auto last = std::max_element(task.runs.begin(), task.runs.end(),
-                [](const auto& a, const auto& b) { return a.second.endedAt < b.second.endedAt; });
-            checks.gaps.push_back({ event.task, last->second.endedAt, event.at });
+                [](const RunFacts& a, const RunFacts& b) { return a.endedAt < b.endedAt; });
+            checks.gaps.push_back({ event.task, last->endedAt, event.at });
         }
+        const bool isRepeated = std::any_of(
+            task.runs.begin(), task.runs.end(), [&](const RunFacts& run) { return run.number == event.run; });
+        checks.repeatedNumbers += isRepeated ? 1 : 0;
         task.isReportedDown = false;
         ++task.running;
-        task.runs[event.run] = { event.worker, event.at, 0, {} };
+        ++checks.running;
+        task.runs.push_back({ event.run, event.worker, event.at, 0, {}, false });
+        if (!job.shape.isLasting)
+            checkAttempts(checks, task, event.task);
+    }
+
+    void applyAcknowledgement(
+        Checks& checks, const RunEvent& event, const JobFacts& job, TaskFacts& task, RunFacts& run)
+    {
+        run.isAcknowledged = true;
+        if (run.how == "failed" && !job.shape.isLasting)
+            checkAttempts(checks, task, event.task);
+        if (run.how != "done")
+            return;
+        task.isDoneAcknowledged = true;
+        if (std::any_of(task.runs.begin(), task.runs.end(),
+                [&](const RunFacts& other) { return other.startedAt > run.endedAt; }))
+            addViolation(checks,
+                "start after an end that was then acknowledged: " + ofRun(checks, event)
+                    + otherRuns(checks, task, &run));
     }
 
     void applyEvent(Checks& checks, const RunEvent& event)
@@ -66,24 +119,23 @@
         TaskFacts& task = checks.tasks[event.task];
         if (event.what == "started") {
             applyStart(checks, event, job, task);
-        } else if (event.what == "acknowledged" && task.runs[event.run].how == "failed") {
+            updateRoom(checks, event.at);
             return;
+        }
+        RunFacts* run = findRun(task, event);
+        if (!run) {
+            addViolation(checks, "the log of runs ends a run that it did not start: " + ofRun(checks, event));
         } else if (event.what == "acknowledged") {
-            task.isDoneAcknowledged = true;
-            for (const auto& [number, run] : task.runs) {
-                if (number > event.run && run.startedAt > task.runs[event.run].endedAt)
-                    addViolation(checks,
-                        "start after an end that was then acknowledged: " + ofRun(checks, event)
-                            + otherRuns(checks, task, event.run));
-            }
+            applyAcknowledgement(checks, event, job, task, *run);
         } else {
             --task.running;
-            RunFacts& run = task.runs[event.run];
-            run.endedAt = event.at;
-            run.how = event.what;
+            --checks.running;
+            run->endedAt = event.at;
+            run->how = event.what;
             task.failed += event.what == "failed" ? 1 : 0;
             if (event.what == "done" && task.doneAt == 0)
                 task.doneAt = event.at;
+            updateRoom(checks, event.at);
         }
     }
 
@@ -93,7 +145,7 @@
         std::int64_t since = job.acceptedAt;
         const auto task = checks.tasks.find(name);
         if (task != checks.tasks.end()) {
-            for (const auto& [number, run] : task->second.runs)
+            for (const RunFacts& run : task->second.runs)
                 since = std::max(since, run.endedAt);
         }
         return since;
@@ -101,7 +153,7 @@
 
     void checkLasting(Checks& checks, const JobFacts& job, const std::string& id)
     {
-        for (const std::string& name : lastingTasks(checks, id)) {
+        for (const std::string& name : firstTasks(checks, id)) {
             TaskFacts& task = checks.tasks[name];
             const std::int64_t since = downSince(checks, job, name);
             if (task.running > 0 || task.isReportedDown || checks.knownUntil - since < lastingDownMs
@@ -115,6 +167,35 @@
         }
     }
 
+    // A job that is not over has a task whose turn has come.
+    void checkIdle(Checks& checks, JobFacts& job, const std::string& id)
+    {
+        std::int64_t since = std::max(job.acceptedAt, checks.hasRoomFrom);
+        int done = 0;
+        for (auto it = checks.tasks.lower_bound(id); it != checks.tasks.end() && it->first.rfind(id, 0) == 0; ++it) {
+            const TaskFacts& task = it->second;
+            if (task.running > 0)
+                return;
+            for (const RunFacts& run : task.runs)
+                since = std::max(since, run.endedAt);
+            done += task.doneAt > 0 ? 1 : 0;
+            job.isOver = job.isOver || task.failed >= platform::standin::maxAttempts;
+        }
+        job.isOver = job.isOver || done >= job.shape.firstTasks + job.shape.secondTasks;
+        if (job.isOver || checks.hasRoomFrom == 0)
+            return;
+        checks.longestIdleMs
+            = std::max(checks.longestIdleMs, checks.knownUntil - std::max(since, lastEnd(checks.disturbances)));
+        if (job.idleReportedFrom == since || checks.knownUntil - since <= idleMs
+            || !isCalm(checks.disturbances, checks.knownUntil - idleMs - calmMs, checks.knownUntil))
+            return;
+        job.idleReportedFrom = since;
+        addViolation(checks,
+            "a job has nothing running beside free workers: " + id + " since " + timeText(checks, since) + ", seen at "
+                + timeText(checks, checks.knownUntil) + ", last disturbance ended at "
+                + timeText(checks, lastEnd(checks.disturbances)));
+    }
+
     void checkCancelled(Checks& checks, const JobFacts& job, const std::string& id)
     {
         const std::int64_t from = checks.knownUntil - cancelMs - stopTimeoutMs;
@@ -174,30 +255,37 @@
 void checkFinalState(Checks& checks, const std::string& id, scheduler::JobState state)
 {
     const JobFacts& job = checks.jobs[id];
-    if (state == scheduler::JobState::Failed)
+    if (state == scheduler::JobState::Failed && job.shape.failsBelowRun != platform::standin::failsAlways)
         addViolation(checks, "a job that can be done is shown as failed: " + id);
     if (state == scheduler::JobState::Cancelled && job.cancelSentAt == 0)
         addViolation(checks, "a job that nobody cancelled is shown as cancelled: " + id);
-    if (state != scheduler::JobState::Completed)
-        return;
     int done = 0;
-    for (auto it = checks.tasks.lower_bound(id); it != checks.tasks.end() && it->first.rfind(id, 0) == 0; ++it)
+    int mostFailures = 0;
+    for (auto it = checks.tasks.lower_bound(id); it != checks.tasks.end() && it->first.rfind(id, 0) == 0; ++it) {
         done += it->second.doneAt > 0 ? 1 : 0;
+        mostFailures = std::max(mostFailures, it->second.failed);
+    }
+    if (state == scheduler::JobState::Failed && mostFailures < platform::standin::maxAttempts)
+        addViolation(checks, "a job is shown as failed after " + std::to_string(mostFailures) + " failed runs: " + id);
+    if (state != scheduler::JobState::Completed)
+        return;
     if (job.shape.isLasting || done < job.shape.firstTasks + job.shape.secondTasks)
         addViolation(checks, "a job is shown as completed before its tasks are done: " + id);
 }
 
 void checkRunning(Checks& checks)
 {
-    for (const auto& [id, job] : checks.jobs) {
+    for (auto& [id, job] : checks.jobs) {
         if (job.cancelledAt > 0)
             checkCancelled(checks, job, id);
         else if (job.shape.isLasting && job.acceptedAt > 0 && job.cancelSentAt == 0)
             checkLasting(checks, job, id);
+        else if (!job.shape.isLasting && job.acceptedAt > 0 && job.cancelSentAt == 0 && !job.isOver)
+            checkIdle(checks, job, id);
     }
 }
 
-std::vector<std::string> lastingTasks(const Checks& checks, const std::string& job)
+std::vector<std::string> firstTasks(const Checks& checks, const std::string& job)
 {
     const int tasks = checks.jobs.at(job).shape.firstTasks;
     std::vector<std::string> names;
@@ -207,12 +295,12 @@
     return names;
 }
 
-bool areLastingTasksRunning(const Checks& checks)
+bool areFirstStepsRunning(const Checks& checks)
 {
     for (const auto& [id, job] : checks.jobs) {
-        if (!job.shape.isLasting || job.cancelSentAt > 0 || job.isRefused)
+        if (job.cancelSentAt > 0 || job.isRefused)
             continue;
-        for (const std::string& name : lastingTasks(checks, id)) {
+        for (const std::string& name : firstTasks(checks, id)) {
             const auto task = checks.tasks.find(name);
             if (task == checks.tasks.end() || task->second.running == 0)
                 return false;
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -28,6 +28,8 @@
 // ms after the end of the traffic and of the faults: 14 s after which the platform's rules ask for every job, 3 s for
 // which a job may have nothing running, 2 s for its own steps
 constexpr int finishMs = 19000;
+constexpr int idleMs = 3000; // platform's bound: longest time for which a job has nothing running beside free workers
+constexpr int workerMillicores = 8000; // of each worker of the stand-in
 
 // --- Disturbances ---
 
@@ -49,22 +51,26 @@
 
 struct JobFacts {
     platform::standin::JobShape shape;
-    std::int64_t acceptedAt = 0;   // first 2xx; 0: none
-    std::int64_t cancelSentAt = 0; // first attempt; 0: none
-    std::int64_t cancelledAt = 0;  // acknowledged; 0: not
-    bool isRefused = false;        // every attempt was refused, and there will be no other
+    std::int64_t acceptedAt = 0;       // first 2xx; 0: none
+    std::int64_t cancelSentAt = 0;     // first attempt; 0: none
+    std::int64_t cancelledAt = 0;      // acknowledged; 0: not
+    bool isRefused = false;            // every attempt was refused, and there will be no other
+    bool isOver = false;               // its tasks are done, or one has failed for good
+    std::int64_t idleReportedFrom = 0; // begin of the time with nothing running that has been reported
 };
 
 struct RunFacts {
+    int number = 0;
     std::string worker;
     std::int64_t startedAt = 0;
     std::int64_t endedAt = 0; // 0: running
     std::string how;
+    bool isAcknowledged = false; // the end as done or failed
 };
 
 struct TaskFacts {
-    std::map<int, RunFacts> runs; // by number
-    std::int64_t doneAt = 0;      // first end as done; 0: none
+    std::vector<RunFacts> runs; // in order of their starts
+    std::int64_t doneAt = 0;    // first end as done; 0: none
     int running = 0;
     int failed = 0;
     bool isDoneAcknowledged = false;
@@ -88,6 +94,11 @@
     std::int64_t origin = 0;     // begin of the faults, ms of the steady clock; violations give times after it
     std::vector<std::string> violations;
     int starts = 0;
+    int repeatedNumbers = 0;        // starts with the number of an earlier start of the task
+    int workers = 0;                // that are not gone for good
+    int running = 0;                // runs in progress
+    std::int64_t hasRoomFrom = 0;   // since then under half of the workers' processors are in use; 0: more are
+    std::int64_t longestIdleMs = 0; // of a job beside free workers, after the last disturbance
 };
 
 // Text of the time after the origin, in ms.
@@ -96,9 +107,12 @@
 void applyRuns(Checks& checks, const platform::standin::RunLog& log);
 // A job was shown as `state` by an answer that arrived at `at`; called when the log has been read up to that time.
 void checkFinalState(Checks& checks, const std::string& job, scheduler::JobState state);
-// Lasting tasks that are down, and tasks that still run although their job was cancelled.
+// Lasting tasks that are down, other jobs with nothing running beside free workers, and tasks that still run although
+// their job was cancelled.
 void checkRunning(Checks& checks);
-std::vector<std::string> lastingTasks(const Checks& checks, const std::string& job);
-bool areLastingTasksRunning(const Checks& checks);
+// Names of the tasks of its first step.
+std::vector<std::string> firstTasks(const Checks& checks, const std::string& job);
+// Of all jobs.
+bool areFirstStepsRunning(const Checks& checks);
 
 } // namespace lacewing::soak
--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -14,6 +14,7 @@
     constexpr int meanJobGapMs = 250;
     constexpr int shortRunMs = 400;
     constexpr int longRunMs = 1200;
+    constexpr int longestRunMs = 9000;
     constexpr int deadlineMs = 3000; // of a call
     constexpr int retryMs = 250;     // until a call without success is repeated at another daemon
     constexpr int pollMs = 500;      // of an open job
@@ -21,6 +22,8 @@
     constexpr int lossSlackMs = 200; // platform's bound: a request lost later than this after it was sent had been read
     constexpr double cancelShare = 0.1;
     constexpr double repeatShare = 0.05;
+    constexpr double failsFirstShare = 0.2;
+    constexpr double failsAlwaysShare = 0.03;
     constexpr double givesUpShare = 0.5;
     constexpr double lastingShare = 0.03; // of the new jobs
 
@@ -60,23 +63,46 @@
     addJob(shape);
 }
 
+void Clients::submitLong(int tasks)
+{
+    platform::standin::JobShape shape;
+    shape.firstTasks = tasks;
+    shape.runMs = longestRunMs;
+    addJob(shape);
+}
+
+void Clients::submitBurst(int jobs)
+{
+    for (int i = 0; i < jobs; ++i)
+        submitDrawn();
+}
+
+void Clients::submitDrawn()
+{
+    const std::int64_t now = nowMs();
+    platform::standin::JobShape shape;
+    shape.isLasting = base::chance(m_rng, lastingShare);
+    shape.firstTasks = static_cast<int>(drawBetween(m_rng, 1, 4));
+    shape.secondTasks = shape.isLasting ? 0 : static_cast<int>(drawBetween(m_rng, 0, 3));
+    shape.runMs = shape.isLasting ? 0 : static_cast<int>(drawBetween(m_rng, shortRunMs, longRunMs));
+    if (!shape.isLasting && base::chance(m_rng, failsFirstShare))
+        shape.failsBelowRun = 2;
+    else if (!shape.isLasting && base::chance(m_rng, failsAlwaysShare))
+        shape.failsBelowRun = platform::standin::failsAlways;
+    Job& job = m_jobs[addJob(shape)];
+    job.givesUp = base::chance(m_rng, givesUpShare);
+    if (shape.isLasting || base::chance(m_rng, cancelShare))
+        job.cancelAt = now + drawBetween(m_rng, 100, shape.isLasting ? 8000 : 1500);
+    if (base::chance(m_rng, repeatShare))
+        job.repeatAt = now + drawBetween(m_rng, 500, 6000);
+}
+
 void Clients::tick(bool hasTraffic)
 {
     const std::int64_t now = nowMs();
     if (hasTraffic && now >= m_nextJobAt) {
         m_nextJobAt = now + static_cast<std::int64_t>(base::exponential(m_rng, meanJobGapMs));
-        platform::standin::JobShape shape;
-        shape.isLasting = base::chance(m_rng, lastingShare);
-        shape.firstTasks = static_cast<int>(drawBetween(m_rng, 1, 4));
-        shape.secondTasks = shape.isLasting ? 0 : static_cast<int>(drawBetween(m_rng, 0, 3));
-        shape.runMs = shape.isLasting ? 0 : static_cast<int>(drawBetween(m_rng, shortRunMs, longRunMs));
-        shape.failsBelowRun = !shape.isLasting && base::chance(m_rng, 0.2) ? 2 : 0;
-        Job& job = m_jobs[addJob(shape)];
-        job.givesUp = base::chance(m_rng, givesUpShare);
-        if (shape.isLasting || base::chance(m_rng, cancelShare))
-            job.cancelAt = now + drawBetween(m_rng, 100, shape.isLasting ? 8000 : 1500);
-        if (base::chance(m_rng, repeatShare))
-            job.repeatAt = now + drawBetween(m_rng, 500, 6000);
+        submitDrawn();
     }
     for (std::size_t i = 0; i < m_jobs.size(); ++i) {
         if (!m_jobs[i].isCalling && now >= m_jobs[i].nextAt)
--- a/soak/clients.h
+++ b/soak/clients.h
@@ -29,6 +29,9 @@
     Clients(Cluster& cluster, Checks& checks, std::uint64_t seed, int daemons);
 
     void submitLasting(int tasks);
+    // A job whose tasks run until after the faults of a scenario.
+    void submitLong(int tasks);
+    void submitBurst(int jobs);
     // Sends what is due. `hasTraffic` allows new jobs and cancels.
     void tick(bool hasTraffic);
     // Every accepted job that should end is shown as ended; otherwise names one in `open`.
@@ -64,6 +67,7 @@
         std::int64_t at = 0;
     };
 
+    void submitDrawn();
     std::size_t addJob(const platform::standin::JobShape& shape);
     void act(std::size_t index);
     void send(std::size_t index, const QByteArray& method);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -72,7 +72,9 @@
               << clients.refused << ", completed " << clients.completed << ", cancelled " << clients.cancelled
               << "; calls " << clients.calls << ", unanswered " << clients.unanswered << "; starts " << result.starts
               << "; terms " << result.termCount << "; lasting tasks down " << result.gaps.size() << " times, longest "
-              << longest << " ms; violations " << result.violations.size() << std::endl;
+              << longest << " ms; jobs with nothing running beside free workers at most " << result.longestIdleMs
+              << " ms; repeated run numbers " << result.repeatedNumbers << "; violations " << result.violations.size()
+              << std::endl;
 }
 
 bool runSeed(const cxxopts::ParseResult& arguments, std::uint64_t seed, const std::string& scenario)
@@ -90,15 +92,18 @@
         || plan.cluster.workers > mostWorkers)
         throw std::runtime_error("the number of daemons or workers is out of range");
     QDir folder(QString::fromStdString(arguments["logs"].as<std::string>()));
-    const QString name = scenario.empty() ? QStringLiteral("seed-%1").arg(seed) : QString::fromStdString(scenario);
+    const QString name = QStringLiteral("%1-%2").arg(
+        scenario.empty() ? QStringLiteral("seed") : QString::fromStdString(scenario), QString::number(seed));
     QDir(folder.filePath(name)).removeRecursively();
     if (!folder.mkpath(name))
         throw std::runtime_error("cannot create " + folder.filePath(name).toStdString());
     plan.cluster.folder = folder.absoluteFilePath(name);
     const ScheduleShape shape { plan.cluster.daemons, plan.cluster.workers, plan.durationMs };
     const auto fixed = base::valueOf(scenarioNames, scenario);
-    plan.faults = fixed ? scenarioSchedule(*fixed, shape) : drawSchedule(seed, shape);
-    std::cout << name.toStdString() << " (seed " << seed << "), faults:\n";
+    plan.faults = fixed ? scenarioSchedule(*fixed, seed, shape) : drawSchedule(seed, shape);
+    if (fixed)
+        plan.traffic = scenarioTraffic(*fixed);
+    std::cout << name.toStdString() << ", faults:\n";
     for (const Fault& fault : plan.faults)
         std::cout << "  " << describe(fault) << '\n';
     const RunResult result = play(plan);
@@ -140,7 +145,9 @@
     const auto number = [](const char* value) { return cxxopts::value<int>()->default_value(value); };
     options.add_options()("seeds", "seeds, such as 1-5,9", text("1"))("seed-file",
         "file with a seed at the begin of each line, instead of --seeds", cxxopts::value<std::string>())("scenario",
-        "fixed faults instead of drawn ones: interrupted-recovery or unreachable-workers",
+        "faults of one kind of incident instead of drawn ones: interrupted-recovery, unreachable-workers, "
+        "repeated-runs "
+        "or crowded-recovery",
         text(""))("seconds", "length of the traffic beside faults", number("20"))("daemons", "number of daemons",
         number("3"))("workers", "number of workers", number("12"))("lasting-jobs", "lasting jobs of three tasks each",
         number("5"))("odd-entries", "entries that name no worker", number("0"))("base-port", "first of 700 ports",
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -105,11 +105,18 @@
 
 void Proxy::close() { m_server.close(); }
 
-void Proxy::setFault(LinkFault fault, int delayMs)
+int Proxy::setFault(LinkFault fault, int delayMs)
 {
     m_state = { fault, delayMs };
     forEachConnection(fault == LinkFault::Reset ? &ProxyConnection::reset
                                                 : static_cast<void (ProxyConnection::*)()>(&ProxyConnection::pump));
+    return ++m_faultNumber;
+}
+
+void Proxy::clearFault(int number)
+{
+    if (number == m_faultNumber)
+        setFault(LinkFault::None, 0);
 }
 
 void Proxy::accept()
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -72,7 +72,10 @@
     bool listen();
     // Refuses new connections, as the port of an ended process does.
     void close();
-    void setFault(LinkFault fault, int delayMs);
+    // Replaces the present fault. Returns a number for clearFault().
+    int setFault(LinkFault fault, int delayMs);
+    // Ends the fault with this number, unless another one has replaced it.
+    void clearFault(int number);
 
 private:
     void accept();
@@ -81,6 +84,7 @@
     std::uint16_t m_port;
     std::uint16_t m_target;
     LinkState m_state;
+    int m_faultNumber = 0;
     QTcpServer m_server;
 };
 
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -12,6 +12,7 @@
     constexpr int tickMs = 25;      // between looks at what clients have to send
     constexpr int runsPollMs = 100; // between reads of the log of runs
     constexpr int tasksPerLastingJob = 3;
+    constexpr int jobsPerBurst = 60;
     constexpr int firstStartsMs = 30000; // until all lasting tasks run before the faults, on a busy machine
     constexpr int graceMs = 6000;        // platform's bound of a planned stop, after which it kills the process
 
@@ -23,6 +24,7 @@
             , m_clients(m_cluster, m_checks, plan.seed, plan.cluster.daemons)
         {
             m_cluster.onDaemonStart([this] { m_checks.disturbances.push_back({ nowMs(), nowMs(), false }); });
+            m_checks.workers = plan.cluster.workers;
             QObject::connect(&m_tick, &QTimer::timeout, this, [this] { tick(); });
         }
 
@@ -58,15 +60,23 @@
         for (int i = 0; i < m_plan.lastingJobs; ++i)
             m_clients.submitLasting(tasksPerLastingJob);
         m_tick.start(tickMs);
-        if (!waitUntil([this] { return areLastingTasksRunning(m_checks); }, firstStartsMs)) {
+        if (!waitUntil([this] { return areFirstStepsRunning(m_checks); }, firstStartsMs)) {
             addViolation(m_checks, "the lasting tasks do not start before the faults");
             return result();
         }
+        for (int i = 0; i < m_plan.traffic.longJobs; ++i)
+            m_clients.submitLong(tasksPerLastingJob);
+        if (!waitUntil([this] { return areFirstStepsRunning(m_checks); }, firstStartsMs)) {
+            addViolation(m_checks, "the long tasks do not start before the faults");
+            return result();
+        }
         m_origin = nowMs();
         m_checks.origin = m_origin;
         m_hasTraffic = true;
         for (const Fault& fault : m_plan.faults)
             after(fault.atMs, [this, fault] { begin(fault); });
+        for (const int atMs : m_plan.traffic.burstsAtMs)
+            after(atMs, [this] { m_clients.submitBurst(jobsPerBurst); });
         waitUntil([this] { return nowMs() - m_origin >= m_plan.durationMs; }, m_plan.durationMs);
         m_hasTraffic = false;
         waitForEnd();
@@ -129,8 +139,10 @@
     {
         const std::int64_t now = nowMs();
         const bool isPlanned = fault.kind == FaultKind::StopDaemon;
-        m_checks.disturbances.push_back({ now, now + fault.durationMs, isPlanned });
+        if (fault.kind != FaultKind::FailRuns) // tasks may fail at any time
+            m_checks.disturbances.push_back({ now, now + fault.durationMs, isPlanned });
         const bool isOfWorker = fault.kind == FaultKind::WorkerLink || fault.kind == FaultKind::CrashWorker;
+        m_checks.workers -= isOfWorker && fault.durationMs == 0 ? 1 : 0;
         const int target = fault.target != leaderTarget || isOfWorker ? fault.target : m_cluster.leader().value_or(0);
         const auto atEnd = [&](std::function<void()> action) {
             if (fault.durationMs > 0)
@@ -161,6 +173,10 @@
         case FaultKind::StoreLosesAnswers:
             m_cluster.sendToOperator(lostAnswersRequest(fault.lostAnswers));
             break;
+        case FaultKind::StoreSilent:
+            for (int i = 0; i < m_plan.cluster.daemons; ++i)
+                beginLinkFault(fault, m_cluster.storeProxy(i));
+            break;
         case FaultKind::StoreLink:
             beginLinkFault(fault, m_cluster.storeProxy(target));
             break;
@@ -174,14 +190,18 @@
             m_cluster.sendToOperator(workerFaultRequest(target, true, fault.keepsEntry));
             atEnd([this, target] { m_cluster.sendToOperator(workerFaultRequest(target, false, false)); });
             break;
+        case FaultKind::FailRuns:
+            m_cluster.sendToOperator(failRunsRequest(fault.share));
+            break;
         }
     }
 
     void Player::beginLinkFault(const Fault& fault, Proxy& proxy)
     {
-        proxy.setFault(fault.link, fault.delayMs);
+        const LinkFault link = fault.kind == FaultKind::StoreSilent ? LinkFault::Silence : fault.link;
+        const int number = proxy.setFault(link, fault.delayMs);
         if (fault.durationMs > 0)
-            after(fault.durationMs, [&proxy] { proxy.setFault(LinkFault::None, 0); });
+            after(fault.durationMs, [&proxy, number] { proxy.clearFault(number); });
     }
 
     RunResult Player::result() const
@@ -195,6 +215,8 @@
         result.origin = m_origin;
         result.clients = m_clients.counts();
         result.starts = m_checks.starts;
+        result.repeatedNumbers = m_checks.repeatedNumbers;
+        result.longestIdleMs = m_checks.longestIdleMs;
         return result;
     }
 
--- a/soak/run.h
+++ b/soak/run.h
@@ -17,6 +17,7 @@
     std::vector<Fault> faults;
     int durationMs = 20000; // of traffic beside faults
     int lastingJobs = 5;
+    ScenarioTraffic traffic = {};
 };
 
 struct RunResult {
@@ -26,6 +27,8 @@
     std::int64_t origin = 0;        // begin of the faults, ms of the steady clock
     ClientCounts clients;
     int starts = 0;
+    int repeatedNumbers = 0;
+    std::int64_t longestIdleMs = 0;
     int termCount = 0;
 };
 
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -26,6 +26,8 @@
     constexpr double seriesShare = 0.3;      // of the faults of daemons that are followed by one of the next leader
     constexpr int seriesGapMs = 3000;        // longest time until that one
     constexpr int goneShare = 4;             // at most one in so many workers is gone for good
+    constexpr int crowdedKillsMs[] = { 1000, 9500 }; // of all daemons in Scenario::CrowdedRecovery
+    constexpr int burstLeadMs = 700;                 // from the burst of jobs before them
 
     int between(base::Rng& rng, int low, int high)
     {
@@ -51,8 +53,9 @@
 
     Fault drawOtherFault(base::Rng& rng, const ScheduleShape& shape)
     {
-        constexpr FaultKind kinds[] = { FaultKind::StoreDown, FaultKind::StoreLosesAnswers, FaultKind::StoreLink,
-            FaultKind::PeerLink, FaultKind::WorkerLink, FaultKind::WorkerLink, FaultKind::CrashWorker };
+        constexpr FaultKind kinds[] = { FaultKind::StoreDown, FaultKind::StoreLosesAnswers, FaultKind::StoreSilent,
+            FaultKind::StoreLink, FaultKind::PeerLink, FaultKind::WorkerLink, FaultKind::WorkerLink,
+            FaultKind::CrashWorker, FaultKind::FailRuns };
         Fault fault;
         fault.kind = kinds[base::below(rng, std::size(kinds))];
         fault.durationMs = between(rng, shortestMs, longestMs);
@@ -64,6 +67,7 @@
         fault.delayMs = between(rng, 20, longestDelayMs);
         fault.lostAnswers = between(rng, 1, mostLostAnswers);
         fault.keepsEntry = base::chance(rng, 0.5);
+        fault.share = base::uniform(rng);
         return fault;
     }
 
@@ -121,15 +125,76 @@
     return faults;
 }
 
-std::vector<Fault> scenarioSchedule(Scenario scenario, const ScheduleShape& shape)
-{
-    const auto ofDaemon = [](FaultKind kind, int atMs, int durationMs) {
+namespace {
+
+    Fault ofDaemon(FaultKind kind, int atMs, int durationMs, int target = leaderTarget)
+    {
         Fault fault;
         fault.atMs = atMs;
         fault.durationMs = durationMs;
         fault.kind = kind;
+        fault.target = target;
         return fault;
-    };
+    }
+
+    Fault ofLink(FaultKind kind, int target, int atMs, int untilMs)
+    {
+        Fault fault = ofDaemon(kind, atMs, untilMs - atMs, target);
+        fault.link = LinkFault::Silence;
+        return fault;
+    }
+
+    std::vector<Fault> repeatedRuns(base::Rng& rng, const ScheduleShape& shape)
+    {
+        constexpr int failuresGapMs = 800; // time for the leader to start the runs again
+        constexpr int cutAtMs = 3000;      // after the last failure
+        constexpr int leaderLastMs = 1200; // for which a leader that is cut off still renews the leases of its workers
+        constexpr int returnAtMs = 12500;  // the leases are over and the next term has started the tasks again
+        std::vector<Fault> faults;
+        const FaultKind store = base::chance(rng, 0.5) ? FaultKind::StoreDown : FaultKind::StoreSilent;
+        faults.push_back(ofDaemon(store, between(rng, 0, 300), between(rng, 4500, 5500)));
+        for (int i = 1; i <= 3; ++i) {
+            faults.push_back(ofDaemon(FaultKind::FailRuns, i * failuresGapMs, 0));
+            faults.back().share = 0.7 + 0.3 * base::uniform(rng);
+        }
+        const int cutAt = cutAtMs + between(rng, 0, 500);
+        const int returnAt = returnAtMs + between(rng, 0, 1000);
+        faults.push_back(ofLink(FaultKind::StoreLink, leaderTarget, cutAt, returnAt));
+        faults.push_back(ofLink(FaultKind::PeerLink, leaderTarget, cutAt, returnAt));
+        for (int i = 0; i < shape.workers; i += 2) // those of one data centre
+            faults.push_back(ofLink(FaultKind::WorkerLink, i, cutAt + leaderLastMs, returnAt + between(rng, 0, 800)));
+        const int restarted = between(rng, 0, shape.daemons - 1);
+        const int restartAt = between(rng, 8000, 12000);
+        faults.push_back(ofDaemon(FaultKind::StopDaemon, restartAt, 1000, restarted));
+        faults.push_back(ofDaemon(FaultKind::KillDaemon, restartAt + between(rng, 100, 1500), 1500, restarted));
+        if (base::chance(rng, 0.5))
+            faults.push_back(ofDaemon(FaultKind::KillDaemon, returnAt + between(rng, 200, 1500), 1000));
+        return faults;
+    }
+
+    std::vector<Fault> crowdedRecovery(base::Rng& rng, const ScheduleShape& shape)
+    {
+        std::vector<Fault> faults;
+        if (base::chance(rng, 0.5)) // its lease has to end before the next term may start what it may run
+            faults.push_back(ofDaemon(FaultKind::CrashWorker, between(rng, 0, 1000), 0, 0));
+        for (const int atMs : crowdedKillsMs) {
+            if (base::chance(rng, 0.5)) // of a daemon that is stopping
+                faults.push_back(ofDaemon(FaultKind::StopDaemon, atMs - between(rng, 50, 500), 2500));
+            for (int i = 0; i < shape.daemons; ++i)
+                faults.push_back(ofDaemon(FaultKind::KillDaemon, atMs, between(rng, 1500, 2500), i));
+        }
+        return faults;
+    }
+
+} // namespace
+
+std::vector<Fault> scenarioSchedule(Scenario scenario, std::uint64_t seed, const ScheduleShape& shape)
+{
+    base::Rng rng(seed);
+    if (scenario == Scenario::RepeatedRuns)
+        return repeatedRuns(rng, shape);
+    if (scenario == Scenario::CrowdedRecovery)
+        return crowdedRecovery(rng, shape);
     const auto ofWorker = [&](FaultKind kind, int target, LinkFault link, int durationMs) {
         Fault fault;
         fault.durationMs = durationMs;
@@ -154,10 +219,22 @@
         ofDaemon(FaultKind::StoreDown, 0, storeDownMs), ofDaemon(FaultKind::KillDaemon, storeDownMs + 1000, 0) };
 }
 
+ScenarioTraffic scenarioTraffic(Scenario scenario)
+{
+    if (scenario == Scenario::RepeatedRuns)
+        return { 8, {} };
+    if (scenario == Scenario::CrowdedRecovery)
+        return { 0, { crowdedKillsMs[0] - burstLeadMs, crowdedKillsMs[1] - burstLeadMs } };
+    return {};
+}
+
 std::string describe(const Fault& fault)
 {
     std::string text = std::to_string(fault.atMs) + " ms: " + std::string(base::nameOf(faultKindNames, fault.kind));
-    if (fault.kind != FaultKind::StoreDown && fault.kind != FaultKind::StoreLosesAnswers)
+    if (fault.kind == FaultKind::FailRuns)
+        return text + ", share " + std::to_string(fault.share);
+    if (fault.kind != FaultKind::StoreDown && fault.kind != FaultKind::StoreLosesAnswers
+        && fault.kind != FaultKind::StoreSilent)
         text += fault.target == leaderTarget ? " (leader)" : ' ' + std::to_string(fault.target);
     if (isLinkKind(fault.kind))
         text += ", " + std::string(base::nameOf(linkFaultNames, fault.link));
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -19,22 +19,26 @@
     StopDaemon,  // SIGTERM, started again at the end
     StoreDown,
     StoreLosesAnswers,
-    StoreLink, // of one daemon
-    PeerLink,  // of all other daemons to one daemon
+    StoreSilent, // the links of all daemons
+    StoreLink,   // of one daemon
+    PeerLink,    // of all other daemons to one daemon
     WorkerLink,
     CrashWorker, // restarted at the end
+    FailRuns,    // a share of the runs in progress ends as failed
 };
 
-constexpr base::EnumNames<FaultKind, 9> faultKindNames { {
+constexpr base::EnumNames<FaultKind, 11> faultKindNames { {
     { FaultKind::KillDaemon, "kill daemon" },
     { FaultKind::PauseDaemon, "pause daemon" },
     { FaultKind::StopDaemon, "stop daemon" },
     { FaultKind::StoreDown, "store down" },
     { FaultKind::StoreLosesAnswers, "store loses answers" },
+    { FaultKind::StoreSilent, "store silent" },
     { FaultKind::StoreLink, "store link of daemon" },
     { FaultKind::PeerLink, "peer link of daemon" },
     { FaultKind::WorkerLink, "link of worker" },
     { FaultKind::CrashWorker, "crash worker" },
+    { FaultKind::FailRuns, "fail runs" },
 } };
 
 constexpr int leaderTarget = -1; // the daemon that schedules when the fault begins
@@ -48,6 +52,7 @@
     int delayMs = 0;                  // of LinkFault::Delay
     int lostAnswers = 0;
     bool keepsEntry = false; // of CrashWorker
+    double share = 0;        // of FailRuns
 };
 
 struct ScheduleShape {
@@ -65,14 +70,31 @@
     InterruptedRecovery,
     // Workers that cannot be reached go on running their tasks, one of them with renewed leases, while leaders change.
     UnreachableWorkers,
+    // Runs fail again and again while the store is away; then the leader and half of the workers are cut off, and
+    // return
+    // after the next term has started their tasks again. Daemons are restarted meanwhile.
+    RepeatedRuns,
+    // All daemons are killed twice, with more jobs waiting than usual.
+    CrowdedRecovery,
 };
 
-constexpr base::EnumNames<Scenario, 2> scenarioNames { {
+constexpr base::EnumNames<Scenario, 4> scenarioNames { {
     { Scenario::InterruptedRecovery, "interrupted-recovery" },
     { Scenario::UnreachableWorkers, "unreachable-workers" },
+    { Scenario::RepeatedRuns, "repeated-runs" },
+    { Scenario::CrowdedRecovery, "crowded-recovery" },
 } };
 
-std::vector<Fault> scenarioSchedule(Scenario scenario, const ScheduleShape& shape);
+// The seed varies the times of the last two scenarios.
+std::vector<Fault> scenarioSchedule(Scenario scenario, std::uint64_t seed, const ScheduleShape& shape);
+
+// Traffic besides the usual one.
+struct ScenarioTraffic {
+    int longJobs = 0;                 // of tasks that run until after the faults, started before them
+    std::vector<int> burstsAtMs = {}; // ms after the begin of the faults, of many jobs at once
+};
+
+ScenarioTraffic scenarioTraffic(Scenario scenario);
 
 std::string describe(const Fault& fault);
 
