Let the stand-in fail the first runs of a task by count

A run's number need not tell how often a task has run: once numbers are unique over terms, later runs of a task whose runs are to fail would succeed, and checks of the number of attempts would test nothing. The payload's failedRuns counts the failures of the task on all workers instead.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -255,7 +255,7 @@
 void checkFinalState(Checks& checks, const std::string& id, scheduler::JobState state)
 {
     const JobFacts& job = checks.jobs[id];
-    if (state == scheduler::JobState::Failed && job.shape.failsBelowRun != platform::standin::failsAlways)
+    if (state == scheduler::JobState::Failed && job.shape.failedRuns != platform::standin::failsAlways)
         addViolation(checks, "a job that can be done is shown as failed: " + id);
     if (state == scheduler::JobState::Cancelled && job.cancelSentAt == 0)
         addViolation(checks, "a job that nobody cancelled is shown as cancelled: " + id);
--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -86,9 +86,9 @@
     shape.secondTasks = shape.isLasting ? 0 : static_cast<int>(drawBetween(m_rng, 0, 3));
     shape.runMs = shape.isLasting ? 0 : static_cast<int>(drawBetween(m_rng, shortRunMs, longRunMs));
     if (!shape.isLasting && base::chance(m_rng, failsFirstShare))
-        shape.failsBelowRun = 2;
+        shape.failedRuns = 1;
     else if (!shape.isLasting && base::chance(m_rng, failsAlwaysShare))
-        shape.failsBelowRun = platform::standin::failsAlways;
+        shape.failedRuns = platform::standin::failsAlways;
     Job& job = m_jobs[addJob(shape)];
     job.givesUp = base::chance(m_rng, givesUpShare);
     if (shape.isLasting || base::chance(m_rng, cancelShare))
