--- a/soak/checks.h
+++ b/soak/checks.h
@@ -60,7 +60,7 @@
 };
 
 struct RunFacts {
-    int number = 0;
+    std::int64_t number = 0;
     std::string worker;
     std::int64_t startedAt = 0;
     std::int64_t endedAt = 0; // 0: running
