Allow for the lease of a worker out of reach in the soak's idle check

Worker 11 fell silent at 1,639 ms. Until the lease is over the task may run on the worker, so that no other start is allowed (docs/protocol.md, guarantee I2), and the platform asks for jobs of this kind only 14 s after the end of the traffic. The check now holds from leaseMs after the begin of the last fault of a worker; all other cases are as strict as before.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -186,8 +186,11 @@
             return;
         checks.longestIdleMs
             = std::max(checks.longestIdleMs, checks.knownUntil - std::max(since, lastEnd(checks.disturbances)));
-        if (job.idleReportedFrom == since || checks.knownUntil - since <= idleMs
-            || !isCalm(checks.disturbances, checks.knownUntil - idleMs - calmMs, checks.knownUntil))
+        const std::int64_t idleFrom = checks.knownUntil - idleMs;
+        // Until its lease is over, a task that a worker out of reach may run does not start elsewhere.
+        const bool mayRunOutOfReach = idleFrom - calmMs < checks.workerFaultAt + leaseMs;
+        if (job.idleReportedFrom == since || since >= idleFrom || mayRunOutOfReach
+            || !isCalm(checks.disturbances, idleFrom - calmMs, checks.knownUntil))
             return;
         job.idleReportedFrom = since;
         addViolation(checks,
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -97,6 +97,7 @@
     int repeatedNumbers = 0;        // starts with the number of an earlier start of the task
     int workers = 0;                // that are not gone for good
     int running = 0;                // runs in progress
+    std::int64_t workerFaultAt = 0; // begin of the last fault of a worker
     std::int64_t hasRoomFrom = 0;   // since then under half of the workers' processors are in use; 0: more are
     std::int64_t longestIdleMs = 0; // of a job beside free workers, after the last disturbance
 };
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -142,6 +142,7 @@
         if (fault.kind != FaultKind::FailRuns) // tasks may fail at any time
             m_checks.disturbances.push_back({ now, now + fault.durationMs, isPlanned });
         const bool isOfWorker = fault.kind == FaultKind::WorkerLink || fault.kind == FaultKind::CrashWorker;
+        m_checks.workerFaultAt = isOfWorker ? now : m_checks.workerFaultAt;
         m_checks.workers -= isOfWorker && fault.durationMs == 0 ? 1 : 0;
         const int target = fault.target != leaderTarget || isOfWorker ? fault.target : m_cluster.leader().value_or(0);
         const auto atEnd = [&](std::function<void()> action) {
