Keep the number of a placed run when the end of another run arrives

The number is raised only while the task is not placed; the next start takes the highest ended run into account anyway.

--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -258,6 +258,7 @@
     Task& task = *ref.task;
     Job& job = *ref.job;
     const bool isCurrent = isCurrentRun(task, worker, run);
+    const bool hasBegun = !isCurrent || task.isConfirmed;
     if (isCurrent)
         releaseResources(ref);
     // Lasting tasks fail without limit: their failed runs are not listed, and late ends of earlier runs are not
@@ -271,10 +272,12 @@
     if (isNewFailure && !ref.step->isLasting)
         task.failedRuns.push_back(run);
     task.endedRun = std::max(task.endedRun, run);
-    task.run = std::max(task.run, run);
+    if (!isPlaced(task))
+        task.run = std::max(task.run, run);
     task.lastEndAt = now;
     task.lastEnd = kind;
-    ref.progress->lastEndAt = now;
+    if (hasBegun)
+        ref.progress->lastEndAt = now;
     markDirty(scheduler, job);
     if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed)
         return;
