Bound the moves of serving tasks, and count waits from the last run

The questions to the advice service followed the order of job ids, because the candidates are not sorted any more.

Now a worker is vacated for 6 s at most and not again within 15 s, nor is a task moved twice in that time; demand counts only where serving tasks stand between a filling task and a worker that has all else; moves in flight keep their room; steps that need approval stay; recent restarts count, by service; the wait counts from the last end of a run that had begun. Questions follow the turns.

Tests: servingTasksStayWhenTheFillingTaskFitsNowhere, servingTasksThatNeedApprovalStay, refusedStartsDoNotDelayTheTurnOfAJob, approvalIsAskedForInTheOrderOfPlacement, and a bound on moves in spreadServingTasksDoNotKeepFillingTasksWaiting; they were written after the change and not run without it.

--- a/src/scheduler/approval.cpp
+++ b/src/scheduler/approval.cpp
@@ -109,7 +109,8 @@
 {
     if (planner.scheduler.isQuestionPending || planner.now < planner.scheduler.questionRetryAt)
         return std::nullopt;
-    for (const Candidate& candidate : planner.candidates) {
+    for (const Turn& turn : planner.turns) {
+        const Candidate& candidate = *turn.candidate;
         if (!candidate.job->policy.approval.isNeeded)
             continue;
         if (auto question = questionFor(planner, candidate, rank))
--- a/src/scheduler/colocation.cpp
+++ b/src/scheduler/colocation.cpp
@@ -114,10 +114,10 @@
         });
     }
 
-    // Since the task may be placed.
-    Millis waitedMs(const Planner& planner, const TaskRef& ref)
+    // Since the last end of a run of the step, or since it became ready.
+    Millis waitedMs(const Planner& planner, const StepProgress& progress)
     {
-        return planner.now - std::max(ref.task->phaseSince, ref.progress->readySince);
+        return planner.now - std::max(progress.readySince, progress.lastEndAt);
     }
 
     bool isTrialDue(const Planner& planner) { return planner.now - planner.scheduler.lastTrialAt >= trialIntervalMs; }
@@ -205,11 +205,11 @@
     return growth / headroom;
 }
 
-TrialState trialState(const Planner& planner, const Worker& worker, const TaskRef& ref)
+TrialState trialState(const Planner& planner, const Worker& worker, const StepProgress& progress)
 {
-    if (ref.progress->placed > 0)
+    if (progress.placed > 0)
         return TrialState::HasRuns;
-    if (waitedMs(planner, ref) < trialWaitMs)
+    if (waitedMs(planner, progress) < trialWaitMs)
         return TrialState::ShortWait;
     if (!isQuiet(planner, worker))
         return TrialState::RecentEviction;
@@ -225,10 +225,10 @@
     });
 }
 
-double interferenceLimit(const Planner& planner, const TaskRef& ref)
+double interferenceLimit(const Planner& planner, const StepProgress& progress)
 {
-    const Millis waited = waitedMs(planner, ref);
-    if (ref.progress->placed > 0 || waited < trialWaitMs)
+    const Millis waited = waitedMs(planner, progress);
+    if (progress.placed > 0 || waited < trialWaitMs)
         return baseInterferenceLimit;
     const double limit = baseInterferenceLimit * static_cast<double>(waited) / trialWaitMs;
     return isTrialDue(planner) ? limit : std::min(limit, idleInterferenceLimit);
--- a/src/scheduler/colocation.h
+++ b/src/scheduler/colocation.h
@@ -35,13 +35,13 @@
     { TrialState::RecentEviction, "recentEviction" },
 } };
 
-TrialState trialState(const Planner& planner, const Worker& worker, const TaskRef& ref);
+TrialState trialState(const Planner& planner, const Worker& worker, const StepProgress& progress);
 // True when an uncertain pair of the image and a serving image on the worker runs on as many workers as it may.
 bool isTrialLimited(Planner& planner, PlannedWorker& worker, std::size_t fillImage);
-// Interference that the filling task may cause. The limit rises with the wait of a step with nothing running: up to
-// half of the headroom, and further when a trial is due, a start in spite of the predicted interference whose readings
-// correct the estimates. All workers share the estimates, so that one trial at a time is enough for all.
-double interferenceLimit(const Planner& planner, const TaskRef& ref);
+// Interference that filling tasks of the step may cause. The limit rises with the wait of a step with nothing running:
+// up to half of the headroom, and further when a trial is due, a start in spite of the predicted interference whose
+// readings correct the estimates. All workers share the estimates, so that one trial at a time is enough for all.
+double interferenceLimit(const Planner& planner, const StepProgress& progress);
 // The part of such a limit that holds on the worker: it is not raised soon after an eviction there.
 double interferenceLimitOn(const Planner& planner, const Worker& worker, double limit);
 // Updates interference and trial counts for a filling task that this plan starts.
--- a/src/scheduler/consolidation.cpp
+++ b/src/scheduler/consolidation.cpp
@@ -1,6 +1,8 @@
 // Selection of the workers to vacate, and moves of the serving tasks on them.
 #include "scheduler/consolidation.h"
 
+#include "scheduler/approval.h"
+
 #include <algorithm>
 
 namespace lacewing::scheduler {
@@ -11,8 +13,12 @@
     constexpr Millis demandWaitMs = 1000;         // ms; filling tasks that have waited longer count as demand
     constexpr Millis vacantMs = 4000; // ms without demand after which a vacated worker takes serving tasks again
     constexpr double maxVacatedShare
-        = 0.6;                         // of a worker's processors; workers with more serving tasks stay as they are
-    constexpr int workersPerMove = 12; // of a service, for each serving task that may be on the move
+        = 0.6;                          // of a worker's processors; workers with more serving tasks stay as they are
+    constexpr Millis moveMs = 5000;     // ms that a move may take
+    constexpr Millis vacatingMs = 6000; // ms after which a worker that still has serving tasks keeps them
+    constexpr Millis minStayMs = 15000; // ms between two moves of a task, and between two choices of a worker
+    constexpr int maxUnfitWorkers = 8;  // that a pass examines without result; bounds its cost
+    constexpr int workersPerMove = 12;  // of a service, for each serving task that may be on the move
     // Demand that is worth vacating a worker, as a share of its processors; for a job with nothing running, any is.
     constexpr double minDemandShare = 0.5;
 
@@ -26,10 +32,21 @@
             && task.host->contact == Contact::Established;
     }
 
+    // The approval of another worker could take longer than a move.
+    bool isMovable(const TaskRef& ref, Millis now)
+    {
+        return !ref.job->policy.approval.isNeeded && (ref.task->movedAt == 0 || now - ref.task->movedAt >= minStayMs);
+    }
+
     // Moves make one task of a step unavailable at a time, and none while another one is down for any reason.
-    bool mayMove(const TaskRef& ref)
+    bool mayMove(const TaskRef& ref, Millis now)
     {
-        return std::all_of(ref.progress->tasks.begin(), ref.progress->tasks.end(), isAtWork);
+        return isMovable(ref, now) && std::all_of(ref.progress->tasks.begin(), ref.progress->tasks.end(), isAtWork);
+    }
+
+    bool isMoving(const Task& task, Millis now)
+    {
+        return task.movedAt > 0 && now - task.movedAt < moveMs && !isAtWork(task);
     }
 
     // Free resources of a worker that may receive serving tasks.
@@ -84,16 +101,27 @@
         bool hasIdleJob = false; // a job with nothing running is among them
     };
 
-    Demand waitingDemand(const Planner& planner, const std::string& service)
+    // Whether a worker has everything for the task but serving tasks that tolerate it.
+    bool isHeldUpByServing(const Planner& planner, const Pool& pool, const TaskRef& ref)
+    {
+        return std::any_of(pool.workers.begin(), pool.workers.end(), [&](const PlannedWorker& planned) {
+            return planned.worker->servingCpu > 0 && hasRoom(planned, *ref.step)
+                && isApproved(ref, planned.worker->entry.id, planner.now);
+        });
+    }
+
+    Demand waitingDemand(const Planner& planner, const Pool& pool)
     {
         Demand demand;
         for (const Candidate& candidate : planner.candidates) {
             const auto index = static_cast<std::size_t>(candidate.stepNumber);
             const Step& step = candidate.job->request.steps[index];
             const StepProgress& progress = candidate.occurrence->steps[index];
-            if (!step.isFilling || candidate.job->policy.service != service
+            if (!step.isFilling || candidate.job->policy.service != pool.service
                 || planner.now - progress.readySince < demandWaitMs)
                 continue;
+            if (!isHeldUpByServing(planner, pool, refOf(candidate, 0)))
+                continue;
             const auto waiting = std::count_if(progress.tasks.begin(), progress.tasks.end(),
                 [](const Task& task) { return task.phase == TaskPhase::Waiting; });
             demand.millicores += static_cast<double>(waiting) * step.cpuMillicores;
@@ -103,13 +131,15 @@
     }
 
     // Lasting tasks that lost their run get the room first.
-    bool isRestartWaiting(const Planner& planner)
+    bool isRestartWaiting(const Planner& planner, const std::string& service)
     {
-        return std::any_of(planner.candidates.begin(), planner.candidates.end(), [](const Candidate& candidate) {
+        const auto isRecent = [&](const Task& task) {
+            return task.phase == TaskPhase::Waiting && planner.now - task.phaseSince < moveMs;
+        };
+        return std::any_of(planner.candidates.begin(), planner.candidates.end(), [&](const Candidate& candidate) {
             const StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
-            return candidate.isRestart
-                && std::any_of(progress.tasks.begin(), progress.tasks.end(),
-                    [](const Task& task) { return task.phase == TaskPhase::Waiting; });
+            return candidate.isRestart && candidate.job->policy.service == service
+                && std::any_of(progress.tasks.begin(), progress.tasks.end(), isRecent);
         });
     }
 
@@ -119,7 +149,7 @@
         Pool& pool;
         Demand demand = {};
         double vacating = 0; // millicores of the workers that are being vacated
-        int moving = 0;      // serving tasks that are not at work
+        int moving = 0;      // serving tasks that were stopped to be moved and are not at work yet
         int maxMoving = 1;
         std::vector<Room> rooms = {}; // of workers that keep their serving tasks
     };
@@ -128,9 +158,11 @@
     {
         if (!isVacated(worker))
             return;
-        if (pass.demand.millicores > 0)
-            worker.vacantUntil = pass.planner.now + vacantMs;
-        if (pass.planner.now < worker.vacantUntil)
+        const Millis now = pass.planner.now;
+        const bool isStuck = worker.servingCpu > 0 && now - worker.vacatedAt >= vacatingMs;
+        if (pass.demand.millicores > 0 && !isStuck)
+            worker.vacantUntil = now + vacantMs;
+        if (now < worker.vacantUntil && !isStuck)
             return;
         worker.vacantUntil = 0;
         logDecision(pass.planner.scheduler,
@@ -144,7 +176,7 @@
             Worker& worker = *planned.worker;
             updateVacated(pass, worker);
             for (const TaskRef& ref : servingTasks(worker))
-                pass.moving += isAtWork(*ref.task) ? 0 : 1;
+                pass.moving += isMoving(*ref.task, pass.planner.now) ? 1 : 0;
             if (worker.servingCpu == 0)
                 continue;
             if (isVacated(worker))
@@ -152,6 +184,12 @@
             else if (planned.acceptsTasks)
                 pass.rooms.push_back({ &worker, planned.freeCpu, planned.freeMemory, planned.freeGpus });
         }
+        for (const PlannedWorker& planned : pass.pool.workers) { // tasks that are being stopped need their room soon
+            for (const TaskRef& ref : servingTasks(*planned.worker)) {
+                if (ref.task->phase == TaskPhase::Stopping)
+                    takeRoom(pass.rooms, ref);
+            }
+        }
     }
 
     // Orders the stops of as many serving tasks of a vacated worker as may move now.
@@ -161,10 +199,11 @@
         for (const TaskRef& ref : servingTasks(worker)) {
             if (pass.moving >= pass.maxMoving)
                 return;
-            if (!mayMove(ref) || !takeRoom(pass.rooms, ref))
+            if (!mayMove(ref, pass.planner.now) || !takeRoom(pass.rooms, ref))
                 continue;
             ++pass.moving;
             ++scheduler.servingMoves;
+            ref.task->movedAt = pass.planner.now;
             orderStop(scheduler, pass.planner.orders, ref, "worker is vacated",
                 { { "demandMillicores", static_cast<std::int64_t>(pass.demand.millicores) },
                     { "servingMillicores", worker.servingCpu } },
@@ -177,7 +216,8 @@
         const int capacity = worker.entry.capacity.cpuMillicores;
         const bool isWanted = pass.demand.millicores - pass.vacating >= minDemandShare * capacity
             || (pass.demand.hasIdleJob && pass.vacating == 0);
-        return isWanted && !isVacated(worker) && worker.servingCpu > 0
+        const bool isRested = worker.vacatedAt == 0 || pass.planner.now - worker.vacatedAt >= minStayMs;
+        return isWanted && isRested && !isVacated(worker) && worker.servingCpu > 0
             && worker.servingCpu <= maxVacatedShare * capacity;
     }
 
@@ -203,10 +243,12 @@
             [&](const Room& room) { return room.worker != &worker; });
         std::vector<Room> left = others;
         const std::vector<TaskRef> tasks = servingTasks(worker);
-        if (!std::all_of(tasks.begin(), tasks.end(), [&](const TaskRef& ref) { return takeRoom(left, ref); }))
+        if (!std::all_of(tasks.begin(), tasks.end(),
+                [&](const TaskRef& ref) { return isMovable(ref, pass.planner.now) && takeRoom(left, ref); }))
             return false;
         pass.rooms = std::move(others);
         pass.vacating += worker.entry.capacity.cpuMillicores;
+        worker.vacatedAt = pass.planner.now;
         worker.vacantUntil = pass.planner.now + vacantMs;
         logDecision(pass.planner.scheduler,
             { "workerVacated", {}, {}, worker.entry.id, 0, "vacating",
@@ -218,18 +260,23 @@
     void consolidatePool(Planner& planner, Pool& pool)
     {
         Consolidation pass { planner, pool };
-        pass.demand = waitingDemand(planner, pool.service);
+        pass.demand = waitingDemand(planner, pool);
         pass.maxMoving = std::max(1, static_cast<int>(pool.workers.size()) / workersPerMove);
         survey(pass);
         for (PlannedWorker& planned : pool.workers) {
             if (isVacated(*planned.worker))
                 moveTasks(pass, *planned.worker);
         }
+        int unfit = 0;
         for (Worker* worker : vacatableWorkers(pass)) {
-            if (pass.moving >= pass.maxMoving)
+            if (pass.moving >= pass.maxMoving || unfit >= maxUnfitWorkers)
                 return;
-            if (isWorthVacating(pass, *worker) && vacate(pass, *worker))
+            if (!isWorthVacating(pass, *worker))
+                continue;
+            if (vacate(pass, *worker))
                 moveTasks(pass, *worker);
+            else
+                ++unfit;
         }
     }
 
@@ -238,12 +285,13 @@
 void consolidateServing(Planner& planner)
 {
     Scheduler& scheduler = planner.scheduler;
-    if (planner.now - scheduler.consolidatedAt < consolidationPeriodMs || !scheduler.isReconciled
-        || isRestartWaiting(planner))
+    if (planner.now - scheduler.consolidatedAt < consolidationPeriodMs || !scheduler.isReconciled)
         return;
     scheduler.consolidatedAt = planner.now;
-    for (Pool& pool : planner.pools)
-        consolidatePool(planner, pool);
+    for (Pool& pool : planner.pools) {
+        if (!isRestartWaiting(planner, pool.service))
+            consolidatePool(planner, pool);
+    }
 }
 
 } // namespace lacewing::scheduler
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -365,7 +365,8 @@
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
         std::vector<PlacedMember> placed;
-        const double limit = interferenceLimit(planner, refOf(candidate, 0));
+        const double limit
+            = interferenceLimit(planner, candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)]);
         RunNumber latest = 0;
         const Task* saved = nullptr; // member with the latest checkpoint; it is valid for all
         for (int i = 0; i < step.count; ++i) {
@@ -411,7 +412,7 @@
         const Step& other = *shape.step;
         return shape.image == image && step.cpuMillicores >= other.cpuMillicores && step.memoryMb >= other.memoryMb
             && step.gpus >= other.gpus && step.isFilling == other.isFilling && step.requiredLabel == other.requiredLabel
-            && interferenceLimit <= shape.interferenceLimit;
+            && (!step.isFilling || interferenceLimit <= shape.interferenceLimit);
     }
 
     // True when a step that asks for no more has found no worker in this plan.
@@ -421,18 +422,6 @@
             [&](const UnplacedShape& shape) { return asksForNoMore(shape, step, image, interferenceLimit); });
     }
 
-    // Highest interference limit of the waiting tasks of the step; 0 for steps that do not fill.
-    double highestLimit(const Planner& planner, const Candidate& candidate, const Step& step)
-    {
-        double highest = 0;
-        for (int i = 0; step.isFilling && i < step.count; ++i) {
-            const TaskRef ref = refOf(candidate, i);
-            if (ref.task->phase == TaskPhase::Waiting)
-                highest = std::max(highest, interferenceLimit(planner, ref));
-        }
-        return highest;
-    }
-
     // Places at most maxStarts tasks of the step; a gang as a whole.
     void placeStep(Planner& planner, const Candidate& candidate, int maxStarts)
     {
@@ -441,7 +430,7 @@
         Pool& pool = poolOf(planner, candidate.job->policy.service);
         const std::size_t image = imageNumber(planner, step.image);
         const bool isPlacedGang = step.isGang && progress.placed > 0; // in an earlier turn of this plan
-        if (isPlacedGang || isKnownUnplaceable(pool, step, image, highestLimit(planner, candidate, step)))
+        if (isPlacedGang || isKnownUnplaceable(pool, step, image, interferenceLimit(planner, progress)))
             return;
         countStepTasks(planner, candidate);
         Shape& shape = shapeOf(pool, step, image);
@@ -456,7 +445,6 @@
             return;
         }
         int started = 0;
-        double refusedLimit = -1; // highest interference limit of a task that found no worker; -1: all have found one
         for (int i = 0; i < step.count && started < maxStarts; ++i) {
             const TaskRef ref = refOf(candidate, i);
             if (isStartLimitReached(planner))
@@ -466,9 +454,7 @@
             const bool isFirstRun = ref.task->run == 0 && !ref.task->mayHaveRun;
             if (step.isLasting && isFirstRun && !leavesShortReserve(planner, ref))
                 continue;
-            const double limit = step.isFilling ? interferenceLimit(planner, ref) : 0;
-            if (limit <= refusedLimit) // the tasks of the step have the same shape
-                continue;
+            const double limit = interferenceLimit(planner, progress);
             PlannedWorker* worker = nullptr;
             for (const std::string& rack : racks) {
                 worker = chooseWorker(planner, pool, shape, ref, rack, limit);
@@ -483,11 +469,10 @@
                 = worker && !step.dataRack.empty() && !hasLabel(worker->worker->entry, step.dataRack);
             if (isOffDataRack && planner.now - progress.readySince < dataRackWaitMs)
                 continue;
-            if (!worker) {
+            if (!worker) { // the other tasks of the step have the same shape
                 if (!hasStepConstraints(candidate, step))
                     pool.unplaced.push_back({ &step, image, limit, planner.triedTurns });
-                refusedLimit = limit;
-                continue;
+                return;
             }
             const std::optional<RunNumber> run = takeRun(planner.scheduler, *candidate.job, latestRun(*ref.task));
             if (!run)
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -110,15 +110,6 @@
         return age > allowed ? Timeliness::Late : Timeliness::InTime;
     }
 
-    // Since when a step without runs has had nothing running.
-    Millis idleSince(const StepProgress& progress)
-    {
-        Millis since = std::max(progress.readySince, progress.lastEndAt);
-        for (const Task& task : progress.tasks)
-            since = std::max(since, task.phaseSince);
-        return since;
-    }
-
     void reviewStep(
         Planner& planner, Job& job, Occurrence& occurrence, int occurrenceNumber, int stepNumber, int jobRank)
     {
@@ -167,7 +158,7 @@
         candidate.priority = job.policy.priority;
         candidate.jobRank = jobRank;
         if (!step.isLasting && !hasRuns(job))
-            candidate.idleSince = idleSince(progress);
+            candidate.idleSince = std::max(progress.readySince, progress.lastEndAt);
         planner.candidates.push_back(candidate);
     }
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -95,6 +95,7 @@
     Millis startDeadlineAt = 0; // the worker cannot execute the start order after this
     bool isConfirmed = false;   // the worker has acknowledged or reported the run
     Millis lastStopAt = 0;
+    Millis movedAt = 0;       // last move by consolidation; 0: none in this term
     std::string failedWorker; // worker of the last failure
     // --- While the phase is Unknown ---
     std::string formerWorker; // the only worker that may have a run or an unstored end of the task; empty: any may
@@ -237,8 +238,9 @@
     Millis modelUpdatedAt = 0;  // last report whose readings went into the interference model
     Millis lastFillEvictionAt = 0; // last eviction of a filling task that interfered with a serving task
     Millis drainEndsAt = 0;        // when a draining worker may stop at the earliest; 0: not draining
-    Millis vacantUntil
-        = 0; // serving tasks are kept off it until then, or longer while filling tasks wait; 0: not vacated
+    Millis vacatedAt = 0;          // when it was last chosen to be vacated; 0: never
+    // Serving tasks are kept off it until then, or longer while filling tasks wait; 0: it is not vacated.
+    Millis vacantUntil = 0;
 };
 
 // --- Outputs ---
--- a/src/scheduler/wait_cause.cpp
+++ b/src/scheduler/wait_cause.cpp
@@ -118,7 +118,7 @@
         }
         if (ref.step->isFilling && worker.servingCpu > 0) {
             const double interference = interferenceOfFill(planner, planned, *ref.step, image);
-            if (interference > interferenceLimitOn(planner, worker, interferenceLimit(planner, ref))) {
+            if (interference > interferenceLimitOn(planner, worker, interferenceLimit(planner, *ref.progress))) {
                 ++survey.overLimit;
                 survey.trialLimited += isTrialLimited(planner, planned, image) ? 1 : 0;
                 if (interference < survey.lowestInterference) {
@@ -200,10 +200,11 @@
         cause.inputs.insert(cause.inputs.end(),
             { { "overLimit", survey.overLimit }, { "trialLimited", survey.trialLimited },
                 { "interferencePercent", percentOf(survey.lowestInterference) },
-                { "limitPercent", percentOf(interferenceLimitOn(planner, worker, interferenceLimit(planner, ref))) },
+                { "limitPercent",
+                    percentOf(interferenceLimitOn(planner, worker, interferenceLimit(planner, *ref.progress))) },
                 { "lastTrialMs", planner.scheduler.lastTrialAt > 0 ? planner.now - planner.scheduler.lastTrialAt : -1 },
                 { "lastEvictionMs", worker.lastFillEvictionAt > 0 ? planner.now - worker.lastFillEvictionAt : -1 } });
-        cause.texts.emplace_back("trial", nameOf(trialStateNames, trialState(planner, worker, ref)));
+        cause.texts.emplace_back("trial", nameOf(trialStateNames, trialState(planner, worker, *ref.progress)));
     }
 
     WaitCause waitingCause(Planner& planner, const TaskRef& ref)
@@ -223,7 +224,7 @@
         const Turn* turn = turnOf(planner, *ref.progress);
         const auto position = turn ? static_cast<std::size_t>(turn - planner.turns.data()) : 0;
         const bool isTried = !turn || position < planner.triedTurns;
-        const double limit = step.isFilling ? interferenceLimit(planner, ref) : 0;
+        const double limit = interferenceLimit(planner, *ref.progress);
         const bool isSkipped
             = turn && isTried && wasSkipped(*pool, step, imageNumber(planner, step.image), limit, position);
         const WorkerSurvey survey = surveyOf(planner, *pool, ref);
--- a/tests/scheduler_waiting_jobs_test.cpp
+++ b/tests/scheduler_waiting_jobs_test.cpp
@@ -1,5 +1,6 @@
 // Tests of jobs that wait with nothing running while workers have room: serving tasks spread over all workers, and the
 // order of waiting jobs.
+#include "scheduler/planner.h"
 #include "scheduler_world.h"
 
 #include <algorithm>
@@ -46,7 +47,11 @@
     CPPUNIT_TEST(servingTasksStayWithoutRoomElsewhere);
     CPPUNIT_TEST(servingTasksStayWithoutWaitingFillingTasks);
     CPPUNIT_TEST(newServingTasksDoNotOccupyVacatedWorkers);
+    CPPUNIT_TEST(servingTasksStayWhenTheFillingTaskFitsNowhere);
+    CPPUNIT_TEST(servingTasksThatNeedApprovalStay);
     CPPUNIT_TEST(jobsWithNothingRunningDoNotWaitBehindNewerOnes);
+    CPPUNIT_TEST(refusedStartsDoNotDelayTheTurnOfAJob);
+    CPPUNIT_TEST(approvalIsAskedForInTheOrderOfPlacement);
     CPPUNIT_TEST_SUITE_END();
 
     // Leaves one serving task of `cpuMillicores` on each worker; the jobs are called kept0, kept1 ...
@@ -75,6 +80,7 @@
         world.run(15000);
         CPPUNIT_ASSERT(servingWorkers(world) <= 3); // two workers hold them
         CPPUNIT_ASSERT(world.committedState("fill") == scheduler::JobState::Completed);
+        CPPUNIT_ASSERT(world.scheduler().servingMoves <= 8); // each at most once
         CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
     }
 
@@ -140,6 +146,36 @@
             CPPUNIT_ASSERT_EQUAL(1, world.starts("new" + std::to_string(i) + ".0.0.0"));
     }
 
+    // Guards against moves for filling tasks that wait for something else than processors free of serving tasks.
+    void servingTasksStayWhenTheFillingTaskFitsNowhere()
+    {
+        World world(1, 6);
+        spreadServingTasks(world, 1500);
+        Step step = fillingStep(1, 1000, 1000);
+        step.requiredLabel = "missing";
+        world.submit("label", { step });
+        step.requiredLabel.clear();
+        step.gpus = 1;
+        world.submit("gpu", { step });
+        world.run(10000);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), world.scheduler().servingMoves);
+    }
+
+    // Guards against serving tasks that are stopped and then wait for the approval of their next worker.
+    void servingTasksThatNeedApprovalStay()
+    {
+        World world(1, 6);
+        for (int i = 0; i < 6; ++i) {
+            world.submit("serving" + std::to_string(i), { lastingStep(1, 1500, "image" + std::to_string(i)) }, 3, 0,
+                { true, 20, 1, 5000 });
+            world.run(500);
+        }
+        world.run(2000);
+        world.submit("fill", { fillingStep(60, 4000, 1000) });
+        world.run(10000);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), world.scheduler().servingMoves);
+    }
+
     // Guards against a job past its deadline that gets nothing as long as newer jobs keep the workers busy.
     void jobsWithNothingRunningDoNotWaitBehindNewerOnes()
     {
@@ -162,6 +198,36 @@
         }
         CPPUNIT_ASSERT(longestIdle <= maxIdleMs);
     }
+
+    // Guards against a job that goes to the end of the order with each start that its worker refuses.
+    void refusedStartsDoNotDelayTheTurnOfAJob()
+    {
+        World world(1, 2);
+        world.run(500);
+        world.submit("job", { plainStep(1, 1000, 1000) });
+        scheduler::Scheduler& state = world.scheduler();
+        const scheduler::Orders orders = scheduler::plan(state, world.now(), world.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.starts.size());
+        const Millis later = world.now() + 1000;
+        scheduler::applyStart(state, orders.starts.front(), scheduler::StartOutcome::NoCapacity, later);
+        scheduler::Planner planner { state, later, later };
+        scheduler::reviewJob(planner, *state.jobs.at("job"), 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), planner.candidates.size());
+        CPPUNIT_ASSERT_EQUAL(world.now(), planner.candidates.front().idleSince);
+    }
+
+    // Guards against questions about a step for which there is no hurry.
+    void approvalIsAskedForInTheOrderOfPlacement()
+    {
+        World world(1, 2);
+        world.run(500);
+        const scheduler::ApprovalPolicy approval { true, 20, 1, 5000 };
+        world.submit("a", { plainStep(1, 1000, 1000) }, 3, 1, approval);
+        world.submit("b", { plainStep(1, 1000, 1000) }, 3, 0, approval);
+        const scheduler::Orders orders = scheduler::plan(world.scheduler(), world.now(), world.now());
+        CPPUNIT_ASSERT(orders.question.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("b.0.0"), orders.question->step);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerWaitingJobsTest);
