--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -10,7 +10,6 @@
 #include "scheduler/run_number.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace lacewing::scheduler {
@@ -20,43 +19,13 @@
     constexpr double minFillCpuShare = 0.75; // free share of its cpu that a filling task needs to start
     constexpr double slowWorkerRatio = 1.8;  // multiple of the mean slowness above which other workers are preferred
     // Weights of the terms of a worker's score, relative to the free share of its processors.
-    constexpr double sameImageWeight = 2;         // share of its serving tasks that have the same image
-    constexpr double dataRackWeight = 10;         // on the rack of the data; outweighs all other terms
-    constexpr double interferenceWeight = 2;      // interference that a filling task would cause
-    constexpr double scarcityWeight = 1;          // demand of other filling images for the worker
-    constexpr double vacatedWorkerWeight = 8;     // penalty of a vacated worker for serving tasks; outweighs all others
-    constexpr double slowWorkerWeight = 5;        // penalty of a slow worker; outweighs all terms but the rack
-    constexpr Millis dataRackWaitMs = 1500;       // ms that a task waits for a worker on the rack of its data
-    constexpr double shortDemandDecayMs = 15000;  // ms; time constant of the decay of the peak demand
-    constexpr double maxShortReserveShare = 0.15; // largest share of a service's processors reserved for short tasks
-
-    // Updates the decaying peak of the processors that short tasks use or wait for. Short tasks are worth more per
-    // processor second than lasting ones, which would otherwise occupy what is free between two short tasks.
-    void updateShortDemand(Planner& planner)
-    {
-        Scheduler& scheduler = planner.scheduler;
-        for (const Candidate& candidate : planner.candidates) {
-            const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
-            if (!step.isFilling && !step.isLasting)
-                planner.serviceCpu[candidate.job->policy.service].shortWaiting
-                    += static_cast<double>(candidate.waiting) * step.cpuMillicores;
-        }
-        for (const Pool& pool : planner.pools) {
-            ServiceCpu& cpu = planner.serviceCpu[pool.service];
-            for (const PlannedWorker& planned : pool.workers) {
-                const Worker& worker = *planned.worker;
-                cpu.capacity += worker.entry.capacity.cpuMillicores;
-                cpu.lasting += worker.lastingCpu;
-                cpu.shortRunning += worker.cpuUsed - worker.lastingCpu;
-            }
-        }
-        const auto passed = static_cast<double>(planner.now - scheduler.shortDemandAt);
-        scheduler.shortDemandAt = planner.now;
-        for (const auto& [service, cpu] : planner.serviceCpu) {
-            double& demand = scheduler.shortDemand[service];
-            demand = std::max(demand * std::exp(-passed / shortDemandDecayMs), cpu.shortRunning + cpu.shortWaiting);
-        }
-    }
+    constexpr double sameImageWeight = 2;     // share of its serving tasks that have the same image
+    constexpr double dataRackWeight = 10;     // on the rack of the data; outweighs all other terms
+    constexpr double interferenceWeight = 2;  // interference that a filling task would cause
+    constexpr double scarcityWeight = 1;      // demand of other filling images for the worker
+    constexpr double vacatedWorkerWeight = 8; // penalty of a vacated worker for serving tasks; outweighs all others
+    constexpr double slowWorkerWeight = 5;    // penalty of a slow worker; outweighs all terms but the rack
+    constexpr Millis dataRackWaitMs = 1500;   // ms that a task waits for a worker on the rack of its data
 
     // True when the task may run on a worker that meets the requirements of its step.
     bool mayUse(const Planner& planner, const Worker& worker, const TaskRef& ref)
@@ -514,16 +483,6 @@
 
 } // namespace
 
-bool leavesShortReserve(const Planner& planner, const TaskRef& ref)
-{
-    const auto cpu = planner.serviceCpu.find(ref.job->policy.service);
-    const auto demand = planner.scheduler.shortDemand.find(ref.job->policy.service);
-    if (cpu == planner.serviceCpu.end() || demand == planner.scheduler.shortDemand.end())
-        return true;
-    const double reserve = std::min(demand->second, cpu->second.capacity * maxShortReserveShare);
-    return cpu->second.lasting + ref.step->cpuMillicores + reserve <= cpu->second.capacity;
-}
-
 bool suffices(double freeFillCpu, const Step& step) { return freeFillCpu >= step.cpuMillicores * minFillCpuShare; }
 
 bool hasProcessors(const PlannedWorker& planned, const Step& step)
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -176,6 +176,9 @@
 bool suffices(double freeFillCpu, const Step& step);
 // Also whether it accepts tasks.
 bool fits(const PlannedWorker& planned, const Step& step);
+// Updates the decaying peak of the processors that short tasks use or wait for. Short tasks are worth more per
+// processor second than lasting ones, which would otherwise occupy what is free between two short tasks.
+void updateShortDemand(Planner& planner);
 // True when the lasting task leaves the processors reserved for short tasks of its service free.
 bool leavesShortReserve(const Planner& planner, const TaskRef& ref);
 bool isStartLimitReached(const Planner& planner);
