Add failing tests of restarts that wait for room

These tests show a fault of the same symptom on it: a restart goes first in each plan, but nothing keeps room for it. When it needs more than any worker has free at one moment, smaller tasks take each processor, and each part of the memory, that becomes free, for as long as they come.

--- /dev/null
+++ b/tests/scheduler_restart_test.cpp
@@ -0,0 +1,126 @@
+// Tests of restarts of lasting tasks on a virtual clock: tasks that need more room than any worker has free, beside
+// shorter tasks that take whatever becomes free.
+#include "scheduler_world.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace lacewing;
+using namespace lacewing::test;
+using scheduler::Step;
+
+// ms after the end of its last run within which a lasting task runs again while workers have capacity for it: the
+// platform grants 6000 ms, and reports the task as lost when it does not run for another 3000 ms.
+constexpr Millis maxDownMs = 9000;
+
+class SchedulerRestartTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(SchedulerRestartTest);
+    CPPUNIT_TEST(largeRestartsDoNotStarveBehindSmallTasks);
+    CPPUNIT_TEST(restartsDoNotStarveBehindTheMemoryOfSmallTasks);
+    CPPUNIT_TEST(severalRestartsOfOneImageAllGetRoom);
+    CPPUNIT_TEST_SUITE_END();
+
+    static bool isRunning(World& world, const std::string& task)
+    {
+        return std::any_of(world.workers().begin(), world.workers().end(),
+            [&](const SimWorker& worker) { return worker.running.count(task) > 0; });
+    }
+
+    // Enough short tasks to keep the workers of the tests busy for a minute; their ends are spread over time.
+    static void submitSmallTasks(World& world, int cpuMillicores, int memoryMb, const std::string& name = "small")
+    {
+        for (int i = 0; i < 1200; ++i) {
+            Step step = plainStep(1, cpuMillicores, 700 + (i * 377) % 1300);
+            step.memoryMb = memoryMb;
+            world.submit(name + '-' + std::to_string(i), { step });
+        }
+    }
+
+    static void drain(World& world, const std::string& id)
+    {
+        for (SimWorker& worker : world.workers()) {
+            if (worker.entry.id == id) {
+                worker.entry.isDraining = true;
+                worker.entry.remainingMs = 2000;
+            }
+        }
+    }
+
+    static std::string hostOf(World& world, const std::string& task)
+    {
+        return scheduler::findTask(world.scheduler(), task)->task->worker;
+    }
+
+    // Time until all tasks run; at most `longest`.
+    static Millis downTime(World& world, const std::vector<std::string>& tasks, Millis longest)
+    {
+        const Millis begin = world.now();
+        while (world.now() - begin < longest && !std::all_of(tasks.begin(), tasks.end(), [&](const std::string& task) {
+            return isRunning(world, task);
+        }))
+            world.step();
+        return world.now() - begin;
+    }
+
+    static void assertDownTime(World& world, const std::vector<std::string>& tasks)
+    {
+        const Millis down = downTime(world, tasks, 30000);
+        CPPUNIT_ASSERT_MESSAGE("down for " + std::to_string(down) + " ms", down <= maxDownMs);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
+public:
+    // Guards against a lasting task that needs most of a worker and never runs again, because small tasks take each
+    // processor that becomes free.
+    void largeRestartsDoNotStarveBehindSmallTasks()
+    {
+        World world(1, 4);
+        world.submit("large", { lastingStep(1, 6000, "image") });
+        world.run(1000);
+        submitSmallTasks(world, 1000, 100);
+        world.run(2000);
+        drain(world, hostOf(world, "large.0.0.0"));
+        world.run(100);
+        assertDownTime(world, { "large.0.0.0" });
+    }
+
+    // Guards against the same for memory.
+    void restartsDoNotStarveBehindTheMemoryOfSmallTasks()
+    {
+        World world(1, 4);
+        Step large = lastingStep(1, 2000, "image");
+        large.memoryMb = 24000;
+        world.submit("large", { large });
+        world.run(1000);
+        submitSmallTasks(world, 500, 4000);
+        world.run(2000);
+        drain(world, hostOf(world, "large.0.0.0"));
+        world.run(100);
+        assertDownTime(world, { "large.0.0.0" });
+    }
+
+    // Guards against a hold that is passed over because an equal step has found no worker in the same plan.
+    void severalRestartsOfOneImageAllGetRoom()
+    {
+        World world(1, 20);
+        std::vector<std::string> tasks;
+        for (const char* job : { "a", "b", "c" }) {
+            world.submit(job, { lastingStep(1, 6000, "image") });
+            tasks.push_back(job + std::string(".0.0.0"));
+        }
+        world.run(1000);
+        for (int i = 0; i < 4; ++i)
+            submitSmallTasks(world, 1000, 100, "small" + std::to_string(i));
+        world.run(2000);
+        for (const std::string& task : tasks)
+            drain(world, hostOf(world, task));
+        world.run(100);
+        assertDownTime(world, tasks);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerRestartTest);
+
+} // namespace
