Hold room for restarts of lasting tasks that fit on no worker

Cause: restarts go first in the order of a plan, and that is all. A task that needs more than any worker has free at one moment competes with every smaller task for what becomes free in the next one, and loses each time: starvation of a large request by small ones, for as long as they come. Nothing bounded the wait.

Why this works: a restart that finds no worker chooses the one on which its room is expected first, by the progress of the runs there, and its resources count as used in all plans until it starts. What becomes free adds up. The choice is kept, is made only where the runs that end by themselves leave enough, and is bounded to a tenth of a service's workers and to four searches a plan. It is logged as `roomHeld`.

--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -7,6 +7,7 @@
 #include "scheduler/consolidation.h"
 #include "scheduler/placement_order.h"
 #include "scheduler/planner.h"
+#include "scheduler/restart_room.h"
 #include "scheduler/run_number.h"
 
 #include <algorithm>
@@ -27,24 +28,13 @@
     constexpr double slowWorkerWeight = 5;    // penalty of a slow worker; outweighs all terms but the rack
     constexpr Millis dataRackWaitMs = 1500;   // ms that a task waits for a worker on the rack of its data
 
-    // True when the task may run on a worker that meets the requirements of its step.
-    bool mayUse(const Planner& planner, const Worker& worker, const TaskRef& ref)
-    {
-        if (!ref.task->failedWorker.empty() && ref.task->failedWorker == worker.entry.id)
-            return false;
-        if (ref.step->maxPerWorker <= 0)
-            return true;
-        const auto count = planner.stepTasksByWorker.find(&worker);
-        return count == planner.stepTasksByWorker.end() || count->second < ref.step->maxPerWorker;
-    }
-
     void updateFreeResources(PlannedWorker& planned)
     {
         const Worker& worker = *planned.worker;
         const Capacity& capacity = worker.entry.capacity;
-        planned.freeCpu = capacity.cpuMillicores - worker.cpuUsed;
-        planned.freeMemory = capacity.memoryMb - worker.memoryUsed;
-        planned.freeGpus = capacity.gpus - worker.gpusUsed;
+        planned.freeCpu = capacity.cpuMillicores - worker.cpuUsed - planned.held.cpuMillicores;
+        planned.freeMemory = capacity.memoryMb - worker.memoryUsed - planned.held.memoryMb;
+        planned.freeGpus = capacity.gpus - worker.gpusUsed - planned.held.gpus;
         planned.freeFillCpu
             = worker.overTargetSince == 0 ? freeFillCpu(worker) : -std::numeric_limits<double>::infinity();
     }
@@ -192,12 +182,6 @@
         return best;
     }
 
-    void recordChange(Pool& pool, PlannedWorker& planned)
-    {
-        updateFreeResources(planned);
-        pool.changes.push_back(static_cast<std::uint32_t>(&planned - pool.workers.data()));
-    }
-
     void reserveOn(Planner& planner, Pool& pool, PlannedWorker& planned, const TaskRef& ref)
     {
         reserveResources(*planned.worker, ref);
@@ -241,6 +225,7 @@
         task.reading = 0;
         task.lastStopAt = 0;
         task.isConfirmed = false;
+        task.heldWorker.clear();
         const double wait = static_cast<double>(scheduler.limits.startDeadlineMs) / scheduler.limits.workerClockRate;
         task.startDeadlineAt = planner.now + static_cast<Millis>(wait) + scheduler.limits.leaseSlackMs;
         StartOrder order;
@@ -399,9 +384,13 @@
         Pool& pool = poolOf(planner, candidate.job->policy.service);
         const std::size_t image = imageNumber(planner, step.image);
         const bool isPlacedGang = step.isGang && progress.placed > 0; // in an earlier turn of this plan
-        if (isPlacedGang || isKnownUnplaceable(pool, step, image, interferenceLimit(planner, progress)))
+        if (isPlacedGang)
             return;
         countStepTasks(planner, candidate);
+        if (isKnownUnplaceable(pool, step, image, interferenceLimit(planner, progress))) {
+            holdRestartRoom(planner, pool, candidate);
+            return;
+        }
         Shape& shape = shapeOf(pool, step, image);
         refresh(pool, shape);
         const std::vector<std::string> racks
@@ -420,8 +409,7 @@
                 return;
             if (ref.task->phase != TaskPhase::Waiting)
                 continue;
-            const bool isFirstRun = ref.task->run == 0 && !ref.task->mayHaveRun;
-            if (step.isLasting && isFirstRun && !leavesShortReserve(planner, ref))
+            if (step.isLasting && !hasEverRun(*ref.task) && !leavesShortReserve(planner, ref))
                 continue;
             const double limit = interferenceLimit(planner, progress);
             PlannedWorker* worker = nullptr;
@@ -441,6 +429,7 @@
             if (!worker) { // the other tasks of the step have the same shape
                 if (!hasStepConstraints(candidate, step))
                     pool.unplaced.push_back({ &step, image, limit, planner.triedTurns });
+                holdRestartRoom(planner, pool, candidate);
                 return;
             }
             const std::optional<RunNumber> run = takeRun(planner.scheduler, *candidate.job, latestRun(*ref.task));
@@ -483,6 +472,22 @@
 
 } // namespace
 
+bool mayUse(const Planner& planner, const Worker& worker, const TaskRef& ref)
+{
+    if (!ref.task->failedWorker.empty() && ref.task->failedWorker == worker.entry.id)
+        return false;
+    if (ref.step->maxPerWorker <= 0)
+        return true;
+    const auto count = planner.stepTasksByWorker.find(&worker);
+    return count == planner.stepTasksByWorker.end() || count->second < ref.step->maxPerWorker;
+}
+
+void recordChange(Pool& pool, PlannedWorker& planned)
+{
+    updateFreeResources(planned);
+    pool.changes.push_back(static_cast<std::uint32_t>(&planned - pool.workers.data()));
+}
+
 bool suffices(double freeFillCpu, const Step& step) { return freeFillCpu >= step.cpuMillicores * minFillCpuShare; }
 
 bool hasProcessors(const PlannedWorker& planned, const Step& step)
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -74,12 +74,13 @@
 // A usable worker and the values computed for it in this plan.
 struct PlannedWorker {
     Worker* worker = nullptr;
-    // --- Free resources ---
+    // --- Free resources, without those held ---
     int freeCpu = 0;    // millicores
     int freeMemory = 0; // MB
     int freeGpus = 0;
     double freeFillCpu = 0;    // millicores for filling tasks; -infinity while serving tasks are over their targets
     bool acceptsTasks = false; // neither avoided nor full
+    Capacity held = {};        // for restarts that wait for room
     // --- Computed on first use and cached for the rest of the plan ---
     std::optional<double> scarcity;
     std::optional<std::vector<LatencyHeadroom>> headrooms;
@@ -151,6 +152,7 @@
     std::vector<Turn> turns = {}; // in the order of the plan
     std::size_t triedTurns = 0;   // from the first on; the limit of starts ended the plan there
     bool hasDraining = false;     // at least one worker is draining
+    int restartSearches = 0;      // for a worker to hold room on
     double meanSlowness = 1;
     std::unordered_map<const Worker*, int> stepTasksByWorker = {}; // runs of the step being placed
     std::map<std::string, ServiceCpu> serviceCpu = {};             // by service
@@ -163,6 +165,8 @@
 };
 
 TaskRef refOf(const Candidate& candidate, int index);
+// True when a run of the task is known, or an earlier term may have started one.
+bool hasEverRun(const Task& task);
 // True when the worker holds a lease of this term, is listed, and neither drains nor is in a withdrawn data centre.
 bool isUsable(const Scheduler& scheduler, const Worker& worker);
 
@@ -176,6 +180,10 @@
 bool suffices(double freeFillCpu, const Step& step);
 // Also whether it accepts tasks.
 bool fits(const PlannedWorker& planned, const Step& step);
+// Whether the task may run on a worker that meets the requirements of its step. Tasks of the step must be counted.
+bool mayUse(const Planner& planner, const Worker& worker, const TaskRef& ref);
+// Updates what the plan has computed for a worker after its tasks or the room held there have changed.
+void recordChange(Pool& pool, PlannedWorker& planned);
 // Updates the decaying peak of the processors that short tasks use or wait for. Short tasks are worth more per
 // processor second than lasting ones, which would otherwise occupy what is free between two short tasks.
 void updateShortDemand(Planner& planner);
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -98,8 +98,6 @@
         return worker != scheduler.workers.end() && isAccounted(worker->second);
     }
 
-    bool hasEverRun(const Task& task) { return task.run > 0 || task.mayHaveRun; }
-
     // The estimates of the following steps are too inaccurate to be included.
     Timeliness timelinessOf(Millis age, Millis allowed, const Step& step)
     {
@@ -164,6 +162,8 @@
 
 } // namespace
 
+bool hasEverRun(const Task& task) { return task.run > 0 || task.mayHaveRun; }
+
 bool isReady(const Occurrence& occurrence, const JobRequest& request, const Step& step)
 {
     return std::all_of(step.after.begin(), step.after.end(), [&](int before) {
--- a/src/scheduler/wait_cause.cpp
+++ b/src/scheduler/wait_cause.cpp
@@ -174,7 +174,7 @@
     WaitReason constraintReason(const Planner& planner, const WorkerSurvey& survey, const TaskRef& ref, bool isSkipped)
     {
         const Step& step = *ref.step;
-        if (step.isLasting && ref.task->run == 0 && !ref.task->mayHaveRun && !leavesShortReserve(planner, ref))
+        if (step.isLasting && !hasEverRun(*ref.task) && !leavesShortReserve(planner, ref))
             return WaitReason::ShortReserve;
         if (survey.suitable == 0) {
             if (survey.overLimit > 0)
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(largeRestartsDoNotStarveBehindSmallTasks);
     CPPUNIT_TEST(restartsDoNotStarveBehindTheMemoryOfSmallTasks);
     CPPUNIT_TEST(severalRestartsOfOneImageAllGetRoom);
+    CPPUNIT_TEST(roomIsHeldOnFewWorkers);
+    CPPUNIT_TEST(roomIsNotHeldWhereLastingTasksKeepIt);
+    CPPUNIT_TEST(cancelledRestartsHoldNoRoom);
     CPPUNIT_TEST_SUITE_END();
 
     static bool isRunning(World& world, const std::string& task)
@@ -28,6 +31,15 @@
             [&](const SimWorker& worker) { return worker.running.count(task) > 0; });
     }
 
+    static int runningOf(World& world, const std::string& prefix)
+    {
+        int count = 0;
+        for (const SimWorker& worker : world.workers())
+            count += static_cast<int>(std::count_if(worker.running.begin(), worker.running.end(),
+                [&](const auto& run) { return run.first.rfind(prefix, 0) == 0; }));
+        return count;
+    }
+
     // Enough short tasks to keep the workers of the tests busy for a minute; their ends are spread over time.
     static void submitSmallTasks(World& world, int cpuMillicores, int memoryMb, const std::string& name = "small")
     {
@@ -119,6 +131,57 @@
         world.run(100);
         assertDownTime(world, tasks);
     }
+
+    // Guards against many workers that stand idle for restarts while short tasks wait.
+    void roomIsHeldOnFewWorkers()
+    {
+        World world(1, 12);
+        for (int i = 0; i < 6; ++i)
+            world.submit("large" + std::to_string(i), { lastingStep(1, 6000, "image") });
+        world.run(1000);
+        for (int i = 0; i < 2; ++i)
+            submitSmallTasks(world, 1000, 100, "small" + std::to_string(i));
+        world.run(2000);
+        for (int i = 0; i < 6; ++i)
+            drain(world, hostOf(world, "large" + std::to_string(i) + ".0.0.0"));
+        world.run(1000);
+        for (int i = 0; i < 200; ++i) { // six workers are left, and room is held on one of them at a time
+            world.step();
+            CPPUNIT_ASSERT(runningOf(world, "small") + 6 * runningOf(world, "large") >= 5 * 8);
+        }
+        CPPUNIT_ASSERT_EQUAL(6, runningOf(world, "large"));
+    }
+
+    // Guards against room that is held on a worker whose lasting tasks never leave it.
+    void roomIsNotHeldWhereLastingTasksKeepIt()
+    {
+        World world(1, 3);
+        for (int i = 0; i < 3; ++i)
+            world.submit("large" + std::to_string(i), { lastingStep(1, 5000, "image") });
+        world.run(1000);
+        drain(world, hostOf(world, "large0.0.0.0"));
+        world.run(1000);
+        CPPUNIT_ASSERT(!isRunning(world, "large0.0.0.0"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), scheduler::findTask(world.scheduler(), "large0.0.0.0")->task->heldWorker);
+        world.submit("small", { plainStep(6, 1000, 1000) });
+        world.run(200);
+        CPPUNIT_ASSERT_EQUAL(6, runningOf(world, "small"));
+    }
+
+    // Guards against room that stays held for a task that is not needed any more.
+    void cancelledRestartsHoldNoRoom()
+    {
+        World world(1, 2);
+        world.submit("large", { lastingStep(1, 6000, "image") });
+        world.run(1000);
+        submitSmallTasks(world, 1000, 100);
+        world.run(1000);
+        drain(world, hostOf(world, "large.0.0.0"));
+        world.run(300);
+        world.cancel("large");
+        world.run(2500);
+        CPPUNIT_ASSERT_EQUAL(8, runningOf(world, "small"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerRestartTest);
