Read the list of workers sooner after a short notice

Tasks on workers that left at short notice (gone 2 s after the notice) were not stopped in time and waited 6.3 s for their lease: the list is read once a second, so that up to half of the notice has passed when it is seen. Departures come in series; for 5 s after a notice of at most 4 s the list is now read every 300 ms. Longer notices leave time for the stops and cost no further calls.

Price: up to 2.3 more list calls a second, during such a series only.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -6,6 +6,7 @@
 #include "daemon/job_table.h"
 #include "kernel/log.h"
 #include "platform/documents.h"
+#include "scheduler/departure.h"
 #include "scheduler/record.h"
 
 namespace lacewing::daemon {
@@ -75,7 +76,10 @@
         resignToStrongerDaemon();
         renewDueLeases();
         storeLeases();
-        if (!m_isListingWorkers && nowMs() - m_workersListedAt >= m_runtime.settings.workerListMs)
+        const scheduler::Millis now = nowMs();
+        const scheduler::Millis listPeriodMs
+            = scheduler::workerListPeriodMs(*m_scheduler, m_runtime.settings.workerListMs, now);
+        if (!m_isListingWorkers && now - m_workersListedAt >= listPeriodMs)
             listWorkers();
         runPlan();
     });
--- /dev/null
+++ b/src/scheduler/departure.h
@@ -0,0 +1,15 @@
+// Workers that leave at short notice: their stops and the ends of their tasks have to fit into the time that is left,
+// so that notices and reports are read sooner than usual.
+#pragma once
+
+#include "scheduler/scheduler.h"
+
+namespace lacewing::scheduler {
+
+// A worker that was not known to drain announces its departure.
+void recordNotice(Scheduler& scheduler, Millis remainingMs, Millis now);
+// ms from one request for the list of workers to the next: usualMs, or less while workers leave at short notice,
+// because departures come in series.
+Millis workerListPeriodMs(const Scheduler& scheduler, Millis usualMs, Millis now);
+
+} // namespace lacewing::scheduler
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -315,6 +315,7 @@
     // be placed.
     bool isReconciled = false;
     bool hasWorkerList = false; // the workers were listed in this term
+    Millis shortNoticeAt = 0;   // when a worker was last first seen to leave at short notice; 0: none in this term
     RecoveryReport recovery;
     DownReport down;
     WaitingReport waiting;
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -1,4 +1,5 @@
 // Workers: announcements, leases, reports of running and ended runs, answers to start orders.
+#include "scheduler/departure.h"
 #include "scheduler/internal.h"
 #include "scheduler/run_number.h"
 
@@ -60,10 +61,12 @@
 
     void updateEntry(Scheduler& scheduler, Worker& worker, const WorkerEntry& entry, Millis now)
     {
-        if (entry.isDraining && worker.drainEndsAt == 0)
+        if (entry.isDraining && worker.drainEndsAt == 0) {
             worker.drainEndsAt = now + entry.remainingMs;
-        else if (!entry.isDraining)
+            recordNotice(scheduler, entry.remainingMs, now);
+        } else if (!entry.isDraining) {
             worker.drainEndsAt = 0;
+        }
         if (worker.entry.isDraining != entry.isDraining)
             logDecision(scheduler,
                 { "workerDraining", {}, {}, entry.id, 0, entry.isDraining ? "draining" : "ready",
