Do not hold back the reports of draining workers

The next report of a worker with unstored ends was held back for up to 300 ms, because it would repeat them.

Price: such a worker with unstored ends is asked about every 50 ms instead of every 350 ms.

Test reportsOfDrainingWorkersAreNotHeldBack failed with the former rule behind the new function.

--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -4,14 +4,14 @@
 #include "daemon/configuration_service.h"
 #include "kernel/log.h"
 #include "platform/documents.h"
+#include "scheduler/departure.h"
 
 namespace lacewing::daemon {
 
 namespace {
 
-    constexpr int failuresUntilLost = 2;    // consecutive renewals without an answer
-    constexpr int lostRetryMs = 400;        // ms between attempts to reach a lost worker
-    constexpr int unstoredEndsWaitMs = 300; // ms; longest delay of a renewal while reported ends are being stored
+    constexpr int failuresUntilLost = 2; // consecutive renewals without an answer
+    constexpr int lostRetryMs = 400;     // ms between attempts to reach a lost worker
     // ms that a worker over a latency target may hold its report back; the window of one reading
     constexpr int overTargetLeaseWaitMs = 450;
     // in flight; a new term that called all workers at once would time out its own calls
@@ -91,10 +91,9 @@
                 = std::make_unique<platform::WorkerLink>(link.address, id, platform::LinkTimeouts {}, &m_traffic);
         }
         // A worker repeats unacknowledged ends at once: its renewal waits while they are being stored.
-        const bool isStoringEnds = !worker.unacknowledged.empty() && now - worker.reportedAt < unstoredEndsWaitMs
-            && m_scheduler->dirty.count(worker.unacknowledged.back().job) > 0;
+        const bool isHeldBack = scheduler::isReportHeldBack(*m_scheduler, worker, now);
         // Leases are renewed only while the daemon acts as leader: the next term relies on their expiry.
-        if (link.isRenewing || now < link.nextRenewalAt || isStoringEnds || now >= m_term->actsUntil())
+        if (link.isRenewing || now < link.nextRenewalAt || isHeldBack || now >= m_term->actsUntil())
             continue;
         if (worker.contact != scheduler::Contact::Established && ++firstReports > maxFirstReports)
             continue;
--- a/src/scheduler/departure.cpp
+++ b/src/scheduler/departure.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-    constexpr Millis shortNoticeMs = 4000;    // ms; longest notice that is called short
-    constexpr Millis shortListPeriodMs = 300; // ms; while workers leave at short notice
-    constexpr Millis noticeSeriesMs = 5000;   // ms after a short notice in which another one is expected
+    constexpr Millis shortNoticeMs = 4000;     // ms; longest notice that is called short
+    constexpr Millis shortListPeriodMs = 300;  // ms; while workers leave at short notice
+    constexpr Millis noticeSeriesMs = 5000;    // ms after a short notice in which another one is expected
+    constexpr Millis unstoredEndsWaitMs = 300; // ms; longest delay of a report while reported ends are being stored
 
 } // namespace
 
@@ -25,4 +26,10 @@
     return isSeries ? std::min(usualMs, shortListPeriodMs) : usualMs;
 }
 
+bool isReportHeldBack(const Scheduler& scheduler, const Worker& worker, Millis now)
+{
+    return worker.drainEndsAt == 0 && !worker.unacknowledged.empty() && now - worker.reportedAt < unstoredEndsWaitMs
+        && scheduler.dirty.count(worker.unacknowledged.back().job) > 0;
+}
+
 } // namespace lacewing::scheduler
--- a/src/scheduler/departure.h
+++ b/src/scheduler/departure.h
@@ -12,4 +12,8 @@
 // because departures come in series.
 Millis workerListPeriodMs(const Scheduler& scheduler, Millis usualMs, Millis now);
 
+// True while the next report of the worker would only repeat ends that are being stored. A draining worker's report is
+// never held back: the ends of its stops must be read before it is gone.
+bool isReportHeldBack(const Scheduler& scheduler, const Worker& worker, Millis now);
+
 } // namespace lacewing::scheduler
--- a/tests/departure_test.cpp
+++ b/tests/departure_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(DepartureTest);
     CPPUNIT_TEST(noticesInSeriesAreReadSooner);
     CPPUNIT_TEST(longNoticesDoNotCostMoreLists);
+    CPPUNIT_TEST(reportsOfDrainingWorkersAreNotHeldBack);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,6 +51,25 @@
         setWorkers(state, { entryOf("a", true, 7000) }, 10000);
         CPPUNIT_ASSERT_EQUAL(usualMs, workerListPeriodMs(state, usualMs, 10000));
     }
+
+    // Guards against the end of a stop that is not read before the worker is gone, so that its task waits for the
+    // lease.
+    void reportsOfDrainingWorkersAreNotHeldBack()
+    {
+        Scheduler state;
+        setWorkers(state, { entryOf("a", false, 0) }, 10000);
+        Worker& worker = state.workers.at("a");
+        worker.reportedAt = 10000;
+        worker.unacknowledged.push_back({ 1, "job", "job.0.0.0", 1 });
+        CPPUNIT_ASSERT(!isReportHeldBack(state, worker, 10100));
+        state.dirty.insert("job");
+        CPPUNIT_ASSERT(isReportHeldBack(state, worker, 10100));
+        CPPUNIT_ASSERT(!isReportHeldBack(state, worker, 10300));
+        setWorkers(state, { entryOf("a", true, 2000) }, 10100);
+        CPPUNIT_ASSERT(!isReportHeldBack(state, worker, 10100));
+        setWorkers(state, { entryOf("a", false, 0) }, 10200);
+        CPPUNIT_ASSERT(isReportHeldBack(state, worker, 10200));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DepartureTest);
