Keep the lines of lasting tasks on busy seconds

Cause: every line on a run is routine, whichever task it is about, and routine lines have three quarters of each bound.

Lines on runs of lasting tasks (start, startAnswered, stop, taskEnded, taskAdopted, runMissing, and stops of stray runs) are now tracked: they may use half of the quarter that is kept for significant ones, in the list of decisions, in the lines of a second and in the buffer. The bounds themselves are as before, and the other half stays with the significant ones, also when all lasting tasks start at once; in such a second they have 1/8 of the bound instead of 1/4. Dropped tracked lines are counted as `significant`. The level stays `info`.

The share opened to them is 375 lines a second at the default of 3,000, on top of what they get of the routine lines.

The new tests of EventBudgetTest and KernelLogTest use the new interface; with tracked events admitted as routine ones they fail (0 of 20 and 0 of 15 lines).

--- a/src/base/event_budget.cpp
+++ b/src/base/event_budget.cpp
@@ -9,6 +9,8 @@
     const std::size_t total = used + size;
     if (significance == Significance::Routine)
         return total <= limit - limit / significantShare;
+    if (significance == Significance::Tracked)
+        return total <= limit - limit / untrackedShare;
     auto count = budget.admitted.find(kind);
     if (count == budget.admitted.end() && budget.admitted.size() < maxKinds)
         count = budget.admitted.emplace(kind, 0).first;
--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -325,12 +325,12 @@
     const base::EventDrops& dropped = kernel::logCounters().dropped;
     gauge("lacewing_log_lines_dropped", "Log lines dropped over a bound.",
         static_cast<double>(dropped.routine + dropped.significant));
-    gauge("lacewing_log_notices_dropped", "Part of them from the level notice up.",
+    gauge("lacewing_log_notices_dropped", "Part of them from the level notice up, or of runs of lasting tasks.",
         static_cast<double>(dropped.significant));
     const base::EventDrops decisions = m_dispatcher->droppedDecisions();
     gauge("lacewing_decisions_dropped", "Decisions of the scheduler dropped over a bound before they were logged.",
         static_cast<double>(decisions.routine + decisions.significant));
-    gauge("lacewing_decision_notices_dropped", "Part of them that are significant.",
+    gauge("lacewing_decision_notices_dropped", "Part of them that are significant, or of runs of lasting tasks.",
         static_cast<double>(decisions.significant));
     gauge("lacewing_processor_seconds", "Processor time of this process.", processorSeconds());
     gauge("lacewing_resident_bytes", "Resident memory of this process.", residentBytes());
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -434,8 +434,10 @@
         if (!decision.image.empty())
             fields.emplace_back("image", decision.image);
         fields.emplace_back("outcome", decision.outcome);
-        const auto level = scheduler::isSignificant(decision) ? kernel::LogLevel::Notice : kernel::LogLevel::Info;
-        kernel::logEvent(level, "dispatcher", decision.event, fields.data(), fields.size());
+        const base::Significance significance = scheduler::significanceOf(decision);
+        const auto level
+            = significance == base::Significance::Significant ? kernel::LogLevel::Notice : kernel::LogLevel::Info;
+        kernel::logEvent(level, significance, "dispatcher", decision.event, fields.data(), fields.size());
     }
     const base::EventDrops dropped = m_scheduler->droppedDecisions;
     if (dropped == base::EventDrops {} || nowMs() - m_dropsLoggedAt < dropsPeriodMs)
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -127,11 +127,6 @@
         line += 'Z';
     }
 
-    base::Significance significanceOf(LogLevel level)
-    {
-        return level >= LogLevel::Notice ? base::Significance::Significant : base::Significance::Routine;
-    }
-
     void beginSecond(std::int64_t second)
     {
         LogContext& log = context();
@@ -144,10 +139,9 @@
     }
 
     // Rate limit: returns false, and counts the line as dropped, when it exceeds the limit of this second.
-    bool admitLine(LogLevel level, std::string_view event)
+    bool admitLine(LogLevel level, base::Significance significance, std::string_view event)
     {
         LogContext& log = context();
-        const base::Significance significance = significanceOf(level);
         const auto limit = static_cast<std::size_t>(log.limits.linesPerSecond);
         if (level != LogLevel::Error
             && !base::admitEvent(log.secondBudget, significance, event, log.linesThisSecond, 1, limit)) {
@@ -159,10 +153,9 @@
     }
 
     // Returns false, and counts the line as dropped, when it does not fit into the buffer.
-    bool admitBytes(LogLevel level, std::string_view event, std::size_t bytes)
+    bool admitBytes(base::Significance significance, std::string_view event, std::size_t bytes)
     {
         LogContext& log = context();
-        const base::Significance significance = significanceOf(level);
         const bool isAdmitted
             = base::admitEvent(log.bufferBudget, significance, event, log.buffer.size(), bytes, log.limits.bufferBytes);
         if (!isAdmitted)
@@ -231,18 +224,18 @@
 
 void logEvent(LogLevel level, std::string_view service, std::string_view event, LogFields fields)
 {
-    logEvent(level, service, event, fields.begin(), fields.size());
+    logEvent(level, significanceOf(level), service, event, fields.begin(), fields.size());
 }
 
-void logEvent(
-    LogLevel level, std::string_view service, std::string_view event, const LogField* fields, std::size_t count)
+void logEvent(LogLevel level, base::Significance significance, std::string_view service, std::string_view event,
+    const LogField* fields, std::size_t count)
 {
     if (level < context().level)
         return;
     timespec now {};
     ::clock_gettime(CLOCK_REALTIME, &now);
     beginSecond(now.tv_sec);
-    if (!admitLine(level, event))
+    if (!admitLine(level, significance, event))
         return;
     std::string& line = context().line;
     line.assign("{\"time\":\"");
@@ -259,7 +252,7 @@
     for (std::size_t i = 0; i < count; ++i)
         appendField(line, fields[i]);
     line += '}';
-    if (!admitBytes(level, event, line.size() + 1))
+    if (!admitBytes(significance, event, line.size() + 1))
         return;
     // log4cxx checks and copies the encoding byte by byte, which plain ASCII does not need.
     const bool isAscii = std::none_of(line.begin(), line.end(), [](char c) { return (c & '\x80') != 0; });
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -6,7 +6,7 @@
 //
 // Lines are buffered and written by flushLog(), which never blocks: when the reader is slow, the buffer fills up to its
 // limit and further lines are dropped and counted. The number of lines a second is limited as well. Both limits keep a
-// share for lines from LogLevel::Notice up, see base/event_budget.h.
+// share for lines from LogLevel::Notice up, and for tracked ones below it, see base/event_budget.h.
 #pragma once
 
 #include "base/event_budget.h"
@@ -95,9 +95,14 @@
 // Buffers one line when the level is enabled.
 void logEvent(LogLevel level, std::string_view service, std::string_view event, LogFields fields = {});
 
-// For lines whose number of fields is known only at run time.
-void logEvent(
-    LogLevel level, std::string_view service, std::string_view event, const LogField* fields, std::size_t count);
+constexpr base::Significance significanceOf(LogLevel level)
+{
+    return level >= LogLevel::Notice ? base::Significance::Significant : base::Significance::Routine;
+}
+
+// For lines whose number of fields is known only at run time, and whose significance may differ from that of the level.
+void logEvent(LogLevel level, base::Significance significance, std::string_view service, std::string_view event,
+    const LogField* fields, std::size_t count);
 
 // Writes buffered lines as far as the descriptor accepts them without blocking. Adds a line `linesDropped` at most once
 // a second when lines were dropped since the last one.
--- a/src/scheduler/decision_log.cpp
+++ b/src/scheduler/decision_log.cpp
@@ -33,18 +33,31 @@
         { "workerListed", "missing" },
     } };
 
+    bool isSignificant(const Decision& decision)
+    {
+        return std::find(significantEvents.begin(), significantEvents.end(), decision.event) != significantEvents.end()
+            || std::any_of(significantOutcomes.begin(), significantOutcomes.end(),
+                [&](const auto& entry) { return entry.first == decision.event && entry.second == decision.outcome; });
+    }
+
 } // namespace
 
-bool isSignificant(const Decision& decision)
+base::Significance significanceOf(const Decision& decision)
+{
+    if (isSignificant(decision))
+        return base::Significance::Significant;
+    return decision.isOfLastingTask ? base::Significance::Tracked : base::Significance::Routine;
+}
+
+void logRunDecision(Scheduler& scheduler, const TaskRef& ref, Decision decision)
 {
-    return std::find(significantEvents.begin(), significantEvents.end(), decision.event) != significantEvents.end()
-        || std::any_of(significantOutcomes.begin(), significantOutcomes.end(),
-            [&](const auto& entry) { return entry.first == decision.event && entry.second == decision.outcome; });
+    decision.isOfLastingTask = ref.step->isLasting;
+    logDecision(scheduler, std::move(decision));
 }
 
 void logDecision(Scheduler& scheduler, Decision decision)
 {
-    const auto significance = isSignificant(decision) ? base::Significance::Significant : base::Significance::Routine;
+    const base::Significance significance = significanceOf(decision);
     if (base::admitEvent(
             scheduler.decisionBudget, significance, decision.event, scheduler.decisions.size(), 1, maxDecisions))
         scheduler.decisions.push_back(std::move(decision));
--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -35,6 +35,8 @@
 void reconcileWorkers(Scheduler& scheduler, Millis now);
 bool isPlaced(const Task& task);
 void logDecision(Scheduler& scheduler, Decision decision);
+// Logs a decision on a run of the task.
+void logRunDecision(Scheduler& scheduler, const TaskRef& ref, Decision decision);
 // Image share of a worker without serving tasks: it ranks between workers with the same image and with other images.
 constexpr double emptyWorkerShare = 0.5;
 
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -253,7 +253,7 @@
         order.deadlineClockMs = latestClock(worker, planner.now) + scheduler.limits.startDeadlineMs;
         worker.leaseEndClockMs = std::max(worker.leaseEndClockMs, order.deadlineClockMs);
         worker.renewedAt = planner.now;
-        logDecision(scheduler,
+        logRunDecision(scheduler, ref,
             { "start", ref.job->request.id, order.task, order.worker, run, "ordered",
                 { { "freeMillicores", worker.entry.capacity.cpuMillicores - worker.cpuUsed },
                     { "reportAgeMs", planner.now - worker.reportedAt },
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -222,14 +222,15 @@
         if (worker.contact != Contact::Established)
             continue;
         for (auto& [name, stray] : worker.strays) {
-            const bool isUnknownJob = !findTask(planner.scheduler, name);
-            if ((isUnknownJob && !planner.scheduler.isReconciled)
+            const std::optional<TaskRef> ref = findTask(planner.scheduler, name);
+            if ((!ref && !planner.scheduler.isReconciled)
                 || (stray.lastStopAt > 0 && planner.now - stray.lastStopAt < stopRetryMs))
                 continue;
             stray.lastStopAt = planner.now;
             planner.orders.stops.push_back({ id, name, stray.run });
-            logDecision(
-                planner.scheduler, { "stop", name.substr(0, name.find('.')), name, id, stray.run, "stray run", {} });
+            Decision decision { "stop", name.substr(0, name.find('.')), name, id, stray.run, "stray run", {} };
+            decision.isOfLastingTask = ref && ref->step->isLasting;
+            logDecision(planner.scheduler, std::move(decision));
         }
     }
 }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -256,6 +256,7 @@
     std::vector<std::pair<const char*, std::int64_t>> inputs;
     std::string image = {}; // of the task, for starts and stops
     std::vector<std::pair<const char*, std::string>> texts = {};
+    bool isOfLastingTask = false; // see logRunDecision
 };
 
 struct Orders {
@@ -412,8 +413,9 @@
 
 // --- Logging ---
 
-// Whether the decision changes what the scheduler believes about the term, a worker or a job that is down.
-bool isSignificant(const Decision& decision);
+// Significant: the decision changes what the scheduler believes about the term, a worker or a job that is down.
+// Tracked: it concerns a run of a lasting task.
+base::Significance significanceOf(const Decision& decision);
 // Returns the decisions since the last call, in order.
 std::vector<Decision> takeDecisions(Scheduler& scheduler);
 
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -138,7 +138,7 @@
             markStarted(scheduler, *ref->job, now);
             if (isTracked)
                 updateWorkerHistory(scheduler, worker, *ref, end, now);
-            logDecision(scheduler,
+            logRunDecision(scheduler, *ref,
                 { "taskEnded", ref->job->request.id, end.task, worker.entry.id, end.run,
                     std::string(nameOf(endKindNames, end.kind)),
                     { { "number", end.number }, { "runningMs", task.startedAt > 0 ? now - task.startedAt : 0 },
@@ -167,7 +167,7 @@
         task.percent = row.percent;
         task.progressAt = now;
         reserveResources(worker, ref);
-        logDecision(scheduler,
+        logRunDecision(scheduler, ref,
             { "taskAdopted", ref.job->request.id, row.task, worker.entry.id, row.run, "running",
                 { { "percent", row.percent } } });
     }
@@ -227,7 +227,7 @@
                 = task.isConfirmed ? task.phaseSince : std::max(task.phaseSince, task.startDeadlineAt);
             if (sentAt <= settledAt)
                 continue;
-            logDecision(scheduler,
+            logRunDecision(scheduler, ref,
                 { "runMissing", ref.job->request.id, name, worker.entry.id, task.run, "waiting",
                     { { "phaseMs", now - task.phaseSince } } });
             endRun(scheduler, ref, worker.entry.id, EndKind::Lapsed, task.run, now);
@@ -480,10 +480,12 @@
 {
     const auto worker = scheduler.workers.find(order.worker);
     const std::optional<TaskRef> ref = findTask(scheduler, order.task);
-    if (outcome != StartOutcome::Started)
-        logDecision(scheduler,
-            { "startAnswered", ref ? ref->job->request.id : "", order.task, order.worker, order.run,
-                std::string(nameOf(startOutcomeNames, outcome)), std::move(inputs) });
+    if (outcome != StartOutcome::Started) {
+        Decision decision { "startAnswered", ref ? ref->job->request.id : "", order.task, order.worker, order.run,
+            std::string(nameOf(startOutcomeNames, outcome)), std::move(inputs) };
+        decision.isOfLastingTask = ref && ref->step->isLasting;
+        logDecision(scheduler, std::move(decision));
+    }
     if (outcome == StartOutcome::OtherIncarnation) {
         applyRestart(scheduler, order.worker, now);
         return;
--- a/tests/event_budget_test.cpp
+++ b/tests/event_budget_test.cpp
@@ -10,6 +10,8 @@
 class EventBudgetTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(EventBudgetTest);
     CPPUNIT_TEST(routineEventsLeaveTheShareOfSignificantOnes);
+    CPPUNIT_TEST(routineEventsLeaveAShareOfTrackedOnes);
+    CPPUNIT_TEST(trackedEventsLeaveTheRestToSignificantOnes);
     CPPUNIT_TEST(oneKindLeavesRoomForRareKinds);
     CPPUNIT_TEST(theLimitHoldsForAllEvents);
     CPPUNIT_TEST_SUITE_END();
@@ -43,6 +45,24 @@
             CPPUNIT_ASSERT(admit(Significance::Significant, "workerContact"));
     }
 
+    // Guards against holes in a record of few events that are dropped in favour of routine ones.
+    void routineEventsLeaveAShareOfTrackedOnes()
+    {
+        admitMany(Significance::Routine, "start");
+        for (int i = 0; i < 40; ++i)
+            CPPUNIT_ASSERT(admit(Significance::Tracked, "start"));
+        CPPUNIT_ASSERT(!admit(Significance::Routine, "start"));
+    }
+
+    // Guards against significant events that are dropped in favour of tracked ones, of one kind or of many.
+    void trackedEventsLeaveTheRestToSignificantOnes()
+    {
+        CPPUNIT_ASSERT_EQUAL(280, admitMany(Significance::Tracked, "start"));
+        CPPUNIT_ASSERT_EQUAL(0, admitMany(Significance::Tracked, "taskEnded"));
+        CPPUNIT_ASSERT_EQUAL(30, admitMany(Significance::Significant, "workerContact"));
+        CPPUNIT_ASSERT(admit(Significance::Significant, "termEnded"));
+    }
+
     // Guards against the loss of many workers at once that hides the change of term that it causes.
     void oneKindLeavesRoomForRareKinds()
     {
--- a/tests/kernel_log_test.cpp
+++ b/tests/kernel_log_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(stalledReaderDoesNotBlockLogging);
     CPPUNIT_TEST(linesPerSecondAreBounded);
     CPPUNIT_TEST(routineLinesLeaveRoomForNotices);
+    CPPUNIT_TEST(routineLinesLeaveRoomForTrackedOnes);
+    CPPUNIT_TEST(trackedLinesFitIntoTheBufferOfAStalledReader);
     CPPUNIT_TEST(noticesFitIntoTheBufferOfAStalledReader);
     CPPUNIT_TEST(droppedLinesAreLogged);
     CPPUNIT_TEST_SUITE_END();
@@ -37,6 +39,13 @@
         return bytes.left(std::max<ssize_t>(0, length));
     }
 
+    static void logTracked(int count)
+    {
+        const LogField field("task", "kept");
+        for (int i = 0; i < count; ++i)
+            logEvent(LogLevel::Info, lacewing::base::Significance::Tracked, "dispatcher", "start", &field, 1);
+    }
+
 public:
     void tearDown() override
     {
@@ -104,6 +113,30 @@
         CPPUNIT_ASSERT_EQUAL(before, logCounters().dropped.significant);
     }
 
+    // Guards against holes in the record of a lasting task because short tasks used up the lines of that second.
+    void routineLinesLeaveRoomForTrackedOnes()
+    {
+        open({ 1 << 20, 160 });
+        const std::uint64_t before = logCounters().dropped.significant;
+        for (int i = 0; i < 1000; ++i)
+            logEvent(LogLevel::Info, "dispatcher", "start");
+        logTracked(20);
+        flushLog();
+        CPPUNIT_ASSERT_EQUAL(qsizetype(20), readAll().count("kept"));
+        CPPUNIT_ASSERT_EQUAL(before, logCounters().dropped.significant);
+    }
+
+    // Guards against such holes because routine lines have filled the buffer.
+    void trackedLinesFitIntoTheBufferOfAStalledReader()
+    {
+        open({ 20000, 1000000 });
+        for (int i = 0; i < 1000; ++i)
+            logEvent(LogLevel::Info, "dispatcher", "start");
+        logTracked(15);
+        flushLog();
+        CPPUNIT_ASSERT_EQUAL(qsizetype(15), readAll().count("kept"));
+    }
+
     // Guards against a notice that is dropped because routine lines have filled the buffer.
     void noticesFitIntoTheBufferOfAStalledReader()
     {
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -403,7 +403,7 @@
     m_scheduler->validUntil = m_now + 1000;
     executeOrders(scheduler::plan(*m_scheduler, m_now, m_now));
     commit();
-    m_scheduler->decisions.clear();
+    m_decisions = scheduler::takeDecisions(*m_scheduler);
     m_scheduler->changes.clear();
 }
 
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -111,6 +111,8 @@
     int runningTasks() const;
     int rejectedTickets() const { return m_rejectedTickets; }
     const std::string& violation() const { return m_violation; }
+    // Those of the last step.
+    const std::vector<scheduler::Decision>& decisions() const { return m_decisions; }
 
 protected:
     // Called in each step before runs end: may change the runs and readings of the workers.
@@ -140,6 +142,7 @@
     Millis m_now = 100000;
     std::int64_t m_revision = 1; // of the store; each write increments it, and a new term takes it as its token
     std::unique_ptr<scheduler::Scheduler> m_scheduler;
+    std::vector<scheduler::Decision> m_decisions;
     std::vector<SimWorker> m_workers;
     std::map<std::string, Accepted> m_accepted;
     std::map<std::string, QByteArray> m_progress;
