Keep serving tasks once nothing waits for their room

A stop `worker is vacated` was ordered with `demandMillicores` 0: a serving task was down for the time of a move that helped nobody.

Cause: a worker stays vacated for 4 s after the demand has gone, and each pass went on moving the serving tasks left on it. Moves are few at a time, so a worker with several tasks often has some left.

moveTasks() now moves nothing without demand. The worker stays vacated as long as before, so that new serving tasks keep off it and the moves go on when filling tasks wait again within that time.

Test: SchedulerWaitingJobsTest::servingTasksStayOnceNoFillingTaskWaits failed on the code before (3 moves, expected 1) and passes now. SchedulerWaitingJobsTest (11) and SchedulerColocationTest (8) pass.

--- a/src/scheduler/consolidation.cpp
+++ b/src/scheduler/consolidation.cpp
@@ -192,9 +192,12 @@
         }
     }
 
-    // Orders the stops of as many serving tasks of a vacated worker as may move now.
+    // Orders the stops of as many serving tasks of a vacated worker as may move now. A worker stays vacated for a while
+    // after the demand has gone, but its remaining tasks stay.
     void moveTasks(Consolidation& pass, Worker& worker)
     {
+        if (pass.demand.millicores <= 0)
+            return;
         Scheduler& scheduler = pass.planner.scheduler;
         for (const TaskRef& ref : servingTasks(worker)) {
             if (pass.moving >= pass.maxMoving)
--- a/tests/scheduler_waiting_jobs_test.cpp
+++ b/tests/scheduler_waiting_jobs_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(movesLeaveTheOtherTasksOfTheStepAtWork);
     CPPUNIT_TEST(servingTasksStayWithoutRoomElsewhere);
     CPPUNIT_TEST(servingTasksStayWithoutWaitingFillingTasks);
+    CPPUNIT_TEST(servingTasksStayOnceNoFillingTaskWaits);
     CPPUNIT_TEST(newServingTasksDoNotOccupyVacatedWorkers);
     CPPUNIT_TEST(servingTasksStayWhenTheFillingTaskFitsNowhere);
     CPPUNIT_TEST(servingTasksThatNeedApprovalStay);
@@ -54,13 +55,16 @@
     CPPUNIT_TEST(approvalIsAskedForInTheOrderOfPlacement);
     CPPUNIT_TEST_SUITE_END();
 
-    // Leaves one serving task of `cpuMillicores` on each worker; the jobs are called kept0, kept1 ...
-    static void spreadServingTasks(World& world, int cpuMillicores)
+    // Leaves serving tasks of `cpuMillicores` on each worker; the jobs are called kept0, kept1 ...
+    static void spreadServingTasks(World& world, int cpuMillicores, int tasksPerWorker = 1)
     {
         const int workers = static_cast<int>(world.workers().size());
-        for (int i = 0; i < workers; ++i) { // as large as a worker, so that each gets one
-            world.submit("kept" + std::to_string(i), { lastingStep(1, cpuMillicores, "serving") });
-            world.submit("ended" + std::to_string(i), { lastingStep(1, 8000 - cpuMillicores, "serving") });
+        for (int i = 0; i < workers; ++i) { // as large as a worker, so that each gets them
+            for (int task = 0; task < tasksPerWorker; ++task)
+                world.submit(
+                    "kept" + std::to_string(i * tasksPerWorker + task), { lastingStep(1, cpuMillicores, "serving") });
+            world.submit(
+                "ended" + std::to_string(i), { lastingStep(1, 8000 - tasksPerWorker * cpuMillicores, "serving") });
             world.run(200);
         }
         world.run(1000);
@@ -130,6 +134,21 @@
             CPPUNIT_ASSERT_EQUAL(1, world.starts("kept" + std::to_string(i) + ".0.0.0"));
     }
 
+    // Guards against moves off a vacated worker that go on after the filling tasks they were for are gone.
+    void servingTasksStayOnceNoFillingTaskWaits()
+    {
+        World world(1, 8);
+        spreadServingTasks(world, 750, 3); // a worker that is vacated has several to move, one at a time
+        world.submit("fill", { fillingStep(60, 4000, 1000) });
+        for (int i = 0; i < 100 && world.scheduler().servingMoves == 0; ++i)
+            world.step();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), world.scheduler().servingMoves);
+        world.cancel("fill");
+        world.run(10000);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), world.scheduler().servingMoves);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
     // Guards against workers that are vacated for filling tasks and taken by the next serving tasks.
     void newServingTasksDoNotOccupyVacatedWorkers()
     {
