--- a/src/scheduler/restart_room.cpp
+++ b/src/scheduler/restart_room.cpp
@@ -116,7 +116,7 @@
 
     void logHold(Planner& planner, const PlannedWorker& planned, const TaskRef& ref)
     {
-        logDecision(planner.scheduler,
+        logRunDecision(planner.scheduler, ref,
             { "roomHeld", ref.job->request.id, nameOf(ref), planned.worker->entry.id, ref.task->run, "held",
                 { { "expectedMs", roomAfterMs(planner, planned, *ref.step).value_or(-1) },
                     { "waitedMs", planner.now - ref.task->phaseSince }, { "freeMillicores", planned.freeCpu },
