Bound the holds of room for restarts

Found by a review that had not seen the work, each with a test that failed on the commit before: - Four restarts that no worker can take used up the searches of every plan, and all others got none (down 30 s). A task without a result is searched for again after a second only. - A hold stayed on a worker whose runs took far longer than their estimates (down 30 s). When the room does not come in time, another worker is chosen. - Room held for a GPU that is not free yet made the free ones negative and kept out all tasks without a GPU (0 of 6 small tasks ran). A resource that a step does not need is not compared. - Room was held for as long as long tasks lasted (3 of 8 processors idle). It is held only when it is expected within 6 s, the platform's bound on restarts.

By reading: steps of filling tasks hold no processors, nothing is held where the obstacle is not room, gangs hold nothing, adopted runs count by their percent, the choice ends with the run, and held workers are counted instead of searched for.

Measured: SchedulerRestartTest passes (10).

--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -259,8 +259,10 @@
     Job& job = *ref.job;
     const bool isCurrent = isCurrentRun(task, worker, run);
     const bool hasBegun = !isCurrent || task.isConfirmed;
-    if (isCurrent)
+    if (isCurrent) {
         releaseResources(ref);
+        task.heldWorker.clear();
+    }
     // Lasting tasks fail without limit: their failed runs are not listed, and late ends of earlier runs are not
     // counted.
     const bool isCounted = ref.step->isLasting
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -1,7 +1,7 @@
 // Placement: decides which waiting task starts on which worker.
 //
 // Waiting tasks take their turns in the order of placement_order.h. A task that fits nowhere does not block smaller
-// ones behind it.
+// ones behind it, except for restarts of lasting tasks, for which room is held (restart_room.h).
 #include "scheduler/approval.h"
 #include "scheduler/colocation.h"
 #include "scheduler/consolidation.h"
@@ -226,6 +226,7 @@
         task.lastStopAt = 0;
         task.isConfirmed = false;
         task.heldWorker.clear();
+        task.roomSearchedAt = 0;
         const double wait = static_cast<double>(scheduler.limits.startDeadlineMs) / scheduler.limits.workerClockRate;
         task.startDeadlineAt = planner.now + static_cast<Millis>(wait) + scheduler.limits.leaseSlackMs;
         StartOrder order;
@@ -509,7 +510,7 @@
 
 bool hasRoom(const PlannedWorker& planned, const Step& step)
 {
-    if (step.memoryMb > planned.freeMemory || step.gpus > planned.freeGpus)
+    if ((step.memoryMb > 0 && step.memoryMb > planned.freeMemory) || (step.gpus > 0 && step.gpus > planned.freeGpus))
         return false;
     return hasProcessors(planned, step)
         && (step.requiredLabel.empty() || hasLabel(planned.worker->entry, step.requiredLabel));
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -80,7 +80,8 @@
     int freeGpus = 0;
     double freeFillCpu = 0;    // millicores for filling tasks; -infinity while serving tasks are over their targets
     bool acceptsTasks = false; // neither avoided nor full
-    Capacity held = {};        // for restarts that wait for room
+    bool isHeld = false;       // room is held for restarts, as far as their turns have come
+    Capacity held = {};        // that room; it may not be free yet, so that free resources can be negative
     // --- Computed on first use and cached for the rest of the plan ---
     std::optional<double> scarcity;
     std::optional<std::vector<LatencyHeadroom>> headrooms;
@@ -139,6 +140,7 @@
     std::vector<PlannedWorker> workers; // usable workers in the order of their ids
     std::vector<std::uint32_t> changes; // positions of workers whose tasks changed, oldest change first
     std::deque<Shape> shapes;
+    int heldWorkers = 0; // with isHeld
     std::vector<UnplacedShape> unplaced;
     std::unordered_map<std::string, std::vector<std::uint32_t>> positionsByLabel; // of workers; filled on first use
 };
@@ -152,7 +154,7 @@
     std::vector<Turn> turns = {}; // in the order of the plan
     std::size_t triedTurns = 0;   // from the first on; the limit of starts ended the plan there
     bool hasDraining = false;     // at least one worker is draining
-    int restartSearches = 0;      // for a worker to hold room on
+    int roomSearches = 0;         // for a worker to hold room on (restart_room.h)
     double meanSlowness = 1;
     std::unordered_map<const Worker*, int> stepTasksByWorker = {}; // runs of the step being placed
     std::map<std::string, ServiceCpu> serviceCpu = {};             // by service
@@ -180,7 +182,7 @@
 bool suffices(double freeFillCpu, const Step& step);
 // Also whether it accepts tasks.
 bool fits(const PlannedWorker& planned, const Step& step);
-// Whether the task may run on a worker that meets the requirements of its step. Tasks of the step must be counted.
+// Whether the task may run on a worker that meets the requirements of its step. Reads stepTasksByWorker.
 bool mayUse(const Planner& planner, const Worker& worker, const TaskRef& ref);
 // Updates what the plan has computed for a worker after its tasks or the room held there have changed.
 void recordChange(Pool& pool, PlannedWorker& planned);
--- a/src/scheduler/restart_room.cpp
+++ b/src/scheduler/restart_room.cpp
@@ -1,17 +1,20 @@
+// Choice of the worker on which room is held, and the bounds on holds.
 #include "scheduler/restart_room.h"
 
 #include "scheduler/approval.h"
 
 #include <algorithm>
-#include <limits>
 #include <vector>
 
 namespace lacewing::scheduler {
 
 namespace {
 
-    constexpr int maxSearchesPerPlan = 4;       // bounds the time of a plan
-    constexpr double maxHeldWorkersShare = 0.1; // of a service; all other workers go on with shorter tasks
+    constexpr int maxSearchesPerPlan = 2;       // bounds the time of a plan
+    constexpr Millis searchPeriodMs = 1000;     // ms between searches for one task
+    constexpr double maxHeldWorkersShare = 0.1; // of a service's workers, rounded up; the others go on with short tasks
+    constexpr Millis maxHoldMs = 6000;          // ms; longest expected time until the room is there (bound on restarts)
+    constexpr Millis lateMs = 1000;             // ms after the expected time until another worker may be chosen
 
     // A run that ends by itself, or is being stopped, and the step whose resources it frees.
     struct EndingRun {
@@ -19,41 +22,42 @@
         const Step* step = nullptr;
     };
 
+    bool isEnding(const TaskRef& ref) { return !ref.step->isLasting || ref.task->phase == TaskPhase::Stopping; }
+
     Millis leftMs(const Planner& planner, const TaskRef& ref)
     {
         const Task& task = *ref.task;
         if (task.phase == TaskPhase::Stopping)
             return planner.scheduler.limits.stopTimeoutMs;
         if (task.percent <= 0 || task.startedAt == 0)
-            return ref.step->estimateMs;
+            return static_cast<Millis>(ref.step->estimateMs) * (100 - std::clamp(task.percent, 0, 100)) / 100;
         return (planner.now - task.startedAt) * (100 - task.percent) / task.percent;
     }
 
-    void release(Capacity& free, const Step& step)
+    Capacity needOf(const Step& step) { return { step.isFilling ? 0 : step.cpuMillicores, step.memoryMb, step.gpus }; }
+
+    void add(Capacity& sum, const Capacity& part)
     {
-        free.cpuMillicores += step.isFilling ? 0 : step.cpuMillicores;
-        free.memoryMb += step.memoryMb;
-        free.gpus += step.gpus;
+        sum.cpuMillicores += part.cpuMillicores;
+        sum.memoryMb += part.memoryMb;
+        sum.gpus += part.gpus;
     }
 
-    bool suffices(const Capacity& free, const Step& step)
+    bool covers(const Capacity& free, const Capacity& need)
     {
-        return free.cpuMillicores >= step.cpuMillicores && free.memoryMb >= step.memoryMb && free.gpus >= step.gpus;
+        return free.cpuMillicores >= need.cpuMillicores && free.memoryMb >= need.memoryMb && free.gpus >= need.gpus;
     }
 
-    // Time until the worker is expected to have the resources of the step; nullopt: lasting tasks, or held room, use
-    // them.
-    std::optional<Millis> roomAfterMs(const Planner& planner, const PlannedWorker& planned, const Step& step)
+    // Time until the worker is expected to have the resources; nullopt: lasting tasks, or other holds, keep them.
+    std::optional<Millis> roomAfterMs(const Planner& planner, const PlannedWorker& planned, const Capacity& need)
     {
         const Capacity freeNow { planned.freeCpu, planned.freeMemory, planned.freeGpus };
         Capacity free = freeNow;
-        const auto isEnding
-            = [](const TaskRef& ref) { return !ref.step->isLasting || ref.task->phase == TaskPhase::Stopping; };
         for (const auto& [name, ref] : planned.worker->tasks) {
             if (isEnding(ref))
-                release(free, *ref.step);
+                add(free, needOf(*ref.step));
         }
-        if (!suffices(free, step))
+        if (!covers(free, need))
             return std::nullopt;
         std::vector<EndingRun> runs;
         for (const auto& [name, ref] : planned.worker->tasks) {
@@ -63,9 +67,9 @@
         std::sort(runs.begin(), runs.end(), [](const EndingRun& a, const EndingRun& b) { return a.leftMs < b.leftMs; });
         Millis after = 0;
         free = freeNow;
-        for (auto run = runs.begin(); run != runs.end() && !suffices(free, step); ++run) {
+        for (auto run = runs.begin(); run != runs.end() && !covers(free, need); ++run) {
             after = run->leftMs;
-            release(free, *run->step);
+            add(free, needOf(*run->step));
         }
         return after;
     }
@@ -75,73 +79,77 @@
         const Worker& worker = *planned.worker;
         const Step& step = *ref.step;
         return planned.acceptsTasks && (step.requiredLabel.empty() || hasLabel(worker.entry, step.requiredLabel))
-            && mayUse(planner, worker, ref)
+            && (step.latencyTargetMs == 0 || worker.vacantUntil == 0) && mayUse(planner, worker, ref)
             && (!ref.job->policy.approval.isNeeded || isApproved(ref, worker.entry.id, planner.now));
     }
 
-    // The worker that is expected to have room first; null: none will.
+    bool mayHold(const Pool& pool, const PlannedWorker& planned)
+    {
+        return planned.isHeld
+            || pool.heldWorkers < std::max(1.0, maxHeldWorkersShare * static_cast<double>(pool.workers.size()));
+    }
+
+    // The worker that is expected to have the room first; null: none within maxHoldMs, or the task waits for something
+    // else.
     PlannedWorker* findWorker(Planner& planner, Pool& pool, const TaskRef& ref)
     {
         PlannedWorker* best = nullptr;
-        Millis bestMs = std::numeric_limits<Millis>::max();
+        Millis bestMs = maxHoldMs + 1;
+        const Capacity need = needOf(*ref.step);
         for (PlannedWorker& planned : pool.workers) {
             if (!isSuitable(planner, planned, ref))
                 continue;
-            const std::optional<Millis> after = roomAfterMs(planner, planned, *ref.step);
+            if (fits(planned, *ref.step))
+                return nullptr;
+            const std::optional<Millis> after
+                = mayHold(pool, planned) ? roomAfterMs(planner, planned, need) : std::nullopt;
             if (after && *after < bestMs) {
                 best = &planned;
                 bestMs = *after;
             }
         }
+        if (!best)
+            return nullptr;
+        ref.task->heldWorker = best->worker->entry.id;
+        ref.task->heldUntil = planner.now + bestMs + lateMs;
+        logRunDecision(planner.scheduler, ref,
+            { "roomHeld", ref.job->request.id, nameOf(ref), best->worker->entry.id, ref.task->run, "held",
+                { { "expectedMs", bestMs }, { "waitedMs", planner.now - ref.task->phaseSince },
+                    { "freeMillicores", best->freeCpu }, { "freeMb", best->freeMemory } },
+                ref.step->image });
         return best;
     }
 
-    // The worker chosen by an earlier plan; null: none, or it can no longer be used.
+    // The worker chosen by an earlier plan; null: none, or it can no longer be used, or its room does not come.
     PlannedWorker* chosenWorker(const Planner& planner, Pool& pool, const TaskRef& ref)
     {
-        const auto found = std::find_if(pool.workers.begin(), pool.workers.end(),
-            [&](const PlannedWorker& planned) { return planned.worker->entry.id == ref.task->heldWorker; });
-        const bool isUsable = found != pool.workers.end() && isSuitable(planner, *found, ref)
-            && roomAfterMs(planner, *found, *ref.step);
+        if (ref.task->heldWorker.empty() || planner.now > ref.task->heldUntil)
+            return nullptr;
+        const auto found = std::lower_bound(pool.workers.begin(), pool.workers.end(), ref.task->heldWorker,
+            [](const PlannedWorker& planned, const std::string& id) { return planned.worker->entry.id < id; });
+        const bool isUsable = found != pool.workers.end() && found->worker->entry.id == ref.task->heldWorker
+            && isSuitable(planner, *found, ref) && mayHold(pool, *found);
         return isUsable ? &*found : nullptr;
     }
 
-    bool isHeld(const PlannedWorker& planned) { return planned.held.cpuMillicores > 0 || planned.held.memoryMb > 0; }
-
-    bool mayHold(const Pool& pool, const PlannedWorker& planned)
-    {
-        const auto held = static_cast<double>(std::count_if(pool.workers.begin(), pool.workers.end(), isHeld));
-        return isHeld(planned) || held < std::max(1.0, maxHeldWorkersShare * static_cast<double>(pool.workers.size()));
-    }
-
-    void logHold(Planner& planner, const PlannedWorker& planned, const TaskRef& ref)
-    {
-        logRunDecision(planner.scheduler, ref,
-            { "roomHeld", ref.job->request.id, nameOf(ref), planned.worker->entry.id, ref.task->run, "held",
-                { { "expectedMs", roomAfterMs(planner, planned, *ref.step).value_or(-1) },
-                    { "waitedMs", planner.now - ref.task->phaseSince }, { "freeMillicores", planned.freeCpu },
-                    { "freeMb", planned.freeMemory } },
-                ref.step->image });
-    }
-
     void hold(Planner& planner, Pool& pool, const TaskRef& ref)
     {
-        PlannedWorker* planned = ref.task->heldWorker.empty() ? nullptr : chosenWorker(planner, pool, ref);
+        Task& task = *ref.task;
+        PlannedWorker* planned = chosenWorker(planner, pool, ref);
         if (!planned) {
-            ref.task->heldWorker.clear();
-            if (planner.restartSearches >= maxSearchesPerPlan)
+            task.heldWorker.clear();
+            const bool isRecent = task.roomSearchedAt > 0 && planner.now - task.roomSearchedAt < searchPeriodMs;
+            if (isRecent || planner.roomSearches >= maxSearchesPerPlan)
                 return;
-            ++planner.restartSearches;
+            ++planner.roomSearches;
+            task.roomSearchedAt = planner.now;
             planned = findWorker(planner, pool, ref);
         }
-        if (!planned || !mayHold(pool, *planned))
+        if (!planned)
             return;
-        if (ref.task->heldWorker.empty())
-            logHold(planner, *planned, ref);
-        ref.task->heldWorker = planned->worker->entry.id;
-        planned->held.cpuMillicores += ref.step->cpuMillicores;
-        planned->held.memoryMb += ref.step->memoryMb;
-        planned->held.gpus += ref.step->gpus;
+        pool.heldWorkers += planned->isHeld ? 0 : 1;
+        planned->isHeld = true;
+        add(planned->held, needOf(*ref.step));
         recordChange(pool, *planned);
     }
 
@@ -149,9 +157,9 @@
 
 void holdRestartRoom(Planner& planner, Pool& pool, const Candidate& candidate)
 {
-    if (!candidate.isRestart)
-        return;
     const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
+    if (!candidate.isRestart || step.isGang)
+        return;
     for (int i = 0; i < step.count; ++i) {
         const TaskRef ref = refOf(candidate, i);
         if (ref.task->phase == TaskPhase::Waiting && hasEverRun(*ref.task))
--- a/src/scheduler/restart_room.h
+++ b/src/scheduler/restart_room.h
@@ -1,13 +1,16 @@
 // Room for restarts of lasting tasks. A task that needs more than any worker has free would wait for as long as smaller
-// tasks take what becomes free; a worker is kept for it instead, on which its room is the next to become free.
+// tasks take what becomes free. Room is held for it instead on the worker that is expected to have it first, by the
+// progress of the runs there: from its turn in a plan on, its resources count as used.
+//
+// Bounds: the room is expected within seconds, on a tenth of a service's workers; when it does not come in time,
+// another worker is chosen. Room is not held for gangs, nor on workers that the advice service has not approved.
 #pragma once
 
 #include "scheduler/planner.h"
 
 namespace lacewing::scheduler {
 
-// Holds room for the waiting tasks of a lasting step that have run before and found no worker in this plan. The held
-// room counts as used for the rest of the plan.
+// Holds room for the waiting tasks of a lasting step that have run before and found no worker in this plan.
 void holdRestartRoom(Planner& planner, Pool& pool, const Candidate& candidate);
 
 } // namespace lacewing::scheduler
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -97,7 +97,10 @@
     Millis lastStopAt = 0;
     Millis movedAt = 0;       // last move by consolidation; 0: none in this term
     std::string failedWorker; // worker of the last failure
-    std::string heldWorker;   // keeps room free for the next run (restart_room.h); empty: none
+    // --- Room held for the next run (restart_room.h) ---
+    std::string heldWorker; // empty: none
+    Millis heldUntil = 0;   // when another worker may be chosen
+    Millis roomSearchedAt = 0;
     // --- While the phase is Unknown ---
     std::string formerWorker; // the only worker that may have a run or an unstored end of the task; empty: any may
     bool mayHaveRun = false;  // it was Unknown until its workers were accounted for: an earlier term may have run it
--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -29,6 +29,7 @@
                     if (task.phase != TaskPhase::Done && task.phase != TaskPhase::Failed)
                         task.phase = TaskPhase::Unknown;
                     task.formerWorker.clear();
+                    task.heldWorker.clear();
                     task.mayHaveRun = false;
                     task.wasUnknown = task.phase == TaskPhase::Unknown;
                 }
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -23,6 +23,10 @@
     CPPUNIT_TEST(roomIsHeldOnFewWorkers);
     CPPUNIT_TEST(roomIsNotHeldWhereLastingTasksKeepIt);
     CPPUNIT_TEST(cancelledRestartsHoldNoRoom);
+    CPPUNIT_TEST(restartsWithoutAnyWorkerDoNotUseUpTheSearches);
+    CPPUNIT_TEST(anotherWorkerIsChosenWhenTheRoomDoesNotCome);
+    CPPUNIT_TEST(roomForAGpuDoesNotKeepOtherTasksOut);
+    CPPUNIT_TEST(noRoomIsHeldBehindLongTasks);
     CPPUNIT_TEST_SUITE_END();
 
     static bool isRunning(World& world, const std::string& task)
@@ -182,6 +186,83 @@
         world.run(2500);
         CPPUNIT_ASSERT_EQUAL(8, runningOf(world, "small"));
     }
+
+    // Guards against a few restarts that no worker can take, and whose searches leave none to the others.
+    void restartsWithoutAnyWorkerDoNotUseUpTheSearches()
+    {
+        World world(1, 12);
+        world.worker(11).entry.labels.push_back("special");
+        for (int i = 0; i < 4; ++i) {
+            Step special = lastingStep(1, 1000, "special");
+            special.requiredLabel = "special";
+            world.submit("special" + std::to_string(i), { special });
+        }
+        world.run(1000);
+        world.submit("large", { lastingStep(1, 6000, "image") });
+        world.run(1000);
+        for (int i = 0; i < 3; ++i)
+            submitSmallTasks(world, 1000, 100, "small" + std::to_string(i));
+        world.run(2000);
+        drain(world, "w11");
+        drain(world, hostOf(world, "large.0.0.0"));
+        world.run(100);
+        assertDownTime(world, { "large.0.0.0" });
+    }
+
+    // Guards against a hold that stays on a worker whose runs take far longer than their estimates.
+    void anotherWorkerIsChosenWhenTheRoomDoesNotCome()
+    {
+        World world(1, 4);
+        world.submit("large", { lastingStep(1, 6000, "image") });
+        world.run(1000);
+        submitSmallTasks(world, 1000, 100);
+        world.run(2000);
+        drain(world, hostOf(world, "large.0.0.0"));
+        const auto held = [&] { return scheduler::findTask(world.scheduler(), "large.0.0.0")->task->heldWorker; };
+        for (int i = 0; i < 40 && held().empty(); ++i)
+            world.step();
+        CPPUNIT_ASSERT(!held().empty());
+        for (SimWorker& worker : world.workers()) {
+            for (auto& [name, run] : worker.running)
+                run.endsAt += worker.entry.id == held() ? 40000 : 0;
+        }
+        assertDownTime(world, { "large.0.0.0" });
+    }
+
+    // Guards against room for a GPU that is not free yet and keeps out tasks that need none.
+    void roomForAGpuDoesNotKeepOtherTasksOut()
+    {
+        World world(1, std::vector<scheduler::Capacity> { { 8000, 32000, 1 }, { 8000, 32000, 1 } });
+        Step large = lastingStep(1, 1000, "image");
+        large.gpus = 1;
+        world.submit("large", { large });
+        world.run(500);
+        Step gpu = plainStep(1, 1000, 5000);
+        gpu.gpus = 1;
+        world.submit("gpu", { gpu });
+        world.run(500);
+        drain(world, hostOf(world, "large.0.0.0"));
+        world.run(1000);
+        world.submit("small", { plainStep(6, 1000, 1000) });
+        world.run(500);
+        CPPUNIT_ASSERT_EQUAL(6, runningOf(world, "small"));
+    }
+
+    // Guards against processors that stand idle for a restart while long tasks end one by one.
+    void noRoomIsHeldBehindLongTasks()
+    {
+        World world(1, 2);
+        world.submit("large", { lastingStep(1, 6000, "image") });
+        world.run(1000);
+        world.submit("long", { plainStep(5, 1000, 40000) });
+        world.run(200);
+        submitSmallTasks(world, 1000, 100);
+        world.run(1000);
+        drain(world, hostOf(world, "large.0.0.0"));
+        world.run(4000);
+        CPPUNIT_ASSERT_EQUAL(5, runningOf(world, "long"));
+        CPPUNIT_ASSERT_EQUAL(3, runningOf(world, "small"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerRestartTest);
