Keep restarts first over a resignation whose records are not stored

What callers saw: a lasting task that had run waits like one that never did, behind the reserve for short tasks.

Cause: a run that ended by the expiry of a lease is listed neither in the placements of a resigned term nor, while the store cannot be reached, in the record of its job. The next term takes the task for one without a run.

Why this works: in a job that has started, a task that is nowhere may have run. Its first start waits for no reserve then, which costs at most the reserve of that job.

Found by review.

--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -113,12 +113,14 @@
     }
     int free = 0;
     for (const std::string& id : scheduler.active) {
-        for (auto& [number, occurrence] : scheduler.jobs.at(id)->occurrences) {
+        Job& job = *scheduler.jobs.at(id);
+        for (auto& [number, occurrence] : job.occurrences) {
             for (StepProgress& progress : occurrence.steps) {
                 for (Task& task : progress.tasks) {
                     if (task.phase == TaskPhase::Unknown && task.formerWorker.empty()) {
                         task.phase = TaskPhase::Waiting;
                         task.phaseSince = now;
+                        task.mayHaveRun = job.hasStarted; // the end of its run may not be in the record
                         ++free;
                     } else if (task.formerWorker == ambiguousWorker) {
                         task.formerWorker.clear();
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(anotherWorkerIsChosenWhenTheRoomDoesNotCome);
     CPPUNIT_TEST(roomForAGpuDoesNotKeepOtherTasksOut);
     CPPUNIT_TEST(noRoomIsHeldBehindLongTasks);
+    CPPUNIT_TEST(restartsKeepTheirPlaceOverAResignationWithoutTheStore);
     CPPUNIT_TEST_SUITE_END();
 
     static bool isRunning(World& world, const std::string& task)
@@ -263,6 +264,29 @@
         CPPUNIT_ASSERT_EQUAL(5, runningOf(world, "long"));
         CPPUNIT_ASSERT_EQUAL(3, runningOf(world, "small"));
     }
+
+    // Guards against a task that has run and is taken for one that has not, because its last end was not stored before
+    // the term was resigned.
+    void restartsKeepTheirPlaceOverAResignationWithoutTheStore()
+    {
+        World world(1, 4);
+        world.submit("large", { lastingStep(1, 6000, "image") });
+        world.run(1000);
+        submitSmallTasks(world, 1000, 100);
+        submitSmallTasks(world, 1000, 100, "more");
+        world.run(2000);
+        const std::string host = hostOf(world, "large.0.0.0");
+        for (SimWorker& worker : world.workers()) {
+            if (worker.entry.id == host)
+                worker.unreachableUntil = world.now() + 1000000;
+        }
+        world.faults.isStoreUnavailable = true;
+        for (int i = 0; i < 300 && hostOf(world, "large.0.0.0") == host; ++i)
+            world.step();
+        world.resignTerm();
+        world.faults.isStoreUnavailable = false;
+        assertDownTime(world, { "large.0.0.0" });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerRestartTest);
