Record the worker of a lasting task before it starts elsewhere

Cause: no record told where a former term had started a task last. A new term that had read the end of its run could not exclude a later run on a worker that was silent, and waited for the leases of all of them.

Change: the record of a job names the worker of each lasting task. A start goes to another worker only after the record that names it is stored; first starts, and starts on the same worker, need no record before. A new term therefore waits for the one worker that is named, or, where none is, for the first end. While the store fails a task starts again on its own worker. The lease table tells since which term this holds, so that records are not relied on beside terms of other versions.

Cost: no further call of the store while it is busy, as the choice is in the record that stores the end; a restart waits for that record.

--- a/model/runs.pml
+++ b/model/runs.pml
@@ -5,6 +5,9 @@
  * named where they are used. Guarantees based on messages and records are modelled: terms, fencing tokens, delayed starts,
  * ends that are stored before they are acknowledged, expiring leases, placements stored by a leader that resigns.
  *
+ * With RUN_RECORDS the task is a lasting one: its runs never end `done`, and the record of its job names the worker that may
+ * run it (src/scheduler/run_record.h), so that a new term needs the word of that worker only.
+ *
  * Safety properties: the task never runs on both workers at once; it never starts after its end was acknowledged.
  * Each -DNO_... variant leaves out one rule and must have a counterexample (scripts/test.d/30-model).
  */
@@ -17,8 +20,9 @@
 #ifndef RUNS
 #define RUNS 2                  /* starts of a term, none of them recorded */
 #endif
-/* Two searches keep the number of states small: with RUN_ENDS runs also end otherwise than `done`, so that a task runs
- * again in the same term, and no leader resigns; without it, terms are resigned and each run ends `done`. */
+/* Three searches keep the number of states small: with RUN_ENDS runs also end otherwise than `done`, so that a task runs
+ * again in the same term, and no leader resigns; without it, terms are resigned and each run ends `done`. RUN_RECORDS is
+ * searched together with RUN_ENDS. */
 #define MAXRUN (MAXTERM * RUNS)
 
 /* --- Store --- */
@@ -29,6 +33,9 @@
 bool hasPlacements = false;
 bool doneStored = false;
 bool granted[WORKERS];          /* lease table: the worker may hold a lease */
+#ifdef RUN_RECORDS
+byte storedWorker = NONE;       /* worker that the record of the job names; NONE: the task had starts on one worker at most */
+#endif
 
 /* --- Workers --- */
 byte fence[WORKERS];
@@ -57,6 +64,13 @@
 byte possibleWorker[DAEMONS];   /* the only worker that may have the task; NONE: any */
 bool endUnstored[DAEMONS];      /* an end was reported and is not stored yet */
 bool isResigning[DAEMONS];      /* the placements are written: sends no more orders */
+#ifdef RUN_RECORDS
+byte lastWorker[DAEMONS];       /* of the latest run known to the term */
+byte recordedWorker[DAEMONS];   /* to be named by the next record */
+bool isStored[DAEMONS];         /* the store is known to name recordedWorker */
+bool hasChosen[DAEMONS];        /* a worker was chosen after the latest run; the store may name it or the one before */
+bool hasSingleWorker[DAEMONS];  /* the task is unknown, and all its runs are on one worker */
+#endif
 
 #define ACC(d, w) accounted[(d) * WORKERS + (w)]
 #define leads(d) (ownTerm[d] != 0)
@@ -101,6 +115,23 @@
 #define IS_CURRENT(d, w, r) (runWorker[d] == (w) && runNo[d] == (r))
 #endif
 #endif
+/* Workers on which the task may start. NO_RECORD_BEFORE_START: any. NO_MEMORY_OF_CHOICES: the last worker, also after
+ * another one was chosen, which the store may name. */
+#ifdef RUN_RECORDS
+#ifdef NO_RECORD_BEFORE_START
+#define MAY_START_ON(d, w) true
+#else
+#ifdef NO_MEMORY_OF_CHOICES
+#define IS_LAST(d, w) (lastWorker[d] == (w))
+#else
+#define IS_LAST(d, w) (!hasChosen[d] && lastWorker[d] == (w) && recordedWorker[d] == (w))
+#endif
+#define MAY_START_ON(d, w) ((isStored[d] && recordedWorker[d] == (w)) || IS_LAST(d, w) || \
+    (lastWorker[d] == NONE && recordedWorker[d] == NONE && ownTerm[d] == 1))
+#endif
+#else
+#define MAY_START_ON(d, w) true
+#endif
 #ifdef NO_STORE_BEFORE_ACKNOWLEDGE
 #define MAY_ACKNOWLEDGE true
 #else
@@ -111,7 +142,20 @@
     assert(!(running[0] != 0 && running[1] != 0))
 }
 
+#ifdef RUN_RECORDS
+inline recordRun(d, w) {
+    lastWorker[d] = w;
+    if
+    :: recordedWorker[d] != w -> recordedWorker[d] = w; isStored[d] = false
+    :: else -> skip
+    fi
+}
+#endif
+
 inline resetDaemon(d) {
+#ifdef RUN_RECORDS
+    lastWorker[d] = NONE; recordedWorker[d] = NONE; isStored[d] = false; hasChosen[d] = false; hasSingleWorker[d] = false;
+#endif
     ownTerm[d] = 0; isTermValid[d] = false; phase[d] = unknown; runWorker[d] = NONE; runNo[d] = 0;
     ACC(d, 0) = false; ACC(d, 1) = false; possibleWorker[d] = NONE; endUnstored[d] = false; isResigning[d] = false
 }
@@ -145,6 +189,10 @@
         fi
     fi;
     leader = d; resigned = false; hasPlacements = false; placedWorker = NONE;
+#ifdef RUN_RECORDS
+    recordedWorker[d] = storedWorker; isStored[d] = (storedWorker != NONE);
+    possibleWorker[d] = storedWorker; hasSingleWorker[d] = (storedWorker == NONE);
+#endif
     resolveUnknown(d)
 }
 
@@ -157,6 +205,10 @@
         if
         :: (otherEnds[w] & (1 << r)) != 0 && (phase[d] == starting || phase[d] == executing) && IS_CURRENT(d, w, r) ->
             phase[d] = waiting; runNo[d] = (r > runNo[d] -> r : runNo[d])
+#ifdef RUN_RECORDS
+        :: (otherEnds[w] & (1 << r)) != 0 && phase[d] == unknown && hasSingleWorker[d] ->
+            phase[d] = waiting; hasSingleWorker[d] = false; runNo[d] = (r > runNo[d] -> r : runNo[d]); recordRun(d, w)
+#endif
         :: else -> skip
         fi;
         r++
@@ -188,6 +240,9 @@
                 phase[d] = executing
             :: running[w] != 0 && (phase[d] == unknown || phase[d] == waiting) && running[w] >= runNo[d] ->
                 phase[d] = executing; runWorker[d] = w; runNo[d] = running[w]
+#ifdef RUN_RECORDS
+                ; recordRun(d, w)
+#endif
             :: running[w] != runNo[d] && phase[d] == executing && runWorker[d] == w -> phase[d] = waiting
             :: else -> skip
             fi
@@ -238,13 +293,26 @@
     :: atomic { leads(d) && phase[d] == waiting && runNo[d] < RUN_LIMIT(ownTerm[d]) && (startTo[0] == 0 || startTo[1] == 0) &&
             MAY_START(d) -> if :: w = 0 :: w = 1 fi;
         if
-        :: ACC(d, w) && IS_GRANTED(w) ->
+        :: ACC(d, w) && IS_GRANTED(w) && MAY_START_ON(d, w) ->
             runNo[d] = (runNo[d] > BEFORE_FIRST_RUN(ownTerm[d]) -> runNo[d] : BEFORE_FIRST_RUN(ownTerm[d])) + 1;
             s = (startTo[0] == 0 -> 0 : 1);
             startTo[s] = w + 1; startRun[s] = runNo[d]; startTerm[s] = ownTerm[d];
             phase[d] = starting; runWorker[d] = w
+#ifdef RUN_RECORDS
+            ; hasChosen[d] = false; recordRun(d, w)
+#endif
         :: else -> skip
         fi }
+#ifdef RUN_RECORDS
+    :: atomic { leads(d) && phase[d] == waiting && IS_VALID(d) -> if :: w = 0 :: w = 1 fi;
+        if
+        :: recordedWorker[d] != w -> recordedWorker[d] = w; isStored[d] = false; hasChosen[d] = true
+        :: else -> skip
+        fi }
+    /* The record is stored on the condition of the term record; the answer may be lost. */
+    :: atomic { leads(d) && leader == d && term == ownTerm[d] && recordedWorker[d] != NONE && !isStored[d] ->
+        storedWorker = recordedWorker[d]; if :: isStored[d] = true :: skip fi }
+#endif
     /* The start got no answer and its deadline has passed: a report shows that no run is in progress. */
     :: atomic { leads(d) && isTermValid[d] && phase[d] == starting && !isPartitioned[runWorker[d]] &&
             running[runWorker[d]] == 0 && !endReported[runWorker[d]] && ownTerm[d] >= fence[runWorker[d]] &&
@@ -284,7 +352,9 @@
     :: isPartitioned[0] = !isPartitioned[0] /* only worker 0: the workers are symmetric */
     :: atomic { if :: w = 0 :: w = 1 fi;
         if
+#ifndef RUN_RECORDS
         :: running[w] != 0 -> highestEndedRun[w] = running[w]; running[w] = 0; endReported[w] = true
+#endif
 #ifdef RUN_ENDS
         :: running[w] != 0 -> endOther(w)
 #endif
@@ -298,6 +368,9 @@
     atomic {
         runWorker[0] = NONE; runWorker[1] = NONE; possibleWorker[0] = NONE; possibleWorker[1] = NONE;
         phase[0] = unknown; phase[1] = unknown;
+#ifdef RUN_RECORDS
+        lastWorker[0] = NONE; lastWorker[1] = NONE; recordedWorker[0] = NONE; recordedWorker[1] = NONE;
+#endif
         run daemon(0); run daemon(1); run network()
     }
 }
--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -130,6 +130,7 @@
     scheduler::addFormerWorkers(*m_scheduler, m_formerWorkers, now);
     if (m_placements && m_placements->token == m_term->state().formerToken)
         scheduler::applyPlacements(*m_scheduler, *m_placements, now);
+    scheduler::applyRunRecords(*m_scheduler);
     for (const platform::Item& item : m_accepted.items)
         applyAccepted(item, true);
     m_jobsRevision = m_accepted.revision;
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -246,7 +246,8 @@
     std::vector<Stored> stored;
     for (const std::string& id : scheduler::nextCommitBatch(*m_scheduler, recordsPerCommit)) {
         const scheduler::Job& job = *m_scheduler->jobs.at(id);
-        writes.push_back({ storeKeys::progressPrefix + id, scheduler::encodeProgress(job) });
+        writes.push_back(
+            { storeKeys::progressPrefix + id, scheduler::encodeProgress(job, m_scheduler->runsRecordedSince) });
         stored.push_back({ id, job.version, job.state });
     }
     m_isStoringProgress = true;
@@ -255,10 +256,13 @@
         if (generation.expired())
             return;
         m_isStoringProgress = false;
+        const bool hasWaitingStarts = !m_scheduler->awaitedRecords.empty();
         for (const Stored& record : stored)
             scheduler::applyCommit(*m_scheduler, record.id, record.version, record.state);
         publishChanges();
         renewDueLeases();
+        if (hasWaitingStarts)
+            schedulePlan();
         storeProgress();
     });
 }
@@ -397,6 +401,7 @@
     m_scheduler->validUntil = m_runtime.isStopping ? 0 : m_term->actsUntil();
     m_scheduler->validUntil = m_configuration->isLoaded() ? m_scheduler->validUntil : 0;
     const scheduler::Millis begun = nowMs();
+    m_scheduler->isStoreFailing = !isStoreReachable(m_runtime);
     m_scheduler->startLimit = scheduler::availableStarts(m_orderWindow, begun);
     scheduler::Orders orders;
     {
--- a/src/scheduler/decision_log.cpp
+++ b/src/scheduler/decision_log.cpp
@@ -11,12 +11,13 @@
 
     constexpr std::size_t maxDecisions = 2000; // that wait to be logged; about 0.5 MB
 
-    constexpr std::array<std::string_view, 11> significantEvents {
+    constexpr std::array<std::string_view, 12> significantEvents {
         "jobWaiting",
         "lastingTaskDown",
         "leaseExpired",
         "placement",
         "placementsApplied",
+        "runRecordsApplied",
         "termAccounted",
         "termWaiting",
         "workerAvoided",
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -1,5 +1,6 @@
 // Jobs and their tasks: creation, ends of runs, final states, and the selection of records to store.
 #include "scheduler/internal.h"
+#include "scheduler/run_record.h"
 
 #include <algorithm>
 #include <charconv>
@@ -259,6 +260,7 @@
     Job& job = *ref.job;
     const bool isCurrent = isCurrentRun(task, worker, run);
     const bool hasBegun = !isCurrent || task.isConfirmed;
+    const bool isOnSingleWorker = task.phase == TaskPhase::Unknown && task.hasSingleWorker;
     if (isCurrent) {
         releaseResources(ref);
         task.heldWorker.clear();
@@ -280,6 +282,8 @@
     task.lastEnd = kind;
     if (hasBegun)
         ref.progress->lastEndAt = now;
+    if (isCurrent || isOnSingleWorker)
+        recordRun(ref, worker);
     markDirty(scheduler, job);
     if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed)
         return;
@@ -301,7 +305,7 @@
     if (isPlaced(task) && !isOutOfAttempts) // another run is active
         return;
     // The end of an earlier run does not rule out a later run on a worker that has not reported in this term.
-    const bool mayRunElsewhere = task.phase == TaskPhase::Unknown && !scheduler.isReconciled;
+    const bool mayRunElsewhere = task.phase == TaskPhase::Unknown && !scheduler.isReconciled && !isOnSingleWorker;
     if (!mayRunElsewhere || isOutOfAttempts)
         task.phase = isOutOfAttempts ? TaskPhase::Failed : TaskPhase::Waiting;
     task.phaseSince = now;
@@ -312,10 +316,14 @@
 std::vector<std::string> nextCommitBatch(Scheduler& scheduler, std::size_t limit)
 {
     std::vector<std::string> ids;
+    for (const auto& [id, version] : scheduler.awaitedRecords) {
+        if (ids.size() < limit && scheduler.dirty.count(id) > 0)
+            ids.push_back(id);
+    }
     const auto next = scheduler.dirty.upper_bound(scheduler.commitCursor);
     const auto take = [&](auto begin, auto end, bool wantsFinal) {
         for (auto id = begin; id != end && ids.size() < limit; ++id) {
-            if (isFinal(scheduler.jobs.at(*id)->state) == wantsFinal)
+            if (isFinal(scheduler.jobs.at(*id)->state) == wantsFinal && scheduler.awaitedRecords.count(*id) == 0)
                 ids.push_back(*id);
         }
     };
@@ -338,6 +346,9 @@
     ++job.commitsInTerm;
     if (job.committedVersion >= job.version)
         scheduler.dirty.erase(id);
+    if (const auto awaited = scheduler.awaitedRecords.find(id);
+        awaited != scheduler.awaitedRecords.end() && awaited->second <= job.committedVersion)
+        scheduler.awaitedRecords.erase(awaited);
     if (job.committedState != state && !isFinal(job.committedState)) {
         job.committedState = state;
         scheduler.changes.push_back({ id, state });
--- a/src/scheduler/lease_table.cpp
+++ b/src/scheduler/lease_table.cpp
@@ -41,7 +41,7 @@
     for (const auto& [worker, clockMs] : table.released)
         released[QString::fromStdString(worker)] = static_cast<qint64>(clockMs);
     const QJsonObject json { { "token", static_cast<qint64>(table.token) }, { "granted", granted },
-        { "released", released } };
+        { "released", released }, { "runsRecordedSince", static_cast<qint64>(table.runsRecordedSince) } };
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
@@ -67,6 +67,7 @@
             return std::nullopt;
         table.released[worker.key().toStdString()] = worker.value().toInteger();
     }
+    table.runsRecordedSince = (*json)["runsRecordedSince"].toInteger();
     return table;
 }
 
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -9,6 +9,7 @@
 #include "scheduler/planner.h"
 #include "scheduler/restart_room.h"
 #include "scheduler/run_number.h"
+#include "scheduler/run_record.h"
 
 #include <algorithm>
 #include <limits>
@@ -147,6 +148,25 @@
         return pool.positionsByLabel[label];
     }
 
+    bool mayUseApproved(const Planner& planner, const Worker& worker, const TaskRef& ref)
+    {
+        return mayUse(planner, worker, ref)
+            && (!ref.job->policy.approval.isNeeded || isApproved(ref, worker.entry.id, planner.now));
+    }
+
+    // The worker that the task should go to (run_record.h); null: any, or it cannot be used.
+    PlannedWorker* preferredAmong(Planner& planner, Pool& pool, const Shape& shape, const TaskRef& ref)
+    {
+        const std::string* id = preferredWorker(planner.scheduler, ref);
+        if (!id)
+            return nullptr;
+        const auto found = std::lower_bound(pool.workers.begin(), pool.workers.end(), *id,
+            [](const PlannedWorker& planned, const std::string& other) { return planned.worker->entry.id < other; });
+        const bool isFitting = found != pool.workers.end() && found->worker->entry.id == *id
+            && shape.rated[static_cast<std::size_t>(found - pool.workers.begin())].isFitting;
+        return isFitting && mayUseApproved(planner, *found->worker, ref) ? &*found : nullptr;
+    }
+
     // Returns the best worker for the task among those that fit its shape; an empty `rack` means any rack.
     //
     // Workers are rated only when the task may use them, because some inputs of a rating are computed on first use and
@@ -159,6 +179,8 @@
             return nullptr;
         const bool hasTaskConstraints = !ref.task->failedWorker.empty() || ref.step->maxPerWorker > 0;
         const bool needsApproval = ref.job->policy.approval.isNeeded;
+        if (PlannedWorker* preferred = preferredAmong(planner, pool, shape, ref))
+            return preferred;
         PlannedWorker* best = nullptr;
         double bestScore = 0;
         for (const std::uint32_t position : rack.empty() ? shape.fitting : workersWithLabel(pool, rack)) {
@@ -227,6 +249,8 @@
         task.isConfirmed = false;
         task.heldWorker.clear();
         task.roomSearchedAt = 0;
+        const Millis recordWaitMs = task.chosenAt > 0 ? planner.now - task.chosenAt : 0;
+        recordStart(ref, worker.entry.id);
         const double wait = static_cast<double>(scheduler.limits.startDeadlineMs) / scheduler.limits.workerClockRate;
         task.startDeadlineAt = planner.now + static_cast<Millis>(wait) + scheduler.limits.leaseSlackMs;
         StartOrder order;
@@ -245,7 +269,7 @@
                     { "reportAgeMs", planner.now - worker.reportedAt },
                     { "waitedMs", planner.now - ref.progress->readySince }, { "priority", ref.job->policy.priority },
                     { "millicores", ref.step->cpuMillicores }, { "isLasting", ref.step->isLasting ? 1 : 0 },
-                    { "token", scheduler.token } },
+                    { "recordWaitMs", recordWaitMs }, { "token", scheduler.token } },
                 ref.step->image });
         if (ref.step->isFilling && worker.servingCpu > 0)
             recordFillStart(planner, planned, *ref.step);
@@ -310,12 +334,39 @@
         return racks;
     }
 
+    // The start waits for a record that names the worker. Its room is held until then, unless the store is failing.
+    void awaitRecord(Planner& planner, Pool& pool, PlannedWorker& planned, const TaskRef& ref)
+    {
+        if (!planner.scheduler.isStoreFailing)
+            recordChoice(planner.scheduler, ref, planned.worker->entry.id, planner.now);
+        if (ref.task->chosenAt == 0)
+            return;
+        holdRoom(pool, planned, *ref.step);
+        if (ref.step->maxPerWorker > 0)
+            ++planner.stepTasksByWorker[planned.worker];
+    }
+
     struct PlacedMember {
         int index = 0;
         PlannedWorker* worker = nullptr;
     };
 
-    // Places all members or none. Resources are reserved during the search and released before the starts are ordered.
+    // True when starts of members wait for records of their workers.
+    bool awaitRecords(
+        Planner& planner, Pool& pool, const Candidate& candidate, const std::vector<PlacedMember>& members)
+    {
+        const bool mayStart = std::all_of(members.begin(), members.end(), [&](const PlacedMember& member) {
+            return mayStartOn(planner.scheduler, refOf(candidate, member.index), member.worker->worker->entry.id);
+        });
+        if (mayStart)
+            return false;
+        for (const PlacedMember& member : members)
+            awaitRecord(planner, pool, *member.worker, refOf(candidate, member.index));
+        return true;
+    }
+
+    // Places all members, now or once their records are stored, or none. Resources are reserved during the search and
+    // released before the starts are ordered.
     bool placeGang(Planner& planner, Pool& pool, Shape& shape, const Candidate& candidate, const std::string& rack)
     {
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
@@ -339,6 +390,8 @@
             releaseFrom(planner, pool, *member.worker, refOf(candidate, member.index));
         if (static_cast<int>(placed.size()) < step.count)
             return false;
+        if (awaitRecords(planner, pool, candidate, placed))
+            return true;
         const std::optional<RunNumber> run = takeRun(planner.scheduler, *candidate.job, latest);
         if (!run)
             return false;
@@ -433,6 +486,10 @@
                 holdRestartRoom(planner, pool, candidate);
                 return;
             }
+            if (!mayStartOn(planner.scheduler, ref, worker->worker->entry.id)) {
+                awaitRecord(planner, pool, *worker, ref);
+                continue;
+            }
             const std::optional<RunNumber> run = takeRun(planner.scheduler, *candidate.job, latestRun(*ref.task));
             if (!run)
                 continue;
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -141,7 +141,17 @@
             if (!task.checkpoint.empty())
                 checkpoints[key] = text(task.checkpoint);
         }
+        std::map<std::string, QJsonArray> byWorker; // only of lasting tasks
+        for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+            if (!progress.tasks[i].recordedWorker.empty())
+                byWorker[progress.tasks[i].recordedWorker].append(static_cast<int>(i));
+        }
+        QJsonObject workers;
+        for (const auto& [worker, tasks] : byWorker)
+            workers[text(worker)] = tasks;
         QJsonObject json { { "tasks", marks } };
+        if (!workers.isEmpty())
+            json["workers"] = workers;
         if (!ended.isEmpty())
             json["endedRuns"] = ended;
         if (!failures.isEmpty())
@@ -176,6 +186,15 @@
                 task.failedRuns.push_back(run.toInteger());
             task.checkpoint = base::textOf(checkpoints[key]);
         }
+        const QJsonObject workers = json["workers"].toObject();
+        for (auto worker = workers.begin(); worker != workers.end(); ++worker) {
+            for (const QJsonValue value : worker.value().toArray()) {
+                const qint64 index = value.toInteger(-1);
+                if (index < 0 || index >= static_cast<qint64>(progress.tasks.size()))
+                    return false;
+                progress.tasks[static_cast<std::size_t>(index)].storedWorker = worker.key().toStdString();
+            }
+        }
         return true;
     }
 
@@ -223,11 +242,15 @@
     return job;
 }
 
-QByteArray encodeProgress(const Job& job)
+QByteArray encodeProgress(const Job& job, std::int64_t runsRecordedSince)
 {
     QJsonObject json { { "state", QLatin1String(nameOf(jobStateNames, job.state)) },
         { "version", static_cast<qint64>(job.version) }, { "hasStarted", job.hasStarted },
         { "endedUnixMs", static_cast<qint64>(job.endedUnixMs) } };
+    const bool hasLasting = std::any_of(
+        job.request.steps.begin(), job.request.steps.end(), [](const Step& step) { return step.isLasting; });
+    if (hasLasting && !isFinal(job.state))
+        json["runsRecordedSince"] = static_cast<qint64>(runsRecordedSince);
     if (!isFinal(job.state)) { // a final job starts no tasks, so its tasks are not stored
         QJsonObject occurrences;
         for (const auto& [number, occurrence] : job.occurrences) {
@@ -260,6 +283,7 @@
     job.version = job.committedVersion = static_cast<std::uint64_t>((*json)["version"].toInteger());
     job.hasStarted = (*json)["hasStarted"].toBool();
     job.endedUnixMs = (*json)["endedUnixMs"].toInteger();
+    job.storedRunsRecordedSince = (*json)["runsRecordedSince"].toInteger();
     if (isFinal(*state))
         return true;
     const QJsonObject occurrences = (*json)["occurrences"].toObject();
--- a/src/scheduler/record.h
+++ b/src/scheduler/record.h
@@ -20,7 +20,8 @@
 QByteArray encodeAccepted(const AcceptedJob& job);
 std::optional<AcceptedJob> decodeAccepted(const QByteArray& bytes);
 
-QByteArray encodeProgress(const Job& job);
+// runsRecordedSince: of the scheduler, see run_record.h.
+QByteArray encodeProgress(const Job& job, std::int64_t runsRecordedSince);
 // Restores the progress of a job that was added from its accepted record. Returns false when it does not decode.
 bool restoreProgress(Job& job, const QByteArray& bytes);
 // Decodes only the state of a progress record.
--- a/src/scheduler/restart_room.cpp
+++ b/src/scheduler/restart_room.cpp
@@ -149,12 +149,17 @@
             return;
         pool.heldWorkers += planned->isHeld ? 0 : 1;
         planned->isHeld = true;
-        add(planned->held, needOf(*ref.step));
-        recordChange(pool, *planned);
+        holdRoom(pool, *planned, *ref.step);
     }
 
 } // namespace
 
+void holdRoom(Pool& pool, PlannedWorker& planned, const Step& step)
+{
+    add(planned.held, needOf(step));
+    recordChange(pool, planned);
+}
+
 void holdRestartRoom(Planner& planner, Pool& pool, const Candidate& candidate)
 {
     const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
--- a/src/scheduler/restart_room.h
+++ b/src/scheduler/restart_room.h
@@ -10,6 +10,8 @@
 
 namespace lacewing::scheduler {
 
+// From now on in this plan, the worker's room for a task of the step counts as used.
+void holdRoom(Pool& pool, PlannedWorker& planned, const Step& step);
 // Holds room for the waiting tasks of a lasting step that have run before and found no worker in this plan.
 void holdRestartRoom(Planner& planner, Pool& pool, const Candidate& candidate);
 
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -125,6 +125,7 @@
                 if (task.phase == TaskPhase::Unknown && isFormerRunOver(planner.scheduler, task)) {
                     task.phase = TaskPhase::Waiting;
                     task.formerWorker.clear();
+                    task.hasSingleWorker = false;
                     task.phaseSince = planner.now;
                     task.mayHaveRun = true;
                 }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -2,6 +2,7 @@
 //
 // Guide
 //   beginTerm       starts a new term: open tasks are Unknown until the workers have reported what they run
+//   applyRunRecords narrows down where runs of lasting tasks may be (run_record.h)
 //   setFormerLeases, nextLeaseTable, applyLeaseTable
 //                   read and store which workers may hold a lease (lease_table.h)
 //   setWorkers, setConfiguration, setWithdrawn, addJob, cancelJob
@@ -22,6 +23,7 @@
 //     reported, the worker is known to have lost it, or the worker's lease has expired even on the slowest clock.
 //   - A run number is used by one start on one worker, over all terms. An end, a report row or an answer changes the
 //     current run of a task only when both worker and run number are those of the current run.
+//   - A lasting task that may have run before starts on another worker only after its job's record names that worker.
 //   - The end of a run is acknowledged to its worker only after the job record that contains it is in the store.
 //   - A final job state is shown only after it is in the store.
 #pragma once
@@ -97,6 +99,11 @@
     Millis lastStopAt = 0;
     Millis movedAt = 0;       // last move by consolidation; 0: none in this term
     std::string failedWorker; // worker of the last failure
+    // --- Record of the worker, for lasting tasks (run_record.h) ---
+    std::string lastWorker;     // of the latest run known to this term; empty: none is
+    std::string recordedWorker; // named by the job's records of recordedVersion and later ones; empty: none
+    std::uint64_t recordedVersion = 0;
+    Millis chosenAt = 0; // when recordedWorker was chosen for a start that has not been ordered yet; 0: it was not
     // --- Room held for the next run (restart_room.h) ---
     std::string heldWorker; // empty: none
     Millis heldUntil = 0;   // when another worker may be chosen
@@ -104,6 +111,8 @@
     // --- While the phase is Unknown ---
     std::string formerWorker; // the only worker that may have a run or an unstored end of the task; empty: any may
     bool mayHaveRun = false;  // it was Unknown until its workers were accounted for: an earlier term may have run it
+    bool hasSingleWorker = false; // runs after endedRun, if there are any, are on one worker that is not known
+    std::string storedWorker;     // read from the job's record, which applyRunRecords checks
     // --- For the reports only ---
     bool wasUnknown = false; // when the term began; neither adopted nor started since
     Millis downSince = 0;    // of a lasting task; 0: running, or not checked yet
@@ -147,9 +156,10 @@
     Millis criticalPathMs = -1;   // critical path of the steps, by their estimates; -1: not computed yet
     Millis waitingReportedAt = 0; // for the reports only: last line `jobWaiting`; 0: none in this term
     // --- Store ---
-    std::uint64_t version = 0;          // incremented by each change that has to be stored
-    std::uint64_t committedVersion = 0; // version in the store; at most `version`
-    std::int64_t commitsInTerm = 0;     // records stored by this term, each at a store revision of its own
+    std::uint64_t version = 0;                // incremented by each change that has to be stored
+    std::uint64_t committedVersion = 0;       // version in the store; at most `version`
+    std::int64_t commitsInTerm = 0;           // records stored by this term, each at a store revision of its own
+    std::int64_t storedRunsRecordedSince = 0; // Scheduler::runsRecordedSince of the term that wrote the record read
     JobState committedState = JobState::Queued;
     bool hasCancelRequest = false; // in the store
     std::int64_t endedUnixMs = 0;  // 0: not ended, or the stored record has no end time
@@ -304,6 +314,8 @@
     Interference interference;
     std::set<std::string> dirty; // jobs with changes that are not stored yet
     std::string commitCursor; // last job id of the last commit batch; the next batch continues after it (round robin)
+    // Jobs with a start that waits for its record, and the version of the record; stored before other jobs.
+    std::map<std::string, std::uint64_t> awaitedRecords;
     // --- Approval of workers ---
     bool isQuestionPending = false; // a question to the advice service is outstanding
     Millis questionRetryAt = 0;     // no new question before this
@@ -313,8 +325,11 @@
     Millis termStartedAt = 0;
     TermHistory history;
     std::optional<LeaseTable>
-        formerLeases;      // of the term before; nullopt: any worker may hold a lease of an earlier term
-    Millis validUntil = 0; // no starts after this
+        formerLeases;                   // of the term before; nullopt: any worker may hold a lease of an earlier term
+    std::int64_t runsRecordedSince = 0; // token of the first term of the series that records runs; at most this term's
+    bool hasPlacements = false;         // the placements of the term before were applied
+    bool isStoreFailing = false;        // records are not expected to be stored soon
+    Millis validUntil = 0;              // no starts after this
     int startLimit = std::numeric_limits<int>::max(); // starts that the next plan may order; a gang may exceed it
     // Every worker that may hold a lease of an earlier term has reported, or the lease has expired: Unknown tasks may
     // be placed.
@@ -358,6 +373,9 @@
 std::optional<Placements> collectPlacements(const Scheduler& scheduler);
 // Applies the placements that the term before this one stored when it resigned. Called after beginTerm.
 void applyPlacements(Scheduler& scheduler, const Placements& placements, Millis now);
+// Narrows down where runs of lasting tasks may be (run_record.h). Called once, after setFormerLeases and
+// applyPlacements.
+void applyRunRecords(Scheduler& scheduler);
 void setConfiguration(Scheduler& scheduler, Configuration configuration);
 void setWithdrawn(Scheduler& scheduler, std::set<std::string> dataCentres);
 void setWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now);
@@ -405,7 +423,8 @@
 
 // --- Storing ---
 
-// Ids of at most `limit` jobs to store next: final states first, each group in round-robin order.
+// Ids of at most `limit` jobs to store next: those that a start waits for, then final states, each group in round-robin
+// order.
 std::vector<std::string> nextCommitBatch(Scheduler& scheduler, std::size_t limit);
 // The job record of that version, with that state, is in the store.
 void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state);
--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -21,6 +21,9 @@
     scheduler.isReconciled = false;
     scheduler.hasWorkerList = false;
     scheduler.recovery = {};
+    scheduler.runsRecordedSince = token;
+    scheduler.hasPlacements = false;
+    scheduler.awaitedRecords.clear();
     for (auto& [id, job] : scheduler.jobs) {
         job->commitsInTerm = 0;
         for (auto& [number, occurrence] : job->occurrences) {
@@ -29,6 +32,10 @@
                     if (task.phase != TaskPhase::Done && task.phase != TaskPhase::Failed)
                         task.phase = TaskPhase::Unknown;
                     task.formerWorker.clear();
+                    task.hasSingleWorker = false;
+                    task.lastWorker.clear();
+                    task.recordedWorker.clear();
+                    task.chosenAt = 0;
                     task.heldWorker.clear();
                     task.mayHaveRun = false;
                     task.wasUnknown = task.phase == TaskPhase::Unknown;
@@ -101,6 +108,7 @@
 
 void applyPlacements(Scheduler& scheduler, const Placements& placements, Millis now)
 {
+    scheduler.hasPlacements = true;
     for (const Placement& placement : placements.tasks) {
         const std::optional<TaskRef> ref = findTask(scheduler, placement.task);
         if (!ref || ref->task->phase != TaskPhase::Unknown)
--- a/src/scheduler/wait_cause.cpp
+++ b/src/scheduler/wait_cause.cpp
@@ -4,6 +4,7 @@
 #include "scheduler/approval.h"
 #include "scheduler/colocation.h"
 #include "scheduler/planner.h"
+#include "scheduler/run_record.h"
 
 #include <algorithm>
 #include <limits>
@@ -215,6 +216,11 @@
                 {} };
         if (!scheduler.hasWorkerList)
             return { WaitReason::NoWorkerList, {}, {} };
+        if (isRecordAwaited(scheduler, ref))
+            return { WaitReason::RecordNotStored, ref.task->recordedWorker,
+                { { "version", static_cast<std::int64_t>(ref.task->recordedVersion) },
+                    { "storedVersion", static_cast<std::int64_t>(ref.job->committedVersion) },
+                    { "isStoreFailing", scheduler.isStoreFailing ? 1 : 0 } } };
         const Step& step = *ref.step;
         const std::string& service = ref.job->policy.service;
         const auto pool = std::find_if(
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -2,6 +2,7 @@
 #include "scheduler/departure.h"
 #include "scheduler/internal.h"
 #include "scheduler/run_number.h"
+#include "scheduler/run_record.h"
 
 #include <algorithm>
 #include <cmath>
@@ -170,6 +171,7 @@
         task.percent = row.percent;
         task.progressAt = now;
         reserveResources(worker, ref);
+        recordRun(ref, worker.entry.id);
         logRunDecision(scheduler, ref,
             { "taskAdopted", ref.job->request.id, row.task, worker.entry.id, row.run, "running",
                 { { "percent", row.percent } } });
@@ -374,6 +376,7 @@
 {
     LeaseTable table;
     table.token = scheduler.token;
+    table.runsRecordedSince = scheduler.runsRecordedSince;
     const Millis clockOffset = scheduler.history.clockMs - scheduler.termStartedAt;
     for (auto& [id, worker] : scheduler.workers) {
         worker.isLeaseGranted = worker.isLeaseGranted && (worker.contact == Contact::Established || !mayRelease);
--- a/tests/run_record_test.cpp
+++ b/tests/run_record_test.cpp
@@ -1,4 +1,6 @@
-// Tests of what a new term may conclude about the runs of lasting tasks, on a virtual clock.
+// Tests of the records of workers on which lasting tasks run: what a new term may conclude from them, on a virtual
+// clock.
+#include "scheduler/run_record.h"
 #include "scheduler_world.h"
 
 #include <algorithm>
@@ -11,6 +13,8 @@
 
 // ms from the begin of a term until tasks run again that no unreachable worker can hold: two reports, a record, a plan
 constexpr Millis maxStartMs = 500;
+// ms after the end of its last run within which a lasting task runs again while workers have capacity for it
+constexpr Millis maxDownMs = 9000;
 constexpr Millis forGood = 1000000;
 
 class RunRecordTest : public CppUnit::TestFixture {
@@ -19,6 +23,12 @@
     CPPUNIT_TEST(endsOfLaterRunsFreeTheirTasksBesideASilentWorker);
     CPPUNIT_TEST(tasksWaitingForRoomDoNotWaitForOtherWorkers);
     CPPUNIT_TEST(endsOfEarlierRunsDoNotFreeATaskOfASilentWorker);
+    CPPUNIT_TEST(recordsBeforeATermOfAnotherVersionAreNotReliedOn);
+    CPPUNIT_TEST(lastingTasksStartAgainOnTheirWorkerWhileTheStoreFails);
+    CPPUNIT_TEST(otherWorkersWaitForTheRecordWhileTheStoreFails);
+    CPPUNIT_TEST(choicesAreStoredBeforeOtherRecords);
+    CPPUNIT_TEST(roomOfAChosenWorkerIsNotGivenAway);
+    CPPUNIT_TEST(randomFaultsNeverRunALastingTaskTwice);
     CPPUNIT_TEST_SUITE_END();
 
     static SimWorker& hostOf(World& world, const std::string& task)
@@ -153,6 +163,141 @@
             CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
         }
     }
+
+    // Guards against a term that relies on records although a version that does not write them has started tasks since.
+    void recordsBeforeATermOfAnotherVersionAreNotReliedOn()
+    {
+        World world(1, 4);
+        world.submit("job", { lastingStep(1, 3000, "image") });
+        world.run(1000);
+        world.breakRunRecords();
+        endBetweenTerms(world, "job.0.0.0");
+        world.run(1000);
+        CPPUNIT_ASSERT(!isRunning(world, "job.0.0.0"));
+        assertStartsWithin(world, "job.0.0.0", maxDownMs);
+        endBetweenTerms(world, "job.0.0.0"); // the next term can rely on the records of that one
+        assertStartsWithin(world, "job.0.0.0", maxStartMs);
+    }
+
+    // Guards against failed lasting tasks that stay down for the whole time of a store outage.
+    void lastingTasksStartAgainOnTheirWorkerWhileTheStoreFails()
+    {
+        World world(1, 4);
+        world.submit("job", { lastingStep(1, 3000, "image") });
+        world.run(1000);
+        const SimWorker& host = hostOf(world, "job.0.0.0");
+        world.faults.isStoreUnavailable = true;
+        for (int i = 0; i < 3; ++i) {
+            world.run(500);
+            fail(world, "job.0.0.0");
+            world.step();
+            assertStartsWithin(world, "job.0.0.0", maxStartMs);
+            CPPUNIT_ASSERT(&host == &hostOf(world, "job.0.0.0"));
+        }
+        endBetweenTerms(world, "job.0.0.0");
+        world.faults.isStoreUnavailable = false;
+        assertStartsWithin(world, "job.0.0.0", maxStartMs);
+    }
+
+    // Guards against a run that no record shows: the term after it would start another one.
+    void otherWorkersWaitForTheRecordWhileTheStoreFails()
+    {
+        World world(1, 4);
+        world.submit("job", { lastingStep(1, 3000, "image") });
+        world.run(1000);
+        world.faults.isStoreUnavailable = true;
+        SimWorker& host = hostOf(world, "job.0.0.0");
+        world.restartWorker(static_cast<int>(&host - world.workers().data()));
+        host.unreachableUntil = world.now() + forGood;
+        world.run(10000);
+        CPPUNIT_ASSERT(!isRunning(world, "job.0.0.0"));
+        world.faults.isStoreUnavailable = false;
+        assertStartsWithin(world, "job.0.0.0", maxStartMs);
+    }
+
+    // Guards against restarts that wait behind the records of all other jobs.
+    void choicesAreStoredBeforeOtherRecords()
+    {
+        scheduler::Scheduler state;
+        scheduler::beginTerm(state, 1, 0);
+        const auto add = [&](const std::string& id, const scheduler::Step& step) -> scheduler::Job& {
+            scheduler::JobRequest request;
+            request.id = id;
+            request.steps = { step };
+            return scheduler::addJob(state, request, {}, 0, 2, 0);
+        };
+        for (int i = 0; i < 50; ++i)
+            scheduler::cancelJob(state, add("a" + std::to_string(i), plainStep(1, 100, 100)).request.id, 0);
+        add("lasting", lastingStep(1, 3000, "image"));
+        const auto ref = scheduler::findTask(state, "lasting.0.0.0");
+        scheduler::recordChoice(state, *ref, "w1", 10);
+        CPPUNIT_ASSERT(!scheduler::mayStartOn(state, *ref, "w1"));
+        const std::vector<std::string> batch = scheduler::nextCommitBatch(state, 10);
+        CPPUNIT_ASSERT_EQUAL(std::string("lasting"), batch.front());
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), std::count(batch.begin(), batch.end(), "lasting"));
+        scheduler::applyCommit(state, "lasting", ref->job->version, ref->job->state);
+        CPPUNIT_ASSERT(scheduler::mayStartOn(state, *ref, "w1"));
+        CPPUNIT_ASSERT(!scheduler::mayStartOn(state, *ref, "w2"));
+        CPPUNIT_ASSERT(state.awaitedRecords.empty());
+    }
+
+    // Guards against a restart that loses its room to another task between its record and its start.
+    void roomOfAChosenWorkerIsNotGivenAway()
+    {
+        World world(1, 3);
+        world.submit("job", { lastingStep(1, 6000, "image") });
+        world.run(1000);
+        SimWorker& host = hostOf(world, "job.0.0.0");
+        host.entry.isDraining = true;
+        host.entry.remainingMs = 60000;
+        world.faults.lostCommit = 1;
+        world.run(1000);
+        const std::string chosen = scheduler::findTask(world.scheduler(), "job.0.0.0")->task->recordedWorker;
+        CPPUNIT_ASSERT(!chosen.empty() && chosen != host.entry.id);
+        world.submit("other", { lastingStep(2, 6000, "image") });
+        world.run(1000);
+        world.faults.lostCommit = 0;
+        assertStartsWithin(world, "job.0.0.0", maxStartMs);
+        CPPUNIT_ASSERT_EQUAL(chosen, hostOf(world, "job.0.0.0").entry.id);
+    }
+
+    // Guards against two runs of a lasting task after any series of lost and resigned terms, outages of the store, lost
+    // answers, late starts, cut and restarted workers.
+    void randomFaultsNeverRunALastingTaskTwice()
+    {
+        int starts = 0;
+        for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+            base::Rng rng(seed);
+            World world(seed, 5);
+            world.faults.lostAnswer = 0.1;
+            world.faults.delayedStart = 0.1;
+            world.faults.lostStop = 0.2;
+            world.faults.failedRun = 0;
+            world.faults.partitionPerStep = 0.004;
+            world.faults.crashPerStep = 0.001;
+            world.faults.termPerStep = 0.01;
+            world.faults.resignPerStep = 0.003;
+            world.faults.lostCommit = 0.3;
+            for (int i = 0; i < 6; ++i)
+                world.submit("job" + std::to_string(i), { lastingStep(2, 2000, "image") });
+            for (int i = 0; i < 60; ++i) {
+                world.faults.isStoreUnavailable = base::chance(rng, 0.15);
+                world.run(500);
+                for (SimWorker& worker : world.workers()) {
+                    for (auto& [task, run] : worker.running) {
+                        if (!base::chance(rng, 0.1))
+                            continue;
+                        run.endsAt = world.now() + 1;
+                        run.willFail = true;
+                    }
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(), world.violation());
+            for (int i = 0; i < 6; ++i)
+                starts += world.starts("job" + std::to_string(i) + ".0.0.0");
+        }
+        CPPUNIT_ASSERT(starts > 3000);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunRecordTest);
