Do not renew the lease of a worker that is about to leave

A worker that stays longer is granted a lease again before it ends.

Two more tests guard the leases of workers that stay longer and of long notices. No rule of the protocol changes: released workers get a lease only after a table that grants it.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -357,11 +357,12 @@
 void DispatcherService::storeLeases()
 {
     const scheduler::Millis now = nowMs();
+    const bool isStoreFailing = m_runtime.store->health().failingSince > 0;
     const bool hasUngranted = scheduler::hasUngrantedWorkers(*m_scheduler);
-    if (m_isStoringLeases || (!hasUngranted && now - m_leasesStoredAt < leaseReleasePeriodMs))
+    const bool isDue = hasUngranted || (!isStoreFailing && scheduler::hasWithheldWorkers(*m_scheduler));
+    if (m_isStoringLeases || (!isDue && now - m_leasesStoredAt < leaseReleasePeriodMs))
         return;
     m_leasesStoredAt = now;
-    const bool isStoreFailing = m_runtime.store->health().failingSince > 0;
     scheduler::LeaseTable table = scheduler::nextLeaseTable(*m_scheduler, !isStoreFailing);
     QByteArray record = scheduler::encodeLeaseTable(table);
     if (record == m_storedLeases && !hasUngranted)
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -109,10 +109,11 @@
     const bool isFirst = worker.contact != scheduler::Contact::Established;
     const scheduler::LeaseRequest lease = scheduler::leaseRequest(*m_scheduler, id, sentAt);
     const int reportWaitMs = worker.overTargetSince > 0 ? overTargetLeaseWaitMs : m_runtime.settings.leaseWaitMs;
-    const int waitMs = isFirst || lease.expiresClockMs == 0 ? 0 : reportWaitMs;
+    const bool isReportOnly = lease.expiresClockMs == 0 && !worker.isLeaseWithheld;
+    const int waitMs = isFirst || isReportOnly ? 0 : reportWaitMs;
     const std::weak_ptr<int> generation = m_generation;
     link.client->renew(m_term->token(), lease, waitMs,
-        [this, generation, id, sentAt, isReportOnly = lease.expiresClockMs == 0](
+        [this, generation, id, sentAt, isReportOnly](
             const base::Result<scheduler::WorkerReport, platform::LinkError>& result) {
             if (!generation.expired())
                 applyRenewal(id, result, sentAt, isReportOnly);
--- a/src/scheduler/departure.cpp
+++ b/src/scheduler/departure.cpp
@@ -1,15 +1,19 @@
 // Periods of reading from workers that leave at short notice.
 #include "scheduler/departure.h"
 
+#include "scheduler/internal.h"
+
 #include <algorithm>
 
 namespace lacewing::scheduler {
 
 namespace {
 
-    constexpr Millis shortNoticeMs = 4000;     // ms; longest notice that is called short
-    constexpr Millis shortListPeriodMs = 300;  // ms; while workers leave at short notice
-    constexpr Millis noticeSeriesMs = 5000;    // ms after a short notice in which another one is expected
+    constexpr Millis shortNoticeMs = 4000;    // ms; longest notice that is called short
+    constexpr Millis shortListPeriodMs = 300; // ms; while workers leave at short notice
+    constexpr Millis noticeSeriesMs = 5000;   // ms after a short notice in which another one is expected
+    // ms of lease beyond the announced time; above a report and a write of the lease table, after which it is renewed
+    constexpr Millis departureMarginMs = 1500;
     constexpr Millis unstoredEndsWaitMs = 300; // ms; longest delay of a report while reported ends are being stored
 
 } // namespace
@@ -26,6 +30,14 @@
     return isSeries ? std::min(usualMs, shortListPeriodMs) : usualMs;
 }
 
+void updateWithheldLease(Worker& worker, Millis now)
+{
+    const std::int64_t leaseLeftMs = worker.leaseEndClockMs - latestClock(worker, now);
+    const Millis drainLeftMs = std::max<Millis>(0, worker.drainEndsAt - now);
+    worker.isLeaseWithheld = worker.drainEndsAt != 0 && worker.clockReadAt > 0 && worker.leaseEndClockMs > 0
+        && leaseLeftMs >= drainLeftMs + departureMarginMs;
+}
+
 bool isReportHeldBack(const Scheduler& scheduler, const Worker& worker, Millis now)
 {
     return worker.drainEndsAt == 0 && !worker.unacknowledged.empty() && now - worker.reportedAt < unstoredEndsWaitMs
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -222,6 +222,7 @@
     std::int64_t leaseEndClockMs = 0; // latest lease end requested so far, on the worker's clock; 0: none
     Millis earlierLeaseEndAt = 0;     // when leases of earlier terms have expired at the latest; 0: it holds none
     bool isLeaseGranted = false;      // the stored lease table grants it a lease of this term
+    bool isLeaseWithheld = false;     // it is about to leave, and its lease lasts until then: not renewed
     Millis renewedAt = 0;             // last lease renewal or start order of this term; 0: none
     Millis reportedAt = 0;            // last report
     bool hasReported = false;         // a report of this term has listed all its runs and ends
@@ -396,10 +397,12 @@
 };
 
 LeaseRequest leaseRequest(Scheduler& scheduler, const std::string& worker, Millis now);
-// True when a worker has reported to which the stored lease table does not grant a lease.
+// True when the stored lease table does not grant a lease to a worker that needs one.
 bool hasUngrantedWorkers(const Scheduler& scheduler);
-// The lease table to store. With mayRelease, workers out of contact are released: they get no lease until a later table
-// grants it, so that the table should reach the store soon.
+// True when the stored lease table grants a lease to a worker whose lease is withheld.
+bool hasWithheldWorkers(const Scheduler& scheduler);
+// The lease table to store. With mayRelease, workers that are out of contact or about to leave are released: they get
+// no lease until a later table grants it, so that the table should reach the store soon.
 LeaseTable nextLeaseTable(Scheduler& scheduler, bool mayRelease);
 // The table is stored: workers that it grants a lease may get one. Returns those for which this is new.
 std::vector<std::string> applyLeaseTable(Scheduler& scheduler, const LeaseTable& table);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -77,6 +77,7 @@
             = worker.entry.incarnationUnixMs != 0 ? worker.entry.incarnationUnixMs : entry.incarnationUnixMs;
         worker.entry = entry;
         worker.entry.incarnationUnixMs = incarnation;
+        updateWithheldLease(worker, now);
         if (!worker.isListed)
             logDecision(scheduler, { "workerListed", {}, {}, entry.id, 0, "listed", {} });
         worker.isListed = true;
@@ -352,11 +353,12 @@
 {
     Worker& worker = scheduler.workers.at(id);
     acknowledgeStoredEnds(scheduler, worker);
+    updateWithheldLease(worker, now);
     LeaseRequest request;
     request.acknowledged = worker.lastAcknowledgedEnd;
     // The lease of a lost worker is not renewed: the worker might apply the renewal although its answer is lost, and
     // each attempt would extend the lease that has to expire.
-    if (worker.clockReadAt > 0 && worker.contact != Contact::Lost && worker.isLeaseGranted) {
+    if (worker.clockReadAt > 0 && worker.contact != Contact::Lost && worker.isLeaseGranted && !worker.isLeaseWithheld) {
         worker.renewedAt = now;
         request.expiresClockMs = latestClock(worker, now) + leaseLengthMs(scheduler.limits);
         worker.leaseEndClockMs = std::max(worker.leaseEndClockMs, request.expiresClockMs);
@@ -367,9 +369,17 @@
 Millis leaseLengthMs(const Limits& limits) { return std::min(limits.maxLeaseMs, limits.grantedLeaseMs); }
 
 bool hasUngrantedWorkers(const Scheduler& scheduler)
+{
+    return std::any_of(scheduler.workers.begin(), scheduler.workers.end(), [](const auto& entry) {
+        const Worker& worker = entry.second;
+        return worker.contact == Contact::Established && !worker.isLeaseGranted && !worker.isLeaseWithheld;
+    });
+}
+
+bool hasWithheldWorkers(const Scheduler& scheduler)
 {
     return std::any_of(scheduler.workers.begin(), scheduler.workers.end(),
-        [](const auto& entry) { return entry.second.contact == Contact::Established && !entry.second.isLeaseGranted; });
+        [](const auto& entry) { return entry.second.isLeaseGranted && entry.second.isLeaseWithheld; });
 }
 
 LeaseTable nextLeaseTable(Scheduler& scheduler, bool mayRelease)
@@ -379,8 +389,9 @@
     table.runsRecordedSince = scheduler.runsRecordedSince;
     const Millis clockOffset = scheduler.history.clockMs - scheduler.termStartedAt;
     for (auto& [id, worker] : scheduler.workers) {
-        worker.isLeaseGranted = worker.isLeaseGranted && (worker.contact == Contact::Established || !mayRelease);
-        if (worker.contact == Contact::Established || worker.isLeaseGranted)
+        const bool needsLease = worker.contact == Contact::Established && !worker.isLeaseWithheld;
+        worker.isLeaseGranted = worker.isLeaseGranted && (needsLease || !mayRelease);
+        if (needsLease || worker.isLeaseGranted)
             table.granted[id] = scheduler.token;
         else if (!worker.isLeaseExpired && (worker.renewedAt > 0 || worker.earlierLeaseEndAt > 0))
             table.released[id]
--- a/tests/departure_test.cpp
+++ b/tests/departure_test.cpp
@@ -1,10 +1,13 @@
 // Tests of reading from workers that leave at short notice: the next notices and the ends of stops are read in time.
 #include "scheduler/departure.h"
+#include "scheduler_world.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace {
 
+using namespace lacewing;
 using namespace lacewing::scheduler;
 
 constexpr Millis usualMs = 1000;
@@ -24,9 +27,87 @@
     CPPUNIT_TEST(noticesInSeriesAreReadSooner);
     CPPUNIT_TEST(longNoticesDoNotCostMoreLists);
     CPPUNIT_TEST(reportsOfDrainingWorkersAreNotHeldBack);
+    CPPUNIT_TEST(tasksDoNotWaitForLeasesRenewedAfterTheNotice);
+    CPPUNIT_TEST(workersThatStayLongerThanAnnouncedKeepTheirLease);
+    CPPUNIT_TEST(leasesAreRenewedWhileADepartureIsFarAway);
     CPPUNIT_TEST_SUITE_END();
 
+    static test::SimWorker& hostOf(test::World& world, const std::string& task)
+    {
+        return *std::find_if(world.workers().begin(), world.workers().end(),
+            [&](const test::SimWorker& worker) { return worker.running.count(task) > 0; });
+    }
+
+    static void drain(test::SimWorker& worker, Millis remainingMs)
+    {
+        worker.entry.isDraining = true;
+        worker.entry.remainingMs = remainingMs;
+    }
+
 public:
+    // Guards against tasks that stay down for the whole length of a lease after their worker has left.
+    void tasksDoNotWaitForLeasesRenewedAfterTheNotice()
+    {
+        constexpr Millis noticeMs = 2000;
+        constexpr Millis leaseOverMs = 6700; // after the last renewal: the slowest clock, a call in flight, the margin
+        constexpr Millis restartMs = 500;
+        for (const bool isTermLost : { false, true }) {
+            test::World world(1, 4);
+            world.submit("job", { test::lastingStep(1, 3000, "image") });
+            world.run(1000);
+            world.faults.lostStop = 1;
+            test::SimWorker& host = hostOf(world, "job.0.0.0");
+            drain(host, noticeMs);
+            const Millis noticeAt = world.now();
+            world.run(noticeMs);
+            host.running.clear();
+            host.unreachableUntil = world.now() + 1000000;
+            if (isTermLost) {
+                world.faults.isLeaderless = true;
+                world.run(2500);
+                world.faults.isLeaderless = false;
+                world.replaceTerm();
+            }
+            while (world.runningTasks() == 0 && world.now() - noticeAt < 20000)
+                world.step();
+            const Millis down = world.now() - noticeAt;
+            CPPUNIT_ASSERT_MESSAGE(
+                "started " + std::to_string(down) + " ms after the notice, term lost: " + std::to_string(isTermLost),
+                down <= leaseOverMs + restartMs);
+            CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+        }
+    }
+
+    // Guards against runs that lapse on a worker that is still there after the announced time.
+    void workersThatStayLongerThanAnnouncedKeepTheirLease()
+    {
+        test::World world(1, 4);
+        world.submit("job", { test::lastingStep(1, 3000, "image") });
+        world.run(1000);
+        world.faults.lostStop = 1;
+        test::SimWorker& host = hostOf(world, "job.0.0.0");
+        drain(host, 2000);
+        world.run(30000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), host.running.count("job.0.0.0"));
+        CPPUNIT_ASSERT_EQUAL(1, world.starts("job.0.0.0"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
+    // Guards against runs that could finish before a distant departure and lapse with a lost leader.
+    void leasesAreRenewedWhileADepartureIsFarAway()
+    {
+        test::World world(1, 2);
+        world.submit("job", { test::lastingStep(1, 3000, "image") });
+        world.run(1000);
+        world.faults.lostStop = 1;
+        test::SimWorker& host = hostOf(world, "job.0.0.0");
+        drain(host, 20000);
+        for (const Millis end = world.now() + 15000; world.now() < end;) {
+            world.step();
+            CPPUNIT_ASSERT(host.leaseEndsAt - world.now() >= 5800);
+        }
+    }
+
     // Guards against short notices that are read up to a whole period late although others came just before.
     void noticesInSeriesAreReadSooner()
     {
