Count a notice of departure from the last list without it

What callers saw: short tasks that "would finish" on a worker that leaves at short notice were stopped too late and lost with it, because the list is read up to a second after the notice was written, and the time left counted from the reading.

Change: the time left counts from the request of the last list that did not show the notice; the line workerDraining tells it (surelyLeftMs).

Evidence: noticesReadLateCountFromTheListBefore.

--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -24,9 +24,10 @@
 {
     m_isListingWorkers = true;
     m_workersListedAt = nowMs();
+    const scheduler::Millis requestedAt = m_workersListedAt;
     const std::weak_ptr<int> generation = m_generation;
     m_runtime.store->list(platform::workersPrefix, platform::Freshness::Linearizable,
-        [this, generation](const base::Result<platform::ItemList, platform::StoreError>& result) {
+        [this, generation, requestedAt](const base::Result<platform::ItemList, platform::StoreError>& result) {
             if (generation.expired())
                 return;
             m_isListingWorkers = false;
@@ -46,7 +47,7 @@
                 .gauge("lacewing_refused_worker_entries", "Entries of the newest list that name no worker to use.")
                 .value
                 = static_cast<double>(list.refused);
-            scheduler::setWorkers(*m_scheduler, list.entries, nowMs());
+            scheduler::setWorkers(*m_scheduler, list.entries, requestedAt, nowMs());
             storeWorkers();
             renewDueLeases();
             schedulePlan();
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -252,8 +252,9 @@
     Millis overTargetSince = 0; // a serving task exceeded its target and is not yet well below it (hysteresis); 0: none
     Millis modelUpdatedAt = 0;  // last report whose readings went into the interference model
     Millis lastFillEvictionAt = 0; // last eviction of a filling task that interfered with a serving task
-    Millis drainEndsAt = 0;        // when a draining worker may stop at the earliest; 0: not draining
-    Millis vacatedAt = 0;          // when it was last chosen to be vacated; 0: never
+    Millis listedReadyAt = 0; // when the last list was requested that did not show it as draining; 0: none in this term
+    Millis drainEndsAt = 0;   // when a draining worker may stop at the earliest; 0: not draining
+    Millis vacatedAt = 0;     // when it was last chosen to be vacated; 0: never
     // Serving tasks are kept off it until then, or longer while filling tasks wait; 0: it is not vacated.
     Millis vacantUntil = 0;
 };
@@ -379,7 +380,8 @@
 void applyRunRecords(Scheduler& scheduler);
 void setConfiguration(Scheduler& scheduler, Configuration configuration);
 void setWithdrawn(Scheduler& scheduler, std::set<std::string> dataCentres);
-void setWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now);
+// The list was requested at requestedAt.
+void setWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis requestedAt, Millis now);
 // Adds workers that an earlier term knew; their runs are unknown until they report or their lease has expired.
 void addFormerWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now);
 std::vector<WorkerEntry> knownWorkers(const Scheduler& scheduler);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -60,10 +60,14 @@
 
     bool isEnded(const Task& task) { return task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed; }
 
-    void updateEntry(Scheduler& scheduler, Worker& worker, const WorkerEntry& entry, Millis now)
+    void updateEntry(Scheduler& scheduler, Worker& worker, const WorkerEntry& entry, Millis requestedAt, Millis now)
     {
+        if (!entry.isDraining)
+            worker.listedReadyAt = requestedAt;
         if (entry.isDraining && worker.drainEndsAt == 0) {
-            worker.drainEndsAt = now + entry.remainingMs;
+            // The announcement may have been written right after the last list without it.
+            const Millis announcedAt = worker.listedReadyAt > 0 ? worker.listedReadyAt : now;
+            worker.drainEndsAt = announcedAt + entry.remainingMs;
             recordNotice(scheduler, entry.remainingMs, now);
         } else if (!entry.isDraining) {
             worker.drainEndsAt = 0;
@@ -71,7 +75,8 @@
         if (worker.entry.isDraining != entry.isDraining)
             logDecision(scheduler,
                 { "workerDraining", {}, {}, entry.id, 0, entry.isDraining ? "draining" : "ready",
-                    { { "remainingMs", entry.remainingMs } } });
+                    { { "remainingMs", entry.remainingMs },
+                        { "surelyLeftMs", entry.isDraining ? std::max<Millis>(0, worker.drainEndsAt - now) : 0 } } });
         // Only a report changes the known incarnation, because it lists the runs of the new one.
         const std::int64_t incarnation
             = worker.entry.incarnationUnixMs != 0 ? worker.entry.incarnationUnixMs : entry.incarnationUnixMs;
@@ -297,7 +302,7 @@
 
 std::int64_t latestClock(const Worker& worker, Millis now) { return worker.clockMs + (now - worker.clockReadAt); }
 
-void setWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis now)
+void setWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis requestedAt, Millis now)
 {
     std::set<std::string> listed;
     for (const WorkerEntry& entry : entries) {
@@ -309,7 +314,7 @@
             logDecision(
                 scheduler, { "workerListed", {}, {}, entry.id, 0, "new", { { "cpu", entry.capacity.cpuMillicores } } });
         }
-        updateEntry(scheduler, found->second, entry, now);
+        updateEntry(scheduler, found->second, entry, requestedAt, now);
     }
     for (auto& [id, worker] : scheduler.workers) {
         if (listed.count(id) > 0 || !worker.isListed)
