--- a/tests/platform_documents_test.cpp
+++ b/tests/platform_documents_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(jobIdsAreSixteenHexadecimalDigits);
     CPPUNIT_TEST(progressSurvivesTheRecord);
     CPPUNIT_TEST(progressRecordsKeepTheirFormat);
+    CPPUNIT_TEST(recordedWorkersSurviveTheRecord);
     CPPUNIT_TEST(anyProgressSurvivesTheRecord);
     CPPUNIT_TEST_SUITE_END();
 
@@ -302,6 +303,35 @@
             parsed(scheduler::encodeProgress(job, 0)).toJson().toStdString());
     }
 
+    // Guards against a new term that relies on another worker than the recorded one, or on half of a record.
+    void recordedWorkersSurviveTheRecord()
+    {
+        scheduler::Scheduler state;
+        scheduler::JobRequest request;
+        request.id = "0123456789abcdef";
+        request.steps.resize(1);
+        request.steps[0].count = 4;
+        request.steps[0].isLasting = true;
+        scheduler::Job& job = scheduler::addJob(state, request, {}, 0, 0, 0);
+        std::vector<scheduler::Task>& tasks = job.occurrences.at(0).steps[0].tasks;
+        tasks[0].recordedWorker = tasks[3].recordedWorker = "w1";
+        tasks[1].recordedWorker = "w2";
+        const QByteArray record = scheduler::encodeProgress(job, 77);
+        scheduler::Scheduler next;
+        scheduler::Job& copy = scheduler::addJob(next, request, {}, 0, 0, 0);
+        CPPUNIT_ASSERT(scheduler::restoreProgress(copy, record));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(77), copy.storedRunsRecordedSince);
+        const std::vector<std::string> expected { "w1", "w2", "", "w1" };
+        for (std::size_t i = 0; i < expected.size(); ++i)
+            CPPUNIT_ASSERT_EQUAL(expected[i], copy.occurrences.at(0).steps[0].tasks[i].storedWorker);
+        for (const char* index : { "4", "-1", "0.5", "\"0\"", "null" }) {
+            QByteArray malformed = record;
+            malformed.replace("[1]", QByteArray("[") + index + "]");
+            CPPUNIT_ASSERT_MESSAGE(index, malformed != record);
+            CPPUNIT_ASSERT_MESSAGE(index, !scheduler::restoreProgress(copy, malformed));
+        }
+    }
+
     // Guards against checkpoints and run numbers that change between encoding and decoding, such as by a missing
     // escape.
     void anyProgressSurvivesTheRecord()
