--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -402,7 +402,7 @@
     m_scheduler->validUntil = m_runtime.isStopping ? 0 : m_term->actsUntil();
     m_scheduler->validUntil = m_configuration->isLoaded() ? m_scheduler->validUntil : 0;
     const scheduler::Millis begun = nowMs();
-    m_scheduler->isStoreFailing = !isStoreReachable(m_runtime);
+    m_scheduler->isStoreFailing = m_runtime.store->health().failingSince > 0;
     m_scheduler->startLimit = scheduler::availableStarts(m_orderWindow, begun);
     scheduler::Orders orders;
     {
--- a/src/scheduler/departure.cpp
+++ b/src/scheduler/departure.cpp
@@ -14,6 +14,7 @@
     constexpr Millis noticeSeriesMs = 5000;   // ms after a short notice in which another one is expected
     // ms of lease beyond the announced time; above a report and a write of the lease table, after which it is renewed
     constexpr Millis departureMarginMs = 1500;
+    constexpr Millis overdueMs = 2000;         // ms after the announced time from which on a worker counts as staying
     constexpr Millis unstoredEndsWaitMs = 300; // ms; longest delay of a report while reported ends are being stored
 
 } // namespace
@@ -32,10 +33,10 @@
 
 void updateWithheldLease(Worker& worker, Millis now)
 {
-    const std::int64_t leaseLeftMs = worker.leaseEndClockMs - latestClock(worker, now);
+    const std::int64_t leaseLeftMs = worker.confirmedLeaseEndClockMs - latestClock(worker, now);
     const Millis drainLeftMs = std::max<Millis>(0, worker.drainEndsAt - now);
-    worker.isLeaseWithheld = worker.drainEndsAt != 0 && worker.clockReadAt > 0 && worker.leaseEndClockMs > 0
-        && leaseLeftMs >= drainLeftMs + departureMarginMs;
+    worker.isLeaseWithheld = worker.drainEndsAt != 0 && now < worker.drainEndsAt + overdueMs && worker.clockReadAt > 0
+        && worker.confirmedLeaseEndClockMs > 0 && leaseLeftMs >= drainLeftMs + departureMarginMs;
 }
 
 bool isReportHeldBack(const Scheduler& scheduler, const Worker& worker, Millis now)
--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -29,6 +29,8 @@
 std::int64_t latestClock(const Worker& worker, Millis now);
 // True when no run or end of an earlier term is left on the worker that this term does not know.
 bool isAccounted(const Worker& worker);
+// Latest end of a lease that an earlier term granted to the worker; 0: it holds none.
+Millis earlierLeaseEndAt(const Scheduler& scheduler, const std::string& worker);
 // Records of an earlier term are there although this one seems to be the first: the record of the term has been lost.
 void hideHistoryOfFirstTerm(Scheduler& scheduler);
 // Expires leases, removes workers that are gone, and determines whether all runs of earlier terms are known.
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -283,7 +283,7 @@
     if (hasBegun)
         ref.progress->lastEndAt = now;
     if (isCurrent || isOnSingleWorker)
-        recordRun(ref, worker);
+        recordRun(scheduler, ref, worker);
     markDirty(scheduler, job);
     if (task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed)
         return;
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -155,7 +155,8 @@
     }
 
     // The worker that the task should go to (run_record.h); null: any, or it cannot be used.
-    PlannedWorker* preferredAmong(Planner& planner, Pool& pool, const Shape& shape, const TaskRef& ref)
+    PlannedWorker* preferredAmong(
+        Planner& planner, Pool& pool, const Shape& shape, const TaskRef& ref, const std::string& rack)
     {
         const std::string* id = preferredWorker(planner.scheduler, ref);
         if (!id)
@@ -164,7 +165,8 @@
             [](const PlannedWorker& planned, const std::string& other) { return planned.worker->entry.id < other; });
         const bool isFitting = found != pool.workers.end() && found->worker->entry.id == *id
             && shape.rated[static_cast<std::size_t>(found - pool.workers.begin())].isFitting;
-        return isFitting && mayUseApproved(planner, *found->worker, ref) ? &*found : nullptr;
+        const bool isOnRack = isFitting && (rack.empty() || hasLabel(found->worker->entry, rack));
+        return isOnRack && mayUseApproved(planner, *found->worker, ref) ? &*found : nullptr;
     }
 
     // Returns the best worker for the task among those that fit its shape; an empty `rack` means any rack.
@@ -179,7 +181,7 @@
             return nullptr;
         const bool hasTaskConstraints = !ref.task->failedWorker.empty() || ref.step->maxPerWorker > 0;
         const bool needsApproval = ref.job->policy.approval.isNeeded;
-        if (PlannedWorker* preferred = preferredAmong(planner, pool, shape, ref))
+        if (PlannedWorker* preferred = preferredAmong(planner, pool, shape, ref, rack))
             return preferred;
         PlannedWorker* best = nullptr;
         double bestScore = 0;
@@ -250,7 +252,7 @@
         task.heldWorker.clear();
         task.roomSearchedAt = 0;
         const Millis recordWaitMs = task.chosenAt > 0 ? planner.now - task.chosenAt : 0;
-        recordStart(ref, worker.entry.id);
+        recordStart(scheduler, ref, worker.entry.id);
         const double wait = static_cast<double>(scheduler.limits.startDeadlineMs) / scheduler.limits.workerClockRate;
         task.startDeadlineAt = planner.now + static_cast<Millis>(wait) + scheduler.limits.leaseSlackMs;
         StartOrder order;
@@ -337,10 +339,9 @@
     // The start waits for a record that names the worker. Its room is held until then, unless the store is failing.
     void awaitRecord(Planner& planner, Pool& pool, PlannedWorker& planned, const TaskRef& ref)
     {
-        if (!planner.scheduler.isStoreFailing)
-            recordChoice(planner.scheduler, ref, planned.worker->entry.id, planner.now);
-        if (ref.task->chosenAt == 0)
+        if (planner.scheduler.isStoreFailing)
             return;
+        recordChoice(planner.scheduler, ref, planned.worker->entry.id, planner.now);
         holdRoom(pool, planned, *ref.step);
         if (ref.step->maxPerWorker > 0)
             ++planner.stepTasksByWorker[planned.worker];
@@ -488,6 +489,8 @@
             }
             if (!mayStartOn(planner.scheduler, ref, worker->worker->entry.id)) {
                 awaitRecord(planner, pool, *worker, ref);
+                ++started;
+                planner.serviceCpu[ref.job->policy.service].lasting += step.cpuMillicores;
                 continue;
             }
             const std::optional<RunNumber> run = takeRun(planner.scheduler, *candidate.job, latestRun(*ref.task));
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -274,6 +274,8 @@
 
 bool restoreProgress(Job& job, const QByteArray& bytes)
 {
+    job.hasStoredProgress = true;
+    job.storedRunsRecordedSince = 0;
     const std::optional<QJsonObject> json = base::parseObject(bytes);
     const std::optional<JobState> state
         = json ? base::valueOf(jobStateNames, base::textOf((*json)["state"])) : std::nullopt;
@@ -283,7 +285,6 @@
     job.version = job.committedVersion = static_cast<std::uint64_t>((*json)["version"].toInteger());
     job.hasStarted = (*json)["hasStarted"].toBool();
     job.endedUnixMs = (*json)["endedUnixMs"].toInteger();
-    job.storedRunsRecordedSince = (*json)["runsRecordedSince"].toInteger();
     if (isFinal(*state))
         return true;
     const QJsonObject occurrences = (*json)["occurrences"].toObject();
@@ -297,6 +298,7 @@
         }
         occurrence.isDone = isOccurrenceDone(job.request, occurrence);
     }
+    job.storedRunsRecordedSince = (*json)["runsRecordedSince"].toInteger();
     return true;
 }
 
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -90,12 +90,14 @@
 
     // True when no run of an earlier term can be active: a report under this term's token would have listed it, and the
     // worker refuses orders with older fencing tokens from then on.
-    bool isFormerRunOver(const Scheduler& scheduler, const Task& task)
+    bool isFormerRunOver(const Scheduler& scheduler, const Task& task, Millis now)
     {
         if (scheduler.isReconciled || task.formerWorker.empty())
             return scheduler.isReconciled;
         const auto worker = scheduler.workers.find(task.formerWorker);
-        return worker != scheduler.workers.end() && isAccounted(worker->second);
+        if (worker == scheduler.workers.end()) // it has been removed, or holds no lease
+            return now > earlierLeaseEndAt(scheduler, task.formerWorker) + scheduler.limits.leaseSlackMs;
+        return isAccounted(worker->second);
     }
 
     // The estimates of the following steps are too inaccurate to be included.
@@ -122,7 +124,7 @@
             bool hasFailed = false;
             for (int i = 0; i < step.count; ++i) {
                 Task& task = progress.tasks[static_cast<std::size_t>(i)];
-                if (task.phase == TaskPhase::Unknown && isFormerRunOver(planner.scheduler, task)) {
+                if (task.phase == TaskPhase::Unknown && isFormerRunOver(planner.scheduler, task, planner.now)) {
                     task.phase = TaskPhase::Waiting;
                     task.formerWorker.clear();
                     task.hasSingleWorker = false;
--- a/src/scheduler/run_record.cpp
+++ b/src/scheduler/run_record.cpp
@@ -18,15 +18,16 @@
         int others = 0;  // tasks that may be on any worker
     };
 
-    // The records of the job are of the same series of terms as this one.
-    void locate(Scheduler& scheduler, const Job& job, Task& task, LocatedTasks& count)
+    void locate(const Scheduler& scheduler, const Job& job, Task& task, LocatedTasks& count)
     {
-        task.recordedWorker = job.storedRunsRecordedSince == scheduler.runsRecordedSince ? task.storedWorker : "";
+        const bool isOfSeries = job.storedRunsRecordedSince == scheduler.runsRecordedSince;
+        task.recordedWorker = isOfSeries ? task.storedWorker : "";
         task.recordedVersion = 0;
         if (task.phase != TaskPhase::Unknown || scheduler.hasPlacements)
             return;
         task.formerWorker = task.recordedWorker;
-        task.hasSingleWorker = task.recordedWorker.empty() && job.acceptedRevision > scheduler.runsRecordedSince;
+        task.hasSingleWorker = task.recordedWorker.empty() && (isOfSeries || !job.hasStoredProgress)
+            && job.acceptedRevision > scheduler.runsRecordedSince;
         ++(!task.recordedWorker.empty() ? count.located : task.hasSingleWorker ? count.single : count.others);
     }
 
@@ -80,15 +81,15 @@
     scheduler.awaitedRecords[ref.job->request.id] = ref.job->version;
 }
 
-void recordStart(const TaskRef& ref, const std::string& worker)
+void recordStart(Scheduler& scheduler, const TaskRef& ref, const std::string& worker)
 {
     if (!ref.step->isLasting)
         return;
     ref.task->chosenAt = 0;
-    recordRun(ref, worker);
+    recordRun(scheduler, ref, worker);
 }
 
-void recordRun(const TaskRef& ref, const std::string& worker)
+void recordRun(Scheduler& scheduler, const TaskRef& ref, const std::string& worker)
 {
     Task& task = *ref.task;
     if (!ref.step->isLasting)
@@ -96,8 +97,9 @@
     task.lastWorker = worker;
     if (task.recordedWorker == worker)
         return;
+    markDirty(scheduler, *ref.job);
     task.recordedWorker = worker;
-    task.recordedVersion = ref.job->version + 1; // the current one may have been sent without the worker
+    task.recordedVersion = ref.job->version;
 }
 
 void applyRunRecords(Scheduler& scheduler)
--- a/src/scheduler/run_record.h
+++ b/src/scheduler/run_record.h
@@ -6,6 +6,7 @@
 //     a record that names no worker all go to the worker of the first start.
 //   - Before the first start of a task in a term that did not see its job accepted, the record has to name the worker,
 //     because an earlier term may have started the task.
+//   - The worker of a start without a record before it is in the next record.
 //   - While the store is failing, a task may start again on its last worker: the record still names it, or none.
 //
 // A new term may rely on a record only if all terms since the acceptance of the job have kept to these rules. Versions
@@ -28,8 +29,8 @@
 // Chooses the worker for the next start of the task. A later plan orders it when the record is in the store.
 void recordChoice(Scheduler& scheduler, const TaskRef& ref, const std::string& worker, Millis now);
 // The start on the worker is ordered.
-void recordStart(const TaskRef& ref, const std::string& worker);
+void recordStart(Scheduler& scheduler, const TaskRef& ref, const std::string& worker);
 // The worker's run is known: it was reported, or has ended there.
-void recordRun(const TaskRef& ref, const std::string& worker);
+void recordRun(Scheduler& scheduler, const TaskRef& ref, const std::string& worker);
 
 } // namespace lacewing::scheduler
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -159,7 +159,8 @@
     std::uint64_t version = 0;                // incremented by each change that has to be stored
     std::uint64_t committedVersion = 0;       // version in the store; at most `version`
     std::int64_t commitsInTerm = 0;           // records stored by this term, each at a store revision of its own
-    std::int64_t storedRunsRecordedSince = 0; // Scheduler::runsRecordedSince of the term that wrote the record read
+    bool hasStoredProgress = false;           // there is a progress record, readable or not
+    std::int64_t storedRunsRecordedSince = 0; // of the term that wrote the record that was read; 0: not readable
     JobState committedState = JobState::Queued;
     bool hasCancelRequest = false; // in the store
     std::int64_t endedUnixMs = 0;  // 0: not ended, or the stored record has no end time
@@ -221,11 +222,13 @@
     Millis clockReadAt = 0;           // time of that reading; 0: none yet
     std::int64_t leaseEndClockMs = 0; // latest lease end requested so far, on the worker's clock; 0: none
     Millis earlierLeaseEndAt = 0;     // when leases of earlier terms have expired at the latest; 0: it holds none
-    bool isLeaseGranted = false;      // the stored lease table grants it a lease of this term
-    bool isLeaseWithheld = false;     // it is about to leave, and its lease lasts until then: not renewed
-    Millis renewedAt = 0;             // last lease renewal or start order of this term; 0: none
-    Millis reportedAt = 0;            // last report
-    bool hasReported = false;         // a report of this term has listed all its runs and ends
+    std::int64_t confirmedLeaseEndClockMs = 0; // as leaseEndClockMs, of the last renewal that was answered
+    std::int64_t requestedLeaseEndClockMs = 0; // confirmed by the answer to the call in flight
+    bool isLeaseGranted = false;               // the stored lease table grants it a lease of this term
+    bool isLeaseWithheld = false;              // it is about to leave, and its lease lasts until then: not renewed
+    Millis renewedAt = 0;                      // last lease renewal or start order of this term; 0: none
+    Millis reportedAt = 0;                     // last report
+    bool hasReported = false;                  // a report of this term has listed all its runs and ends
     Millis lostAt = 0;
     bool isLeaseExpired = false; // not in contact, and its lease has expired even on the slowest clock
     // --- Ends of runs ---
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -37,25 +37,6 @@
         return leaseOverMs(limits, scheduler.history.isKnown ? leaseLengthMs(limits) : limits.maxLeaseMs);
     }
 
-    // Latest end of a lease that an earlier term granted to the worker; 0: it holds none.
-    Millis earlierLeaseEndAt(const Scheduler& scheduler, const std::string& worker)
-    {
-        const TermHistory& history = scheduler.history;
-        const bool isFirstTerm = history.isKnown && history.terms.size() <= 1;
-        std::optional<Millis> renewedAtClock;
-        if (scheduler.formerLeases)
-            renewedAtClock = lastRenewalClock(*scheduler.formerLeases, history, worker);
-        else if (!isFirstTerm)
-            renewedAtClock = history.clockMs;
-        // Terms of unknown history had ended when the term clock was 0.
-        const Millis unknownLeaseMs = leaseOverMs(scheduler.limits, scheduler.limits.maxLeaseMs) - history.clockMs;
-        const Millis unknownEndAt = unknownLeaseMs > 0 ? scheduler.termStartedAt + unknownLeaseMs : 0;
-        if (!renewedAtClock)
-            return unknownEndAt;
-        return std::max(
-            unknownEndAt, scheduler.termStartedAt - (history.clockMs - *renewedAtClock) + longestLeaseMs(scheduler));
-    }
-
     using RunName = std::pair<std::string_view, RunNumber>; // task and run
 
     bool isEnded(const Task& task) { return task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed; }
@@ -177,7 +158,7 @@
         task.percent = row.percent;
         task.progressAt = now;
         reserveResources(worker, ref);
-        recordRun(ref, worker.entry.id);
+        recordRun(scheduler, ref, worker.entry.id);
         logRunDecision(scheduler, ref,
             { "taskAdopted", ref.job->request.id, row.task, worker.entry.id, row.run, "running",
                 { { "percent", row.percent } } });
@@ -275,7 +256,7 @@
             return std::any_of(report.running.begin(), report.running.end(),
                 [&](const RunningTask& row) { return row.task == name && row.run == task.run; });
         });
-        worker.leaseEndClockMs = 0;
+        worker.leaseEndClockMs = worker.confirmedLeaseEndClockMs = worker.requestedLeaseEndClockMs = 0;
     }
 
     void acknowledgeStoredEnds(const Scheduler& scheduler, Worker& worker)
@@ -292,6 +273,24 @@
 
 } // namespace
 
+Millis earlierLeaseEndAt(const Scheduler& scheduler, const std::string& worker)
+{
+    const TermHistory& history = scheduler.history;
+    const bool isFirstTerm = history.isKnown && history.terms.size() <= 1;
+    std::optional<Millis> renewedAtClock;
+    if (scheduler.formerLeases)
+        renewedAtClock = lastRenewalClock(*scheduler.formerLeases, history, worker);
+    else if (!isFirstTerm)
+        renewedAtClock = history.clockMs;
+    // Terms of unknown history had ended when the term clock was 0.
+    const Millis unknownLeaseMs = leaseOverMs(scheduler.limits, scheduler.limits.maxLeaseMs) - history.clockMs;
+    const Millis unknownEndAt = unknownLeaseMs > 0 ? scheduler.termStartedAt + unknownLeaseMs : 0;
+    if (!renewedAtClock)
+        return unknownEndAt;
+    return std::max(
+        unknownEndAt, scheduler.termStartedAt - (history.clockMs - *renewedAtClock) + longestLeaseMs(scheduler));
+}
+
 bool isAccounted(const Worker& worker) { return worker.hasReported || worker.isLeaseExpired; }
 
 std::int64_t earliestClock(const Scheduler& scheduler, const Worker& worker, Millis now)
@@ -321,6 +320,7 @@
             continue;
         worker.isListed = false;
         worker.unlistedSince = now;
+        worker.listedReadyAt = 0;
         logDecision(scheduler,
             { "workerListed", {}, {}, id, 0, "missing", { { "tasks", static_cast<int>(worker.tasks.size()) } } });
     }
@@ -368,6 +368,7 @@
         request.expiresClockMs = latestClock(worker, now) + leaseLengthMs(scheduler.limits);
         worker.leaseEndClockMs = std::max(worker.leaseEndClockMs, request.expiresClockMs);
     }
+    worker.requestedLeaseEndClockMs = std::max(worker.confirmedLeaseEndClockMs, request.expiresClockMs);
     return request;
 }
 
@@ -447,6 +448,7 @@
     }
     worker.isLeaseExpired = false;
     worker.reportedAt = now;
+    worker.confirmedLeaseEndClockMs = worker.requestedLeaseEndClockMs;
     for (const EndedTask& end : report.ended) {
         if (end.number <= worker.lastAppliedEnd)
             continue;
@@ -493,7 +495,7 @@
     Worker& worker = found->second;
     endRunsOfFormerIncarnation(scheduler, worker, now, [](const std::string&, const Task&) { return false; });
     worker.earlierLeaseEndAt = now;
-    worker.leaseEndClockMs = 0;
+    worker.leaseEndClockMs = worker.confirmedLeaseEndClockMs = worker.requestedLeaseEndClockMs = 0;
     worker.contact = Contact::New;
 }
 
@@ -565,6 +567,7 @@
     bool isReconciled = scheduler.hasWorkerList;
     for (auto it = scheduler.workers.begin(); it != scheduler.workers.end();) {
         Worker& worker = it->second;
+        updateWithheldLease(worker, now);
         if (worker.contact != Contact::Established && !worker.isLeaseExpired) {
             const bool isOwnLeaseOver = worker.leaseEndClockMs == 0
                 || (worker.clockReadAt > 0
--- a/tests/run_record_test.cpp
+++ b/tests/run_record_test.cpp
@@ -22,7 +22,10 @@
     CPPUNIT_TEST(endsReadByANewTermFreeTheirTasksBesideASilentWorker);
     CPPUNIT_TEST(endsOfLaterRunsFreeTheirTasksBesideASilentWorker);
     CPPUNIT_TEST(tasksWaitingForRoomDoNotWaitForOtherWorkers);
+    CPPUNIT_TEST(tasksOfARemovedWorkerDoNotWaitForOtherWorkers);
+    CPPUNIT_TEST(tasksOfAWorkerRemovedByAFormerTermAreFreeAtOnce);
     CPPUNIT_TEST(endsOfEarlierRunsDoNotFreeATaskOfASilentWorker);
+    CPPUNIT_TEST(unreadableRecordsAreNotReliedOn);
     CPPUNIT_TEST(recordsBeforeATermOfAnotherVersionAreNotReliedOn);
     CPPUNIT_TEST(lastingTasksStartAgainOnTheirWorkerWhileTheStoreFails);
     CPPUNIT_TEST(otherWorkersWaitForTheRecordWhileTheStoreFails);
@@ -137,6 +140,42 @@
         assertStartsWithin(world, "large.0.0.0", maxStartMs);
     }
 
+    // Guards against a task that waits for all workers because the one that had it is not known any more.
+    void tasksOfARemovedWorkerDoNotWaitForOtherWorkers()
+    {
+        World world(1, 4);
+        world.submit("job", { lastingStep(1, 3000, "image") });
+        world.run(1000);
+        SimWorker& host = hostOf(world, "job.0.0.0");
+        SimWorker& silent = workerWithout(world, { "job.0.0.0" });
+        host.isListed = false;
+        host.unreachableUntil = world.now() + forGood;
+        const Millis leftAt = world.now();
+        world.run(1500); // renews the lease of the other workers
+        silent.unreachableUntil = world.now() + forGood;
+        world.replaceTerm();
+        assertStartsWithin(world, "job.0.0.0", leftAt + 6700 + maxStartMs - world.now());
+    }
+
+    // Guards against the same for a worker whose lease was over before the term began.
+    void tasksOfAWorkerRemovedByAFormerTermAreFreeAtOnce()
+    {
+        World world(1, 3);
+        world.submit("large", { lastingStep(1, 6000, "image") });
+        world.run(1000);
+        SimWorker& host = hostOf(world, "large.0.0.0");
+        host.isListed = false;
+        host.unreachableUntil = world.now() + forGood;
+        world.submit("filler", { lastingStep(2, 6000, "image") });
+        world.run(12000); // the lease is over, and the other workers have no room
+        CPPUNIT_ASSERT(!isRunning(world, "large.0.0.0"));
+        hostOf(world, "filler.0.0.0").unreachableUntil = world.now() + forGood;
+        hostOf(world, "filler.0.0.1").running.clear();
+        world.cancel("filler");
+        world.replaceTerm();
+        assertStartsWithin(world, "large.0.0.0", maxStartMs);
+    }
+
     // Guards against a second run of a task: the end of its first run is read again while the second one goes on.
     void endsOfEarlierRunsDoNotFreeATaskOfASilentWorker()
     {
@@ -164,6 +203,39 @@
         }
     }
 
+    // Guards against a term that takes a record that it cannot read, or one of another series of terms, for none.
+    void unreadableRecordsAreNotReliedOn()
+    {
+        scheduler::JobRequest request;
+        request.id = "0123456789abcdef";
+        request.steps = { lastingStep(1, 3000, "image") };
+        scheduler::LeaseTable table;
+        table.token = 5;
+        table.runsRecordedSince = 5;
+        const auto hasSingleWorker = [&](const std::optional<QByteArray>& record) {
+            scheduler::Scheduler state;
+            scheduler::Job& job = scheduler::addJob(state, request, {}, 0, 7, 0);
+            if (record)
+                scheduler::restoreProgress(job, *record);
+            scheduler::beginTerm(state, 9, 0, { true, 10000, { { 5, 1000 }, { 9, 9000 } } });
+            scheduler::setFormerLeases(state, table, 0);
+            scheduler::applyRunRecords(state);
+            const scheduler::Task& task = job.occurrences.at(0).steps[0].tasks[0];
+            CPPUNIT_ASSERT(task.recordedWorker.empty());
+            return task.hasSingleWorker;
+        };
+        scheduler::Scheduler former;
+        scheduler::Job& job = scheduler::addJob(former, request, {}, 0, 7, 0);
+        CPPUNIT_ASSERT(hasSingleWorker(std::nullopt));
+        CPPUNIT_ASSERT(hasSingleWorker(scheduler::encodeProgress(job, 5)));
+        CPPUNIT_ASSERT(!hasSingleWorker(scheduler::encodeProgress(job, 6)));
+        CPPUNIT_ASSERT(!hasSingleWorker(QByteArray("{")));
+        job.occurrences.at(0).steps[0].tasks[0].recordedWorker = "w1";
+        QByteArray partial = scheduler::encodeProgress(job, 5);
+        partial.replace("[0]", "[0,1]");
+        CPPUNIT_ASSERT(!hasSingleWorker(partial));
+    }
+
     // Guards against a term that relies on records although a version that does not write them has started tasks since.
     void recordsBeforeATermOfAnotherVersionAreNotReliedOn()
     {
@@ -277,13 +349,18 @@
             world.faults.crashPerStep = 0.001;
             world.faults.termPerStep = 0.01;
             world.faults.resignPerStep = 0.003;
-            world.faults.lostCommit = 0.3;
+            world.faults.lostCommit = 0.2;
+            world.faults.lostCommitAnswer = 0.2;
             for (int i = 0; i < 6; ++i)
                 world.submit("job" + std::to_string(i), { lastingStep(2, 2000, "image") });
             for (int i = 0; i < 60; ++i) {
                 world.faults.isStoreUnavailable = base::chance(rng, 0.15);
                 world.run(500);
                 for (SimWorker& worker : world.workers()) {
+                    worker.isListed = worker.isListed ? !base::chance(rng, 0.03) : base::chance(rng, 0.2);
+                    worker.entry.isDraining
+                        = worker.entry.isDraining ? !base::chance(rng, 0.3) : base::chance(rng, 0.03);
+                    worker.entry.remainingMs = 2000;
                     for (auto& [task, run] : worker.running) {
                         if (!base::chance(rng, 0.1))
                             continue;
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -347,10 +347,12 @@
     if (faults.isStoreUnavailable || (faults.lostCommit > 0 && base::chance(m_rng, faults.lostCommit)))
         return;
     ++m_revision;
+    const bool isAnswerLost = faults.lostCommitAnswer > 0 && base::chance(m_rng, faults.lostCommitAnswer);
     for (const std::string& id : scheduler::nextCommitBatch(*m_scheduler, 30)) {
         const scheduler::Job& job = *m_scheduler->jobs.at(id);
         m_progress[id] = scheduler::encodeProgress(job, m_scheduler->runsRecordedSince);
-        scheduler::applyCommit(*m_scheduler, id, job.version, job.state);
+        if (!isAnswerLost)
+            scheduler::applyCommit(*m_scheduler, id, job.version, job.state);
     }
     m_knownWorkers = scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler));
     const scheduler::LeaseTable leases = scheduler::nextLeaseTable(*m_scheduler, true);
@@ -403,8 +405,10 @@
     if (faults.isLeaderless)
         return;
     std::vector<scheduler::WorkerEntry> entries;
-    for (const SimWorker& worker : m_workers)
-        entries.push_back(worker.entry);
+    for (const SimWorker& worker : m_workers) {
+        if (worker.isListed)
+            entries.push_back(worker.entry);
+    }
     scheduler::setWorkers(*m_scheduler, entries, m_now, m_now);
     exchangeReports();
     answerQuestions();
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -32,6 +32,7 @@
     double resignPerStep = 0;        // probability in each step that the term is resigned and another one begins
     bool isStoreUnavailable = false; // commits fail
     double lostCommit = 0;           // share of steps without a commit
+    double lostCommitAnswer = 0;     // share of steps whose commit is carried out and not answered
     Millis stopMs = 0;               // time that a run goes on after its stop
     bool isLeaderless = false;       // no daemon schedules; replaceTerm begins the term after it
 };
@@ -57,6 +58,7 @@
     std::int64_t lastNumber = 0;
     std::int64_t clockOffset = 0;
     Millis unreachableUntil = 0;
+    bool isListed = true;                  // announced in the store
     std::map<std::string, Millis> tickets; // end of validity, by ticket
     std::map<std::string, int> readings;   // by task: tail latency of serving tasks, millicores of other tasks
 };
