Keep a lease withheld until its worker has left

Cause: a lease was withheld from 1.5 s beyond the announced time on and renewed below 1.5 s. The lease and the time until the departure run down alike, so that the lease was renewed just as the announced time came, up to a second before the worker left.

Change: a lease is withheld from 3 s beyond the announced time on, and then until it is shorter than 1.5 s or the worker is 2 s overdue.

Evidence: leasesAreNotRenewedAgainWhileAnAnnouncedWorkerIsStillThere failed before (notice of 4 s, lease until 6,600 ms after the announced time; allowed 4,000) and passes for notices of 2 to 12 s. 418 tests pass.

--- a/src/scheduler/departure.cpp
+++ b/src/scheduler/departure.cpp
@@ -12,8 +12,10 @@
     constexpr Millis shortNoticeMs = 4000;    // ms; longest notice that is called short
     constexpr Millis shortListPeriodMs = 300; // ms; while workers leave at short notice
     constexpr Millis noticeSeriesMs = 5000;   // ms after a short notice in which another one is expected
-    // ms of lease beyond the announced time; above a report and a write of the lease table, after which it is renewed
-    constexpr Millis departureMarginMs = 1500;
+    // ms of lease beyond the announced time from which on it is withheld; workers leave a little later than announced
+    constexpr Millis departureMarginMs = 3000;
+    // ms of lease below which it is renewed again; above a report and a write of the lease table
+    constexpr Millis minWithheldLeaseMs = 1500;
     constexpr Millis overdueMs = 2000;         // ms after the announced time from which on a worker counts as staying
     constexpr Millis unstoredEndsWaitMs = 300; // ms; longest delay of a report while reported ends are being stored
 
@@ -33,10 +35,16 @@
 
 void updateWithheldLease(Worker& worker, Millis now)
 {
+    const bool isLeaving = worker.drainEndsAt != 0 && now < worker.drainEndsAt + overdueMs;
+    if (!isLeaving || worker.clockReadAt == 0 || worker.confirmedLeaseEndClockMs == 0) {
+        worker.isLeaseWithheld = false;
+        return;
+    }
     const std::int64_t leaseLeftMs = worker.confirmedLeaseEndClockMs - latestClock(worker, now);
     const Millis drainLeftMs = std::max<Millis>(0, worker.drainEndsAt - now);
-    worker.isLeaseWithheld = worker.drainEndsAt != 0 && now < worker.drainEndsAt + overdueMs && worker.clockReadAt > 0
-        && worker.confirmedLeaseEndClockMs > 0 && leaseLeftMs >= drainLeftMs + departureMarginMs;
+    // Both times run down alike: a lease that is withheld must not be renewed because it has become shorter.
+    const Millis neededMs = worker.isLeaseWithheld ? minWithheldLeaseMs : drainLeftMs + departureMarginMs;
+    worker.isLeaseWithheld = leaseLeftMs >= neededMs;
 }
 
 bool isReportHeldBack(const Scheduler& scheduler, const Worker& worker, Millis now)
--- a/tests/departure_test.cpp
+++ b/tests/departure_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(reportsOfDrainingWorkersAreNotHeldBack);
     CPPUNIT_TEST(noticesReadLateCountFromTheListBefore);
     CPPUNIT_TEST(tasksDoNotWaitForLeasesRenewedAfterTheNotice);
+    CPPUNIT_TEST(leasesAreNotRenewedAgainWhileAnAnnouncedWorkerIsStillThere);
     CPPUNIT_TEST(workersThatStayLongerThanAnnouncedKeepTheirLease);
     CPPUNIT_TEST(leasesAreRenewedWhileADepartureIsFarAway);
     CPPUNIT_TEST_SUITE_END();
@@ -93,6 +94,26 @@
         }
     }
 
+    // Guards against a full lease for a worker that leaves a little later than announced.
+    void leasesAreNotRenewedAgainWhileAnAnnouncedWorkerIsStillThere()
+    {
+        constexpr Millis delayMs = 1000; // from the announced time to the departure
+        for (const Millis noticeMs : { 2000, 4000, 6000, 12000 }) {
+            test::World world(1, 4);
+            world.submit("job", { test::lastingStep(1, 3000, "image") });
+            world.run(1000);
+            world.faults.lostStop = 1;
+            test::SimWorker& host = hostOf(world, "job.0.0.0");
+            drain(host, noticeMs);
+            const Millis announcedAt = world.now() + noticeMs;
+            world.run(noticeMs + delayMs);
+            CPPUNIT_ASSERT_MESSAGE("notice of " + std::to_string(noticeMs) + " ms, lease until "
+                    + std::to_string(host.leaseEndsAt - announcedAt) + " ms after the announced time",
+                host.leaseEndsAt <= announcedAt + 4000);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), host.running.count("job.0.0.0"));
+        }
+    }
+
     // Guards against runs that lapse on a worker that is still there after the announced time.
     void workersThatStayLongerThanAnnouncedKeepTheirLease()
     {
