Start a task elsewhere after a start that got no answer

Cause: a start without an answer counted nothing against its worker, which still scored best for the task.

Change: it is the worker of the task's last failure, which is chosen again only when no other one fits.

The time that one such start keeps its task, 1.7 s on the virtual clock, stays: the worker may execute it until its deadline.

--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -98,7 +98,7 @@
     bool isConfirmed = false;   // the worker has acknowledged or reported the run
     Millis lastStopAt = 0;
     Millis movedAt = 0;       // last move by consolidation; 0: none in this term
-    std::string failedWorker; // worker of the last failure
+    std::string failedWorker; // worker of the last failure or unanswered start
     // --- Record of the worker, for lasting tasks (run_record.h) ---
     std::string lastWorker;     // of the latest run known to this term; empty: none is
     std::string recordedWorker; // named by the job's records of recordedVersion and later ones; empty: none
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -532,6 +532,8 @@
         task.progressAt = now;
         return;
     case StartOutcome::Unknown:
+        task.failedWorker = order.worker; // another one is preferred once the run is settled
+        return;
     case StartOutcome::Outdated: // the run may have started and ended before its answer was lost
         return;
     case StartOutcome::NoCapacity:
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(roomForAGpuDoesNotKeepOtherTasksOut);
     CPPUNIT_TEST(noRoomIsHeldBehindLongTasks);
     CPPUNIT_TEST(restartsKeepTheirPlaceOverAResignationWithoutTheStore);
+    CPPUNIT_TEST(unansweredStartsAreNotRepeatedOnTheirWorker);
     CPPUNIT_TEST_SUITE_END();
 
     static bool isRunning(World& world, const std::string& task)
@@ -88,7 +89,38 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
     }
 
+    static std::vector<std::string> startsOf(World& world, const std::string& task, Millis length)
+    {
+        std::vector<std::string> workers;
+        for (const Millis end = world.now() + length; world.now() < end;) {
+            world.step();
+            for (const scheduler::Decision& decision : world.decisions()) {
+                if (decision.event == "start" && decision.task == task)
+                    workers.push_back(decision.worker);
+            }
+        }
+        return workers;
+    }
+
 public:
+    // Guards against a task that waits again and again for the same worker, which leaves starts unanswered.
+    void unansweredStartsAreNotRepeatedOnTheirWorker()
+    {
+        std::size_t repeated = 0;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            World world(seed, 3);
+            world.run(500);
+            world.faults.delayedStart = 1;
+            world.submit("job", { lastingStep(1, 3000, "image") });
+            const std::vector<std::string> workers = startsOf(world, "job.0.0.0", 8000);
+            repeated += workers.size() - 1;
+            for (std::size_t i = 1; i < workers.size(); ++i)
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), workers[i] != workers[i - 1]);
+            CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+        }
+        CPPUNIT_ASSERT(repeated >= 10);
+    }
+
     // Guards against a lasting task that needs most of a worker and never runs again, because small tasks take each
     // processor that becomes free.
     void largeRestartsDoNotStarveBehindSmallTasks()
