Close peer sockets away from the event loop

Cause: ~Client called nng_close() on the event loop. nng 1.5.2 may wait there without bound when the socket's connection is just being made: its reaper waits for an operation that never completes. A daemon drops its client when it is elected, when the leader changes and after failed requests, which is when connections are being made.

Evidence: clientsDestroyedWhileTheyConnectDoNotBlockTheLoop blocks on the code before in 4 of 4 runs, with nng_close() below ~Client in the stack. Closing on another thread alone leaves that thread waiting in 4 of 6 runs.

Change: the calls of a dropped client end by their timeouts without a callback, its socket is closed half a second later, when the connection is made or has failed, and on a thread of its own. pendingCloses() tells what is not closed yet; tests wait for it. nng_close() of a server moves to the same thread.

--- a/src/peer/peer.cpp
+++ b/src/peer/peer.cpp
@@ -1,13 +1,20 @@
 // nng sockets and contexts, and the passing of messages to the event loop.
 #include "peer/peer.h"
 
+#include <QCoreApplication>
 #include <QMetaObject>
 #include <QObject>
 #include <QPointer>
+#include <QTimer>
+#include <condition_variable>
 #include <cstring>
+#include <deque>
+#include <functional>
+#include <mutex>
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/rep.h>
 #include <nng/protocol/reqrep0/req.h>
+#include <thread>
 #include <vector>
 
 namespace lacewing::peer {
@@ -55,6 +62,65 @@
 
     std::string toUrl(const std::string& address) { return "tcp://" + address; }
 
+    // Calls the function on the thread of context. Not after the application has ended: nng's threads still run then.
+    void post(QObject* context, std::function<void()> function)
+    {
+        if (QCoreApplication::instance() != nullptr && !QCoreApplication::closingDown())
+            QMetaObject::invokeMethod(context, std::move(function), Qt::QueuedConnection);
+    }
+
+    // ms from the end of a client's last call to nng_close(), which may wait without bound when a connection is just
+    // being made
+    constexpr int closeDelayMs = 500;
+
+    // Runs calls that may block, one after another, on a thread of its own. Never destroyed, so that a call that does
+    // not return does not keep the process from ending.
+    class BlockingCalls {
+    public:
+        static BlockingCalls& instance()
+        {
+            static auto* calls = new BlockingCalls;
+            return *calls;
+        }
+
+        // Calls done on the thread of context after call has returned. context must live until then.
+        void add(std::function<void()> call, QObject* context, std::function<void()> done)
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_entries.push_back(Entry { std::move(call), context, std::move(done) });
+            m_isChanged.notify_one();
+        }
+
+    private:
+        struct Entry {
+            std::function<void()> call;
+            QObject* context = nullptr;
+            std::function<void()> done;
+        };
+
+        BlockingCalls()
+        {
+            std::thread([this] { run(); }).detach();
+        }
+
+        [[noreturn]] void run()
+        {
+            for (;;) {
+                std::unique_lock lock(m_mutex);
+                m_isChanged.wait(lock, [this] { return !m_entries.empty(); });
+                const Entry entry = std::move(m_entries.front());
+                m_entries.pop_front();
+                lock.unlock();
+                entry.call();
+                post(entry.context, entry.done);
+            }
+        }
+
+        std::mutex m_mutex;
+        std::condition_variable m_isChanged;
+        std::deque<Entry> m_entries; // guarded by m_mutex
+    };
+
 } // namespace
 
 // --- Server ---
@@ -66,6 +132,7 @@
     QObject loopContext; // receives queued calls on the creating thread
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     bool isOpen = false;
+    bool isRetired = false; // the server was destroyed; no handler runs any more
 
     // Handles one request at a time; receives the next one after the reply has been passed to nng.
     struct Context {
@@ -80,8 +147,38 @@
     static void receive(Context* context);
     static void handle(Context* context, const QByteArray& request);
     static void send(Context* context, const QByteArray& reply);
+
+    // States of destroyed servers, until their sockets are closed. Used on the event loop only.
+    static std::vector<std::unique_ptr<State>>& retiredStates();
+    static void retire(std::unique_ptr<State> owned);
+    static void close(const State& state);
 };
 
+std::vector<std::unique_ptr<Server::State>>& Server::State::retiredStates()
+{
+    static auto* states = new std::vector<std::unique_ptr<State>>;
+    return *states;
+}
+
+void Server::State::retire(std::unique_ptr<State> owned)
+{
+    State* state = owned.get();
+    state->isRetired = true;
+    retiredStates().push_back(std::move(owned));
+    BlockingCalls::instance().add([state] { close(*state); }, &state->loopContext,
+        [state] { std::erase_if(retiredStates(), [state](const auto& entry) { return entry.get() == state; }); });
+}
+
+void Server::State::close(const State& state)
+{
+    if (state.isOpen)
+        nng_close(state.socket);
+    for (const auto& context : state.contexts) {
+        nng_aio_stop(context->aio);
+        nng_aio_free(context->aio);
+    }
+}
+
 void Server::State::receive(Context* context)
 {
     context->isSending = false;
@@ -105,12 +202,14 @@
 void Server::State::handle(Context* context, const QByteArray& request)
 {
     State* state = context->state;
+    if (state->isRetired)
+        return;
     state->traffic.messagesReceived += 1;
     state->traffic.bytesReceived += static_cast<std::uint64_t>(request.size());
-    // A late reply after the server was destroyed must not access the context; the guard is null by then.
+    // A late reply after the server was destroyed must not access the context; the guard is null once it is closed.
     const QPointer<QObject> guard(&state->loopContext);
     state->handler(request, [guard, context](const QByteArray& reply) {
-        if (!guard.isNull())
+        if (!guard.isNull() && !context->state->isRetired)
             send(context, reply);
     });
 }
@@ -133,8 +232,7 @@
         return;
     }
     const QByteArray body = takeBody(nng_aio_get_msg(context->aio));
-    QMetaObject::invokeMethod(
-        &context->state->loopContext, [context, body] { handle(context, body); }, Qt::QueuedConnection);
+    post(&context->state->loopContext, [context, body] { handle(context, body); });
 }
 
 base::Result<std::unique_ptr<Server>, PeerError> Server::listen(
@@ -170,15 +268,7 @@
 {
 }
 
-Server::~Server()
-{
-    if (m_state->isOpen)
-        nng_close(m_state->socket);
-    for (const auto& context : m_state->contexts) {
-        nng_aio_stop(context->aio);
-        nng_aio_free(context->aio);
-    }
-}
+Server::~Server() { State::retire(std::move(m_state)); }
 
 const PeerTraffic& Server::traffic() const { return m_state->traffic; }
 
@@ -190,6 +280,7 @@
     QObject loopContext; // receives queued calls on the creating thread
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     bool isOpen = false;
+    bool isRetired = false; // the client was destroyed; no callback runs any more
 
     struct Call {
         State* state = nullptr;
@@ -202,8 +293,43 @@
 
     static void onCompleted(void* argument);
     static void finish(Call* call, base::Result<QByteArray, PeerError> result);
+
+    // States of destroyed clients, until their calls have ended and their sockets are closed. Used on the event loop
+    // only.
+    static std::vector<std::unique_ptr<State>>& retiredStates();
+    static void retire(std::unique_ptr<State> owned);
+    static void closeLater(State* state);
 };
 
+std::vector<std::unique_ptr<Client::State>>& Client::State::retiredStates()
+{
+    static auto* states = new std::vector<std::unique_ptr<State>>;
+    return *states;
+}
+
+// Calls in flight end by their timeouts; the socket is closed after the last one.
+void Client::State::retire(std::unique_ptr<State> owned)
+{
+    State* state = owned.get();
+    state->isRetired = true;
+    retiredStates().push_back(std::move(owned));
+    if (state->calls.empty())
+        closeLater(state);
+}
+
+void Client::State::closeLater(State* state)
+{
+    const auto close = [state] {
+        const auto closeSocket = [socket = state->socket, isOpen = state->isOpen] {
+            if (isOpen)
+                nng_close(socket);
+        };
+        BlockingCalls::instance().add(closeSocket, &state->loopContext,
+            [state] { std::erase_if(retiredStates(), [state](const auto& entry) { return entry.get() == state; }); });
+    };
+    QTimer::singleShot(closeDelayMs, &state->loopContext, close);
+}
+
 // Runs on the event loop. Frees the call before its callback, which may destroy the client.
 void Client::State::finish(Call* call, base::Result<QByteArray, PeerError> result)
 {
@@ -216,7 +342,10 @@
     nng_aio_free(call->aio);
     nng_ctx_close(call->ctx);
     std::erase_if(state->calls, [call](const std::unique_ptr<Call>& entry) { return entry.get() == call; });
-    callback(std::move(result));
+    if (!state->isRetired)
+        callback(std::move(result));
+    else if (state->calls.empty())
+        closeLater(state);
 }
 
 // Runs on an nng thread.
@@ -234,8 +363,7 @@
     base::Result<QByteArray, PeerError> result = toPeerError(error);
     if (error == 0)
         result = takeBody(nng_aio_get_msg(call->aio));
-    QMetaObject::invokeMethod(
-        &call->state->loopContext, [call, result] { finish(call, result); }, Qt::QueuedConnection);
+    post(&call->state->loopContext, [call, result] { finish(call, result); });
 }
 
 base::Result<std::unique_ptr<Client>, PeerError> Client::dial(const std::string& address, PeerLimits limits)
@@ -262,8 +390,11 @@
     call->state = &state;
     call->callback = std::move(callback);
     const auto fail = [&state, &call](const PeerError& error) {
-        QMetaObject::invokeMethod(
-            &state.loopContext, [done = std::move(call->callback), error] { done(error); }, Qt::QueuedConnection);
+        const auto notify = [&state, done = std::move(call->callback), error] {
+            if (!state.isRetired)
+                done(error);
+        };
+        post(&state.loopContext, notify);
     };
     if (state.calls.size() >= static_cast<std::size_t>(state.limits.clientRequests)) {
         fail(PeerError { PeerCode::Busy, "too many requests in progress to this peer" });
@@ -301,16 +432,12 @@
 {
 }
 
-Client::~Client()
-{
-    if (m_state->isOpen)
-        nng_close(m_state->socket);
-    for (const auto& call : m_state->calls) {
-        nng_aio_stop(call->aio);
-        nng_aio_free(call->aio);
-    }
-}
+Client::~Client() { State::retire(std::move(m_state)); }
 
 const PeerTraffic& Client::traffic() const { return m_state->traffic; }
 
+// --- Closing ---
+
+std::size_t pendingCloses() { return Client::State::retiredStates().size() + Server::State::retiredStates().size(); }
+
 } // namespace lacewing::peer
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -5,6 +5,9 @@
 //
 // nng's req0 protocol sends a request again when its connection is lost before the reply. Every message between daemons
 // must therefore be idempotent or carry an identity by which the receiver detects duplicates.
+//
+// Destroying a client or a server returns at once. Its socket is closed on another thread, because nng may block there;
+// the address of a server is free only after that.
 #pragma once
 
 #include "base/names.h"
@@ -55,6 +58,11 @@
     std::uint64_t bytesReceived = 0;
 };
 
+// --- Closing ---
+
+// Destroyed clients and servers whose sockets are not closed yet. Call it on the event loop's thread.
+std::size_t pendingCloses();
+
 // --- Server ---
 
 using ReplyFunction = std::function<void(const QByteArray&)>;
@@ -62,6 +70,8 @@
 
 // Listens on one address. The handler must call reply exactly once, now or later, on the event loop's thread.
 class Server {
+    friend std::size_t pendingCloses();
+
 public:
     // address: HOST:PORT with a numeric IP address. Errors: BadAddress, AddressInUse, Transport.
     static base::Result<std::unique_ptr<Server>, PeerError> listen(
@@ -86,6 +96,8 @@
 // Sends requests to one peer; connects in the background and reconnects automatically. Each callback is called exactly
 // once, unless the client is destroyed first.
 class Client {
+    friend std::size_t pendingCloses();
+
 public:
     static base::Result<std::unique_ptr<Client>, PeerError> dial(const std::string& address, PeerLimits limits);
     ~Client();
