Go on asking the scheduling daemon after a term of one's own

What callers saw: a daemon that had been elected and had lost its term again never got the states of jobs any more, until it was restarted: answers about jobs needed a read of the store each, and were old while the store was away. As it acknowledged nothing, later leaders could not count on it, so that they could neither hand the term to it nor go on with its promise without the store.

Cause: a daemon drops its connection to the former leader when it is elected. A request in flight then never runs its callback, which alone cleared m_isRequestInFlight. After a freeze of the leader a request is nearly always in flight.

Change: the flag is cleared with the connection.

Evidence: the soak now checks at its end that every running daemon has states of jobs no older than the 1.5 s up to which it answers from them.

--- a/soak/cluster.cpp
+++ b/soak/cluster.cpp
@@ -61,6 +61,8 @@
         m_storeProxies.push_back(std::make_unique<Proxy>(toPort(port(storeProxyPort + i)), toPort(port(storePort))));
         m_peerProxies.push_back(std::make_unique<Proxy>(
             toPort(port(peerProxyPort + i)), toPort(port(daemonPort + i * portsPerDaemon + 3))));
+        m_admins.push_back(std::make_unique<http::Channel>(
+            loopback(port(daemonPort + i * portsPerDaemon + 2)), http::ChannelLimits {}, &m_counters));
     }
     for (int i = 0; i < m_settings.workers; ++i)
         m_workerProxies.push_back(
@@ -239,6 +241,14 @@
     m_operator->send(std::move(request), std::move(callback));
 }
 
+void Cluster::readStatus(int index, http::ClientCallback callback)
+{
+    http::ChannelRequest request;
+    request.target = "/v1/status";
+    request.timeoutMs = operatorTimeoutMs;
+    m_admins[static_cast<std::size_t>(index)]->send(std::move(request), std::move(callback));
+}
+
 std::vector<std::string> Cluster::stopDaemons()
 {
     for (int i = 0; i < m_settings.daemons; ++i)
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -60,6 +60,8 @@
     // Index of the daemon that schedules, by the log; nullopt: none is known to.
     std::optional<int> leader() const;
     QString callersAddress(int index) const;
+    // Status document of the daemon, from its admin address.
+    void readStatus(int index, http::ClientCallback callback);
     static std::string nameOf(int index) { return "d" + std::to_string(index); }
 
     // --- Faults ---
@@ -98,6 +100,7 @@
     std::vector<std::unique_ptr<Proxy>> m_workerProxies;
     http::ChannelCounters m_counters;
     std::unique_ptr<http::Channel> m_operator;
+    std::vector<std::unique_ptr<http::Channel>> m_admins; // by daemon
     std::vector<std::string> m_unexpectedEnds;
     TermLog m_terms;
     std::function<void()> m_onDaemonStart = [] {};
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -1,6 +1,7 @@
 // Plays one schedule of faults.
 #include "soak/run.h"
 
+#include <QJsonDocument>
 #include <QTimer>
 #include <algorithm>
 #include <csignal>
@@ -15,6 +16,8 @@
     constexpr int jobsPerBurst = 60;
     constexpr int firstStartsMs = 30000; // until all lasting tasks run before the faults, on a busy machine
     constexpr int graceMs = 6000;        // platform's bound of a planned stop, after which it kills the process
+    constexpr int freshFeedMs = 1500;    // age up to which a daemon answers from its copy of the states of jobs
+    constexpr int feedLimitMs = 5000;    // until all daemons have a fresh copy, in the calm phase
 
     class Player : public QObject {
     public:
@@ -37,6 +40,7 @@
         void beginLinkFault(const Fault& fault, Proxy& proxy);
         void after(int delayMs, std::function<void()> action);
         void waitForEnd();
+        void checkFeeds();
         RunResult result() const;
 
         const RunPlan& m_plan;
@@ -80,6 +84,7 @@
         waitUntil([this] { return nowMs() - m_origin >= m_plan.durationMs; }, m_plan.durationMs);
         m_hasTraffic = false;
         waitForEnd();
+        checkFeeds();
         m_tick.stop();
         for (const std::string& end : m_cluster.unexpectedEnds())
             addViolation(m_checks, end);
@@ -108,6 +113,36 @@
                     + " ms after the last disturbance: " + open);
     }
 
+    // Every running daemon gets the states of jobs from the scheduling one.
+    void Player::checkFeeds()
+    {
+        for (int index = 0; index < m_plan.cluster.daemons; ++index) {
+            if (!m_cluster.isRunning(index))
+                continue; // killed for good
+            std::int64_t ageMs = -1;
+            bool isReading = false;
+            const bool isFresh = waitUntil(
+                [&] {
+                    if (ageMs >= 0 && ageMs <= freshFeedMs)
+                        return true;
+                    if (isReading)
+                        return false;
+                    isReading = true;
+                    m_cluster.readStatus(index, [&](const http::ClientResult& result) {
+                        isReading = false;
+                        ageMs = result.ok() ? QJsonDocument::fromJson(result.body)["feedAgeMs"].toInteger(-1) : -1;
+                    });
+                    return false;
+                },
+                feedLimitMs);
+            if (!isFresh)
+                addViolation(m_checks,
+                    Cluster::nameOf(index) + " does not get the states of jobs in the calm phase: feedAgeMs "
+                        + std::to_string(ageMs));
+            waitUntil([&] { return !isReading; }, 2 * feedLimitMs); // the callback refers to variables of this loop
+        }
+    }
+
     void Player::tick()
     {
         m_clients.tick(m_hasTraffic);
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -212,6 +212,11 @@
             ofDaemon(FaultKind::KillDaemon, 200, 1500), ofDaemon(FaultKind::PauseDaemon, 3500, 4000),
             ofDaemon(FaultKind::StopDaemon, 10000, 2000) };
     }
+    if (scenario == Scenario::FrozenLeaders) {
+        constexpr int frozenMs = 3500; // until another daemon has been elected
+        return { ofDaemon(FaultKind::PauseDaemon, 500, frozenMs), ofDaemon(FaultKind::PauseDaemon, 5500, frozenMs),
+            ofDaemon(FaultKind::PauseDaemon, 10500, frozenMs) };
+    }
     constexpr int storeDownMs = 6000;
     return { ofWorker(FaultKind::CrashWorker, 0, LinkFault::None, 0),
         ofWorker(FaultKind::CrashWorker, 3, LinkFault::None, 0),
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -76,16 +76,19 @@
     RepeatedRuns,
     // All daemons are killed twice, with more jobs waiting than usual.
     CrowdedRecovery,
+    // The leader freezes until another daemon is elected, three times.
+    FrozenLeaders,
 };
 
-constexpr base::EnumNames<Scenario, 4> scenarioNames { {
+constexpr base::EnumNames<Scenario, 5> scenarioNames { {
     { Scenario::InterruptedRecovery, "interrupted-recovery" },
     { Scenario::UnreachableWorkers, "unreachable-workers" },
     { Scenario::RepeatedRuns, "repeated-runs" },
     { Scenario::CrowdedRecovery, "crowded-recovery" },
+    { Scenario::FrozenLeaders, "frozen-leaders" },
 } };
 
-// The seed varies the times of the last two scenarios.
+// The seed varies the times of RepeatedRuns and CrowdedRecovery.
 std::vector<Fault> scenarioSchedule(Scenario scenario, std::uint64_t seed, const ScheduleShape& shape);
 
 // Traffic besides the usual one.
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -70,7 +70,7 @@
 void SyncService::stop()
 {
     m_timer.stop();
-    m_client.reset();
+    dropClient();
     m_server.reset();
 }
 
@@ -91,7 +91,7 @@
     const election::Election& state = m_term->state();
     m_policy->setWatchEnabled(m_term->isLeader());
     if (m_term->isLeader()) {
-        m_client.reset();
+        dropClient();
         m_clientAddress.clear();
         return;
     }
@@ -104,7 +104,7 @@
         if (client.has_error()) {
             kernel::logEvent(kernel::LogLevel::Error, "sync", "dialFailed",
                 { { "address", m_clientAddress }, { "detail", client.error().detail } });
-            m_client.reset();
+            dropClient();
             return;
         }
         m_client = std::move(client.value());
@@ -112,6 +112,12 @@
     sendRequest();
 }
 
+void SyncService::dropClient()
+{
+    m_client.reset();
+    m_isRequestInFlight = false; // its callback does not run any more
+}
+
 void SyncService::sendRequest()
 {
     m_isRequestInFlight = true;
@@ -144,7 +150,7 @@
                         { "detail", result.error().detail } });
             m_hasContact = false;
             if (++m_failures >= failuresUntilRedial)
-                m_client.reset(); // allowed here: the client runs callbacks after it has removed the call
+                dropClient(); // allowed here: the client runs callbacks after it has removed the call
         });
 }
 
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -49,6 +49,7 @@
 
     void tick();
     void sendRequest();
+    void dropClient();
     void applyReply(const QJsonObject& reply, const SentRequest& sent);
     void probeStore();
     QByteArray handleRequest(const QByteArray& request);
