--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -160,6 +160,8 @@
         CPPUNIT_ASSERT(waitFor([&] { return pending.has_value(); }));
         server.value().reset();
         (*pending)("late");
+        CPPUNIT_ASSERT(waitFor([] { return peer::pendingCloses() == 0; }));
+        (*pending)("later");
     }
 
     // Guards against a daemon that hangs when it drops the connection to the scheduling daemon with requests in flight.
