Bound the wait of lasting tasks for the reserve of short ones

Cause: the reserve is a forecast, the decaying peak of what short tasks recently needed, and held back first runs of lasting tasks for as long as it was above what is left. Nothing bounded the wait.

Change: the forecast counts for 1.5 s of a step's wait, what short tasks use and wait for now until 5 s, nothing afterwards.

--- a/src/scheduler/short_reserve.cpp
+++ b/src/scheduler/short_reserve.cpp
@@ -1,4 +1,7 @@
 // Reserve of processors for short tasks, which lasting tasks leave free when they start for the first time.
+//
+// Answers loads of many narrow short jobs beside lasting ones. The reserve is a forecast from recent demand; it gives
+// way after a bounded wait.
 #include "scheduler/planner.h"
 
 #include <algorithm>
@@ -10,6 +13,10 @@
 
     constexpr double shortDemandDecayMs = 15000;  // ms; time constant of the decay of the peak demand
     constexpr double maxShortReserveShare = 0.15; // largest share of a service's processors reserved for short tasks
+    // A lasting task waits for the reserve at most this long: for what short tasks are expected to need, and for what
+    // they use and wait for now. Its users count it as down after 3 s, and a forecast may be wrong for longer.
+    constexpr Millis maxForecastWaitMs = 1500;
+    constexpr Millis maxReserveWaitMs = 5000;
 
 } // namespace
 
@@ -43,9 +50,13 @@
 {
     const auto cpu = planner.serviceCpu.find(ref.job->policy.service);
     const auto demand = planner.scheduler.shortDemand.find(ref.job->policy.service);
-    if (cpu == planner.serviceCpu.end() || demand == planner.scheduler.shortDemand.end())
+    const Millis waitedMs = planner.now - ref.progress->readySince;
+    if (cpu == planner.serviceCpu.end() || demand == planner.scheduler.shortDemand.end()
+        || waitedMs >= maxReserveWaitMs)
         return true;
-    const double reserve = std::min(demand->second, cpu->second.capacity * maxShortReserveShare);
+    const double needed
+        = waitedMs < maxForecastWaitMs ? demand->second : cpu->second.shortRunning + cpu->second.shortWaiting;
+    const double reserve = std::min(needed, cpu->second.capacity * maxShortReserveShare);
     return cpu->second.lasting + ref.step->cpuMillicores + reserve <= cpu->second.capacity;
 }
 
--- a/tests/scheduler_waiting_jobs_test.cpp
+++ b/tests/scheduler_waiting_jobs_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(jobsWithNothingRunningDoNotWaitBehindNewerOnes);
     CPPUNIT_TEST(refusedStartsDoNotDelayTheTurnOfAJob);
     CPPUNIT_TEST(approvalIsAskedForInTheOrderOfPlacement);
+    CPPUNIT_TEST(lastingTasksWaitForTheShortReserveForABoundedTime);
     CPPUNIT_TEST_SUITE_END();
 
     // Leaves serving tasks of `cpuMillicores` on each worker; the jobs are called kept0, kept1 ...
@@ -75,6 +76,25 @@
     }
 
 public:
+    // Guards against lasting tasks that wait for a reserve from the demand of a burst that is long over, while
+    // processors are idle (bench day scale-2 of the large deployment: up to 17 s).
+    void lastingTasksWaitForTheShortReserveForABoundedTime()
+    {
+        constexpr Millis boundMs = 3000;                           // lasting tasks count as down after this
+        World world(11, 8);                                        // 64 cores
+        world.submit("kept", { lastingStep(7, 7500, "serving") }); // leaves 11.5 cores, less than a worker's reserve
+        world.run(1000);
+        world.submit("burst", { plainStep(20, 500, 400) }); // the peak demand stays at 10 cores for long
+        world.run(2000);
+        CPPUNIT_ASSERT(world.committedState("burst") == scheduler::JobState::Completed);
+        world.submit("late", { lastingStep(4, 1500, "serving") });
+        const Millis submittedAt = world.now();
+        while (world.now() - submittedAt < 20000 && world.starts("late.0.0.3") == 0)
+            world.step();
+        CPPUNIT_ASSERT(world.now() - submittedAt <= boundMs);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
     // Guards against filling tasks without a worker because each worker keeps the last few of its serving tasks.
     void spreadServingTasksDoNotKeepFillingTasksWaiting()
     {
