Fit the records of a transaction to the link of the daemon

The renewal of the term carries the records that wait, up to 30 of them of any length, and must be answered within 500 ms. On a thin link a transaction of that size did not arrive in time and was tried again in the same size, until the term was lost.

Change: a transaction carries as many bytes as the link brings over in a quarter of that time (setting daemon.linkMbps); after a failure the next one is the renewal alone, and the size halves. A daemon whose link binds before its processor counts as weaker in the election, at 53 Mbit/s for a core.

--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -5,6 +5,7 @@
 
 #include <QFile>
 #include <QHostAddress>
+#include <algorithm>
 #include <cmath>
 
 namespace lacewing::daemon {
@@ -35,6 +36,13 @@
             .defaultJson = "1",
             .unit = "cores",
             .doc = "processor time that this daemon may use" },
+        { .key = "linkMbps",
+            .type = FieldType::Number,
+            .minimum = 0,
+            .maximum = 1000000,
+            .defaultJson = "0",
+            .unit = "Mbit/s",
+            .doc = "network link of the instance in each direction; 0: unknown" },
     };
 
     constexpr Field listenFields[] = {
@@ -243,6 +251,7 @@
         settings.daemon = base::textOf(object["daemon"]["name"]);
         settings.dataCentre = base::textOf(object["daemon"]["dataCentre"]);
         settings.processorShare = object["daemon"]["processorShare"].toDouble();
+        settings.linkMbps = object["daemon"]["linkMbps"].toDouble();
         settings.callerAddress = base::textOf(object["listen"]["callers"]);
         settings.readinessAddress = base::textOf(object["listen"]["readiness"]);
         settings.adminAddress = base::textOf(object["listen"]["admin"]);
@@ -265,6 +274,14 @@
 
 } // namespace
 
+double schedulingShare(const Settings& settings)
+{
+    // A start with its end and reports takes some 2 KB on the link and 0.3 ms of a core (docs/CAPACITY.md).
+    constexpr double linkMbpsPerCore = 53;
+    return settings.linkMbps > 0 ? std::min(settings.processorShare, settings.linkMbps / linkMbpsPerCore)
+                                 : settings.processorShare;
+}
+
 base::Schema settingsSchema() { return { rootFields, rootRules }; }
 
 base::Result<Settings, base::InputErrors> parseSettings(const std::string& settingsText, const std::string& file)
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -27,6 +27,7 @@
     std::string daemon;
     std::string dataCentre;
     double processorShare = 1; // cores
+    double linkMbps = 0;       // Mbit/s of the network link in each direction; 0: unknown, treated as fast
 
     // --- Interfaces, HOST:PORT ---
     std::string callerAddress;    // job requests
@@ -48,6 +49,9 @@
     int logLinesPerSecond = 3000;
 };
 
+// Cores that this daemon can put to use as scheduling daemon: its share, or less where its link binds first.
+double schedulingShare(const Settings& settings);
+
 base::Schema settingsSchema();
 
 // Parses and checks the text of a settings file. The error lists every fault.
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -59,7 +59,12 @@
     m_policy = kernel::find<PolicyService>(m_runtime.kernel, serviceNames::policy);
     m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
     auto server = peer::Server::listen(m_runtime.settings.peerAddress, peerLimits(),
-        [this](const QByteArray& request, const peer::ReplyFunction& reply) { reply(handleRequest(request)); });
+        [this](const QByteArray& request, const peer::ReplyFunction& reply) {
+            const QByteArray answer = handleRequest(request);
+            m_runtime.peerTraffic.bytesRead += static_cast<std::uint64_t>(request.size());
+            m_runtime.peerTraffic.bytesWritten += static_cast<std::uint64_t>(answer.size());
+            reply(answer);
+        });
     if (server.has_error())
         return server.error().detail;
     m_server = std::move(server.value());
@@ -130,7 +135,7 @@
         { "lastReply", static_cast<qint64>(m_lastReplyNumber) }, { "feedTerm", static_cast<qint64>(m_feedTerm) },
         { "feedHave", static_cast<qint64>(m_feedPosition) },
         { "incarnation", static_cast<qint64>(m_runtime.incarnation) },
-        { "processorShare", m_runtime.settings.processorShare },
+        { "processorShare", m_term->state().processorShare },
         { "storeAgeMs", static_cast<qint64>(answeredAt > 0 ? now - answeredAt : -1) },
         { "isStopping", m_runtime.isStopping }, { "policyRevision", static_cast<qint64>(m_policy->revision()) },
         { "membersHave", encodeVersion(m_memberCopy.version()) } };
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -4,6 +4,8 @@
 
 #include "kernel/log.h"
 
+#include <utility>
+
 namespace lacewing::daemon {
 
 namespace {
@@ -13,6 +15,18 @@
     // The other two entries of a transaction are its condition and the term record.
     constexpr std::size_t writesPerCommit = platform::maxTransactionEntries - 2;
 
+    // Bytes of the keys and values in a transaction's text, where values are in base64.
+    std::int64_t textBytes(const std::vector<platform::Write>& writes, const std::vector<std::string>& removals)
+    {
+        constexpr std::int64_t overhead = 40; // of the text around one entry
+        std::int64_t bytes = 0;
+        for (const platform::Write& write : writes)
+            bytes += static_cast<std::int64_t>(write.key.size()) + write.value.size() * 4 / 3 + overhead;
+        for (const std::string& key : removals)
+            bytes += static_cast<std::int64_t>(key.size()) + overhead;
+        return bytes;
+    }
+
     template <typename T> bool isAnswer(const base::Result<T, platform::StoreError>& result)
     {
         return result.has_value() || result.error().code == platform::StoreCode::Missing
@@ -27,8 +41,9 @@
     m_election.self = runtime.settings.daemon;
     m_election.incarnation = runtime.incarnation;
     m_election.peerAddress = runtime.settings.peerAddress;
-    m_election.processorShare = runtime.settings.processorShare;
+    m_election.processorShare = schedulingShare(runtime.settings);
     m_election.limits.renewMs = runtime.settings.renewMs;
+    m_commitBudget = makeCommitBudget(runtime.settings.linkMbps, platform::StoreSettings {}.callTimeoutMs);
     QObject::connect(&m_timer, &QTimer::timeout, this, [this] { tick(); });
 }
 
@@ -88,11 +103,14 @@
         transaction.writes.insert(transaction.writes.end(), m_finalWrites.begin(), m_finalWrites.end());
     if (isLeader()) {
         m_committedAt = sentAt;
+        std::int64_t bytes = 0;
         for (const Commit& commit : m_pendingCommits) {
             const std::size_t entries = transaction.writes.size() + transaction.removals.size();
-            if (entries + commit.writes.size() + commit.removals.size() > writesPerCommit + 1)
+            if (entries + commit.writes.size() + commit.removals.size() > writesPerCommit + 1
+                || !hasRoomFor(m_commitBudget, bytes, commit.bytes))
                 break;
             ++includedCommits;
+            bytes += commit.bytes;
             transaction.writes.insert(transaction.writes.end(), commit.writes.begin(), commit.writes.end());
             transaction.removals.insert(transaction.removals.end(), commit.removals.begin(), commit.removals.end());
         }
@@ -102,6 +120,7 @@
             m_isCallInFlight = false;
             m_isWriteInFlight = false;
             election::observeStore(m_election, isAnswer(result), nowMs());
+            isAnswer(result) ? applySuccess(m_commitBudget) : applyFailure(m_commitBudget);
             if (result.has_value()) {
                 const bool wasLeader = isLeader();
                 election::applyWritten(m_election, record, result.value(), sentAt, nowMs());
@@ -166,24 +185,37 @@
     m_onElected();
 }
 
+void TermService::addPending(Commit commit)
+{
+    commit.bytes = textBytes(commit.writes, commit.removals);
+    m_pendingCommits.push_back(std::move(commit));
+}
+
 void TermService::commit(std::vector<platform::Write> writes, std::function<void()> callback)
 {
-    for (std::size_t begin = 0; begin < writes.size(); begin += writesPerCommit) {
-        const std::size_t end = std::min(writes.size(), begin + writesPerCommit);
-        Commit commit;
-        commit.writes.assign(
-            writes.begin() + static_cast<std::ptrdiff_t>(begin), writes.begin() + static_cast<std::ptrdiff_t>(end));
-        commit.callback = [] {};
-        m_pendingCommits.push_back(std::move(commit));
+    Commit commit;
+    std::int64_t bytes = 0;
+    for (platform::Write& write : writes) {
+        const std::int64_t more = textBytes({ write }, {});
+        const bool isFull = commit.writes.size() >= writesPerCommit || bytes + more > m_commitBudget.bytes;
+        if (!commit.writes.empty() && isFull) {
+            commit.callback = [] {};
+            addPending(std::exchange(commit, {}));
+            bytes = 0;
+        }
+        bytes += more;
+        commit.writes.push_back(std::move(write));
+    }
+    if (!commit.writes.empty()) {
+        commit.callback = std::move(callback);
+        addPending(std::move(commit));
     }
-    if (!writes.empty())
-        m_pendingCommits.back().callback = std::move(callback);
     tick();
 }
 
 void TermService::remove(std::vector<std::string> keys, std::function<void()> callback)
 {
-    m_pendingCommits.push_back({ {}, std::move(keys), std::move(callback) });
+    addPending({ {}, std::move(keys), std::move(callback) });
     tick();
 }
 
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -4,6 +4,7 @@
 // daemon that has lost its term therefore cannot write records, even while it still considers itself the leader.
 #pragma once
 
+#include "daemon/commit_budget.h"
 #include "daemon/recovery_watch.h"
 #include "daemon/runtime.h"
 #include "election/election.h"
@@ -67,9 +68,11 @@
         std::vector<platform::Write> writes;
         std::vector<std::string> removals;
         std::function<void()> callback;
+        std::int64_t bytes = 0; // as sent
     };
 
     void tick();
+    void addPending(Commit commit);
     void readRecord();
     void writeRecord(bool isResigning);
     void finishResigning();
@@ -90,6 +93,7 @@
     std::int64_t m_resignationRevision = 0;
     scheduler::Millis m_resignedAt = 0;
     std::deque<Commit> m_pendingCommits;
+    CommitBudget m_commitBudget;
     scheduler::Millis m_committedAt = 0;
     std::function<void()> m_onElected;
     std::function<void()> m_onTermEnded;
