Load a term one call at a time, and keep what has been read

Cause: five reads of the state at once over one thin link, each with a fixed time limit (500 ms a record, 2 s a page), and one that failed threw all of them away. Some 600 KB take 2.4 s there. One window of each connection (64 KB, 260 ms at 2 Mbit/s) waits before the answer to the renewal, so that five of them delay it beyond its limit as well: the term was lost, and the next daemon began from nothing.

Change: TermLoader reads step by step with one call in flight; pages that were read stay read; a long page that is interrupted is divided (ListCursor). Long answers are limited by their progress, not by a fixed time (Channel stallTimeoutMs). Records are applied in slices of 20 ms. Ended jobs leave a short record in place of the accepted one, so that the state to read grows with the open jobs. Lines termLoading and termLoadDelayed and a metric tell how far a load is; load tells the bytes over the link by what they are for.

--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -11,81 +11,67 @@
 
 namespace {
 
-    constexpr int loadRetryMs = 250;             // ms after a failed call
     constexpr qsizetype maxRecordBytes = 700000; // the store's limit of a value less its text encoding
 
 } // namespace
 
-// Only the holder of the term writes progress, workers and placements, so that they may be read concurrently.
 void DispatcherService::load()
 {
-    m_pendingLoads = 5;
     m_placements.reset();
     m_formerLeases.reset();
     m_formerWorkers.clear();
-    loadItem(storeKeys::workers, [this](const QByteArray& bytes) {
-        auto workers = scheduler::decodeWorkers(bytes);
-        if (workers)
-            m_formerWorkers = std::move(*workers);
-        return workers.has_value();
-    });
-    loadItem(storeKeys::leases, [this](const QByteArray& bytes) {
-        m_formerLeases = scheduler::decodeLeaseTable(bytes);
-        return m_formerLeases.has_value();
-    });
-    loadItem(storeKeys::placements, [this](const QByteArray& bytes) {
-        m_placements = scheduler::decodePlacements(bytes);
-        return m_placements.has_value();
-    });
-    loadList(storeKeys::acceptedPrefix, m_accepted);
-    loadList(storeKeys::progressPrefix, m_progress);
-}
-
-// Starts all loads again after one has failed.
-void DispatcherService::retryLoad()
-{
-    m_loadGeneration = std::make_shared<int>(0);
-    runAfter(loadRetryMs, [this] { load(); });
-}
-
-void DispatcherService::finishOneLoad()
-{
-    if (--m_pendingLoads == 0)
-        finishLoading();
+    m_newItems.clear();
+    m_loader = std::make_unique<TermLoader>(*m_runtime.store, m_runtime.metrics, m_term->token(),
+        TermLoader::Handlers {
+            [this](LoadStep step, const platform::Item& item) { return applyLoaded(step, item); },
+            [this] { finishLoading(); },
+        });
+    m_loader->start();
 }
 
-void DispatcherService::loadItem(const std::string& key, std::function<bool(const QByteArray&)> apply)
+bool DispatcherService::applyLoaded(LoadStep step, const platform::Item& item)
 {
-    m_runtime.store->read(key,
-        [this, generation = std::weak_ptr<int>(m_loadGeneration), key, apply = std::move(apply)](
-            const base::Result<platform::Item, platform::StoreError>& result) {
-            if (generation.expired())
-                return;
-            if (result.has_error() && result.error().code != platform::StoreCode::Missing) {
-                retryLoad();
-                return;
-            }
-            if (result.has_value() && !apply(result.value().value))
-                kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "recordRefused",
-                    { { "key", key }, { "revision", result.value().revision } });
-            finishOneLoad();
-        });
+    switch (step) {
+    case LoadStep::Leases:
+        m_formerLeases = scheduler::decodeLeaseTable(item.value);
+        return m_formerLeases.has_value();
+    case LoadStep::Workers:
+        if (auto workers = scheduler::decodeWorkers(item.value)) {
+            m_formerWorkers = std::move(*workers);
+            return true;
+        }
+        return false;
+    case LoadStep::Placements:
+        m_placements = scheduler::decodePlacements(item.value);
+        return m_placements.has_value();
+    case LoadStep::Accepted:
+        // Jobs that were accepted before this term may have runs from an earlier one. Others, and requests to cancel,
+        // are applied once the term has begun.
+        if (item.createdRevision < m_term->token() && !item.key.ends_with(storeKeys::cancelSuffix))
+            applyAccepted(item, false);
+        else
+            m_newItems.push_back(item);
+        return true;
+    case LoadStep::Progress:
+        return applyLoadedProgress(item);
+    case LoadStep::Done:
+        break;
+    }
+    return false;
 }
 
-void DispatcherService::loadList(const std::string& prefix, platform::ItemList& list)
+bool DispatcherService::applyLoadedProgress(const platform::Item& item)
 {
-    m_runtime.store->list(prefix, platform::Freshness::Linearizable,
-        [this, generation = std::weak_ptr<int>(m_loadGeneration), &list](
-            const base::Result<platform::ItemList, platform::StoreError>& result) {
-            if (generation.expired())
-                return;
-            if (result.has_error()) {
-                retryLoad();
-                return;
-            }
-            list = result.value();
-            finishOneLoad();
-        });
+    const auto found = m_scheduler->jobs.find(item.key.substr(storeKeys::progressPrefix.size()));
+    if (found == m_scheduler->jobs.end())
+        return true;
+    scheduler::Job& job = *found->second;
+    const bool isRestored = scheduler::restoreProgress(job, item.value);
+    if (scheduler::isFinal(job.state))
+        scheduler::retireJob(*m_scheduler, job);
+    m_feed.push_back({ found->first, job.committedState });
+    applyState(*m_table, found->first, job.committedState, nowMs());
+    return isRestored;
 }
 
 std::vector<platform::Write> DispatcherService::resignationRecords() const
@@ -106,22 +92,6 @@
 void DispatcherService::finishLoading()
 {
     const scheduler::Millis now = nowMs();
-    // Jobs that were accepted before this term may have runs from an earlier one.
-    for (const platform::Item& item : m_accepted.items) {
-        if (item.createdRevision < m_term->token())
-            applyAccepted(item, false);
-    }
-    for (const platform::Item& item : m_progress.items) {
-        const auto found = m_scheduler->jobs.find(item.key.substr(storeKeys::progressPrefix.size()));
-        if (found == m_scheduler->jobs.end())
-            continue;
-        if (!scheduler::restoreProgress(*found->second, item.value))
-            kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "progressRefused", { { "job", found->first } });
-        if (scheduler::isFinal(found->second->state))
-            m_scheduler->active.erase(found->first);
-        m_feed.push_back({ found->first, found->second->committedState });
-        applyState(*m_table, found->first, found->second->committedState, now);
-    }
     const election::Election& election = m_term->state();
     scheduler::beginTerm(*m_scheduler, m_term->token(), now,
         { election.knowsFormerTerms, election::termClock(election, now), election.terms });
@@ -131,18 +101,19 @@
     if (m_placements && m_placements->token == m_term->state().formerToken)
         scheduler::applyPlacements(*m_scheduler, *m_placements, now);
     scheduler::applyRunRecords(*m_scheduler);
-    for (const platform::Item& item : m_accepted.items)
+    for (const platform::Item& item : m_newItems)
         applyAccepted(item, true);
-    m_jobsRevision = m_accepted.revision;
+    m_newItems.clear();
+    m_jobsRevision = m_loader->acceptedRevision();
     m_jobWatchAnsweredAt = now;
+    const TermLoadCounts& read = m_loader->counts();
     kernel::logEvent(kernel::LogLevel::Notice, "dispatcher", "termLoaded",
         { { "token", m_term->token() }, { "jobs", static_cast<std::int64_t>(m_scheduler->jobs.size()) },
             { "open", static_cast<std::int64_t>(m_scheduler->active.size()) },
             { "sinceMs", now - m_term->phases().begunAt },
             { "rememberedWorkers", static_cast<std::int64_t>(m_scheduler->workers.size()) },
-            { "revision", m_jobsRevision } });
-    m_accepted = {};
-    m_progress = {};
+            { "revision", m_jobsRevision }, { "records", read.records }, { "listBytes", read.bytes },
+            { "calls", read.calls }, { "failures", read.failures } });
     m_placements.reset();
     m_formerLeases.reset();
     m_formerWorkers.clear();
@@ -153,7 +124,7 @@
     loadInterference();
     watchJobs();
     listWorkers();
-    m_loadWatch.start();
+    m_loadWatch.start(linkTraffic());
     m_tick.start();
 }
 
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -20,6 +20,8 @@
     constexpr scheduler::Millis maxPlanPauseMs = 500;        // ms; bounds how long the stop of a cancelled job waits
     // ms between removals of expired records; with 8 jobs each 40 jobs/s, above the peak of the target load
     constexpr scheduler::Millis removalPeriodMs = 200;
+    // ms between transactions that shorten accepted records of ended jobs; with 28 of them 56 jobs/s
+    constexpr scheduler::Millis shortenPeriodMs = 500;
     constexpr std::size_t maxFeedChanges = 100000;            // job state changes kept for other daemons; about 5 MB
     constexpr scheduler::Millis strongerCheckPeriodMs = 1000; // ms between checks for a stronger daemon
     constexpr int retryMs = 250;                              // ms after a failed call to the store
@@ -31,11 +33,6 @@
     constexpr scheduler::Millis dropsPeriodMs = 1000; // ms between lines on dropped decisions
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction less the term's entries
 
-    bool endsWith(const std::string& text, const std::string& suffix)
-    {
-        return text.size() >= suffix.size() && text.compare(text.size() - suffix.size(), suffix.size(), suffix) == 0;
-    }
-
     scheduler::Limits toLimits(const Settings& settings)
     {
         scheduler::Limits limits;
@@ -72,7 +69,7 @@
     QObject::connect(&m_tick, &QTimer::timeout, this, [this] {
         if (!m_isLoaded)
             return;
-        m_loadWatch.tick(base::milliseconds(tickMs));
+        m_loadWatch.tick(base::milliseconds(tickMs), linkTraffic());
         resignToStrongerDaemon();
         renewDueLeases();
         storeLeases();
@@ -95,7 +92,6 @@
     m_strongerCheckedAt = nowMs();
     m_orderWindow = {};
     m_generation = std::make_shared<int>(0);
-    m_loadGeneration = m_generation;
     m_isLoaded = false;
     if (m_configuration->isLoaded())
         scheduler::setConfiguration(*m_scheduler, m_configuration->current());
@@ -110,7 +106,8 @@
         logDecisions();
     m_tick.stop();
     m_generation.reset();
-    m_loadGeneration.reset();
+    m_loader.reset();
+    m_newItems.clear();
     m_isLoaded = false;
     m_isStoringProgress = false;
     m_isListingWorkers = false;
@@ -119,6 +116,7 @@
     m_feed.clear();
     m_feedBegin = 0;
     m_isRemoving = false;
+    m_isShortening = false;
     m_storedWorkers.clear();
     m_storedLeases.clear();
     m_isStoringLeases = false;
@@ -134,6 +132,14 @@
     });
 }
 
+LinkTraffic DispatcherService::linkTraffic() const
+{
+    const http::ChannelCounters& store = m_runtime.store->traffic();
+    const http::ChannelCounters& peers = m_runtime.peerTraffic;
+    return { store.bytesRead, store.bytesWritten, m_traffic.bytesRead, m_traffic.bytesWritten, peers.bytesRead,
+        peers.bytesWritten };
+}
+
 // A planned change of leader interrupts scheduling for a fraction of a second; a leader short of processor time delays
 // it throughout its term.
 void DispatcherService::resignToStrongerDaemon()
@@ -159,7 +165,7 @@
     if (item.isDeleted)
         return;
     std::string id = item.key.substr(storeKeys::acceptedPrefix.size());
-    if (endsWith(id, storeKeys::cancelSuffix)) {
+    if (id.ends_with(storeKeys::cancelSuffix)) {
         id.resize(id.size() - storeKeys::cancelSuffix.size());
         if (!isNewInTerm) // applied after all accepted jobs have been added
             return;
@@ -172,6 +178,11 @@
     }
     if (m_scheduler->jobs.count(id) > 0)
         return;
+    if (const auto ended = scheduler::decodeEnded(item.value); ended && ended->id == id) {
+        scheduler::addEndedJob(*m_scheduler, *ended, item.createdRevision);
+        applyState(*m_table, id, ended->state, nowMs());
+        return;
+    }
     std::optional<scheduler::AcceptedJob> job = scheduler::decodeAccepted(item.value);
     if (!job || job->request.id != id) {
         kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "acceptedRefused", { { "job", id } });
@@ -310,6 +321,28 @@
     m_term->commit({ { storeKeys::interference, table } }, [] {});
 }
 
+void DispatcherService::shortenEnded()
+{
+    const scheduler::Millis now = nowMs();
+    if (m_isShortening || now - m_shortenedAt < shortenPeriodMs)
+        return;
+    m_shortenedAt = now;
+    const std::vector<std::string> jobs = scheduler::jobsToShorten(*m_scheduler, recordsPerCommit);
+    if (jobs.empty())
+        return;
+    std::vector<platform::Write> writes;
+    for (const std::string& id : jobs) {
+        const scheduler::Job& job = *m_scheduler->jobs.at(id);
+        writes.push_back(
+            { storeKeys::acceptedPrefix + id, scheduler::encodeEnded({ id, job.committedState, job.endedUnixMs }) });
+    }
+    m_isShortening = true;
+    m_term->commit(std::move(writes), [this, generation = std::weak_ptr<int>(m_generation)] {
+        if (!generation.expired())
+            m_isShortening = false;
+    });
+}
+
 void DispatcherService::removeExpired()
 {
     const scheduler::Millis now = nowMs();
@@ -418,6 +451,7 @@
     storeInterference();
     removeExpired();
     storeProgress();
+    shortenEnded();
     logDecisions();
     const scheduler::Millis ended = nowMs();
     m_nextPlanAt = ended + std::min(maxPlanPauseMs, planPauseFactor * (ended - begun));
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -4,6 +4,7 @@
 
 #include "daemon/load_watch.h"
 #include "daemon/runtime.h"
+#include "daemon/term_loader.h"
 #include "daemon/term_service.h"
 #include "daemon/worker_list.h"
 #include "platform/advice_link.h"
@@ -59,11 +60,9 @@
     // Runs the action after the delay, unless the term has ended by then.
     void runAfter(int ms, std::function<void()> action);
     void load();
-    // `apply` returns false for a record that does not decode.
-    void loadItem(const std::string& key, std::function<bool(const QByteArray&)> apply);
-    void loadList(const std::string& prefix, platform::ItemList& list);
-    void retryLoad();
-    void finishOneLoad();
+    // Returns false for a record that does not decode.
+    bool applyLoaded(LoadStep step, const platform::Item& item);
+    bool applyLoadedProgress(const platform::Item& item);
     void finishLoading();
 
     // --- Store ---
@@ -78,6 +77,8 @@
     // Stores the lease table when a worker waits for its first lease, and otherwise once in a period when it changes.
     void storeLeases();
     void storeInterference();
+    // Replaces the accepted records of ended jobs by short ones, which later terms read faster.
+    void shortenEnded();
     // Removes the records of jobs that ended long ago.
     void removeExpired();
     void loadInterference();
@@ -96,6 +97,7 @@
     void sendStart(const scheduler::StartOrder& order, std::uint64_t number, int attempt);
     void requestApproval(const scheduler::ApprovalQuestion& question);
 
+    LinkTraffic linkTraffic() const;
     void schedulePlan();
     void runPlan();
     void publishChanges();
@@ -111,13 +113,11 @@
     std::unique_ptr<scheduler::Scheduler> m_scheduler;
     std::shared_ptr<int> m_generation; // callbacks hold a weak_ptr, which expires with the term
     bool m_isLoaded = false;
-    platform::ItemList m_accepted;                       // only while loading
-    platform::ItemList m_progress;                       // only while loading
+    std::unique_ptr<TermLoader> m_loader;
+    std::vector<platform::Item> m_newItems; // only while loading: jobs accepted in this term, and requests to cancel
     std::optional<scheduler::Placements> m_placements;   // only while loading
     std::optional<scheduler::LeaseTable> m_formerLeases; // only while loading
     std::vector<scheduler::WorkerEntry> m_formerWorkers; // only while loading
-    int m_pendingLoads = 0;
-    std::shared_ptr<int> m_loadGeneration; // as m_generation, but expires with the attempt to load
     std::int64_t m_jobsRevision = 0;
     scheduler::Millis m_jobWatchAnsweredAt = 0; // last answer of the store to a list or watch of accepted jobs
     std::map<std::string, Link> m_links;
@@ -126,6 +126,8 @@
     std::int64_t m_feedBegin = 0; // position of the first entry of m_feed in the term
     scheduler::Millis m_removalCheckedAt = 0;
     bool m_isRemoving = false;
+    scheduler::Millis m_shortenedAt = 0;
+    bool m_isShortening = false;
     std::string m_storedWorkers; // ids in the stored list of workers
     QByteArray m_storedLeases;   // the lease table in the store
     bool m_isStoringLeases = false;
--- a/src/daemon/load_watch.cpp
+++ b/src/daemon/load_watch.cpp
@@ -25,20 +25,21 @@
 {
 }
 
-void LoadWatch::start()
+void LoadWatch::start(const LinkTraffic& traffic)
 {
     m_counts = {};
+    m_traffic = traffic;
     m_tickedAt = m_reportedAt = base::monotonicNow();
     m_processorTime = processorTime();
 }
 
-void LoadWatch::tick(base::Duration period)
+void LoadWatch::tick(base::Duration period, const LinkTraffic& traffic)
 {
     const base::TimePoint now = base::monotonicNow();
     m_counts.longestLag = std::max(m_counts.longestLag, now - m_tickedAt - period);
     m_tickedAt = now;
     if (now - m_reportedAt >= reportPeriod)
-        report(now);
+        report(now, traffic);
 }
 
 void LoadWatch::recordOrderWait(int waitedMs)
@@ -54,8 +55,10 @@
     m_counts.activities[static_cast<std::size_t>(activity)] += time;
 }
 
-void LoadWatch::report(base::TimePoint now)
+void LoadWatch::report(base::TimePoint now, const LinkTraffic& traffic)
 {
+    const auto bytes
+        = [](std::uint64_t total, std::uint64_t before) { return static_cast<std::int64_t>(total - before); };
     const base::Duration processor = processorTime();
     const auto activityMs = [this](Activity activity) {
         return base::toMilliseconds(m_counts.activities[static_cast<std::size_t>(activity)]);
@@ -71,7 +74,13 @@
             { "startsLost", m_counts.startsLost }, { "startsUnsent", m_counts.startsUnsent },
             { "stopsAnswered", m_counts.stopsAnswered }, { "stopsLost", m_counts.stopsLost },
             { "startWindow", m_counts.startWindow }, { "startAgeMs", m_counts.startLatencyMs },
-            { "longestOrderWaitMs", m_counts.longestOrderWaitMs } });
+            { "longestOrderWaitMs", m_counts.longestOrderWaitMs },
+            { "storeBytesRead", bytes(traffic.storeRead, m_traffic.storeRead) },
+            { "storeBytesWritten", bytes(traffic.storeWritten, m_traffic.storeWritten) },
+            { "workerBytesRead", bytes(traffic.workersRead, m_traffic.workersRead) },
+            { "workerBytesWritten", bytes(traffic.workersWritten, m_traffic.workersWritten) },
+            { "peerBytesRead", bytes(traffic.peersRead, m_traffic.peersRead) },
+            { "peerBytesWritten", bytes(traffic.peersWritten, m_traffic.peersWritten) } });
     m_metrics.latency("lacewing_loop_lag_seconds", "Longest lag of the scheduling daemon's event loop in each second.")
         .record(m_counts.longestLag);
     for (const auto& [activity, name] : activityNames)
@@ -83,6 +92,7 @@
     m_metrics.counter("lacewing_orders_lost_total", "Starts and stops without an answer.").value
         += static_cast<std::uint64_t>(m_counts.startsLost) + static_cast<std::uint64_t>(m_counts.stopsLost);
     m_counts = {};
+    m_traffic = traffic;
     m_reportedAt = now;
     m_processorTime = processor;
 }
--- a/src/daemon/load_watch.h
+++ b/src/daemon/load_watch.h
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 
 namespace lacewing::daemon {
 
@@ -42,27 +43,38 @@
     int longestOrderWaitMs = 0; // from the plan until the first byte was written
 };
 
+// Bytes over the link of this daemon since its start.
+struct LinkTraffic {
+    std::uint64_t storeRead = 0;
+    std::uint64_t storeWritten = 0;
+    std::uint64_t workersRead = 0;
+    std::uint64_t workersWritten = 0;
+    std::uint64_t peersRead = 0;
+    std::uint64_t peersWritten = 0;
+};
+
 class LoadWatch {
 public:
     explicit LoadWatch(base::Metrics& metrics);
 
     // Resets the counts at the beginning of a term.
-    void start();
+    void start(const LinkTraffic& traffic);
     // To be called every `period` by the event loop.
-    void tick(base::Duration period);
+    void tick(base::Duration period, const LinkTraffic& traffic);
 
     LoadCounts& counts() { return m_counts; }
     void recordOrderWait(int waitedMs);
     void add(Activity activity, base::Duration time);
 
 private:
-    void report(base::TimePoint now);
+    void report(base::TimePoint now, const LinkTraffic& traffic);
 
     base::Metrics& m_metrics;
     LoadCounts m_counts;
     base::TimePoint m_tickedAt {};
     base::TimePoint m_reportedAt {};
     base::Duration m_processorTime {}; // of the process, at the last report
+    LinkTraffic m_traffic;             // at the last report
 };
 
 // Adds the time of its scope to an activity.
--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -10,6 +10,7 @@
 #include <QTimer>
 #include <algorithm>
 #include <deque>
+#include <optional>
 #include <vector>
 
 namespace lacewing::http {
@@ -21,7 +22,9 @@
         ClientCallback callback;
         base::TimePoint deadline;
         base::TimePoint queuedAt;
-        base::TimePoint writtenAt = {}; // when the first byte was written
+        base::TimePoint writtenAt = {};  // when the first byte was written
+        base::TimePoint receivedAt = {}; // when the last byte of the response was received; before the first: writtenAt
+        qint64 bytesReceived = 0;
     };
 
     QByteArray encode(const ChannelRequest& request, const QByteArray& authority)
@@ -76,7 +79,7 @@
             return;
         }
         isBusy = true;
-        queue.front().writtenAt = base::monotonicNow();
+        queue.front().writtenAt = queue.front().receivedAt = base::monotonicNow();
         const ChannelRequest& request = queue.front().request;
         ClientLimits parserLimits;
         parserLimits.responseBodyBytes = limits.responseBodyBytes;
@@ -136,18 +139,30 @@
         base::TimePoint due = first->deadline;
         if (socket && socket->state() != QAbstractSocket::ConnectedState)
             due = std::min(due, connectStarted + base::milliseconds(limits.connectTimeoutMs));
+        if (const auto stallsAt = stallDeadline())
+            due = std::min(due, *stallsAt);
         const auto left = base::toMilliseconds(due - base::monotonicNow()) + 1;
         timer.start(static_cast<int>(std::max<std::int64_t>(0, left)));
     }
 
+    // When the request in progress fails unless a byte arrives before; not brought forward for each byte by armTimer().
+    std::optional<base::TimePoint> stallDeadline() const
+    {
+        if (!isBusy || queue.front().request.stallTimeoutMs <= 0)
+            return std::nullopt;
+        return queue.front().receivedAt + base::milliseconds(queue.front().request.stallTimeoutMs);
+    }
+
     void onTimer()
     {
         if (queue.empty())
             return;
         const base::TimePoint now = base::monotonicNow();
-        if (isBusy && now >= queue.front().deadline) {
+        const auto stallsAt = stallDeadline();
+        if (isBusy && (now >= queue.front().deadline || (stallsAt && now >= *stallsAt))) {
             lastUnresponsiveAt = now;
-            fail(Failure::Timeout, "no complete answer in time");
+            fail(Failure::Timeout,
+                queue.front().bytesReceived > 0 ? "answer is incomplete" : "no complete answer in time");
             return;
         }
         const bool isConnecting = socket && socket->state() != QAbstractSocket::ConnectedState;
@@ -202,6 +217,8 @@
             dropSocket();
             return;
         }
+        queue.front().receivedAt = base::monotonicNow();
+        queue.front().bytesReceived += bytes.size();
         feedAnswer(parser, bytes);
         if (parser.state == AnswerParser::State::Failed)
             fail(parser.failure, parser.detail);
@@ -255,6 +272,7 @@
             dropSocket();
         const base::TimePoint waitedUntil = isBusy ? queue.front().writtenAt : base::monotonicNow();
         result.waitedMs = static_cast<int>(base::toMilliseconds(waitedUntil - queue.front().queuedAt));
+        result.bytesReceived = queue.front().bytesReceived;
         isBusy = false;
         const ClientCallback callback = std::move(queue.front().callback);
         queue.pop_front();
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -33,6 +33,9 @@
     Headers headers;           // without Host and Content-Length
     QByteArray body;
     int timeoutMs = 1000; // ms from send() to the complete response, queue wait included
+    // ms without a byte of the response after which a sent request fails. With it, `timeoutMs` may allow for the
+    // transfer of a large response over a slow link, and an unresponsive peer is still noticed early. 0: no such limit.
+    int stallTimeoutMs = 0;
 };
 
 struct ChannelCounters {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -84,6 +84,7 @@
     // --- Set by Channel only ---
     bool wasPeerUnresponsive = false; // not sent because the peer did not respond to the preceding request
     int waitedMs = 0;                 // ms from send() until the first byte was written or the unsent request failed
+    qint64 bytesReceived = 0;         // of the response, also when it is incomplete
 
     bool ok() const { return failure == Failure::None; }
 };
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -130,6 +130,20 @@
     return job;
 }
 
+void addEndedJob(Scheduler& scheduler, const EndedJob& ended, std::int64_t acceptedRevision)
+{
+    auto& slot = scheduler.jobs[ended.id];
+    if (slot)
+        return;
+    slot = std::make_unique<Job>();
+    Job& job = *slot;
+    job.request.id = ended.id;
+    job.acceptedRevision = acceptedRevision;
+    job.state = job.committedState = ended.state;
+    job.endedUnixMs = ended.endedUnixMs;
+    job.isRecordShort = true;
+}
+
 void cancelJob(Scheduler& scheduler, const std::string& id, Millis now)
 {
     const auto found = scheduler.jobs.find(id);
@@ -355,6 +369,32 @@
     }
 }
 
+void retireJob(Scheduler& scheduler, const Job& job)
+{
+    scheduler.active.erase(job.request.id);
+    if (!job.isRecordShort)
+        scheduler.retired.push_back(job.request.id);
+}
+
+std::vector<std::string> jobsToShorten(Scheduler& scheduler, std::size_t limit)
+{
+    std::vector<std::string> ids;
+    for (std::size_t left = scheduler.retired.size(); left > 0 && ids.size() < limit; --left) {
+        std::string id = std::move(scheduler.retired.front());
+        scheduler.retired.pop_front();
+        const auto job = scheduler.jobs.find(id);
+        if (job == scheduler.jobs.end()) // removed meanwhile
+            continue;
+        if (scheduler.dirty.count(id) > 0) { // a late end changed its record
+            scheduler.retired.push_back(std::move(id));
+            continue;
+        }
+        job->second->isRecordShort = true;
+        ids.push_back(std::move(id));
+    }
+    return ids;
+}
+
 std::vector<std::string> expiredJobs(Scheduler& scheduler, std::int64_t nowUnixMs, Millis keepMs, std::size_t limit)
 {
     std::vector<std::string> expired;
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -631,7 +631,7 @@
             finished.push_back(id);
     }
     for (const std::string& id : finished)
-        scheduler.active.erase(id);
+        retireJob(scheduler, *scheduler.jobs.at(id));
     stopStrays(planner);
     protectLatencyTargets(scheduler, planner.orders, now);
     if (now >= scheduler.validUntil || !scheduler.hasWorkerList) {
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -242,6 +242,26 @@
     return job;
 }
 
+QByteArray encodeEnded(const EndedJob& job)
+{
+    const QJsonObject json { { "id", text(job.id) }, { "ended", QLatin1String(nameOf(jobStateNames, job.state)) },
+        { "endedUnixMs", static_cast<qint64>(job.endedUnixMs) } };
+    return QJsonDocument(json).toJson(QJsonDocument::Compact);
+}
+
+std::optional<EndedJob> decodeEnded(const QByteArray& bytes)
+{
+    constexpr qsizetype maxBytes = 256; // accepted records are longer: they are not parsed twice
+    if (bytes.size() > maxBytes)
+        return std::nullopt;
+    const std::optional<QJsonObject> json = base::parseObject(bytes);
+    const std::optional<JobState> state
+        = json ? base::valueOf(jobStateNames, base::textOf((*json)["ended"])) : std::nullopt;
+    if (!state || !isFinal(*state) || !(*json)["id"].isString())
+        return std::nullopt;
+    return EndedJob { base::textOf((*json)["id"]), *state, (*json)["endedUnixMs"].toInteger() };
+}
+
 QByteArray encodeProgress(const Job& job, std::int64_t runsRecordedSince)
 {
     QJsonObject json { { "state", QLatin1String(nameOf(jobStateNames, job.state)) },
--- a/src/scheduler/record.h
+++ b/src/scheduler/record.h
@@ -20,6 +20,12 @@
 QByteArray encodeAccepted(const AcceptedJob& job);
 std::optional<AcceptedJob> decodeAccepted(const QByteArray& bytes);
 
+// Takes the place of the accepted record once the job has ended and its final state is stored, because a new term reads
+// all of them. The key stays, so that the id cannot be accepted again.
+QByteArray encodeEnded(const EndedJob& job);
+// nullopt: another kind of record, or it does not decode.
+std::optional<EndedJob> decodeEnded(const QByteArray& bytes);
+
 // runsRecordedSince: of the scheduler, see run_record.h.
 QByteArray encodeProgress(const Job& job, std::int64_t runsRecordedSince);
 // Restores the progress of a job that was added from its accepted record. Returns false when it does not decode.
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -163,6 +163,7 @@
     std::int64_t storedRunsRecordedSince = 0; // of the term that wrote the record that was read; 0: not readable
     JobState committedState = JobState::Queued;
     bool hasCancelRequest = false; // in the store
+    bool isRecordShort = false;    // its accepted record is, or is being, replaced by that of an ended job
     std::int64_t endedUnixMs = 0;  // 0: not ended, or the stored record has no end time
 };
 
@@ -296,6 +297,12 @@
     std::vector<Placement> tasks;
 };
 
+struct EndedJob {
+    std::string id;
+    JobState state = JobState::Completed; // final
+    std::int64_t endedUnixMs = 0;
+};
+
 struct JobChange {
     std::string id;
     JobState state = JobState::Queued;
@@ -316,6 +323,7 @@
     std::map<std::string, Worker> workers;
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
     std::set<std::string> active; // jobs that have not ended, whose final state is not stored, or that still have runs
+    std::deque<std::string> retired; // jobs that left `active`, until their accepted records are shortened
     Interference interference;
     std::set<std::string> dirty; // jobs with changes that are not stored yet
     std::string commitCursor; // last job id of the last commit batch; the next batch continues after it (round robin)
@@ -392,6 +400,8 @@
 // acceptedRevision: store revision at which the record of the accepted job was created.
 Job& addJob(Scheduler& scheduler, JobRequest request, QueuePolicy policy, std::int64_t acceptedUnixMs,
     std::int64_t acceptedRevision, Millis now);
+// Adds a job of which only a short record is left.
+void addEndedJob(Scheduler& scheduler, const EndedJob& job, std::int64_t acceptedRevision);
 void cancelJob(Scheduler& scheduler, const std::string& id, Millis now);
 
 // --- Input from workers and the advice service ---
@@ -437,6 +447,10 @@
 // The job record of that version, with that state, is in the store.
 void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state);
 
+// The job has ended, its final state is stored, and it has no runs.
+void retireJob(Scheduler& scheduler, const Job& job);
+// At most `limit` retired jobs whose accepted record may be replaced by a short one; each is returned once.
+std::vector<std::string> jobsToShorten(Scheduler& scheduler, std::size_t limit);
 // At most `limit` jobs that ended at least keepMs ago, with their final state stored: their records may be removed.
 // A job without a recorded end time counts from the first call that sees it.
 std::vector<std::string> expiredJobs(Scheduler& scheduler, std::int64_t nowUnixMs, Millis keepMs, std::size_t limit);
--- a/tests/http_channel_test.cpp
+++ b/tests/http_channel_test.cpp
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 #include <chrono>
 #include <netinet/in.h>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -127,6 +128,8 @@
     CPPUNIT_TEST(steadyRequestsAreSentAfterAnExpiry);
     CPPUNIT_TEST(requestsFailInTimeWhileAnOldConnectionAttemptHangs);
     CPPUNIT_TEST(channelsMayBeDestroyedWhenTheirConnectionIsRefused);
+    CPPUNIT_TEST(longResponseIsLimitedByItsProgress);
+    CPPUNIT_TEST(stalledResponseFailsEarly);
     CPPUNIT_TEST_SUITE_END();
 
     static ChannelRequest post(int timeoutMs = 2000)
@@ -140,6 +143,62 @@
     }
 
 public:
+    // Guards against responses that grow with the deployment and fail at a fixed time limit although they arrive.
+    void longResponseIsLimitedByItsProgress()
+    {
+        constexpr int pieceMs = 40;
+        RawServer server;
+        int left = 20;
+        QTimer pieces;
+        QTcpSocket* caller = nullptr;
+        QObject::connect(&pieces, &QTimer::timeout, &pieces, [&] {
+            caller->write("x");
+            if (--left == 0)
+                pieces.stop();
+        });
+        server.onData = [&](QTcpSocket* socket) {
+            caller = socket;
+            socket->write("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n");
+            pieces.start(pieceMs);
+        };
+        ChannelCounters counters;
+        Channel channel(server.address(), {}, &counters);
+        ChannelRequest request;
+        request.target = "/";
+        request.timeoutMs = testTimeoutMs;
+        request.stallTimeoutMs = 10 * pieceMs; // half of the whole response's time
+        std::optional<ClientResult> result;
+        channel.send(request, [&](ClientResult value) { result = std::move(value); });
+        CPPUNIT_ASSERT(waitUntil([&] { return result.has_value(); }));
+        CPPUNIT_ASSERT(result->ok());
+        CPPUNIT_ASSERT_EQUAL(qsizetype(20), result->body.size());
+        CPPUNIT_ASSERT(result->bytesReceived > 20);
+    }
+
+    // Guards against waiting for the whole time limit of a long response when its connection has died.
+    void stalledResponseFailsEarly()
+    {
+        for (const bool isBegun : { false, true }) {
+            RawServer server;
+            server.onData = [&](QTcpSocket* socket) {
+                if (isBegun)
+                    socket->write("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nxxxxx");
+            };
+            ChannelCounters counters;
+            Channel channel(server.address(), {}, &counters);
+            ChannelRequest request;
+            request.target = "/";
+            request.timeoutMs = 100 * testTimeoutMs;
+            request.stallTimeoutMs = 200;
+            std::optional<ClientResult> result;
+            channel.send(request, [&](ClientResult value) { result = std::move(value); });
+            CPPUNIT_ASSERT(waitUntil([&] { return result.has_value(); }));
+            CPPUNIT_ASSERT(result->failure == Failure::Timeout);
+            CPPUNIT_ASSERT(result->bytesSent == BytesSent::Some);
+            CPPUNIT_ASSERT_EQUAL(isBegun, result->bytesReceived > 0);
+        }
+    }
+
     void requestsShareOneConnection()
     {
         RawServer server;
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -110,13 +110,17 @@
     m_scheduler->limits = limits;
     const std::int64_t token = ++m_revision;
     for (const auto& [id, accepted] : m_accepted) {
-        auto job = scheduler::decodeAccepted(accepted.record);
-        scheduler::addJob(*m_scheduler, job->request, job->policy, job->acceptedUnixMs, accepted.revision, m_now);
+        if (const auto ended = scheduler::decodeEnded(accepted.record)) {
+            scheduler::addEndedJob(*m_scheduler, *ended, accepted.revision);
+        } else {
+            auto job = scheduler::decodeAccepted(accepted.record);
+            scheduler::addJob(*m_scheduler, job->request, job->policy, job->acceptedUnixMs, accepted.revision, m_now);
+        }
         const auto progress = m_progress.find(id);
         if (progress != m_progress.end())
             check(scheduler::restoreProgress(*m_scheduler->jobs.at(id), progress->second), "progress does not decode");
         if (scheduler::isFinal(m_scheduler->jobs.at(id)->state))
-            m_scheduler->active.erase(id);
+            scheduler::retireJob(*m_scheduler, *m_scheduler->jobs.at(id));
     }
     constexpr Millis clockLossMs = 300; // of the term clock with each term: the new leader reads the record late
     m_clockLagMs += clockLossMs;
@@ -354,6 +358,10 @@
         if (!isAnswerLost)
             scheduler::applyCommit(*m_scheduler, id, job.version, job.state);
     }
+    for (const std::string& id : scheduler::jobsToShorten(*m_scheduler, 4)) {
+        const scheduler::Job& job = *m_scheduler->jobs.at(id);
+        m_accepted.at(id).record = scheduler::encodeEnded({ id, job.committedState, job.endedUnixMs });
+    }
     m_knownWorkers = scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler));
     const scheduler::LeaseTable leases = scheduler::nextLeaseTable(*m_scheduler, true);
     m_leases = scheduler::encodeLeaseTable(leases);
