Send followers the job states that they do not know, in parts that fit the link

Same class as the load of a term: an answer that grows with the state, to everyone at once.

Change: the feed is in the order of store revisions, and a follower tells up to which revision it knows all states, over terms (JobFeed). Replies carry as many changes as a fifth of the link brings to all followers. A follower that has not caught up looks states up in the store.

--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -69,7 +69,7 @@
     const bool isRestored = scheduler::restoreProgress(job, item.value);
     if (scheduler::isFinal(job.state))
         scheduler::retireJob(*m_scheduler, job);
-    m_feed.push_back({ found->first, job.committedState });
+    m_feed.append({ found->first, job.committedState }, item.revision);
     applyState(*m_table, found->first, job.committedState, nowMs());
     return isRestored;
 }
@@ -92,6 +92,7 @@
 void DispatcherService::finishLoading()
 {
     const scheduler::Millis now = nowMs();
+    m_feed.sort();
     const election::Election& election = m_term->state();
     scheduler::beginTerm(*m_scheduler, m_term->token(), now,
         { election.knowsFormerTerms, election::termClock(election, now), election.terms });
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -22,7 +22,6 @@
     constexpr scheduler::Millis removalPeriodMs = 200;
     // ms between transactions that shorten accepted records of ended jobs; with 28 of them 56 jobs/s
     constexpr scheduler::Millis shortenPeriodMs = 500;
-    constexpr std::size_t maxFeedChanges = 100000;            // job state changes kept for other daemons; about 5 MB
     constexpr scheduler::Millis strongerCheckPeriodMs = 1000; // ms between checks for a stronger daemon
     constexpr int retryMs = 250;                              // ms after a failed call to the store
     constexpr int watchWaitMs = 2000; // ms; a dead connection is detected after this plus the store's watchMarginMs
@@ -114,7 +113,6 @@
     m_links.clear();
     m_advice.reset();
     m_feed.clear();
-    m_feedBegin = 0;
     m_isRemoving = false;
     m_isShortening = false;
     m_storedWorkers.clear();
@@ -281,16 +279,12 @@
 void DispatcherService::publishChanges()
 {
     const scheduler::Millis now = nowMs();
+    const std::int64_t revision = m_term->state().revision; // of the transaction that stored the states
     for (const scheduler::JobChange& change : m_scheduler->changes) {
         applyState(*m_table, change.id, change.state, now);
-        m_feed.push_back(change);
+        m_feed.append(change, revision);
     }
     m_scheduler->changes.clear();
-    if (m_feed.size() > maxFeedChanges) {
-        const auto half = static_cast<std::ptrdiff_t>(maxFeedChanges / 2);
-        m_feed.erase(m_feed.begin(), m_feed.begin() + half);
-        m_feedBegin += half;
-    }
 }
 
 scheduler::Millis DispatcherService::jobsKnownUntil() const
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -2,6 +2,7 @@
 // the leases of the workers, sends the orders of each plan and stores progress. Idle in every other daemon.
 #pragma once
 
+#include "daemon/job_feed.h"
 #include "daemon/load_watch.h"
 #include "daemon/runtime.h"
 #include "daemon/term_loader.h"
@@ -39,9 +40,7 @@
     // report. Empty when not all placements are known or their record is too large for the store. No order may be sent
     // afterwards.
     std::vector<platform::Write> resignationRecords() const;
-    // Committed job states of the term in commit order; the oldest entries are dropped.
-    const std::vector<scheduler::JobChange>& feed() const { return m_feed; }
-    std::int64_t feedBegin() const { return m_feedBegin; }
+    const JobFeed& feed() const { return m_feed; }
     // Over all terms of this process.
     base::EventDrops droppedDecisions() const { return m_droppedDecisions; }
 
@@ -122,8 +121,7 @@
     scheduler::Millis m_jobWatchAnsweredAt = 0; // last answer of the store to a list or watch of accepted jobs
     std::map<std::string, Link> m_links;
     std::unique_ptr<platform::AdviceLink> m_advice; // created for the first approval request
-    std::vector<scheduler::JobChange> m_feed;
-    std::int64_t m_feedBegin = 0; // position of the first entry of m_feed in the term
+    JobFeed m_feed;
     scheduler::Millis m_removalCheckedAt = 0;
     bool m_isRemoving = false;
     scheduler::Millis m_shortenedAt = 0;
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -13,7 +13,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <algorithm>
-#include <span>
+#include <optional>
 
 namespace lacewing::daemon {
 
@@ -23,7 +23,6 @@
     constexpr scheduler::Millis resignationNoticeMs
         = 600; // ms that a resigned daemon stays to notify others; above two periods of requests
     constexpr int failuresUntilRedial = 2; // consecutive requests without a reply until the connection is replaced
-    constexpr std::size_t changesPerReply = 500; // job states in one reply
     constexpr scheduler::Millis probeIntervalMs
         = 400; // ms between a follower's reads of the store while the leader cannot reach it
     constexpr scheduler::Millis pendingCountIntervalMs
@@ -133,7 +132,7 @@
         = state.isStoreFailing ? state.storeAnsweredAt : m_runtime.store->health().answeredAt;
     const QJsonObject request { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
         { "lastReply", static_cast<qint64>(m_lastReplyNumber) }, { "feedTerm", static_cast<qint64>(m_feedTerm) },
-        { "feedHave", static_cast<qint64>(m_feedPosition) },
+        { "feedHave", static_cast<qint64>(m_feedPosition) }, { "feedRevision", static_cast<qint64>(m_feedRevision) },
         { "incarnation", static_cast<qint64>(m_runtime.incarnation) },
         { "processorShare", m_term->state().processorShare },
         { "storeAgeMs", static_cast<qint64>(answeredAt > 0 ? now - answeredAt : -1) },
@@ -206,6 +205,7 @@
         return;
     m_feedTerm = reply["token"].toInteger();
     m_feedPosition = reply["next"].toInteger();
+    m_feedRevision = std::max<std::int64_t>(m_feedRevision, reply["feedRevision"].toInteger());
     for (const QJsonValue change : reply["changes"].toArray()) {
         if (const auto jobState = base::valueOf(scheduler::jobStateNames, base::textOf(change[1])))
             applyState(*m_table, base::textOf(change[0]), *jobState, now);
@@ -214,7 +214,8 @@
     m_table->pending.clear();
     for (auto it = pending.begin(); it != pending.end(); ++it)
         m_table->pending[it.key().toStdString()] = it.value().toInt();
-    m_table->syncedAt = sent.sentAt;
+    if (!reply["hasMoreChanges"].toBool()) // otherwise states are looked up in the store
+        m_table->syncedAt = sent.sentAt;
     m_table->pendingAsOf = sent.sentAt - reply["pendingAgeMs"].toInteger();
 }
 
@@ -281,8 +282,7 @@
     reply["isLoaded"] = m_dispatcher->scheduler() != nullptr;
     if (!m_dispatcher->scheduler())
         return encodeReply(reply, members);
-    const QByteArray changes
-        = encodeNewChanges(reply, request["feedTerm"].toInteger(), request["feedHave"].toInteger());
+    const QByteArray changes = encodeNewChanges(reply, request);
     updatePending(now);
     reply["pendingAgeMs"] = static_cast<qint64>(now - std::min(m_pendingCountedAt, m_dispatcher->jobsKnownUntil()));
     return encodeReply(reply, members + ",\"changes\":" + changes + ',' + m_pendingJson);
@@ -314,15 +314,19 @@
     m_pendingJson = text.mid(1, text.size() - 2);
 }
 
-QByteArray SyncService::encodeNewChanges(QJsonObject& reply, std::int64_t feedTerm, std::int64_t feedPosition) const
+QByteArray SyncService::encodeNewChanges(QJsonObject& reply, const QJsonObject& request) const
 {
-    const std::span<const scheduler::JobChange> feed = m_dispatcher->feed();
-    const std::int64_t begin = m_dispatcher->feedBegin();
-    const std::int64_t wantedOffset = feedTerm == m_term->token() ? std::max<std::int64_t>(0, feedPosition - begin) : 0;
-    const std::size_t offset = std::min(static_cast<std::size_t>(wantedOffset), feed.size());
-    const std::size_t count = std::min(changesPerReply, feed.size() - offset);
-    reply["next"] = static_cast<qint64>(begin + wantedOffset + static_cast<std::int64_t>(count));
-    return encodeChanges(feed.subspan(offset, count));
+    std::optional<std::int64_t> position;
+    if (request["feedTerm"].toInteger() == m_term->token())
+        position = request["feedHave"].toInteger();
+    const std::size_t limit
+        = changesPerReply(m_runtime.settings.linkMbps, m_sentReplies.size(), m_runtime.settings.syncMs);
+    const FeedPart part = m_dispatcher->feed().part(position, request["feedRevision"].toInteger(), limit);
+    reply["next"] = static_cast<qint64>(part.next);
+    reply["feedRevision"] = static_cast<qint64>(part.knownRevision);
+    if (!part.isLast)
+        reply["hasMoreChanges"] = true;
+    return encodeChanges(part.changes);
 }
 
 void registerSyncService(Runtime& runtime)
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -55,9 +55,8 @@
     QByteArray handleRequest(const QByteArray& request);
     void updateMembers(const std::string& daemon, const QJsonObject& request, scheduler::Millis now);
     void updatePending(scheduler::Millis now);
-    // At most changesPerReply changes after a follower's position in the feed of a term; adds its next position to the
-    // reply. A follower that has the feed of another term gets the current feed from its beginning.
-    QByteArray encodeNewChanges(QJsonObject& reply, std::int64_t feedTerm, std::int64_t feedPosition) const;
+    // The next part of the feed for a follower; adds its position to the reply.
+    QByteArray encodeNewChanges(QJsonObject& reply, const QJsonObject& request) const;
 
     Runtime& m_runtime;
     TermService* m_term = nullptr;
@@ -75,7 +74,8 @@
     std::int64_t m_lastReplyNumber = 0; // of the last reply received
     std::int64_t m_feedTerm = 0;
     std::int64_t m_feedPosition = 0;
-    MemberCopy m_memberCopy; // of the leader's list
+    std::int64_t m_feedRevision = 0; // all job states stored up to it are known
+    MemberCopy m_memberCopy;         // of the leader's list
     bool m_hasContact = false;
     scheduler::Millis m_probedAt = 0;
 
