Ask the scheduling daemon as often as it can answer, and store records every 50 ms

What callers saw: short jobs that had ended in time were shown as completed too late.

Cause: callers learn the end from the daemon that they ask. Records were stored at most every 100 ms, and each daemon asked for changes every 200 ms: 150 ms in the mean, of an allowance of 250 ms beside the work.

Change: the scheduling daemon tells its followers the period of their messages, from 50 to 200 ms, so that all of them take 8% of its share of a core (sync_period.h); records are stored at most every 50 ms. With 96 followers the period stays 200 ms.

--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -140,7 +140,7 @@
             .type = FieldType::Integer,
             .minimum = 10,
             .maximum = 2000,
-            .defaultJson = "100",
+            .defaultJson = "50",
             .unit = "ms",
             .doc = "shortest time between two writes of progress" },
         { .key = "syncMs",
@@ -149,7 +149,8 @@
             .maximum = 500,
             .defaultJson = "200",
             .unit = "ms",
-            .doc = "time between messages of a daemon to the scheduling daemon" },
+            .doc = "longest time between messages of a daemon to the scheduling daemon, which asks for a shorter one "
+                   "when it can" },
         { .key = "workerListMs",
             .type = FieldType::Integer,
             .minimum = 200,
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -40,7 +40,7 @@
     // --- Behaviour ---
     PlatformBounds bounds;
     int renewMs = 500;
-    int commitGapMs = 100;
+    int commitGapMs = 50;
     int syncMs = 200;
     int workerListMs = 1000;
     int leaseWaitMs = 1000;
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -7,6 +7,7 @@
 #include "daemon/job_changes.h"
 #include "daemon/job_table.h"
 #include "daemon/policy_service.h"
+#include "daemon/sync_period.h"
 #include "daemon/term_service.h"
 #include "kernel/log.h"
 
@@ -23,6 +24,7 @@
     constexpr scheduler::Millis resignationNoticeMs
         = 600; // ms that a resigned daemon stays to notify others; above two periods of requests
     constexpr int failuresUntilRedial = 2; // consecutive requests without a reply until the connection is replaced
+    constexpr int shortestSyncMs = 50;     // ms; lower bound of a period that the scheduling daemon asks for
     constexpr scheduler::Millis probeIntervalMs
         = 400; // ms between a follower's reads of the store while the leader cannot reach it
     constexpr scheduler::Millis pendingCountIntervalMs
@@ -153,6 +155,7 @@
                     { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
                         { "detail", result.error().detail } });
             m_hasContact = false;
+            m_timer.setInterval(m_runtime.settings.syncMs);
             if (++m_failures >= failuresUntilRedial)
                 dropClient(); // allowed here: the client runs callbacks after it has removed the call
         });
@@ -167,6 +170,7 @@
         = reply["incarnation"].toInteger() == sent.incarnation && base::textOf(reply["daemon"]) == sent.leader;
     if (!reply["isLeader"].toBool() || !isSameProcess) {
         m_hasContact = false;
+        m_timer.setInterval(m_runtime.settings.syncMs);
         const auto resignation = election::decodeRecord(base::textOf(reply["resignation"]).c_str());
         if (isSameProcess && resignation)
             election::observe(state, resignation, reply["revision"].toInteger(), nowMs());
@@ -191,6 +195,10 @@
             { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
                 { "token", reply["token"].toInteger() } });
     m_hasContact = true;
+    // Absent in replies of earlier versions.
+    const int periodMs = static_cast<int>(reply["syncMs"].toInteger(m_runtime.settings.syncMs));
+    m_timer.setInterval(
+        std::clamp(periodMs, std::min(shortestSyncMs, m_runtime.settings.syncMs), m_runtime.settings.syncMs));
     state.largestShare = reply["largestShare"].toDouble();
     if (base::textOf(reply["successor"]) == m_runtime.settings.daemon) {
         election::observeHandOver(state, sent.leader, sent.incarnation, now);
@@ -266,6 +274,8 @@
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
     reply["clockMs"] = static_cast<qint64>(election::termClock(state, now));
+    reply["syncMs"]
+        = syncPeriodMs(static_cast<int>(m_sentReplies.size()), state.processorShare, m_runtime.settings.syncMs);
     reply["lapsedMs"] = static_cast<qint64>(election::lapsedFor(state, now));
     reply["largestShare"] = election::largestKnownShare(state, now);
     updateMembers(daemon, request, now);
@@ -314,13 +324,18 @@
     m_pendingJson = text.mid(1, text.size() - 2);
 }
 
+int SyncService::followerPeriodMs() const
+{
+    return syncPeriodMs(
+        static_cast<int>(m_sentReplies.size()), m_term->state().processorShare, m_runtime.settings.syncMs);
+}
+
 QByteArray SyncService::encodeNewChanges(QJsonObject& reply, const QJsonObject& request) const
 {
     std::optional<std::int64_t> position;
     if (request["feedTerm"].toInteger() == m_term->token())
         position = request["feedHave"].toInteger();
-    const std::size_t limit
-        = changesPerReply(m_runtime.settings.linkMbps, m_sentReplies.size(), m_runtime.settings.syncMs);
+    const std::size_t limit = changesPerReply(m_runtime.settings.linkMbps, m_sentReplies.size(), followerPeriodMs());
     const FeedPart part = m_dispatcher->feed().part(position, request["feedRevision"].toInteger(), limit);
     reply["next"] = static_cast<qint64>(part.next);
     reply["feedRevision"] = static_cast<qint64>(part.knownRevision);
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -55,6 +55,7 @@
     QByteArray handleRequest(const QByteArray& request);
     void updateMembers(const std::string& daemon, const QJsonObject& request, scheduler::Millis now);
     void updatePending(scheduler::Millis now);
+    int followerPeriodMs() const;
     // The next part of the feed for a follower; adds its position to the reply.
     QByteArray encodeNewChanges(QJsonObject& reply, const QJsonObject& request) const;
 
--- a/tests/daemon_settings_test.cpp
+++ b/tests/daemon_settings_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(DaemonSettingsTest);
     CPPUNIT_TEST(defaultsAreFilledIn);
     CPPUNIT_TEST(deployTemplateFitsTheSchema);
+    CPPUNIT_TEST(thinLinksMakeADaemonWeaker);
     CPPUNIT_TEST(errorsNameFileAndKey);
     CPPUNIT_TEST_SUITE_END();
 
@@ -41,6 +42,7 @@
         text.replace(QRegularExpression(R"(\{\{(listen_addrs|platform)\.[a-z]+\|json\}\})"), "\"127.0.0.1:8161\"");
         text.replace(QRegularExpression(R"(\{\{(node|zone)\|json\}\})"), "\"name\"");
         text.replace("{{limits.cpu_share|json}}", "0.1");
+        text.replace("{{#limits.link_mbps}}, \"linkMbps\": {{.|json}}{{/limits.link_mbps}}", ", \"linkMbps\": 20");
         text.replace("{{bounds.grace_s|json}}", "6.5"); // bounds in seconds may have fractions
         text.replace("{{bounds.status_s|json}}", "120");
         text.replace("{{#recommendation}}\"advice\": { \"address\": {{recommendation|json}} },{{/recommendation}}",
@@ -53,6 +55,19 @@
         CPPUNIT_ASSERT_EQUAL(6500, settings.value().bounds.graceMs);
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:8170"), settings.value().adviceAddress);
         CPPUNIT_ASSERT_EQUAL(4500, settings.value().bounds.impactMs);
+        CPPUNIT_ASSERT_EQUAL(20.0, settings.value().linkMbps);
+    }
+
+    // Guards against a scheduling daemon that is strong by its processor and cannot pass its orders over its link.
+    void thinLinksMakeADaemonWeaker()
+    {
+        Settings settings;
+        settings.processorShare = 0.5;
+        CPPUNIT_ASSERT_EQUAL(0.5, schedulingShare(settings)); // unknown
+        settings.linkMbps = 200;
+        CPPUNIT_ASSERT_EQUAL(0.5, schedulingShare(settings));
+        settings.linkMbps = 5.3;
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, schedulingShare(settings), 1e-9);
     }
 
     void errorsNameFileAndKey()
