--- a/src/daemon/list_cursor.h
+++ b/src/daemon/list_cursor.h
@@ -36,7 +36,7 @@
 // Bytes of an answer from which a piece is divided when the rest does not arrive: a quarter of the store's longest
 // page. The length of a shorter one is not the reason for the failure, and dividing it would cost more calls than it
 // saves.
-constexpr std::int64_t minDividedBytes = 256 * 1024;
+constexpr std::int64_t minDividedBytes = 256LL * 1024;
 
 ListCursor beginList(std::string prefix);
 bool isComplete(const ListCursor& cursor);
--- a/tests/daemon_term_loader_test.cpp
+++ b/tests/daemon_term_loader_test.cpp
@@ -291,7 +291,7 @@
             const CommitBudget budget = makeCommitBudget(linkMbps, static_cast<int>(callTimeoutMs));
             CPPUNIT_ASSERT(static_cast<double>(budget.bytes) / (linkMbps * bytesPerMsAtOneMbps) < callTimeoutMs / 2);
         }
-        CPPUNIT_ASSERT(makeCommitBudget(0, 500).bytes >= 1024 * 1024);
+        CPPUNIT_ASSERT(makeCommitBudget(0, 500).bytes >= 1024LL * 1024);
     }
 
     void renewalIsSentAloneAfterAFailure()
