--- a/src/daemon/commit_budget.cpp
+++ b/src/daemon/commit_budget.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-    constexpr std::int64_t minBytes = 2048;             // about one record of a job
+    constexpr std::int64_t minBytes = 2048;               // about one record of a job
     constexpr std::int64_t fastLinkBytes = 1024LL * 1024; // the store's longest value
-    constexpr double shareOfTimeout = 0.25;             // of a call's time limit, for the transfer of the records
+    constexpr double shareOfTimeout = 0.25;               // of a call's time limit, for the transfer of the records
 
 } // namespace
 
