--- a/tests/daemon_sync_period_test.cpp
+++ b/tests/daemon_sync_period_test.cpp
@@ -34,8 +34,8 @@
 
 public:
     // Guards against callers of short jobs who learn of the end when it is late: with one message in 200 ms and one
-    // record in 100 ms it took 150 ms in the mean, where the callers' allowance beside the work is 250 ms (a deployment of
-    // nine instances: 122 of 397 short jobs in time, 223 with half of that).
+    // record in 100 ms it took 150 ms in the mean, where the callers' allowance beside the work is 250 ms (a deployment
+    // of nine instances: 122 of 397 short jobs in time, 223 with half of that).
     void endsOfJobsAreShownSoonOnFewDaemons()
     {
         CPPUNIT_ASSERT(meanShownMs(8, 0.1) < 100);
