--- a/tests/daemon_term_loader_test.cpp
+++ b/tests/daemon_term_loader_test.cpp
@@ -98,7 +98,7 @@
 // Answers share the link in the order in which their bytes were sent. Each connection has at most one window of bytes
 // under way, so that the answer to a renewal waits for one window of each other answer.
 
-constexpr double windowBytes = 65536; // of one connection, as on the platform
+constexpr double windowBytes = 65536; // of one connection; assumed
 constexpr double callTimeoutMs = 500; // of a renewal
 constexpr double validityMs = 1500;   // of a term after its last renewal
 constexpr double storeMs = 20;        // for one call, without its transfer
