Tell the age of the configuration that a request is handled by

Logs told a late watch from a paused daemon only where the daemon made other calls to the store in that time. Lines of requests now have the time since the store was asked for what the daemon knows, configurationInForce has it as of just before the change, a failed watch has a line and a counter, and the age is a metric and a field of the status. No logic is changed.

--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -168,6 +168,7 @@
         { "revision", static_cast<qint64>(m_policy->revision()) },
         { "platformVersion",
             m_configuration->isLoaded() ? static_cast<qint64>(m_configuration->current().version) : -1 },
+        { "configurationAgeMs", static_cast<qint64>(m_configuration->ageMs()) },
         { "confirmed", isStoreReachable(m_runtime) },
         { "evidence", "scheduled by " + (state.record ? toQString(state.record->leader) : QString("nobody")) },
         { "store", QJsonObject { { "access", isStoreReachable(m_runtime) } } },
@@ -321,6 +322,10 @@
     gauge("lacewing_store_failures", "Calls to the store that failed.", static_cast<double>(store.failures));
     gauge("lacewing_store_malformed_items", "Items of lists and watches that could not be read.",
         static_cast<double>(store.malformedItems));
+    constexpr double msPerSecond = 1000;
+    gauge("lacewing_configuration_age_seconds",
+        "Time since the store was asked for the configuration that is known; negative before the first answer.",
+        static_cast<double>(m_configuration->ageMs()) / msPerSecond);
     gauge("lacewing_log_lines_written", "Log lines written.", static_cast<double>(kernel::logCounters().written));
     const base::EventDrops& dropped = kernel::logCounters().dropped;
     gauge("lacewing_log_lines_dropped", "Log lines dropped over a bound.",
--- a/src/daemon/configuration_service.cpp
+++ b/src/daemon/configuration_service.cpp
@@ -41,15 +41,16 @@
 void ConfigurationService::list()
 {
     m_runtime.store->list(platform::operatorPrefix, platform::Freshness::Linearizable,
-        [this](const base::Result<platform::ItemList, platform::StoreError>& result) {
+        [this, askedAt = nowMs()](const base::Result<platform::ItemList, platform::StoreError>& result) {
             if (result.has_error()) {
-                retry(true);
+                retry(true, result.error(), askedAt);
                 return;
             }
             m_withdrawnByOperator.clear();
             for (const platform::Item& item : result.value().items)
                 apply(item);
             m_revision = result.value().revision;
+            m_askedAt = askedAt;
             notify();
             watch();
         });
@@ -58,22 +59,30 @@
 void ConfigurationService::watch()
 {
     m_runtime.store->watch("configuration", platform::operatorPrefix, m_revision, watchWaitMs,
-        [this](const base::Result<platform::ItemList, platform::StoreError>& result) {
+        [this, askedAt = nowMs()](const base::Result<platform::ItemList, platform::StoreError>& result) {
             if (result.has_error()) {
-                retry(result.error().code == platform::StoreCode::HistoryGone);
+                retry(result.error().code == platform::StoreCode::HistoryGone, result.error(), askedAt);
                 return;
             }
             for (const platform::Item& item : result.value().items)
                 apply(item);
             m_revision = std::max(m_revision, result.value().revision);
+            m_askedAt = askedAt;
             if (!result.value().items.empty())
                 notify();
             QTimer::singleShot(result.value().items.empty() ? 0 : watchGapMs, this, [this] { watch(); });
         });
 }
 
-void ConfigurationService::retry(bool fromList)
+void ConfigurationService::retry(bool fromList, const platform::StoreError& error, scheduler::Millis askedAt)
 {
+    kernel::logEvent(kernel::LogLevel::Warning, "configuration", "watchFailed",
+        { { "waitedMs", nowMs() - askedAt }, { "ageMs", ageMs() }, { "revision", m_revision },
+            { "detail", error.detail } });
+    m_runtime.metrics
+        .counter("lacewing_watch_failures_total", "Calls of a watch that failed, by watch.",
+            { { "watch", "configuration" } })
+        .value++;
     QTimer::singleShot(retryMs, this, [this, fromList] {
         if (fromList)
             list();
@@ -107,10 +116,12 @@
         return;
     kernel::logEvent(kernel::LogLevel::Notice, "configuration", "configurationInForce",
         { { "version", decoded->version }, { "revision", item.revision },
-            { "queues", static_cast<std::int64_t>(decoded->queues.size()) } });
+            { "queues", static_cast<std::int64_t>(decoded->queues.size()) }, { "ageMs", ageMs() } });
     m_current = std::move(decoded);
 }
 
+scheduler::Millis ConfigurationService::ageMs() const { return m_askedAt > 0 ? nowMs() - m_askedAt : -1; }
+
 std::set<std::string> ConfigurationService::withdrawn() const
 {
     std::set<std::string> all = m_withdrawnByOperator;
--- a/src/daemon/configuration_service.h
+++ b/src/daemon/configuration_service.h
@@ -30,19 +30,23 @@
     void setWithdrawnByPolicy(std::set<std::string> dataCentres);
     // Queue of a request by host and longest matching prefix; nullptr when there is none.
     const scheduler::Queue* findQueue(const std::string& host, const std::string& path) const;
+    // Time since the store was asked for what is known here, -1 before the first answer. Changes that the store
+    // accepted earlier than that are known.
+    scheduler::Millis ageMs() const;
     // The callback runs after each change, for the lifetime of the service.
     void onChange(std::function<void()> callback) { m_listeners.push_back(std::move(callback)); }
 
 private:
     void list();
     void watch();
-    void retry(bool fromList);
+    void retry(bool fromList, const platform::StoreError& error, scheduler::Millis askedAt);
     void apply(const platform::Item& item);
     void notify();
 
     Runtime& m_runtime;
     std::optional<scheduler::Configuration> m_current;
-    std::int64_t m_revision = 0; // of the store, up to which changes were applied
+    std::int64_t m_revision = 0;     // of the store, up to which changes were applied
+    scheduler::Millis m_askedAt = 0; // when the newest answered call was sent; 0: none
     std::set<std::string> m_withdrawnByOperator;
     std::set<std::string> m_withdrawnByPolicy;
     std::vector<std::function<void()>> m_listeners;
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -87,6 +87,7 @@
     kernel::logEvent(kernel::LogLevel::Info, "gateway", operation,
         { { "job", id }, { "status", response.status },
             { "version", m_configuration->isLoaded() ? m_configuration->current().version : 0 },
+            { "configurationAgeMs", m_configuration->ageMs() },
             { "feedAgeMs", m_table->syncedAt > 0 ? nowMs() - m_table->syncedAt : -1 }, { "outcome", outcome } });
     responder.respond(response);
 }
