Follow accepted jobs and the policy with the watch that does not wait

Callers would see: tasks of a cancelled job started later than 3 s after the cancel was acknowledged, and numbers of waiting jobs that lack those accepted in the last seconds. Same cause as the late configuration: an unanswered long poll of the scheduling daemon was waited for 3.25 s (3.5 s for the policy), and a watch that was quiet for 2.5 s counted as complete up to now.

With StoreWatch the next call goes out after 0.65 s for jobs and 1 s for the policy, by its times, and numbers of waiting jobs are as of the newest answered call. Jobs read at the begin of a term count from the time at which their list was begun, not from its end.

--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -105,15 +105,13 @@
     for (const platform::Item& item : m_newItems)
         applyAccepted(item, true);
     m_newItems.clear();
-    m_jobsRevision = m_loader->acceptedRevision();
-    m_jobWatchAnsweredAt = now;
     const TermLoadCounts& read = m_loader->counts();
     kernel::logEvent(kernel::LogLevel::Notice, "dispatcher", "termLoaded",
         { { "token", m_term->token() }, { "jobs", static_cast<std::int64_t>(m_scheduler->jobs.size()) },
             { "open", static_cast<std::int64_t>(m_scheduler->active.size()) },
             { "sinceMs", now - m_term->phases().begunAt },
             { "rememberedWorkers", static_cast<std::int64_t>(m_scheduler->workers.size()) },
-            { "revision", m_jobsRevision }, { "records", read.records }, { "listBytes", read.bytes },
+            { "revision", m_loader->acceptedRevision() }, { "records", read.records }, { "listBytes", read.bytes },
             { "calls", read.calls }, { "failures", read.failures } });
     m_placements.reset();
     m_formerLeases.reset();
@@ -123,7 +121,7 @@
     m_workersListedAt = 0;
     m_interferenceStoredAt = now;
     loadInterference();
-    watchJobs();
+    watchJobs(m_loader->acceptedRevision(), m_loader->acceptedAskedAt());
     listWorkers();
     m_loadWatch.start(linkTraffic());
     m_tick.start();
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -23,10 +23,9 @@
     // ms between transactions that shorten accepted records of ended jobs; with 28 of them 56 jobs/s
     constexpr scheduler::Millis shortenPeriodMs = 500;
     constexpr scheduler::Millis strongerCheckPeriodMs = 1000; // ms between checks for a stronger daemon
-    constexpr int retryMs = 250;                              // ms after a failed call to the store
-    constexpr int watchWaitMs = 2000; // ms; a dead connection is detected after this plus the store's watchMarginMs
-    constexpr scheduler::Millis watchTransferMs = 500; // ms; allowance for the transfer of a watch call and its answer
-    constexpr int watchGapMs = 40;                     // ms between watch calls; batches jobs that arrive together
+    // An unanswered call delays a cancel by 650 ms of the 3,000 that the platform allows, and numbers of waiting jobs
+    // are at most that much older than the follower's contact.
+    constexpr WatchTimes jobWatchTimes { .waitMs = 500, .overdueMs = 150, .gapMs = 40 };
     // ms between writes of the lease table that only release workers; a term loses at most this much of their age
     constexpr scheduler::Millis leaseReleasePeriodMs = 1000;
     constexpr scheduler::Millis dropsPeriodMs = 1000; // ms between lines on dropped decisions
@@ -110,6 +109,7 @@
     m_isLoaded = false;
     m_isStoringProgress = false;
     m_isListingWorkers = false;
+    m_jobWatch.reset();
     m_links.clear();
     m_advice.reset();
     m_feed.clear();
@@ -195,48 +195,15 @@
                 { "ageMs", base::wallClockMs() - m_scheduler->jobs.at(id)->acceptedUnixMs } });
 }
 
-void DispatcherService::applyJobChanges(const platform::ItemList& changes)
+void DispatcherService::watchJobs(std::int64_t revision, scheduler::Millis askedAt)
 {
-    for (const platform::Item& item : changes.items)
-        applyAccepted(item, true);
-    m_jobsRevision = std::max(m_jobsRevision, changes.revision);
-    m_jobWatchAnsweredAt = nowMs();
-    if (!changes.items.empty())
-        schedulePlan();
-}
-
-void DispatcherService::watchJobs()
-{
-    const std::weak_ptr<int> generation = m_generation;
-    m_runtime.store->watch("jobs", storeKeys::acceptedPrefix, m_jobsRevision, watchWaitMs,
-        [this, generation](const base::Result<platform::ItemList, platform::StoreError>& result) {
-            if (generation.expired())
-                return;
-            if (result.has_error()) {
-                const bool isGone = result.error().code == platform::StoreCode::HistoryGone;
-                runAfter(retryMs, [this, isGone] { isGone ? relistJobs() : watchJobs(); });
-                return;
-            }
-            applyJobChanges(result.value());
-            runAfter(result.value().items.empty() ? 0 : watchGapMs, [this] { watchJobs(); });
-        });
-}
-
-void DispatcherService::relistJobs()
-{
-    const std::weak_ptr<int> generation = m_generation;
-    kernel::logEvent(kernel::LogLevel::Warning, "dispatcher", "historyGone", { { "revision", m_jobsRevision } });
-    m_runtime.store->list(storeKeys::acceptedPrefix, platform::Freshness::Linearizable,
-        [this, generation](const base::Result<platform::ItemList, platform::StoreError>& result) {
-            if (generation.expired())
-                return;
-            if (result.has_error()) {
-                runAfter(retryMs, [this] { relistJobs(); });
-                return;
-            }
-            applyJobChanges(result.value());
-            watchJobs();
+    m_jobWatch = std::make_unique<StoreWatch>(
+        m_runtime, "jobs", storeKeys::acceptedPrefix, jobWatchTimes, [this](const StoreWatch::Changes& changes) {
+            for (const platform::Item& item : changes.items)
+                applyAccepted(item, true);
+            schedulePlan();
         });
+    m_jobWatch->startFrom(revision, askedAt);
 }
 
 // --- Storing ---
@@ -287,11 +254,6 @@
     m_scheduler->changes.clear();
 }
 
-scheduler::Millis DispatcherService::jobsKnownUntil() const
-{
-    return watchCompleteUntil(m_jobWatchAnsweredAt, watchWaitMs + watchGapMs + watchTransferMs, nowMs());
-}
-
 // The gateway answers from the job table on the scheduling daemon too.
 void DispatcherService::updateTable()
 {
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -5,6 +5,7 @@
 #include "daemon/job_feed.h"
 #include "daemon/load_watch.h"
 #include "daemon/runtime.h"
+#include "daemon/store_watch.h"
 #include "daemon/term_loader.h"
 #include "daemon/term_service.h"
 #include "daemon/worker_list.h"
@@ -34,8 +35,8 @@
     void start();
     // State of the term, or nullptr when this daemon does not schedule or is still loading.
     const scheduler::Scheduler* scheduler() const { return m_isLoaded ? m_scheduler.get() : nullptr; }
-    // Jobs accepted up to this time are known to the term.
-    scheduler::Millis jobsKnownUntil() const;
+    // Jobs accepted up to this time are known to the term; 0: none.
+    scheduler::Millis jobsKnownUntil() const { return m_jobWatch ? m_jobWatch->askedAt() : 0; }
     // Records to store with a resignation: the next term can then place tasks without waiting for every worker's
     // report. Empty when not all placements are known or their record is too large for the store. No order may be sent
     // afterwards.
@@ -65,9 +66,7 @@
     void finishLoading();
 
     // --- Store ---
-    void applyJobChanges(const platform::ItemList& changes);
-    void watchJobs();
-    void relistJobs();
+    void watchJobs(std::int64_t revision, scheduler::Millis askedAt);
     void applyAccepted(const platform::Item& item, bool isNewInTerm);
     void listWorkers();
     std::optional<std::set<std::string>> namedServices() const;
@@ -117,8 +116,7 @@
     std::optional<scheduler::Placements> m_placements;   // only while loading
     std::optional<scheduler::LeaseTable> m_formerLeases; // only while loading
     std::vector<scheduler::WorkerEntry> m_formerWorkers; // only while loading
-    std::int64_t m_jobsRevision = 0;
-    scheduler::Millis m_jobWatchAnsweredAt = 0; // last answer of the store to a list or watch of accepted jobs
+    std::unique_ptr<StoreWatch> m_jobWatch;              // accepted jobs and requests to cancel them
     std::map<std::string, Link> m_links;
     std::unique_ptr<platform::AdviceLink> m_advice; // created for the first approval request
     JobFeed m_feed;
--- a/src/daemon/job_table.h
+++ b/src/daemon/job_table.h
@@ -32,14 +32,6 @@
         entry->second = { state, now };
 }
 
-// Time up to which a watch has delivered all changes. A working watch answers at least every `periodMs` and is complete
-// up to now; one that is overdue is complete only up to its last answer.
-constexpr scheduler::Millis watchCompleteUntil(
-    scheduler::Millis answeredAt, scheduler::Millis periodMs, scheduler::Millis now)
-{
-    return now - answeredAt <= periodMs ? now : answeredAt;
-}
-
 // Multiple of the configured retention time for which the state of an ended job is kept, because daemons learn of the
 // end at different times.
 constexpr std::int64_t statusRetentionFactor = 2;
--- a/src/daemon/policy_service.cpp
+++ b/src/daemon/policy_service.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-    constexpr int watchWaitMs = 2000;     // ms; a dead connection is detected after this plus the store's watchMarginMs
     constexpr int retryMs = 500;          // ms after a failed call
     constexpr int maxApplyAttempts = 3;   // a proposal is checked again after each concurrent change
     constexpr int maxHistoryEntries = 50; // newest entries of the history in one response
@@ -98,9 +97,17 @@
 
 void PolicyService::setWatchEnabled(bool isEnabled)
 {
-    m_isWatchEnabled = isEnabled;
-    if (isEnabled && !m_isWatching)
-        read();
+    if (isEnabled == (m_watch != nullptr))
+        return;
+    m_watch.reset();
+    if (!isEnabled)
+        return;
+    m_watch = std::make_unique<StoreWatch>(m_runtime, "policy", storeKeys::policy,
+        watchTimesWithin(m_runtime.settings.bounds.configurationMs), [this](const StoreWatch::Changes& changes) {
+            for (const platform::Item& item : changes.items)
+                adopt(item);
+        });
+    m_watch->start();
 }
 
 void PolicyService::read()
@@ -118,31 +125,6 @@
             }
             for (const platform::Item& item : result.value().items)
                 adopt(item);
-            m_storeRevision = result.value().revision;
-            if (m_isWatchEnabled && !m_isWatching)
-                watch();
-        });
-}
-
-void PolicyService::watch()
-{
-    m_isWatching = m_isWatchEnabled;
-    if (!m_isWatchEnabled)
-        return;
-    m_runtime.store->watch("policy", storeKeys::policy, m_storeRevision, watchWaitMs,
-        [this](const base::Result<platform::ItemList, platform::StoreError>& result) {
-            if (result.has_error()) {
-                m_isWatching = false;
-                QTimer::singleShot(retryMs, this, [this] {
-                    if (m_isWatchEnabled && !m_isWatching && !m_isReading)
-                        read();
-                });
-                return;
-            }
-            for (const platform::Item& item : result.value().items)
-                adopt(item);
-            m_storeRevision = std::max(m_storeRevision, result.value().revision);
-            watch();
         });
 }
 
--- a/src/daemon/policy_service.h
+++ b/src/daemon/policy_service.h
@@ -8,6 +8,7 @@
 #include "base/burn.h"
 #include "config/revision.h"
 #include "daemon/runtime.h"
+#include "daemon/store_watch.h"
 #include "http/server.h"
 
 #include <QObject>
@@ -46,7 +47,6 @@
 private:
     config::ServiceObjectives objectivesOf(const std::string& service) const;
     void read();
-    void watch();
     void adopt(const platform::Item& item);
     void propose(const config::Proposal& proposal, const http::Responder& responder, int attempt);
     void write(const config::Accepted& accepted, const platform::Item& base, const config::Proposal& proposal,
@@ -57,9 +57,7 @@
     config::ActiveConfig m_holder;
     std::map<std::string, base::Revision> m_memberRevisions;
     bool m_isReading = false;
-    bool m_isWatchEnabled = false;
-    bool m_isWatching = false;
-    std::int64_t m_storeRevision = 0; // of the store, up to which changes were read
+    std::unique_ptr<StoreWatch> m_watch; // only while enabled
 };
 
 void registerPolicyService(Runtime& runtime);
--- a/src/daemon/term_loader.cpp
+++ b/src/daemon/term_loader.cpp
@@ -55,6 +55,8 @@
     m_step = step;
     if (isList())
         m_cursor = beginList(keyOf(step));
+    if (step == LoadStep::Accepted)
+        m_acceptedAskedAt = nowMs();
 }
 
 void TermLoader::readNext()
--- a/src/daemon/term_loader.h
+++ b/src/daemon/term_loader.h
@@ -66,6 +66,8 @@
     void start();
     // Store revision as of which accepted jobs were listed. Valid once finished.
     std::int64_t acceptedRevision() const { return m_acceptedRevision; }
+    // Jobs accepted before this time are in that list.
+    scheduler::Millis acceptedAskedAt() const { return m_acceptedAskedAt; }
     LoadStep step() const { return m_step; }
     const TermLoadCounts& counts() const { return m_counts; }
 
@@ -87,6 +89,7 @@
     ListCursor m_cursor;                   // of a step that reads a list
     std::deque<platform::Item> m_received; // not applied yet
     std::int64_t m_acceptedRevision = 0;
+    scheduler::Millis m_acceptedAskedAt = 0;
     TermLoadCounts m_counts;
     scheduler::Millis m_startedAt = 0;
     QTimer m_reportTimer;
