Read the list of workers beside a read that got no answer

Callers would see tasks that start on a worker that said it leaves more than 2 s before: one unanswered read of the list blocked the next one for 2 s, and a second passed until that.

The next read is due when one takes longer than the usual period and than twice the last answered one, so that slow answers are waited for; answers that are overtaken by a later read are ignored.

--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -118,7 +118,7 @@
     m_formerWorkers.clear();
     m_isLoaded = true;
     recordTermLoaded(m_term->phases(), m_runtime.metrics, now);
-    m_workersListedAt = 0;
+    m_workerListCalls = {};
     m_interferenceStoredAt = now;
     loadInterference();
     watchJobs(m_loader->acceptedRevision(), m_loader->acceptedAskedAt());
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -72,9 +72,8 @@
         renewDueLeases();
         storeLeases();
         const scheduler::Millis now = nowMs();
-        const scheduler::Millis listPeriodMs
-            = scheduler::workerListPeriodMs(*m_scheduler, m_runtime.settings.workerListMs, now);
-        if (!m_isListingWorkers && now - m_workersListedAt >= listPeriodMs)
+        const scheduler::Millis usualMs = m_runtime.settings.workerListMs;
+        if (isWorkerListDue(m_workerListCalls, scheduler::workerListPeriodMs(*m_scheduler, usualMs, now), usualMs, now))
             listWorkers();
         runPlan();
     });
@@ -108,7 +107,6 @@
     m_newItems.clear();
     m_isLoaded = false;
     m_isStoringProgress = false;
-    m_isListingWorkers = false;
     m_jobWatch.reset();
     m_links.clear();
     m_advice.reset();
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -135,8 +135,7 @@
     scheduler::Millis m_strongerCheckedAt = 0;
 
     QTimer m_tick;
-    scheduler::Millis m_workersListedAt = 0;
-    bool m_isListingWorkers = false;
+    WorkerListCalls m_workerListCalls;
     WorkerListReader m_workerList;
     scheduler::Millis m_interferenceStoredAt = 0;
     http::ChannelCounters m_traffic; // with workers and the advice service
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -22,16 +22,16 @@
 
 void DispatcherService::listWorkers()
 {
-    m_isListingWorkers = true;
-    m_workersListedAt = nowMs();
-    const scheduler::Millis requestedAt = m_workersListedAt;
+    const scheduler::Millis requestedAt = nowMs();
+    m_workerListCalls.askedAt = requestedAt;
+    ++m_workerListCalls.inProgress;
     const std::weak_ptr<int> generation = m_generation;
     m_runtime.store->list(platform::workersPrefix, platform::Freshness::Linearizable,
         [this, generation, requestedAt](const base::Result<platform::ItemList, platform::StoreError>& result) {
             if (generation.expired())
                 return;
-            m_isListingWorkers = false;
-            if (result.has_error())
+            --m_workerListCalls.inProgress;
+            if (result.has_error() || !applyWorkerListAnswer(m_workerListCalls, requestedAt, nowMs()))
                 return;
             const WorkerList list = m_workerList.read(result.value(), namedServices());
             for (const RefusedEntry& entry : list.newlyRefused) {
--- a/src/daemon/worker_list.cpp
+++ b/src/daemon/worker_list.cpp
@@ -3,8 +3,34 @@
 
 #include "platform/documents.h"
 
+#include <algorithm>
+
 namespace lacewing::daemon {
 
+namespace {
+
+    constexpr int maxReads = 3; // in progress at a time
+
+} // namespace
+
+bool isWorkerListDue(
+    const WorkerListCalls& calls, scheduler::Millis periodMs, scheduler::Millis usualMs, scheduler::Millis now)
+{
+    const scheduler::Millis sinceMs = now - calls.askedAt;
+    if (calls.inProgress == 0)
+        return sinceMs >= periodMs;
+    return calls.inProgress < maxReads && calls.knownAt > 0 && sinceMs >= std::max(usualMs, 2 * calls.tookMs);
+}
+
+bool applyWorkerListAnswer(WorkerListCalls& calls, scheduler::Millis askedAt, scheduler::Millis now)
+{
+    if (askedAt < calls.knownAt)
+        return false;
+    calls.knownAt = askedAt;
+    calls.tookMs = now - askedAt;
+    return true;
+}
+
 WorkerList WorkerListReader::read(const platform::ItemList& list, const std::optional<std::set<std::string>>& services)
 {
     WorkerList result;
--- a/src/daemon/worker_list.h
+++ b/src/daemon/worker_list.h
@@ -1,4 +1,5 @@
-// The list of workers in the store: which entries name workers to use, and which refused entries are to be reported.
+// The list of workers in the store: when it is read, which entries name workers to use, and which refused entries are
+// to be reported.
 //
 // A refused entry is reported when it is first refused and when the reason changes, not at each list.
 #pragma once
@@ -15,6 +16,21 @@
 
 namespace lacewing::daemon {
 
+// Reads of the list by one term.
+struct WorkerListCalls {
+    scheduler::Millis askedAt = 0; // newest; 0: none
+    scheduler::Millis knownAt = 0; // when the newest answered one was sent; 0: none
+    scheduler::Millis tookMs = 0;  // until its answer
+    int inProgress = 0;
+};
+
+// Whether the next read is due, with reads every `periodMs` and usually every `usualMs`. One without an answer is not
+// waited for: it is overdue when it takes longer than the usual period and than twice the last answered one.
+bool isWorkerListDue(
+    const WorkerListCalls& calls, scheduler::Millis periodMs, scheduler::Millis usualMs, scheduler::Millis now);
+// False for an answer to be ignored, because a later read has been answered.
+bool applyWorkerListAnswer(WorkerListCalls& calls, scheduler::Millis askedAt, scheduler::Millis now);
+
 struct RefusedEntry {
     std::string id;
     std::int64_t revision = 0;
