Check the age of the configuration in the soak

The soak never changed the configuration, so it could not see requests that were handled by an old one. Now an operator adds and removes a queue every 600 ms, and callers ask every daemon for them: no answer may follow a version that was replaced more than 2 s before the request, at any time, also beside pauses, cuts and outages.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -288,6 +288,21 @@
     }
 }
 
+bool isOutdated(
+    const std::map<int, VersionFacts>& versions, int number, int status, std::int64_t sentAt, std::int64_t answeredAt)
+{
+    const auto facts = [&](int version) {
+        const auto found = versions.find(version);
+        return found == versions.end() ? VersionFacts {} : found->second;
+    };
+    const auto isInForce = [&](const VersionFacts& version) {
+        return version.acceptedAt > 0 && sentAt > version.acceptedAt + configurationMs;
+    };
+    const VersionFacts removal = facts(number + keptVersions);
+    const bool mayBeRemoved = removal.sentAt > 0 && removal.sentAt <= answeredAt;
+    return (status == 404 && isInForce(facts(number)) && !mayBeRemoved) || (status == 200 && isInForce(removal));
+}
+
 std::vector<std::string> firstTasks(const Checks& checks, const std::string& job)
 {
     const int tasks = checks.jobs.at(job).shape.firstTasks;
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -31,6 +31,8 @@
 constexpr int idleMs = 3000; // platform's bound: longest time for which a job has nothing running beside free workers
 constexpr int workerMillicores = 8000; // of each worker of the stand-in
 
+constexpr int configurationMs = 2000; // platform's bound: time within which a version is in force on all daemons
+
 // --- Disturbances ---
 
 struct Disturbance {
@@ -111,6 +113,24 @@
 // Lasting tasks that are down, other jobs with nothing running beside free workers, and tasks that still run although
 // their job was cancelled.
 void checkRunning(Checks& checks);
+
+// --- Queues ---
+
+constexpr int keptVersions = 6; // of the configuration, for which the queue that one of them adds stays
+
+// Times of one version, ms of the steady clock; 0: not yet.
+struct VersionFacts {
+    std::int64_t sentAt = 0;
+    std::int64_t acceptedAt = 0;
+};
+
+// Whether a status that tells that the queue of version `number` is there (200) or not (404) contradicts every
+// configuration that may be in force. Holds at any time: a daemon that cannot know refuses instead.
+bool isOutdated(
+    const std::map<int, VersionFacts>& versions, int number, int status, std::int64_t sentAt, std::int64_t answeredAt);
+
+// --- Jobs at the begin of a run ---
+
 // Names of the tasks of its first step.
 std::vector<std::string> firstTasks(const Checks& checks, const std::string& job);
 // Of all jobs.
--- a/soak/cluster.cpp
+++ b/soak/cluster.cpp
@@ -127,7 +127,7 @@
         error = "the stand-in did not start";
         return false;
     }
-    sendToOperator(platform::standin::configurationRequest(callersHost, callersPrefix));
+    sendToOperator(platform::standin::configurationRequest(1, callersHost, { callersPrefix }));
     for (int i = 0; i < m_settings.oddEntries; ++i)
         sendToOperator(platform::standin::oddEntryRequest(i % platform::standin::oddEntryKinds));
     if (!waitUntil([this] { return m_operator->pending() == 0; }, startLimitMs)) {
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -73,8 +73,9 @@
               << "; calls " << clients.calls << ", unanswered " << clients.unanswered << "; starts " << result.starts
               << "; terms " << result.termCount << "; lasting tasks down " << result.gaps.size() << " times, longest "
               << longest << " ms; jobs with nothing running beside free workers at most " << result.longestIdleMs
-              << " ms; repeated run numbers " << result.repeatedNumbers << "; violations " << result.violations.size()
-              << std::endl;
+              << " ms; repeated run numbers " << result.repeatedNumbers << "; answers for queues "
+              << result.queueAnswers << ", refused " << result.queueRefusals << "; violations "
+              << result.violations.size() << std::endl;
 }
 
 bool runSeed(const cxxopts::ParseResult& arguments, std::uint64_t seed, const std::string& scenario)
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -25,6 +25,7 @@
             : m_plan(plan)
             , m_cluster(plan.cluster)
             , m_clients(m_cluster, m_checks, plan.seed, plan.cluster.daemons)
+            , m_queues(m_cluster, m_checks, plan.seed, plan.cluster.daemons)
         {
             m_cluster.onDaemonStart([this] { m_checks.disturbances.push_back({ nowMs(), nowMs(), false }); });
             m_checks.workers = plan.cluster.workers;
@@ -47,6 +48,7 @@
         Checks m_checks;
         Cluster m_cluster;
         Clients m_clients;
+        Queues m_queues;
         QTimer m_tick;
         bool m_hasTraffic = false;
         bool m_isReading = false;
@@ -146,6 +148,7 @@
     void Player::tick()
     {
         m_clients.tick(m_hasTraffic);
+        m_queues.tick(m_hasTraffic);
         if (!m_isReading && nowMs() - m_readAt >= runsPollMs)
             readRuns();
     }
@@ -250,6 +253,8 @@
             [this](const Gap& gap) { return gap.to >= m_origin; });
         result.origin = m_origin;
         result.clients = m_clients.counts();
+        result.queueAnswers = m_queues.answers();
+        result.queueRefusals = m_queues.refusals();
         result.starts = m_checks.starts;
         result.repeatedNumbers = m_checks.repeatedNumbers;
         result.longestIdleMs = m_checks.longestIdleMs;
--- a/soak/run.h
+++ b/soak/run.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "soak/clients.h"
+#include "soak/queues.h"
 #include "soak/schedule.h"
 
 #include <cstdint>
@@ -26,6 +27,8 @@
     std::vector<Gap> gaps;          // of lasting tasks, from the begin of the faults on
     std::int64_t origin = 0;        // begin of the faults, ms of the steady clock
     ClientCounts clients;
+    int queueAnswers = 0;  // that told whether a queue is there
+    int queueRefusals = 0; // of daemons that could not know
     int starts = 0;
     int repeatedNumbers = 0;
     std::int64_t longestIdleMs = 0;
--- a/tests/soak_checks_test.cpp
+++ b/tests/soak_checks_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(lastingTasksThatStayDownAreReported);
     CPPUNIT_TEST(lastingTasksMayBeDownBesideDisturbances);
     CPPUNIT_TEST(jobsCompletedTooEarlyAreReported);
+    CPPUNIT_TEST(answersByAReplacedConfigurationAreReported);
     CPPUNIT_TEST_SUITE_END();
 
     void runsInTurnAreAllowed()
@@ -149,6 +150,24 @@
         checkFinalState(log.checks, job, scheduler::JobState::Completed);
         CPPUNIT_ASSERT(log.hasViolation("a job is shown as completed"));
     }
+
+    void answersByAReplacedConfigurationAreReported()
+    {
+        const int added = 4;
+        const int removing = added + keptVersions;
+        std::map<int, VersionFacts> versions;
+        versions[added] = { 1000, 1010 };
+        CPPUNIT_ASSERT(!isOutdated(versions, added, 404, 3010, 3020)); // within the bound
+        CPPUNIT_ASSERT(isOutdated(versions, added, 404, 3011, 3020));
+        CPPUNIT_ASSERT(!isOutdated(versions, added, 503, 3011, 3020));
+        CPPUNIT_ASSERT(!isOutdated(versions, added, 200, 3011, 3020));
+        versions[removing] = { 4000, 0 };
+        CPPUNIT_ASSERT(!isOutdated(versions, added, 404, 3900, 4100)); // the version may have been accepted
+        CPPUNIT_ASSERT(!isOutdated(versions, added, 200, 9000, 9010)); // or not
+        versions[removing].acceptedAt = 4010;
+        CPPUNIT_ASSERT(!isOutdated(versions, added, 200, 6010, 6020));
+        CPPUNIT_ASSERT(isOutdated(versions, added, 200, 6011, 6020));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoakChecksTest);
