--- a/src/ctl/operation_commands.cpp
+++ b/src/ctl/operation_commands.cpp
@@ -89,13 +89,13 @@
     Table shardTable(const QJsonObject& status)
     {
         Table table;
-        table.header = { "SHARD", "EPOCH", "QUEUED", "PLANNED", "RUNNING", "UNKNOWN", "FINISHED", "FAILED" };
-        table.rightAligned = { 1, 2, 3, 4, 5, 6, 7 };
+        table.header = { "SHARD", "EPOCH", "QUEUED", "RUNNING", "FINISHED", "FAILED", "CANCELLED" };
+        table.rightAligned = { 1, 2, 3, 4, 5, 6 };
         for (const auto& value : status["batch"].toObject()["shards"].toArray()) {
             const QJsonObject shard = value.toObject();
             const QJsonObject jobs = shard["jobs"].toObject();
             std::vector<Cell> row { textOf(shard, "key"), numberText(shard, "epoch") };
-            for (const char* state : { "queued", "running", "finished", "failed" })
+            for (const char* state : { "queued", "running", "finished", "failed", "cancelled" })
                 row.emplace_back(numberText(jobs, state));
             table.rows.push_back(std::move(row));
         }
@@ -124,6 +124,9 @@
             << (status["store"].toObject()["access"].toBool() ? "reachable"
                                                               : colored("unreachable", Color::Red, hasColor))
             << "\n";
+        if (status["configurationAgeMs"].toInteger(-1) >= 0)
+            out << "platform configuration " << numberText(status, "platformVersion") << ", known as of "
+                << durationText(status["configurationAgeMs"].toInteger()) << " ago\n";
         const auto printTable = [&](const Table& table) {
             if (!table.rows.empty())
                 out << "\n" << render(table, hasColor);
--- a/tests/ctl_program_test.cpp
+++ b/tests/ctl_program_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(answersMapToExitCodes);
     CPPUNIT_TEST(drainIsNeverSentToAnotherDaemon);
     CPPUNIT_TEST(statusShowsWhatNeedsAttention);
+    CPPUNIT_TEST(statusPutsTheNumbersOfJobsUnderTheirHeadings);
     CPPUNIT_TEST(reportBatchSumsDaemons);
     CPPUNIT_TEST(colourOnlyWhenEnabled);
     CPPUNIT_TEST(tablesAlignAndHideControlCharacters);
@@ -362,6 +363,24 @@
         CPPUNIT_ASSERT_EQUAL(7, run(daemons, { "status", "--json" }).json()["revision"].toInt());
     }
 
+    void statusPutsTheNumbersOfJobsUnderTheirHeadings()
+    {
+        FakeDaemons daemons;
+        daemons.handleOther = [](const ctl::Call&) {
+            const QJsonObject jobs { { "queued", 1 }, { "running", 22 }, { "finished", 333 }, { "failed", 4 },
+                { "cancelled", 5 } };
+            return FakeDaemons::json(200,
+                { { "daemon", "n1" }, { "platformVersion", 12 }, { "configurationAgeMs", 840 },
+                    { "batch",
+                        QJsonObject { { "shards",
+                            QJsonArray { QJsonObject { { "key", "all" }, { "epoch", 3 }, { "jobs", jobs } } } } } } });
+        };
+        const Run status = run(daemons, { "status" });
+        CPPUNIT_ASSERT(status.has("SHARD  EPOCH  QUEUED  RUNNING  FINISHED  FAILED  CANCELLED\n"
+                                  "all        3       1       22       333       4          5\n"));
+        CPPUNIT_ASSERT(status.has("platform configuration 12, known as of 840 ms ago\n"));
+    }
+
     // Guards against a report that omits a daemon that did not answer without naming it.
     void reportBatchSumsDaemons()
     {
