Wait for the answer of a watch that has begun to arrive

Callers on thin links would see a large configuration come into force late: an answer that takes longer than the wait and the margin counted as overdue, and the next calls fetched the same configuration beside it, up to three times over the same link. A list was asked for again after 2 s.

The channel tells when a response begins, and then the call is no longer overdue; a transfer that stands still fails as before. Lists are never overdue, only asked for again when another call shows that the store is back.

Measured: slowTransferIsNotAskedForAgain and arrivingAnswerIsNotAskedForAgain pass, neither is possible with the code before; 462 unit tests pass.

--- a/src/daemon/store_watch.cpp
+++ b/src/daemon/store_watch.cpp
@@ -80,26 +80,38 @@
     if (call.isList)
         m_runtime.store->list(m_prefix, platform::Freshness::Linearizable, receive);
     else
-        m_runtime.store->watch(m_name, m_prefix, m_calls.revision, m_times.waitMs, receive);
+        m_runtime.store->watch(m_name, m_prefix, m_calls.revision, m_times.waitMs, receive,
+            [this, call, alive = std::weak_ptr<int>(m_alive)] {
+                if (alive.expired())
+                    return;
+                applyBegin(m_calls, call);
+                arm();
+            });
     arm();
 }
 
 void StoreWatch::sendCheck()
 {
     const scheduler::Millis now = nowMs();
-    const bool isInProgress = m_checkSentAt > 0 && now - m_checkSentAt < checkMs;
+    const bool isInProgress = m_checkSentAt > 0 && (m_isCheckArriving || now - m_checkSentAt < checkMs);
     if (isInProgress || m_calls.needsList) // a list in progress serves as well
         return;
     m_checkSentAt = now;
-    const WatchCall call { 0, now, false };
+    m_isCheckArriving = false;
+    const WatchCall call { 0, now, false, false };
     // Connections of its own: the others may be waiting for answers that never come.
-    m_runtime.store->watch(m_name + ".check", m_prefix, m_calls.revision, checkWaitMs,
+    m_runtime.store->watch(
+        m_name + ".check", m_prefix, m_calls.revision, checkWaitMs,
         [this, call, alive = std::weak_ptr<int>(m_alive)](const Answer& result) {
             if (alive.expired())
                 return;
             if (m_checkSentAt == call.sentAt)
                 m_checkSentAt = 0;
             applyResult(call, result);
+        },
+        [this, call, alive = std::weak_ptr<int>(m_alive)] {
+            if (!alive.expired())
+                m_isCheckArriving = m_isCheckArriving || m_checkSentAt == call.sentAt;
         });
 }
 
@@ -170,10 +182,10 @@
 
 void StoreWatch::arm()
 {
-    scheduler::Millis due = m_waiters.empty() ? 0 : m_waiters.front().deadline;
+    scheduler::Millis due = m_waiters.empty() ? notDue : m_waiters.front().deadline;
     if (m_calls.inProgress.size() < maxWatchCalls) // otherwise the next one waits for the end of one of them
-        due = due == 0 ? m_calls.nextAt : std::min(due, m_calls.nextAt);
-    if (due == 0)
+        due = std::min(due, m_calls.nextAt);
+    if (due == notDue)
         m_timer.stop();
     else
         m_timer.start(static_cast<int>(std::max<scheduler::Millis>(0, due - nowMs())));
--- a/src/daemon/store_watch.h
+++ b/src/daemon/store_watch.h
@@ -62,7 +62,8 @@
     const WatchTimes m_times;
     const Receiver m_receiver;
     WatchCalls m_calls;
-    scheduler::Millis m_checkSentAt = 0; // of the check in progress; 0: none
+    scheduler::Millis m_checkSentAt = 0; // of the newest check in progress; 0: none
+    bool m_isCheckArriving = false;      // its answer has begun
     std::vector<Waiter> m_waiters;       // in the order of their deadlines
     QTimer m_timer;                      // next call or deadline of a waiter
     std::shared_ptr<int> m_alive;        // callbacks of calls in progress end with it
--- a/src/daemon/watch_calls.cpp
+++ b/src/daemon/watch_calls.cpp
@@ -32,12 +32,20 @@
 
 WatchCall beginCall(WatchCalls& calls, const WatchTimes& times, scheduler::Millis now)
 {
-    const WatchCall call { ++calls.lastNumber, now, calls.needsList };
+    const WatchCall call { ++calls.lastNumber, now, calls.needsList, false };
     calls.inProgress.push_back(call);
-    calls.nextAt = now + (call.isList ? times.listMs : times.waitMs + times.overdueMs);
+    calls.nextAt = call.isList ? notDue : now + times.waitMs + times.overdueMs;
     return call;
 }
 
+void applyBegin(WatchCalls& calls, const WatchCall& call)
+{
+    for (WatchCall& inProgress : calls.inProgress)
+        inProgress.isArriving = inProgress.isArriving || inProgress.number == call.number;
+    if (call.number == calls.lastNumber)
+        calls.nextAt = notDue;
+}
+
 bool applyAnswer(WatchCalls& calls, const WatchTimes& times, const WatchCall& call, std::int64_t revision,
     bool hasChanges, scheduler::Millis now)
 {
@@ -67,8 +75,10 @@
 
 void expectNoAnswer(WatchCalls& calls, scheduler::Millis now)
 {
-    const bool hasOlder = !calls.inProgress.empty() && calls.inProgress.back().sentAt < now;
-    if (hasOlder)
+    if (calls.inProgress.empty())
+        return;
+    const WatchCall& newest = calls.inProgress.back();
+    if (newest.sentAt < now && !newest.isArriving)
         calls.nextAt = std::min(calls.nextAt, now);
 }
 
--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -217,8 +217,11 @@
             dropSocket();
             return;
         }
+        const bool isBegin = queue.front().bytesReceived == 0;
         queue.front().receivedAt = base::monotonicNow();
         queue.front().bytesReceived += bytes.size();
+        if (isBegin && queue.front().request.onResponseBegun)
+            queue.front().request.onResponseBegun();
         feedAnswer(parser, bytes);
         if (parser.state == AnswerParser::State::Failed)
             fail(parser.failure, parser.detail);
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -36,6 +36,8 @@
     // ms without a byte of the response after which a sent request fails. With it, `timeoutMs` may allow for the
     // transfer of a large response over a slow link, and an unresponsive peer is still noticed early. 0: no such limit.
     int stallTimeoutMs = 0;
+    // Runs at the first byte of the response, before the callback; optional. May not destroy the channel.
+    std::function<void()> onResponseBegun = {};
 };
 
 struct ChannelCounters {
