--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -23,8 +23,8 @@
     // ms between transactions that shorten accepted records of ended jobs; with 28 of them 56 jobs/s
     constexpr scheduler::Millis shortenPeriodMs = 500;
     constexpr scheduler::Millis strongerCheckPeriodMs = 1000; // ms between checks for a stronger daemon
-    // An unanswered call delays a cancel by 650 ms of the 3,000 that the platform allows, and numbers of waiting jobs
-    // are at most that much older than the follower's contact.
+    // An unanswered call delays a cancel by 650 ms of the 3,000 that the platform allows. Numbers of waiting jobs are
+    // as old as two calls at most.
     constexpr WatchTimes jobWatchTimes { .waitMs = 500, .overdueMs = 150, .gapMs = 40 };
     // ms between writes of the lease table that only release workers; a term loses at most this much of their age
     constexpr scheduler::Millis leaseReleasePeriodMs = 1000;
