Handle events that wait before a wait of the soak fails

Cause: waitUntil() looked at the clock before the events that had come while a handler held the process up. The ends of the daemons waited to be read, and the limit was over.

Ruled out: daemons that stop late, by the times in their own logs.

Why it works: at the limit the events that already wait are handled, without waiting for others, and the condition is judged once more. A condition that does not hold then still fails. waitUntil() moves to a file of its own, so that a test can use it.

--- a/soak/cluster.cpp
+++ b/soak/cluster.cpp
@@ -2,9 +2,9 @@
 #include "soak/cluster.h"
 
 #include "platform/standin/client.h"
+#include "soak/wait.h"
 
 #include <QCoreApplication>
-#include <QDeadlineTimer>
 #include <QDir>
 #include <QEventLoop>
 #include <QFile>
@@ -40,19 +40,6 @@
 
 } // namespace
 
-bool waitUntil(const std::function<bool()>& condition, int limitMs)
-{
-    const QDeadlineTimer deadline(limitMs);
-    QTimer wake; // ends the wait of processEvents() when there is no other event
-    wake.start(5);
-    while (!condition()) {
-        if (deadline.hasExpired())
-            return false;
-        QCoreApplication::processEvents(QEventLoop::AllEvents | QEventLoop::WaitForMoreEvents);
-    }
-    return true;
-}
-
 Cluster::Cluster(ClusterSettings settings)
     : m_settings(std::move(settings))
     , m_daemons(static_cast<std::size_t>(m_settings.daemons))
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -106,7 +106,4 @@
     std::function<void()> m_onDaemonStart = [] {};
 };
 
-// Runs the event loop until the condition holds; false after the time limit.
-bool waitUntil(const std::function<bool()>& condition, int limitMs);
-
 } // namespace lacewing::soak
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -1,6 +1,8 @@
 // Plays one schedule of faults.
 #include "soak/run.h"
 
+#include "soak/wait.h"
+
 #include <QJsonDocument>
 #include <QTimer>
 #include <algorithm>
