Keep the term clock when a record of the same term is read late

A lasting task was down for 11.5 s: a worker crashes, the store falls silent, the leader is killed, and the next term waits 6.3 s for the lease of the crashed worker, although it cannot have been renewed for 4.7 s.

Cause: the store carried out the last renewal of the killed leader when it was back. A daemon that read it set its term clock back to the time of that write, and counted the right to act of the former leader from the read. All leases of the former term so seemed as much younger as the write was late.

Ruled out: a wait for the worker itself, which is gone for good; a second leader, of which no log has a line.

Why it works: within a term all daemons' clocks continue the leader's, from its replies or records, and lag behind it. So a record of the same term (by its token) does not set them back, and the end of the term counts from the time in the last renewal, not from when it was read. A record of another term, one without a clock, and a daemon that led the term itself set the clock as before: their clocks may belong to another series, or the record may be older than the acknowledgements by which the daemon acted.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -189,6 +189,7 @@
     election::LeaderState leader { reply["revision"].toInteger(), reply["lapsedMs"].toInteger() };
     if (reply["clockMs"].isDouble())
         leader.clockMs = reply["clockMs"].toInteger();
+    leader.token = reply["token"].toInteger();
     election::observeContact(state, leader, m_memberCopy.names(), now);
     if (!m_hasContact)
         kernel::logEvent(kernel::LogLevel::Notice, "sync", "dependencyRegained",
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -156,13 +156,14 @@
 
 namespace {
 
-    // When the former leader had stopped acting at the latest. Once its right to act has lapsed, only another renewal,
-    // which changes the revision, restores it.
+    // Term clock at which the former leader had stopped acting at the latest. Once its right to act has lapsed, only
+    // another renewal, which changes the revision, restores it.
     Millis formerTermEnd(const Election& election)
     {
         if (election.leaderLapsedAt > 0 && election.leaderLapsedRevision == election.revision)
-            return election.leaderLapsedAt;
-        return std::max(election.changedAt, election.leaderActedAt) + election.limits.validityMs;
+            return termClock(election, election.leaderLapsedAt);
+        return std::max(election.renewedClockMs, termClock(election, election.leaderActedAt))
+            + election.limits.validityMs;
     }
 
 } // namespace
@@ -183,7 +184,7 @@
     record.members.insert(election.self);
     record.clockMs = election.hasClock ? termClock(election, now) : 0;
     if (election.hasClock && election.role == Role::Follower)
-        record.formerEndMs = termClock(election, std::min(now, formerTermEnd(election)));
+        record.formerEndMs = std::min(termClock(election, now), formerTermEnd(election));
     record.terms = election.terms;
     record.largestShare = largestKnownShare(election, now);
     return record;
@@ -205,9 +206,16 @@
     void readClock(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
     {
         const bool isAbsent = !record && revision == 0; // otherwise it does not decode
+        const std::int64_t token = !record ? 0 : record->token != 0 ? record->token : revision;
+        const bool isSameTerm = election.hasClock && token != 0 && token == election.clockToken;
+        const Millis own = termClock(election, now);
         election.hasClock = isAbsent || (record && record->clockMs.has_value());
         election.clockMs = isAbsent ? firstClockMs : record ? record->clockMs.value_or(0) : 0;
+        election.renewedClockMs = election.clockMs;
+        if (election.hasClock && isSameTerm)
+            election.clockMs = std::max(election.clockMs, own);
         election.clockAt = now;
+        election.clockToken = token;
         election.terms = election.hasClock && record ? record->terms : std::vector<base::TermStart> {};
         if (election.hasClock && record && record->token == 0)
             election.terms.push_back({ revision, record->formerEndMs });
@@ -264,6 +272,7 @@
     if (election.hasClock && leader.clockMs) {
         election.clockMs = *leader.clockMs;
         election.clockAt = now;
+        election.clockToken = leader.token;
     }
     election.members = members;
     election.lastContactAt = now;
@@ -271,6 +280,7 @@
     if (leader.revision > election.revision) {
         election.revision = leader.revision;
         election.changedAt = now;
+        election.renewedClockMs = termClock(election, now);
         if (election.record)
             election.record->isResigned = false; // it leads again
     }
@@ -311,6 +321,7 @@
             election.clockMs = record.clockMs.value_or(0);
             election.clockAt = now;
         }
+        election.clockToken = revision;
         election.terms.push_back({ revision, record.formerEndMs });
         if (election.terms.size() > maxTermStarts)
             election.terms.erase(election.terms.begin());
@@ -330,6 +341,7 @@
     election.record = record;
     election.revision = revision;
     election.changedAt = now;
+    election.renewedClockMs = termClock(election, now);
     election.isRecordKnown = true;
     election.vacantFrom = 0;
     election.renewSentAt = sentAt;
@@ -369,6 +381,7 @@
     election.chosenSuccessor.clear();
     election.lastContactAt = 0;
     election.isRecordKnown = false; // the record must be read again before a take-over
+    election.clockToken = 0;        // that record may be older than the acknowledgements by which this daemon acted
     election.peers.clear();
 }
 
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -16,6 +16,8 @@
 // Each write of the record carries the term clock. A daemon that takes over continues it from the last value that it
 // has read, so that the age of former terms is known across terms without a common clock. It is a lower bound of the
 // time since the last term whose record has no clock; where there was none, it begins above the length of any lease.
+// Within a term, the clocks of all daemons continue the leader's and lag behind it, so that a record of the same term
+// never sets one back: the store may have carried out the write long after it was sent.
 //
 // Pure: the caller reads clocks and carries out the actions.
 //
@@ -127,6 +129,8 @@
     bool hasClock = false; // the record has one, or there has been no term yet
     Millis clockMs = 0;    // at clockAt
     Millis clockAt = 0;
+    std::int64_t clockToken = 0;        // of the term whose clock this one continues; 0: unknown
+    Millis renewedClockMs = 0;          // at which the leader sent its last known renewal, or later
     std::vector<base::TermStart> terms; // recent terms, oldest first; for the leader including its own
     Millis storeAnsweredAt = 0;         // last answer of the store to a read or write of the record
     Millis storeRegainedAt = 0;         // first answer after the last failure
@@ -176,6 +180,7 @@
     std::int64_t revision = 0;
     Millis lapsedMs = 0;                // for how long its right to act has lapsed; 0: it has not
     std::optional<Millis> clockMs = {}; // term clock; absent in replies of versions without one
+    std::int64_t token = 0;             // of its term
 };
 
 void observeContact(Election& election, const LeaderState& leader, const std::set<std::string>& members, Millis now);
--- a/tests/election_recovery_test.cpp
+++ b/tests/election_recovery_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 #include <set>
 
 namespace {
@@ -65,6 +66,7 @@
     bool isRefusing = true; // the store refuses calls while it is down; otherwise it does not answer
     double lostAnswers = 0.005;
     std::vector<std::pair<Millis, std::string>> elected;
+    std::map<std::int64_t, Millis> actedAt; // last time that each term's leader acted, by token
     std::string violation;
 };
 
@@ -228,7 +230,7 @@
     applyPeerMessage(other, state.self, follower.lastReplyAt, world.now, world.now);
     other.peers[state.self].processorShare = state.processorShare;
     other.peers[state.self].incarnation = state.incarnation;
-    observeContact(state, { other.revision, lapsedFor(other, world.now), termClock(other, world.now) },
+    observeContact(state, { other.revision, lapsedFor(other, world.now), termClock(other, world.now), other.token },
         knownMembers(other, world.now), world.now);
     follower.lastReplyAt = world.now;
     state.largestShare = largestKnownShare(other, world.now);
@@ -240,6 +242,21 @@
         && validUntil(daemon.election, world.now) > world.now;
 }
 
+// By the term clock, no earlier term ended before its leader acted last.
+void checkFormerTerms(World& world, const Election& election)
+{
+    for (const auto& [token, acted] : world.actedAt) {
+        const auto next = std::find_if(election.terms.begin(), election.terms.end(),
+            [former = token](const base::TermStart& term) { return term.token > former; });
+        if (token == election.token || next == election.terms.end())
+            continue;
+        const Millis endedAt = world.now - (termClock(election, world.now) - next->formerEndMs);
+        if (endedAt < acted && world.violation.empty())
+            world.violation = "term " + std::to_string(token) + " acted at " + std::to_string(acted) + ", and ended at "
+                + std::to_string(endedAt) + " by the clock of term " + std::to_string(election.token);
+    }
+}
+
 void step(World& world)
 {
     for (std::size_t i = 0; i < world.lateWrites.size();) {
@@ -267,8 +284,13 @@
         }
     }
     int acting = 0;
-    for (const Daemon& daemon : world.daemons)
-        acting += isActing(world, daemon) ? 1 : 0;
+    for (const Daemon& daemon : world.daemons) {
+        if (!isActing(world, daemon))
+            continue;
+        ++acting;
+        checkFormerTerms(world, daemon.election);
+        world.actedAt[daemon.election.token] = world.now;
+    }
     if (acting > 1 && world.violation.empty())
         world.violation = "two acting leaders at " + std::to_string(world.now);
     world.now += stepMs;
@@ -397,6 +419,7 @@
             CPPUNIT_ASSERT_MESSAGE(text, actingAt > 0 && actingAt - end <= strongTakeoverMs);
             runUntil(world, end + 20000);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(seedText(seed, world), std::size_t(1), world.elected.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(seedText(seed, world), std::string(), world.violation);
         }
     }
 
@@ -413,6 +436,7 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t(1), world.elected.size());
             CPPUNIT_ASSERT_MESSAGE(text, isStrong(daemonOf(world, world.elected[0].second)));
             CPPUNIT_ASSERT_MESSAGE(text, actingAt > 0 && actingAt - end <= strongTakeoverMs);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(), world.violation);
         }
     }
 
@@ -432,6 +456,7 @@
             runUntil(world, end);
             const Millis actingAt = runUntilActing(world, end + 20000);
             CPPUNIT_ASSERT_MESSAGE(seedText(seed, world), actingAt > 0 && actingAt - end <= weakTakeoverMs);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(seedText(seed, world), std::string(), world.violation);
         }
     }
 };
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -87,7 +87,8 @@
     }
     applyPeerMessage(leader.election, follower.election.self, follower.lastReplyAt, now, now);
     observeContact(follower.election,
-        { leader.election.revision, lapsedFor(leader.election, now), termClock(leader.election, now) },
+        { leader.election.revision, lapsedFor(leader.election, now), termClock(leader.election, now),
+            leader.election.token },
         knownMembers(leader.election, now), now);
     follower.lastReplyAt = now;
 }
@@ -136,6 +137,9 @@
     CPPUNIT_TEST(recordsWithoutATermClockHideFormerTerms);
     CPPUNIT_TEST(repliesOfALapsedLeaderDoNotExtendItsTerm);
     CPPUNIT_TEST(renewalsSeenLateDoNotExtendALapsedTerm);
+    CPPUNIT_TEST(writesCarriedOutLateDoNotExtendATerm);
+    CPPUNIT_TEST(ownTermsByAcknowledgementsAreNotForgotten);
+    CPPUNIT_TEST(ownResignedTermsAreNotForgotten);
     CPPUNIT_TEST(followersWithFasterClocksDoNotAgeLeases);
     CPPUNIT_TEST(unreadableRecordsHideFormerTerms);
     CPPUNIT_TEST_SUITE_END();
@@ -609,6 +613,80 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(endedAt), endedAt <= 3000 + b.election.limits.validityMs);
     }
 
+    // Guards against a wait for leases that counts from the end of an outage because the store then carries out a
+    // renewal of a leader that has stopped since (soak seed 213).
+    void writesCarriedOutLateDoNotExtendATerm()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        Daemon b = makeDaemon("b");
+        for (Millis now = 1000; now < 3000; now += 50) {
+            act(cell, a, now);
+            act(cell, b, now);
+            sync(b, a, now);
+        }
+        a.storeUnreachableUntil = b.storeUnreachableUntil = 12000;
+        const Record late = recordToWrite(a.election, false, 3000);
+        for (Millis now = 3000; now < 3500; now += 50) {
+            act(cell, b, now);
+            sync(b, a, now);
+        }
+        a.peersUnreachableUntil = 20000;
+        for (Millis now = 3500; now < 16000; now += 50) {
+            if (now == 12000) {
+                cell.record = late;
+                ++cell.revision;
+            }
+            act(cell, b, now);
+        }
+        CPPUNIT_ASSERT(b.election.role == Role::Leader);
+        const Millis endedAt = 16000 - (termClock(b.election, 16000) - b.election.terms.back().formerEndMs);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(endedAt), endedAt >= 3450);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(endedAt), endedAt <= 3500 + b.election.limits.validityMs);
+    }
+
+    // Guards against a lease that seems to be over because its leader, which acted by acknowledgements after its last
+    // renewal, takes over from itself.
+    void ownTermsByAcknowledgementsAreNotForgotten()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        Daemon b = makeDaemon("b");
+        for (Millis now = 1000; now < 8000; now += 50) {
+            if (now == 3000)
+                a.storeUnreachableUntil = b.storeUnreachableUntil = 9000;
+            act(cell, a, now);
+            act(cell, b, now);
+            sync(b, a, now);
+        }
+        CPPUNIT_ASSERT(validUntil(a.election, 7950) > 7950);
+        stepDown(a.election);
+        for (Millis now = 8000; now < 14000; now += 50)
+            act(cell, a, now);
+        CPPUNIT_ASSERT(a.election.role == Role::Leader);
+        const Millis endedAt = 14000 - (termClock(a.election, 14000) - a.election.terms.back().formerEndMs);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(endedAt), endedAt >= 7950);
+    }
+
+    // Guards against a lease that seems to be over because the successor has failed, and the leader that resigned takes
+    // over from itself.
+    void ownResignedTermsAreNotForgotten()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        for (Millis now = 1000; now < 8000; now += 50)
+            act(cell, a, now);
+        const Record resigned = recordToWrite(a.election, true, 8000);
+        cell.record = resigned;
+        applyWritten(a.election, resigned, ++cell.revision, 8000, 8000);
+        CPPUNIT_ASSERT(a.election.role == Role::Follower);
+        for (Millis now = 8050; now < 14000; now += 50)
+            act(cell, a, now);
+        CPPUNIT_ASSERT(a.election.role == Role::Leader);
+        const Millis endedAt = 14000 - (termClock(a.election, 14000) - a.election.terms.back().formerEndMs);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(endedAt), endedAt >= 8000);
+    }
+
     // Guards against a lease that seems to be over because the next leader's clock has gained seconds during a long
     // term.
     void followersWithFasterClocksDoNotAgeLeases()
@@ -622,7 +700,7 @@
             act(cell, a, now);
             act(cell, b, now + ahead);
             applyPeerMessage(a.election, "b", now, now, now);
-            observeContact(b.election, { a.election.revision, 0, termClock(a.election, now) },
+            observeContact(b.election, { a.election.revision, 0, termClock(a.election, now), a.election.token },
                 knownMembers(a.election, now), now + ahead);
         }
         CPPUNIT_ASSERT(b.election.role == Role::Follower);
