Tell a daemon that has exited from one that runs in the soak

Cause: such a process is a zombie whose last thread is still in the kernel.

Ruled out: a notification that the soak's event loop misses (its ppoll() includes the process's descriptor, which is not readable while the last thread is there); writes to disk (6 s of pressure in 43 minutes); a daemon that still runs.

Why it works: no code of the daemon runs once it has exited, so that the state of the process is what the grace period asks for. A daemon in any other state after it still fails. Exit codes are read when the kernel has released the processes, within 60 s.

--- a/soak/cluster.cpp
+++ b/soak/cluster.cpp
@@ -33,6 +33,9 @@
     constexpr int operatorTimeoutMs = 5000; // of a call of the stand-in
     constexpr int gracefulEndMs = 6000;     // the platform's bound, after which it kills the process
     constexpr int killedEndMs = 5000;       // until a killed process has been reaped
+    // Until the kernel has released an exited process: it may wait for locks of the libraries that hundreds of
+    // processes map.
+    constexpr int releaseMs = 60000;
 
     QString loopback(int port) { return QStringLiteral("127.0.0.1:%1").arg(port); }
 
@@ -236,25 +239,37 @@
     m_admins[static_cast<std::size_t>(index)]->send(std::move(request), std::move(callback));
 }
 
+bool Cluster::hasEnded(int index) const
+{
+    return !isRunning(index) || hasExited(m_daemons[static_cast<std::size_t>(index)].process->processId());
+}
+
 std::vector<std::string> Cluster::stopDaemons()
 {
+    const auto areAll = [this](const std::function<bool(int)>& condition) {
+        for (int i = 0; i < m_settings.daemons; ++i) {
+            if (!condition(i))
+                return false;
+        }
+        return true;
+    };
     for (int i = 0; i < m_settings.daemons; ++i)
         signalDaemon(i, SIGTERM);
-    waitUntil(
-        [this] {
-            for (int i = 0; i < m_settings.daemons; ++i) {
-                if (isRunning(i))
-                    return false;
-            }
-            return true;
-        },
-        gracefulEndMs);
+    waitUntil([&] { return areAll([this](int i) { return hasEnded(i); }); }, gracefulEndMs);
     std::vector<std::string> failed;
+    std::vector<bool> isLate;
     for (int i = 0; i < m_settings.daemons; ++i) {
-        const auto& process = m_daemons[static_cast<std::size_t>(i)].process;
-        if (isRunning(i))
+        isLate.push_back(!hasEnded(i));
+        if (isLate.back())
             failed.push_back(nameOf(i) + " did not end within the grace period");
-        else if (process && process->exitStatus() == QProcess::NormalExit && process->exitCode() != 0)
+    }
+    const auto isReleased = [&](int i) { return isLate[static_cast<std::size_t>(i)] || !isRunning(i); };
+    waitUntil([&] { return areAll(isReleased); }, releaseMs);
+    for (int i = 0; i < m_settings.daemons; ++i) {
+        const auto& process = m_daemons[static_cast<std::size_t>(i)].process;
+        if (!isReleased(i))
+            failed.push_back(nameOf(i) + " has exited and was not released by the kernel in time");
+        else if (process && !isRunning(i) && process->exitStatus() == QProcess::NormalExit && process->exitCode() != 0)
             failed.push_back(nameOf(i) + " ended with code " + std::to_string(process->exitCode()));
     }
     return failed;
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -53,6 +53,7 @@
     void startDaemon(int index);
     void signalDaemon(int index, int number);
     bool isRunning(int index) const;
+    bool hasEnded(int index) const; // also before the kernel has released the process
     // Name of the daemon and the number of its process.
     std::string processName(int index) const;
     // When the running process was told to stop by SIGTERM, ms of the steady clock; 0: it was not.
--- a/soak/wait.cpp
+++ b/soak/wait.cpp
@@ -1,8 +1,9 @@
-// Waits of the soak in its own event loop.
+// Waits of the soak in its own event loop, and for ends of processes.
 #include "soak/wait.h"
 
 #include <QCoreApplication>
 #include <QDeadlineTimer>
+#include <QFile>
 #include <QTimer>
 
 namespace lacewing::soak {
@@ -28,4 +29,13 @@
     return true;
 }
 
+bool hasExited(std::int64_t pid)
+{
+    QFile stat(QStringLiteral("/proc/%1/stat").arg(pid));
+    if (!stat.open(QIODevice::ReadOnly))
+        return false;
+    const QByteArray text = stat.readAll();
+    return text.mid(text.lastIndexOf(')') + 2, 1) == "Z"; // the state; the name before it may have any character
+}
+
 } // namespace lacewing::soak
--- a/tests/soak_wait_test.cpp
+++ b/tests/soak_wait_test.cpp
@@ -5,6 +5,9 @@
 #include <QThread>
 #include <QTimer>
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <sys/wait.h>
+#include <unistd.h>
 
 namespace {
 
@@ -14,6 +17,7 @@
     CPPUNIT_TEST_SUITE(SoakWaitTest);
     CPPUNIT_TEST(eventsThatWaitAtTheLimitAreHandled);
     CPPUNIT_TEST(conditionsThatDoNotHoldFailAtTheLimit);
+    CPPUNIT_TEST(processesHaveExitedBeforeTheyAreReleased);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -38,6 +42,22 @@
         QTimer::singleShot(300, &receiver, [&] { hasEnded = true; });
         CPPUNIT_ASSERT(!soak::waitUntil([&] { return hasEnded; }, 50));
     }
+
+    // Guards against a daemon that has exited and is reported as running, because the kernel takes seconds to release
+    // it (soak seeds 41 and 49).
+    void processesHaveExitedBeforeTheyAreReleased()
+    {
+        const pid_t running = ::fork();
+        if (running == 0) {
+            ::pause();
+            ::_exit(0);
+        }
+        CPPUNIT_ASSERT(running > 0 && !soak::hasExited(running));
+        CPPUNIT_ASSERT_EQUAL(0, ::kill(running, SIGKILL));
+        CPPUNIT_ASSERT(soak::waitUntil([&] { return soak::hasExited(running); }, 10000));
+        CPPUNIT_ASSERT_EQUAL(running, ::waitpid(running, nullptr, 0));
+        CPPUNIT_ASSERT(!soak::hasExited(running));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoakWaitTest);
