Take back what a fast clock gains when a record of the same term is read

A follower that is cut from the leader and reads its records kept the larger of its own term clock and the record's. A clock that runs 5% fast is then 3 s ahead after a minute, and leases of former terms seem to be over 3 s early.

Why it works: of the time since the last reading only 95% counts, which has passed by the fastest clock that the tests assume, so that the clock falls behind the leader's between two records and not ahead of it. Over an outage of 10 s it costs half a second of the age of older leases; the end of the last term counts from its own reading, and loses nothing.

--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -59,6 +59,9 @@
     constexpr std::size_t maxTermStarts = 16; // in the record; without older ones, terms seem to have ended later
     // Term clock before the first term, above the length of any lease: no older term can have granted one.
     constexpr Millis firstClockMs = 3600000;
+    // Of the time that a clock measures, which has passed even if it runs fast. Records would otherwise no longer take
+    // back what a follower's clock gains in a long term.
+    constexpr double trueTimeShare = 0.95;
     constexpr double strongerRatio = 1.25; // of processor time; smaller differences are not worth a delay
 
     // Delay of this daemon's take-over in favour of clearly stronger ones. They may see a change later than this one
@@ -208,7 +211,8 @@
         const bool isAbsent = !record && revision == 0; // otherwise it does not decode
         const std::int64_t token = !record ? 0 : record->token != 0 ? record->token : revision;
         const bool isSameTerm = election.hasClock && token != 0 && token == election.clockToken;
-        const Millis own = termClock(election, now);
+        const auto measured = static_cast<double>(now - election.clockAt);
+        const Millis own = election.clockMs + static_cast<Millis>(measured * trueTimeShare);
         election.hasClock = isAbsent || (record && record->clockMs.has_value());
         election.clockMs = isAbsent ? firstClockMs : record ? record->clockMs.value_or(0) : 0;
         election.renewedClockMs = election.clockMs;
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -17,7 +17,8 @@
 // has read, so that the age of former terms is known across terms without a common clock. It is a lower bound of the
 // time since the last term whose record has no clock; where there was none, it begins above the length of any lease.
 // Within a term, the clocks of all daemons continue the leader's and lag behind it, so that a record of the same term
-// never sets one back: the store may have carried out the write long after it was sent.
+// does not set one back, but for what it may have gained by running fast: the store may have carried out the write long
+// after it was sent.
 //
 // Pure: the caller reads clocks and carries out the actions.
 //
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -141,6 +141,7 @@
     CPPUNIT_TEST(ownTermsByAcknowledgementsAreNotForgotten);
     CPPUNIT_TEST(ownResignedTermsAreNotForgotten);
     CPPUNIT_TEST(followersWithFasterClocksDoNotAgeLeases);
+    CPPUNIT_TEST(readersWithFasterClocksDoNotAgeLeases);
     CPPUNIT_TEST(unreadableRecordsHideFormerTerms);
     CPPUNIT_TEST_SUITE_END();
 
@@ -707,6 +708,22 @@
         CPPUNIT_ASSERT(termClock(b.election, 61000 + ahead) <= termClock(a.election, 61000) + 50);
     }
 
+    // The same for a follower that only reads the leader's records, because it is cut from the leader.
+    void readersWithFasterClocksDoNotAgeLeases()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        Daemon b = makeDaemon("b");
+        Millis ahead = 0; // of b's clock
+        for (Millis now = 1000; now < 61000; now += 50) {
+            ahead += now % 1000 == 0 ? 50 : 0;
+            act(cell, a, now);
+            act(cell, b, now + ahead);
+        }
+        CPPUNIT_ASSERT(b.election.role == Role::Follower);
+        CPPUNIT_ASSERT(termClock(b.election, 61000 + ahead) <= termClock(a.election, 61000) + 50);
+    }
+
     // Guards against a leader of a version without the term clock whose term is taken for ended.
     void recordsWithoutATermClockHideFormerTerms()
     {
