--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -17,7 +17,6 @@
 namespace {
 
     constexpr int daemonCount = 3;
-    constexpr int clientDeadlineMs = 3000;
     constexpr int clientRetries = 4;
     constexpr std::int64_t readyLimitMs = 20000;
     const QByteArray hostName = "desk.example";
@@ -102,6 +101,17 @@
             .toJson(QJsonDocument::Compact);
     }
 
+    QByteArray lastingBody()
+    {
+        const QJsonObject spec { { "run_ms", 0 }, { "cpu", 1000 }, { "mem_mb", 500 } };
+        const QJsonObject step { { "count", 2 }, { "cpu", 1000 }, { "mem_mb", 500 }, { "estimate_ms", 500 },
+            { "long_running", true } };
+        return QJsonDocument(
+            QJsonObject { { "spec", QString::fromUtf8(QJsonDocument(spec).toJson(QJsonDocument::Compact)) },
+                { "steps", QJsonArray { step } } })
+            .toJson(QJsonDocument::Compact);
+    }
+
     QByteArray jobId(int number) { return QByteArray::number(number, 16).rightJustified(16, '0'); }
 
     // Submits the job; like a client, repeats it at another daemon after no answer, 502 or 504.
@@ -194,6 +204,7 @@
         constexpr int executors = 12;
         constexpr int jobs = 2;
         constexpr int members = 36;
+        constexpr int membersCpu = 5000; // three of them on each executor of 16 cores
         constexpr std::int64_t firstJobMs = 4000;
         constexpr std::int64_t jobPeriodMs = 8000;
         constexpr std::int64_t failForMs = 6500;
@@ -215,7 +226,7 @@
             }
             for (int job = 1; job <= jobs; ++job) {
                 after(firstJobMs + (job - 1) * jobPeriodMs, [&, job] {
-                    submit(deployment, job, gangBody(members, 1000, 3000));
+                    submit(deployment, job, gangBody(members, 1000, membersCpu));
                     follow(deployment, job, states);
                 });
             }
@@ -302,6 +313,75 @@
         return conclude(deployment.record, deployment.runs.size(), breaches);
     }
 
+    // Rule UNASKED: the store carries a write out late; meanwhile the client has left and cancelled the job.
+    int playCancelBeforeLateWrite(const CaseSettings& settings)
+    {
+        constexpr int executors = 8;
+        constexpr int jobs = 3;
+        constexpr std::int64_t firstJobMs = 4000;
+        constexpr std::int64_t jobPeriodMs = 8000;
+        constexpr std::int64_t leaveMs = 900; // after which the client leaves
+        constexpr std::int64_t lossMs = 1300; // how long answers to writes of the job are lost
+        constexpr std::int64_t lateMs = 5500; // after which such a write is carried out
+        constexpr std::int64_t cancelMs = 3000;
+        constexpr std::int64_t endMs = 12000;                          // after the last job
+        Deployment& deployment = *new Deployment(settings, executors); // lives until the process ends
+        auto& cancelledAt = *new std::map<int, std::int64_t>;
+        if (!deployment.isListening)
+            return 2;
+        const auto cancel = [&](int job) {
+            const auto daemon = static_cast<std::size_t>(job + 1) % deployment.daemons.size();
+            const QByteArray id = jobId(job);
+            deployment.record.line(QString("send  DELETE %1 to daemon %2").arg(QString::fromLatin1(id)).arg(daemon));
+            call(deployment.daemons[daemon].callers, "DELETE", "/jobs/" + id, hostName, {}, clientDeadlineMs,
+                [&, job, id](int status, const QJsonObject&) {
+                    deployment.record.line(QString("recv  DELETE %1: %2").arg(QString::fromLatin1(id)).arg(status));
+                    if (status / 100 == 2 || status == 410)
+                        cancelledAt[job] = nowMs();
+                });
+        };
+        awaitDaemons(deployment, 0, [&] {
+            for (int job = 1; job <= jobs; ++job) {
+                after(firstJobMs + (job - 1) * jobPeriodMs, [&, job] {
+                    const QByteArray id = jobId(job);
+                    if (settings.hasTrouble) {
+                        deployment.record.line(
+                            "the store loses the answers to writes of the job, and carries them out late");
+                        deployment.store.faultsByKey[id.toStdString()] = { StoreFaults {}.answerMs, lateMs, true };
+                        after(lossMs, [&, id] {
+                            deployment.store.faultsByKey.erase(id.toStdString());
+                            deployment.record.line("the store is sound again");
+                        });
+                    }
+                    const auto daemon = static_cast<std::size_t>(job) % deployment.daemons.size();
+                    deployment.record.line(
+                        QString("send  POST %1 to daemon %2").arg(QString::fromLatin1(id)).arg(daemon));
+                    call(deployment.daemons[daemon].callers, "POST", "/jobs/" + id, hostName, lastingBody(),
+                        static_cast<int>(leaveMs), [&, job, id](int status, const QJsonObject&) {
+                            deployment.record.line(
+                                QString("recv  POST %1: %2").arg(QString::fromLatin1(id)).arg(status));
+                            cancel(job);
+                        });
+                });
+            }
+            after(firstJobMs + (jobs - 1) * jobPeriodMs + endMs, [] { QCoreApplication::exit(0); });
+        });
+        if (const int code = QCoreApplication::exec(); code != 0)
+            return code;
+        std::vector<QString> breaches;
+        for (const Run& run : deployment.runs) {
+            const auto job = std::find_if(cancelledAt.begin(), cancelledAt.end(),
+                [&](const auto& entry) { return run.task.substr(0, 16) == jobId(entry.first).toStdString(); });
+            if (job != cancelledAt.end() && run.startedAt > job->second + cancelMs)
+                breaches.push_back(
+                    QString("task %1 started at %2 ms; the cancelling of its job was acknowledged at %3 ms")
+                        .arg(QString::fromStdString(run.task))
+                        .arg(run.startedAt)
+                        .arg(job->second));
+        }
+        return conclude(deployment.record, deployment.runs.size(), breaches);
+    }
+
 } // namespace
 
 Case findCase(const QString& name)
@@ -310,6 +390,8 @@
         return playRestartedExecutor;
     if (name == "flapping-executor")
         return playFlappingExecutor;
+    if (name == "cancel-before-late-write")
+        return playCancelBeforeLateWrite;
     if (name == "failing-executor")
         return playFailingExecutor;
     return {};
--- a/review/standin/http.cpp
+++ b/review/standin/http.cpp
@@ -229,7 +229,7 @@
     };
     QObject::connect(socket, &QTcpSocket::connected, socket, [=] {
         socket->write(method + ' ' + path + " HTTP/1.1\r\nHost: " + host + "\r\nLacewingloft-Deadline-Ms: "
-            + QByteArray::number(timeoutMs) + "\r\nContent-Type: application/json\r\nContent-Length: "
+            + QByteArray::number(clientDeadlineMs) + "\r\nContent-Type: application/json\r\nContent-Length: "
             + QByteArray::number(body.size()) + "\r\n\r\n" + body);
     });
     QObject::connect(socket, &QTcpSocket::readyRead, socket, [=] {
--- a/review/standin/http.h
+++ b/review/standin/http.h
@@ -97,7 +97,11 @@
     std::vector<std::shared_ptr<Pair>> m_pairs;
 };
 
-// Sends one request on a connection of its own. The status is 0 when there was no complete response in time.
+// How long clients say that they wait for a response.
+constexpr int clientDeadlineMs = 3000;
+
+// Sends one request on a connection of its own. The status is 0 when there was no complete response in time; the client
+// then closes the connection.
 void call(std::uint16_t port, const QByteArray& method, const QByteArray& path, const QByteArray& host,
     const QByteArray& body, int timeoutMs, std::function<void(int status, const QJsonObject& body)> callback);
 
