Review: tasks that last and need an approval do not run again

Cause: executors are asked about only while they have room after the turns of a plan, and room is held on approved executors only. Short tasks take what becomes free, so that a restart without a valid ticket never gets room.

Change: a script in which one of 8 executors is lost beside a backlog of short tasks. It takes the place of the cancelled job, the weakest case, whose parts leave the stand-ins.

--- a/review/common.sh
+++ b/review/common.sh
@@ -14,23 +14,24 @@
 # play_case CASE EXECUTORS: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 play_case() {
   [ -x "$standin" ] && [ -x "$root/target/lacewingd" ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
-  # The store; readiness and callers of each daemon; the executors; admin and peers of each daemon.
-  mapfile -t ports < <("$standin" ports $((1 + 6 + $2 + 6)))
-  [ ${#ports[@]} -eq $((13 + $2)) ] || exit 2
+  # The store; readiness and callers of each daemon; the executors; the advice service; admin and peers of each daemon.
+  mapfile -t ports < <("$standin" ports $((1 + 6 + $2 + 1 + 6)))
+  [ ${#ports[@]} -eq $((14 + $2)) ] || exit 2
   cd "$root"
   local zones=(zone-a zone-b zone-c) n
   for n in 0 1 2; do
     cat > "$work/d$n.json" << SETTINGS
 { "daemon": { "name": "edge-${zones[$n]}-1", "dataCentre": "${zones[$n]}", "processorShare": 0.1, "linkMbps": 1000 },
   "listen": { "callers": "127.0.0.1:${ports[$((2 + 2 * n))]}", "readiness": "127.0.0.1:${ports[$((1 + 2 * n))]}",
-              "admin": "127.0.0.1:${ports[$((7 + $2 + 2 * n))]}", "peers": "127.0.0.1:${ports[$((8 + $2 + 2 * n))]}" },
+              "admin": "127.0.0.1:${ports[$((8 + $2 + 2 * n))]}", "peers": "127.0.0.1:${ports[$((9 + $2 + 2 * n))]}" },
   "store": { "address": "127.0.0.1:${ports[0]}" },
+  "advice": { "address": "127.0.0.1:${ports[$((7 + $2))]}" },
   "bounds": { "maxHoldMs": 6000, "stopTimeoutMs": 900, "impactMs": 4000, "statusSeconds": 120, "configurationMs": 2000,
               "graceSeconds": 6 } }
 SETTINGS
   done
   local list
-  list=$(IFS=,; echo "${ports[*]:0:$((7 + $2))}")
+  list=$(IFS=,; echo "${ports[*]:0:$((8 + $2))}")
   "$standin" "$1" "$here/record.txt" "$list" &
   local case_pid=$!
   pids+=("$case_pid")
--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -42,7 +42,6 @@
     struct Deployment {
         explicit Deployment(const CaseSettings& settings, int executors)
             : record(settings.record)
-            , store(record)
         {
             for (std::size_t i = 0; i < daemonCount; ++i)
                 daemons.push_back({ settings.ports[1 + 2 * i], settings.ports[2 + 2 * i] });
@@ -101,10 +100,10 @@
             .toJson(QJsonDocument::Compact);
     }
 
-    QByteArray lastingBody()
+    QByteArray lastingBody(int tasks, int cpu)
     {
-        const QJsonObject spec { { "run_ms", 0 }, { "cpu", 1000 }, { "mem_mb", 500 } };
-        const QJsonObject step { { "count", 2 }, { "cpu", 1000 }, { "mem_mb", 500 }, { "estimate_ms", 500 },
+        const QJsonObject spec { { "run_ms", 0 }, { "cpu", cpu }, { "mem_mb", 500 }, { "ticket", true } };
+        const QJsonObject step { { "count", tasks }, { "cpu", cpu }, { "mem_mb", 500 }, { "estimate_ms", 500 },
             { "long_running", true } };
         return QJsonDocument(
             QJsonObject { { "spec", QString::fromUtf8(QJsonDocument(spec).toJson(QJsonDocument::Compact)) },
@@ -115,17 +114,20 @@
     QByteArray jobId(int number) { return QByteArray::number(number, 16).rightJustified(16, '0'); }
 
     // Submits the job; like a client, repeats it at another daemon after no answer, 502 or 504.
-    void submit(Deployment& deployment, int number, const QByteArray& body, int attempt = 0)
+    void submit(Deployment& deployment, int number, const QByteArray& body, const QByteArray& prefix = "/jobs/",
+        int attempt = 0)
     {
         const auto daemon = static_cast<std::size_t>(number + attempt) % deployment.daemons.size();
         const QByteArray id = jobId(number);
         deployment.record.line(QString("send  POST %1 to daemon %2").arg(QString::fromLatin1(id)).arg(daemon));
-        call(deployment.daemons[daemon].callers, "POST", "/jobs/" + id, hostName, body, clientDeadlineMs,
-            [&deployment, number, body, attempt, id, daemon](int status, const QJsonObject&) {
+        call(deployment.daemons[daemon].callers, "POST", prefix + id, hostName, body, clientDeadlineMs,
+            [&deployment, number, body, prefix, attempt, id, daemon](int status, const QJsonObject&) {
                 deployment.record.line(
                     QString("recv  POST %1 from daemon %2: %3").arg(QString::fromLatin1(id)).arg(daemon).arg(status));
                 if ((status == 0 || status == 502 || status == 504) && attempt < clientRetries)
-                    after(200, [&deployment, number, body, attempt] { submit(deployment, number, body, attempt + 1); });
+                    after(200, [&deployment, number, body, prefix, attempt] {
+                        submit(deployment, number, body, prefix, attempt + 1);
+                    });
             });
     }
 
@@ -313,71 +315,76 @@
         return conclude(deployment.record, deployment.runs.size(), breaches);
     }
 
-    // Rule UNASKED: the store carries a write out late; meanwhile the client has left and cancelled the job.
-    int playCancelBeforeLateWrite(const CaseSettings& settings)
+    // Rule LOST: tasks that last, and need an approval, lose their executor while the others are full of short tasks.
+    int playApprovedRestart(const CaseSettings& settings)
     {
         constexpr int executors = 8;
-        constexpr int jobs = 3;
-        constexpr std::int64_t firstJobMs = 4000;
-        constexpr std::int64_t jobPeriodMs = 8000;
-        constexpr std::int64_t leaveMs = 900; // after which the client leaves
-        constexpr std::int64_t lossMs = 1300; // how long answers to writes of the job are lost
-        constexpr std::int64_t lateMs = 5500; // after which such a write is carried out
-        constexpr std::int64_t cancelMs = 3000;
-        constexpr std::int64_t endMs = 12000;                          // after the last job
+        constexpr int lastingTasks = 6;
+        constexpr int batchJobs = 22;
+        constexpr int batchTasks = 36;
+        constexpr std::int64_t lastingAtMs = 3000;
+        constexpr std::int64_t batchAtMs = 6000;
+        constexpr std::int64_t crashMs = 16000;
+        constexpr std::int64_t endMs = 46000;
+        constexpr std::int64_t sinceLastRunMs = 6000;                  // from which on a task that lasts is judged
+        constexpr std::int64_t idleMs = 3000;                          // without a run
         Deployment& deployment = *new Deployment(settings, executors); // lives until the process ends
-        auto& cancelledAt = *new std::map<int, std::int64_t>;
-        if (!deployment.isListening)
+        auto& advice
+            = *new Advice(deployment.record, [](const std::string& worker) { return (worker.back() - '0') % 2 == 0; });
+        if (!deployment.isListening || !advice.listen(settings.ports[1 + 2 * daemonCount + executors]))
             return 2;
-        const auto cancel = [&](int job) {
-            const auto daemon = static_cast<std::size_t>(job + 1) % deployment.daemons.size();
-            const QByteArray id = jobId(job);
-            deployment.record.line(QString("send  DELETE %1 to daemon %2").arg(QString::fromLatin1(id)).arg(daemon));
-            call(deployment.daemons[daemon].callers, "DELETE", "/jobs/" + id, hostName, {}, clientDeadlineMs,
-                [&, job, id](int status, const QJsonObject&) {
-                    deployment.record.line(QString("recv  DELETE %1: %2").arg(QString::fromLatin1(id)).arg(status));
-                    if (status / 100 == 2 || status == 410)
-                        cancelledAt[job] = nowMs();
-                });
+        const auto route = [](const char* name, int priority) {
+            return QJsonObject { { "name", name }, { "hostname", QString::fromLatin1(hostName) },
+                { "prefix", QString("/%1/").arg(name) }, { "timeout_ms", clientDeadlineMs }, { "goal_ms", 1000 },
+                { "priority", priority }, { "backend", "pool" }, { "max_attempts", 3 }, { "stretch", 2 } };
         };
+        QJsonObject watch = route("watch", 0);
+        watch["recommendation"] = QJsonObject { { "decision_ms", Advice::decisionMs },
+            { "per_item_ms", Advice::perItemMs }, { "valid_ms", Advice::validMs } };
+        deployment.store.put("op/config",
+            { { "version", 2 }, { "routes", QJsonArray { watch, route("batch", 2) } },
+                { "services", QJsonArray { QJsonObject { { "name", "pool" }, { "rejects_overload", true } } } },
+                { "limits", QJsonObject {} } });
+        for (const auto& worker : deployment.workers)
+            worker->useAdvice(advice);
+        auto& crashedAt = *new std::int64_t(0);
         awaitDaemons(deployment, 0, [&] {
-            for (int job = 1; job <= jobs; ++job) {
-                after(firstJobMs + (job - 1) * jobPeriodMs, [&, job] {
-                    const QByteArray id = jobId(job);
-                    if (settings.hasTrouble) {
-                        deployment.record.line(
-                            "the store loses the answers to writes of the job, and carries them out late");
-                        deployment.store.faultsByKey[id.toStdString()] = { StoreFaults {}.answerMs, lateMs, true };
-                        after(lossMs, [&, id] {
-                            deployment.store.faultsByKey.erase(id.toStdString());
-                            deployment.record.line("the store is sound again");
-                        });
-                    }
-                    const auto daemon = static_cast<std::size_t>(job) % deployment.daemons.size();
-                    deployment.record.line(
-                        QString("send  POST %1 to daemon %2").arg(QString::fromLatin1(id)).arg(daemon));
-                    call(deployment.daemons[daemon].callers, "POST", "/jobs/" + id, hostName, lastingBody(),
-                        static_cast<int>(leaveMs), [&, job, id](int status, const QJsonObject&) {
-                            deployment.record.line(
-                                QString("recv  POST %1: %2").arg(QString::fromLatin1(id)).arg(status));
-                            cancel(job);
-                        });
-                });
-            }
-            after(firstJobMs + (jobs - 1) * jobPeriodMs + endMs, [] { QCoreApplication::exit(0); });
+            after(lastingAtMs, [&] { submit(deployment, 1, lastingBody(lastingTasks, 3000), "/watch/"); });
+            for (int job = 0; job < batchJobs; ++job)
+                after(batchAtMs + 100 * job,
+                    [&, job] { submit(deployment, 2 + job, jobBody(batchTasks, 3000, 4000), "/batch/"); });
+            after(crashMs, [&] {
+                const auto isLasting = [](const Run& run) {
+                    return run.task.substr(0, 16) == jobId(1).toStdString() && run.endedAt < 0;
+                };
+                const auto run = std::find_if(deployment.runs.begin(), deployment.runs.end(), isLasting);
+                crashedAt = nowMs();
+                if (settings.hasTrouble && run != deployment.runs.end())
+                    deployment.workers[static_cast<std::size_t>(run->worker.back() - '0')]->losePower(10 * endMs);
+            });
+            after(endMs, [] { QCoreApplication::exit(0); });
         });
         if (const int code = QCoreApplication::exec(); code != 0)
             return code;
         std::vector<QString> breaches;
-        for (const Run& run : deployment.runs) {
-            const auto job = std::find_if(cancelledAt.begin(), cancelledAt.end(),
-                [&](const auto& entry) { return run.task.substr(0, 16) == jobId(entry.first).toStdString(); });
-            if (job != cancelledAt.end() && run.startedAt > job->second + cancelMs)
-                breaches.push_back(
-                    QString("task %1 started at %2 ms; the cancelling of its job was acknowledged at %3 ms")
-                        .arg(QString::fromStdString(run.task))
-                        .arg(run.startedAt)
-                        .arg(job->second));
+        for (int index = 0; index < lastingTasks; ++index) {
+            const std::string task = jobId(1).toStdString() + ".0.0." + std::to_string(index);
+            std::int64_t lastEnd = -1;
+            std::int64_t backAt = nowMs();
+            for (const Run& run : deployment.runs) {
+                if (run.task != task)
+                    continue;
+                if (lastEnd >= 0 && run.startedAt > lastEnd)
+                    backAt = std::min(backAt, run.startedAt);
+                if (lastEnd < 0 && run.endedAt >= crashedAt)
+                    lastEnd = run.endedAt;
+            }
+            if (lastEnd >= 0 && backAt - lastEnd >= sinceLastRunMs + idleMs)
+                breaches.push_back(QString("task %1 is to last and has not run from %2 ms to %3 ms (%4 ms)")
+                                       .arg(QString::fromStdString(task))
+                                       .arg(lastEnd)
+                                       .arg(backAt)
+                                       .arg(backAt - lastEnd));
         }
         return conclude(deployment.record, deployment.runs.size(), breaches);
     }
@@ -390,8 +397,8 @@
         return playRestartedExecutor;
     if (name == "flapping-executor")
         return playFlappingExecutor;
-    if (name == "cancel-before-late-write")
-        return playCancelBeforeLateWrite;
+    if (name == "approved-restart")
+        return playApprovedRestart;
     if (name == "failing-executor")
         return playFailingExecutor;
     return {};
--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -9,10 +9,10 @@
 namespace lacewing::review {
 
 struct CaseSettings {
-    QString record;                   // path of record.txt
-    bool hasTrouble = true;           // false: the same without the disruption
-    std::vector<std::uint16_t> ports; // the store, then readiness and callers of each daemon, then executors
-    QString folder;                   // for the settings of daemons that a case starts itself
+    QString record;         // path of record.txt
+    bool hasTrouble = true; // false: the same without the disruption
+    // The store; readiness and callers of each daemon; the executors; the advice service.
+    std::vector<std::uint16_t> ports;
 };
 
 // Plays the case and returns the exit code of main().
--- a/review/standin/http.cpp
+++ b/review/standin/http.cpp
@@ -5,7 +5,6 @@
 #include <QJsonDocument>
 #include <QTimer>
 #include <QUrl>
-#include <algorithm>
 #include <chrono>
 
 namespace lacewing::review {
@@ -32,12 +31,6 @@
     socket->flush();
 }
 
-void Responder::reset() const
-{
-    if (socket && !life.expired())
-        socket->abort();
-}
-
 Server::Server(Handler handler)
     : m_handler(std::move(handler))
 {
@@ -126,83 +119,6 @@
     }
 }
 
-Link::Link(std::uint16_t port, std::uint16_t target)
-    : m_port(port)
-    , m_target(target)
-{
-    QObject::connect(&m_server, &QTcpServer::newConnection, this, [this] { accept(); });
-}
-
-bool Link::listen() { return m_server.listen(QHostAddress::LocalHost, m_port); }
-
-void Link::accept()
-{
-    while (QTcpSocket* socket = m_server.nextPendingConnection()) {
-        auto pair = std::make_shared<Pair>();
-        pair->near = socket;
-        socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-        QObject::connect(socket, &QTcpSocket::readyRead, this, [this, pair] { pump(pair); });
-        QObject::connect(socket, &QTcpSocket::disconnected, this, [this, pair] { pump(pair); });
-        m_pairs.push_back(pair);
-        if (!m_isCut)
-            open(pair);
-    }
-}
-
-void Link::open(const std::shared_ptr<Pair>& pair)
-{
-    auto* socket = new QTcpSocket(this);
-    pair->far = socket;
-    QObject::connect(socket, &QTcpSocket::connected, this, [this, pair] {
-        if (pair->far)
-            pair->far->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-        pump(pair);
-    });
-    QObject::connect(socket, &QTcpSocket::readyRead, this, [this, pair] { pump(pair); });
-    QObject::connect(socket, &QTcpSocket::disconnected, this, [this, pair] { pump(pair); });
-    QObject::connect(socket, &QTcpSocket::errorOccurred, this, [this, pair] {
-        if (!m_isCut && pair->near && pair->far && pair->far->state() == QAbstractSocket::UnconnectedState)
-            pair->near->abort();
-    });
-    socket->connectToHost(QHostAddress(QHostAddress::LocalHost), m_target);
-}
-
-void Link::pump(const std::shared_ptr<Pair>& pair)
-{
-    if (m_isCut || !pair->near || !pair->far)
-        return;
-    const bool isNearGone = pair->near->state() == QAbstractSocket::UnconnectedState;
-    const bool isFarOpen = pair->far->state() == QAbstractSocket::ConnectedState;
-    if (!isNearGone && isFarOpen && pair->near->bytesAvailable() > 0)
-        pair->far->write(pair->near->readAll());
-    if (!isNearGone && pair->far->bytesAvailable() > 0)
-        pair->near->write(pair->far->readAll());
-    const bool isFarGone = pair->far->state() == QAbstractSocket::UnconnectedState;
-    if (!isNearGone && !isFarGone)
-        return;
-    if (isNearGone)
-        pair->far->abort(); // what the sender had not got through is lost
-    else
-        pair->near->disconnectFromHost();
-    std::erase(m_pairs, pair);
-    pair->near->deleteLater();
-    pair->far->deleteLater();
-}
-
-void Link::setCut(bool isCut)
-{
-    m_isCut = isCut;
-    if (isCut)
-        return;
-    const std::vector<std::shared_ptr<Pair>> pairs = m_pairs;
-    for (const auto& pair : pairs) {
-        if (pair->near && !pair->far && pair->near->state() == QAbstractSocket::ConnectedState)
-            open(pair);
-        else
-            pump(pair);
-    }
-}
-
 namespace {
 
     struct Call {
--- a/review/standin/http.h
+++ b/review/standin/http.h
@@ -15,7 +15,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -40,8 +39,6 @@
     std::weak_ptr<int> life;
 
     void respond(int status, const QJsonObject& body) const;
-    // Resets the connection without a response.
-    void reset() const;
 };
 
 using Handler = std::function<void(const Request&, const Responder&)>;
@@ -70,33 +67,6 @@
     std::map<QTcpSocket*, Connection> m_connections;
 };
 
-// Forwards connections to a port of this host. While it is cut, nothing passes and nothing is reset, like packets of a
-// partition; what is still open passes afterwards.
-class Link : public QObject {
-public:
-    Link(std::uint16_t port, std::uint16_t target);
-    bool listen();
-    void setCut(bool isCut);
-    std::uint16_t port() const { return m_port; }
-    std::uint16_t target() const { return m_target; }
-
-private:
-    struct Pair {
-        QPointer<QTcpSocket> near;
-        QPointer<QTcpSocket> far;
-    };
-
-    void accept();
-    void open(const std::shared_ptr<Pair>& pair);
-    void pump(const std::shared_ptr<Pair>& pair);
-
-    std::uint16_t m_port;
-    std::uint16_t m_target;
-    bool m_isCut = false;
-    QTcpServer m_server;
-    std::vector<std::shared_ptr<Pair>> m_pairs;
-};
-
 // How long clients say that they wait for a response.
 constexpr int clientDeadlineMs = 3000;
 
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -41,7 +41,6 @@
     settings.hasTrouble = qEnvironmentVariable("TROUBLE") != "0";
     for (const QString& port : arguments[3].split(','))
         settings.ports.push_back(port.toUShort());
-    settings.folder = arguments.value(4);
     const auto play = lacewing::review::findCase(arguments[1]);
     const int code = play ? play(settings) : 2;
     std::fflush(stdout);
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+    constexpr std::int64_t answerMs = 4; // of the store
     constexpr std::int64_t heartbeatMs = 1500;
     constexpr std::int64_t entryLifetimeMs = 3 * heartbeatMs; // of silence
     constexpr std::int64_t maxHoldMs = 6000;
@@ -26,8 +27,6 @@
         return found == request.query.end() ? std::string() : found->second;
     }
 
-    QByteArray addressOf(std::uint16_t port) { return "\"127.0.0.1:" + QByteArray::number(port) + '"'; }
-
     std::int64_t numberOf(const std::string& text) { return text.empty() ? 0 : std::stoll(text); }
 
     void repeat(std::int64_t periodMs, const std::function<void()>& action)
@@ -55,26 +54,14 @@
 
 // --- Store ---
 
-Store::Store(Record& record)
-    : m_record(record)
-{
-}
-
-bool Store::listen(std::uint16_t port, View view)
+Store::Store()
+    : m_server([this](const Request& request, const Responder& responder) { handle(request, responder); })
 {
-    m_servers.push_back(
-        std::make_unique<Server>([this, view = std::move(view)](const Request& request, const Responder& responder) {
-            handle(request, responder, view);
-        }));
-    return m_servers.back()->listen(port);
 }
 
-QJsonObject Store::toJson(const std::string& key, const Item& item, const View& view)
+QJsonObject Store::toJson(const std::string& key, const Item& item)
 {
-    QByteArray value = item.value;
-    for (const Link* link : view)
-        value.replace(addressOf(link->target()), addressOf(link->port()));
-    return { { "key", QString::fromStdString(key) }, { "value", QString::fromLatin1(value.toBase64()) },
+    return { { "key", QString::fromStdString(key) }, { "value", QString::fromLatin1(item.value.toBase64()) },
         { "revision", static_cast<qint64>(item.revision) }, { "created", static_cast<qint64>(item.created) },
         { "lease", 0 } };
 }
@@ -108,7 +95,7 @@
         m_events.push_back({ key, m_revision, true, {} });
 }
 
-QJsonObject Store::range(const Request& request, const View& view) const
+QJsonObject Store::range(const Request& request) const
 {
     const std::string prefix = parameter(request, "prefix");
     const std::string after = parameter(request, "after");
@@ -120,7 +107,7 @@
         hasMore = static_cast<std::size_t>(items.size()) >= itemsPerPage;
         if (hasMore)
             break;
-        items.append(toJson(it->first, it->second, view));
+        items.append(toJson(it->first, it->second));
     }
     return { { "items", items }, { "has_more", hasMore }, { "at", static_cast<qint64>(m_revision) } };
 }
@@ -137,7 +124,7 @@
             events.append(QJsonObject { { "key", QString::fromStdString(event->key) },
                 { "revision", static_cast<qint64>(event->revision) }, { "tombstone", true } });
         else
-            events.append(toJson(event->key, event->item, watch.view));
+            events.append(toJson(event->key, event->item));
     }
     return { { "events", events }, { "at", static_cast<qint64>(m_revision) } };
 }
@@ -154,15 +141,15 @@
     std::erase_if(m_watches, [](const auto& watch) { return watch->isAnswered || !watch->responder.socket; });
 }
 
-void Store::handle(const Request& request, const Responder& responder, const View& view)
+void Store::handle(const Request& request, const Responder& responder)
 {
     if (request.path == "/kv-txn") {
-        transact(request, responder, view);
+        transact(request, responder);
         return;
     }
     if (request.path == "/kv-watch") {
         auto watch = std::make_shared<Watch>(
-            Watch { parameter(request, "prefix"), numberOf(parameter(request, "after")), responder, view });
+            Watch { parameter(request, "prefix"), numberOf(parameter(request, "after")), responder });
         m_watches.push_back(watch);
         after(numberOf(parameter(request, "wait_ms")), [this, watch] {
             if (!std::exchange(watch->isAnswered, true))
@@ -171,12 +158,12 @@
         notifyWatches();
         return;
     }
-    after(StoreFaults {}.answerMs, [this, request, responder, view] {
+    after(answerMs, [this, request, responder] {
         if (request.path == "/kv-range") {
-            responder.respond(200, range(request, view));
+            responder.respond(200, range(request));
         } else if (request.path == "/kv-key") {
             const auto found = m_items.find(parameter(request, "key"));
-            QJsonObject body = found == m_items.end() ? QJsonObject {} : toJson(found->first, found->second, view);
+            QJsonObject body = found == m_items.end() ? QJsonObject {} : toJson(found->first, found->second);
             body["at"] = static_cast<qint64>(m_revision);
             responder.respond(found == m_items.end() ? 404 : 200, body);
         } else {
@@ -185,50 +172,29 @@
     });
 }
 
-void Store::transact(const Request& request, const Responder& responder, const View& view)
+void Store::transact(const Request& request, const Responder& responder)
 {
     const QJsonObject body = QJsonDocument::fromJson(request.body).object();
-    StoreFaults faults;
-    for (const QJsonValue row : body["writes"].toArray()) {
-        for (const auto& [text, chosen] : faultsByKey) {
-            if (row["key"].toString().contains(QString::fromStdString(text)))
-                faults = chosen;
-        }
+    bool holds = true;
+    QJsonArray current;
+    for (const QJsonValue row : body["expected_rev"].toArray()) {
+        const auto found = m_items.find(row["key"].toString().toStdString());
+        const std::int64_t revision = found == m_items.end() ? 0 : found->second.revision;
+        holds = holds && revision == row["revision"].toInteger();
+        if (found != m_items.end())
+            current.append(toJson(found->first, found->second));
     }
-    const auto apply = [this, body, responder, faults, view] {
-        bool holds = true;
-        QJsonArray current;
-        for (const QJsonValue row : body["expected_rev"].toArray()) {
-            const auto found = m_items.find(row["key"].toString().toStdString());
-            const std::int64_t revision = found == m_items.end() ? 0 : found->second.revision;
-            holds = holds && revision == row["revision"].toInteger();
-            if (found != m_items.end())
-                current.append(toJson(found->first, found->second, view));
-        }
-        QJsonObject answer { { "items", current } };
-        if (holds) {
-            ++m_revision;
-            for (const QJsonValue row : body["writes"].toArray()) {
-                QByteArray value = QByteArray::fromBase64(row["value"].toString().toLatin1());
-                for (const Link* link : view)
-                    value.replace(addressOf(link->port()), addressOf(link->target()));
-                write(row["key"].toString().toStdString(), value);
-            }
-            for (const QJsonValue key : body["deletes"].toArray())
-                erase(key.toString().toStdString());
-            answer = { { "revision", static_cast<qint64>(m_revision) } };
-            notifyWatches();
-        }
-        if (faults.losesAnswers)
-            m_record.line(QString("store: a write was carried out late, without an answer (%1)")
-                              .arg(holds ? "its condition held" : "its condition did not hold"));
-        else
-            after(faults.answerMs, [responder, holds, answer] { responder.respond(holds ? 200 : 412, answer); });
-    };
-    if (faults.applyMs > 0)
-        after(faults.applyMs, apply);
-    else
-        apply();
+    QJsonObject answer { { "items", current } };
+    if (holds) {
+        ++m_revision;
+        for (const QJsonValue row : body["writes"].toArray())
+            write(row["key"].toString().toStdString(), QByteArray::fromBase64(row["value"].toString().toLatin1()));
+        for (const QJsonValue key : body["deletes"].toArray())
+            erase(key.toString().toStdString());
+        answer = { { "revision", static_cast<qint64>(m_revision) } };
+        notifyWatches();
+    }
+    after(answerMs, [responder, holds, answer] { responder.respond(holds ? 200 : 412, answer); });
 }
 
 // --- Runs ---
@@ -259,6 +225,45 @@
     return breaches;
 }
 
+// --- Advice ---
+
+Advice::Advice(Record& record, std::function<bool(const std::string& worker)> isAllowed)
+    : m_record(record)
+    , m_isAllowed(std::move(isAllowed))
+    , m_server([this](const Request& request, const Responder& responder) { handle(request, responder); })
+{
+}
+
+bool Advice::isValid(const std::string& step, const std::string& worker, const std::string& ticket) const
+{
+    const auto found = m_tickets.find(step + ' ' + worker + ' ' + ticket);
+    return found != m_tickets.end() && nowMs() <= found->second;
+}
+
+void Advice::handle(const Request& request, const Responder& responder)
+{
+    const QJsonObject body = QJsonDocument::fromJson(request.body).object();
+    const std::string step = body["step"].toString().toStdString();
+    const QJsonArray workers = body["workers"].toArray();
+    m_freeAt = std::max(m_freeAt, nowMs()) + decisionMs + perItemMs * workers.size();
+    after(m_freeAt - nowMs(), [this, step, workers, responder] {
+        QJsonArray allowed;
+        for (const QJsonValue worker : workers) {
+            const std::string id = worker.toString().toStdString();
+            if (!m_isAllowed(id))
+                continue;
+            const std::string ticket = "t" + std::to_string(m_tickets.size());
+            m_tickets[step + ' ' + id + ' ' + ticket] = nowMs() + validMs;
+            allowed.append(QJsonArray { worker, QString::fromStdString(ticket) });
+        }
+        m_record.line(QString("advise %1: %2 of %3 executors are allowed")
+                          .arg(QString::fromStdString(step))
+                          .arg(allowed.size())
+                          .arg(workers.size()));
+        responder.respond(200, { { "allowed", allowed }, { "valid_ms", validMs } });
+    });
+}
+
 // --- Executors ---
 
 Worker::Worker(WorkerSettings settings, Store& store, Record& record, std::deque<Run>& runs)
@@ -486,6 +491,12 @@
         return;
     }
     const QJsonObject spec = QJsonDocument::fromJson(body["spec"].toString().toUtf8()).object();
+    if (spec["ticket"].toBool() && m_advice
+        && !m_advice->isValid(
+            task.substr(0, task.rfind('.')), m_settings.id, body["ticket"].toString().toStdString())) {
+        refuse("ticket");
+        return;
+    }
     Active active;
     active.cpu = spec["cpu"].toInt();
     active.memoryMb = spec["mem_mb"].toInt();
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -25,23 +25,13 @@
 
 // --- Store ---
 
-struct StoreFaults {
-    std::int64_t answerMs = 4; // time that an answer takes
-    std::int64_t applyMs = 0;  // before a write of a daemon is carried out
-    bool losesAnswers = false; // writes of daemons are carried out after applyMs and never answered
-};
-
 class Store {
 public:
-    explicit Store(Record& record);
-    // Daemons on the other side of a link see addresses of its target as those of the link.
-    bool listen(std::uint16_t port, std::vector<const Link*> view = {});
+    Store();
+    bool listen(std::uint16_t port) { return m_server.listen(port); }
     void put(const std::string& key, const QJsonObject& value);
     void remove(const std::string& key);
 
-    // Faults of transactions, by a text that one of their keys contains.
-    std::map<std::string, StoreFaults> faultsByKey;
-
 private:
     struct Item {
         QByteArray value;
@@ -58,23 +48,19 @@
         std::string prefix;
         std::int64_t after = 0;
         Responder responder;
-        std::vector<const Link*> view;
         bool isAnswered = false;
     };
 
-    using View = std::vector<const Link*>;
-
-    void handle(const Request& request, const Responder& responder, const View& view);
-    void transact(const Request& request, const Responder& responder, const View& view);
-    QJsonObject range(const Request& request, const View& view) const;
+    void handle(const Request& request, const Responder& responder);
+    void transact(const Request& request, const Responder& responder);
+    QJsonObject range(const Request& request) const;
     QJsonObject eventsFor(const Watch& watch) const;
     void write(const std::string& key, const QByteArray& value);
     void erase(const std::string& key);
     void notifyWatches();
-    static QJsonObject toJson(const std::string& key, const Item& item, const View& view);
+    static QJsonObject toJson(const std::string& key, const Item& item);
 
-    Record& m_record;
-    std::vector<std::unique_ptr<Server>> m_servers;
+    Server m_server;
     std::int64_t m_revision = 1;
     std::map<std::string, Item> m_items;
     std::deque<Event> m_events;
@@ -100,6 +86,29 @@
 // Rule TWICE for tasks of steps without `speculative`: descriptions of each breach.
 std::vector<QString> findRepeatedRuns(const std::deque<Run>& runs);
 
+// --- Advice ---
+
+// Decides which executors may run a step: those that isAllowed names. One call at a time.
+class Advice {
+public:
+    Advice(Record& record, std::function<bool(const std::string& worker)> isAllowed);
+    bool listen(std::uint16_t port) { return m_server.listen(port); }
+    bool isValid(const std::string& step, const std::string& worker, const std::string& ticket) const;
+
+    static constexpr int decisionMs = 100;
+    static constexpr int perItemMs = 5;
+    static constexpr int validMs = 3000;
+
+private:
+    void handle(const Request& request, const Responder& responder);
+
+    Record& m_record;
+    std::function<bool(const std::string&)> m_isAllowed;
+    Server m_server;
+    std::int64_t m_freeAt = 0;
+    std::map<std::string, std::int64_t> m_tickets; // valid until, by step, worker and ticket
+};
+
 // --- Executors ---
 
 struct WorkerSettings {
@@ -120,6 +129,8 @@
     void losePower(std::int64_t downMs);
     // Every run that it starts from now on fails after a moment.
     void failAllRuns(bool isFailing) { m_isFailing = isFailing; }
+    // Starts of jobs that ask for tickets are checked.
+    void useAdvice(const Advice& advice) { m_advice = &advice; }
     const WorkerSettings& settings() const { return m_settings; }
 
 private:
@@ -163,6 +174,7 @@
     std::int64_t m_leaseEnds = 0; // on the executor's clock
     bool m_hasLease = false;
     bool m_isFailing = false;
+    const Advice* m_advice = nullptr;
     std::int64_t m_lastEnd = 0;
     std::int64_t m_sequence = 0;
     std::map<std::string, Active> m_active;
