Review: name the record and TROUBLE in each script

Cause: the scripts passed both on through a shared file only, so that a reader of run.sh did not see them.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 source "$here/../common.sh"
-play_case flapping-executor 8
+# With TROUBLE=0 the case is played without the disruption. What was sent, answered and run goes into record.txt.
+play_case flapping-executor 8 "$here/record.txt" "${TROUBLE:-1}"
--- a/review/common.sh
+++ b/review/common.sh
@@ -11,7 +11,8 @@
 }
 trap finish EXIT
 
-# play_case CASE EXECUTORS: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# play_case CASE EXECUTORS RECORD TROUBLE: writes RECORD; exits with 1 if the rule was broken, 0 if it held, 2 if the case
+# could not run. TROUBLE 0: without the disruption.
 play_case() {
   [ -x "$standin" ] && [ -x "$root/target/lacewingd" ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
   # The store; readiness and callers of each daemon; the executors; the advice service; admin and peers of each daemon.
@@ -32,7 +33,7 @@
   done
   local list
   list=$(IFS=,; echo "${ports[*]:0:$((8 + $2))}")
-  "$standin" "$1" "$here/record.txt" "$list" &
+  TROUBLE=$4 "$standin" "$1" "$3" "$list" &
   local case_pid=$!
   pids+=("$case_pid")
   for n in 0 1 2; do
