Elect by take-overs only, whatever answer arrives late

What callers saw: tasks of workers that were cut off, and that ran on, were started a second time (TWICE).

Cause: applyWritten told from the role at the time of the answer what a write of the term record was. A daemon that had handed its term over while a renewal was in flight took the renewal's success for a take-over and led again. A renewal has no formerEndMs, so the former term seemed to have ended at clock 0 and its leases to be over.

Ruled out: that the late record itself misleads another daemon; it names the ended term and its clock, and the schedules check the age of each former term.

Fix: a write says what it is, and of which term, when it is sent (RecordWrite). Its success concerns only that; about anything that has ended it is observed like a read, logged and counted. The same cause on related paths: a take-over that has been overwritten, conflicts, replies and acknowledgements of an earlier term of the same process, "is taking over" during a renewal. Each rule that was left out in turn failed a test.

Changed check: resignedLeadersNameTheDaemonThatWasStartedLast resigned a daemon that had never been elected, which is no longer possible; it is elected first now, and the rest of the test is unchanged.

--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -185,12 +185,13 @@
         return; // does not acknowledge the reply, so that the leader does not rely on this follower
     }
     const scheduler::Millis now = nowMs();
-    m_lastReplyNumber = reply["number"].toInteger();
     election::LeaderState leader { reply["revision"].toInteger(), reply["lapsedMs"].toInteger() };
     if (reply["clockMs"].isDouble())
         leader.clockMs = reply["clockMs"].toInteger();
     leader.token = reply["token"].toInteger();
-    election::observeContact(state, leader, m_memberCopy.names(), now);
+    if (!election::observeContact(state, leader, m_memberCopy.names(), now))
+        return; // not acknowledged: it says nothing about the present term
+    m_lastReplyNumber = reply["number"].toInteger();
     if (!m_hasContact)
         kernel::logEvent(kernel::LogLevel::Notice, "sync", "dependencyRegained",
             { { "dependency", "scheduling daemon" }, { "address", m_clientAddress },
@@ -260,7 +261,8 @@
         return QJsonDocument(reply).toJson(QJsonDocument::Compact);
     election::Election& state = m_term->state();
     SentReply& last = m_sentReplies[daemon];
-    const bool isLastReceived = last.number > 0 && request["lastReply"].toInteger() == last.number;
+    const bool isLastReceived
+        = last.token == state.token && last.number > 0 && request["lastReply"].toInteger() == last.number;
     const std::int64_t storeAge = request["storeAgeMs"].toInteger(-1);
     if (request["isStopping"].toBool()) {
         election::removePeer(state, daemon);
@@ -270,7 +272,7 @@
         state.peers[daemon].incarnation = request["incarnation"].toInteger();
         state.peers[daemon].processorShare = request["processorShare"].toDouble();
     }
-    last = { ++m_replyCount, now };
+    last = { ++m_replyCount, now, state.token };
     reply["number"] = static_cast<qint64>(last.number);
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -45,6 +45,7 @@
     struct SentReply {
         std::int64_t number = 0; // which the follower's next request acknowledges
         scheduler::Millis sentAt = 0;
+        std::int64_t token = 0; // of the term that sent it
     };
 
     void tick();
--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -90,19 +90,17 @@
 
 void TermService::writeRecord(bool isResigning)
 {
+    const election::RecordWrite write = election::beginWrite(m_election, isResigning, nowMs());
     m_isCallInFlight = true;
-    m_isWriteInFlight = true;
-    const scheduler::Millis sentAt = nowMs();
-    m_election.lastAttemptAt = sentAt;
-    const election::Record record = election::recordToWrite(m_election, isResigning, sentAt);
+    m_writeInFlight = write.kind;
     platform::Transaction transaction;
     transaction.conditions.push_back({ storeKeys::term, m_election.revision });
-    transaction.writes.push_back({ storeKeys::term, election::encodeRecord(record) });
+    transaction.writes.push_back({ storeKeys::term, election::encodeRecord(write.record) });
     std::size_t includedCommits = 0;
     if (isResigning)
         transaction.writes.insert(transaction.writes.end(), m_finalWrites.begin(), m_finalWrites.end());
     if (isLeader()) {
-        m_committedAt = sentAt;
+        m_committedAt = write.sentAt;
         std::int64_t bytes = 0;
         for (const Commit& commit : m_pendingCommits) {
             const std::size_t entries = transaction.writes.size() + transaction.removals.size();
@@ -115,43 +113,67 @@
             transaction.removals.insert(transaction.removals.end(), commit.removals.begin(), commit.removals.end());
         }
     }
-    m_runtime.store->commit(transaction,
-        [this, record, sentAt, includedCommits](const base::Result<std::int64_t, platform::StoreError>& result) {
+    m_runtime.store->commit(
+        transaction, [this, write, includedCommits](const base::Result<std::int64_t, platform::StoreError>& result) {
             m_isCallInFlight = false;
-            m_isWriteInFlight = false;
+            m_writeInFlight.reset();
             election::observeStore(m_election, isAnswer(result), nowMs());
-            isAnswer(result) ? applySuccess(m_commitBudget) : applyFailure(m_commitBudget);
-            if (result.has_value()) {
-                const bool wasLeader = isLeader();
-                election::applyWritten(m_election, record, result.value(), sentAt, nowMs());
-                std::vector<Commit> written;
-                for (std::size_t i = 0; i < includedCommits && wasLeader && !m_pendingCommits.empty(); ++i) {
-                    written.push_back(std::move(m_pendingCommits.front()));
-                    m_pendingCommits.pop_front();
-                }
-                for (const Commit& commit : written)
-                    commit.callback();
-                if (!wasLeader && isLeader()) {
-                    beginTerm(false);
-                } else if (wasLeader && !isLeader()) {
-                    m_resignation = election::encodeRecord(record);
-                    m_resignationRevision = result.value();
-                    m_resignedAt = nowMs();
-                    kernel::logEvent(kernel::LogLevel::Info, "term", "resigned",
-                        { { "revision", m_resignationRevision }, { "successor", record.successor } });
-                    endTerm("resigned");
-                }
-            } else if (result.error().code == platform::StoreCode::Conflict) {
-                applyConflict(result.error().current);
-            }
+            isAnswer(result) ? daemon::applySuccess(m_commitBudget) : applyFailure(m_commitBudget);
+            if (result.has_value())
+                applySuccess(write, result.value(), includedCommits);
+            else if (result.error().code == platform::StoreCode::Conflict)
+                applyConflict(write, result.error().current);
             if (m_onResigned && !isLeader())
                 finishResigning();
         });
 }
 
+void TermService::applySuccess(const election::RecordWrite& write, std::int64_t revision, std::size_t includedCommits)
+{
+    switch (election::applyWritten(m_election, write, revision, nowMs())) {
+    case election::WriteEffect::Elected:
+        beginTerm(false);
+        return;
+    case election::WriteEffect::Renewed:
+        finishCommits(includedCommits);
+        return;
+    case election::WriteEffect::Resigned:
+        finishCommits(includedCommits);
+        m_resignation = election::encodeRecord(write.record);
+        m_resignationRevision = revision;
+        m_resignedAt = nowMs();
+        kernel::logEvent(kernel::LogLevel::Info, "term", "resigned",
+            { { "revision", m_resignationRevision }, { "successor", write.record.successor } });
+        endTerm("resigned");
+        return;
+    case election::WriteEffect::Outdated:
+        kernel::logEvent(kernel::LogLevel::Notice, "term", "writeOutdated",
+            { { "kind", std::string(base::nameOf(election::writeKindNames, write.kind)) }, { "token", write.token },
+                { "revision", revision }, { "ageMs", nowMs() - write.sentAt } });
+        m_runtime.metrics
+            .counter("lacewing_outdated_answers_total",
+                "Answers that concern a term or a worker's incarnation which has ended, by kind.",
+                { { "kind", "termRecord" } })
+            .value
+            += 1;
+        return;
+    }
+}
+
+void TermService::finishCommits(std::size_t count)
+{
+    std::vector<Commit> written;
+    for (std::size_t i = 0; i < count && !m_pendingCommits.empty(); ++i) {
+        written.push_back(std::move(m_pendingCommits.front()));
+        m_pendingCommits.pop_front();
+    }
+    for (const Commit& commit : written)
+        commit.callback();
+}
+
 // The condition failed: the record was written by another daemon, or by an earlier write of this process whose
 // answer was lost.
-void TermService::applyConflict(const std::vector<platform::Item>& current)
+void TermService::applyConflict(const election::RecordWrite& write, const std::vector<platform::Item>& current)
 {
     std::optional<election::Record> record;
     std::int64_t revision = 0;
@@ -161,7 +183,7 @@
             revision = item.revision;
         }
     }
-    switch (election::applyConflict(m_election, record, revision, nowMs())) {
+    switch (election::applyConflict(m_election, write, record, revision, nowMs())) {
     case election::WriteConflict::EarlierRenewal:
         break;
     case election::WriteConflict::EarlierTakeOver:
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -13,6 +13,7 @@
 #include <QTimer>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,7 +27,7 @@
 
     bool isLeader() const { return m_election.role == election::Role::Leader; }
     // A write is in flight with which this daemon may already have the term.
-    bool isTakingOver() const { return m_isWriteInFlight && !isLeader(); }
+    bool isTakingOver() const { return m_writeInFlight == election::WriteKind::TakeOver; }
     std::int64_t token() const { return m_election.token; }
     // End of the leader's right to act, unless it is extended.
     scheduler::Millis validUntil() const { return election::validUntil(m_election, nowMs()); }
@@ -77,7 +78,10 @@
     void writeRecord(bool isResigning);
     void finishResigning();
     void beginTerm(bool isAfterLostAnswer);
-    void applyConflict(const std::vector<platform::Item>& current);
+    void applyConflict(const election::RecordWrite& write, const std::vector<platform::Item>& current);
+    void applySuccess(const election::RecordWrite& write, std::int64_t revision, std::size_t includedCommits);
+    // Calls back for the first pending commits, which are stored.
+    void finishCommits(std::size_t count);
     void endTerm(const std::string& reason);
 
     Runtime& m_runtime;
@@ -85,7 +89,7 @@
     TermPhases m_phases;
     QTimer m_timer;
     bool m_isCallInFlight = false; // a read or write of the term record
-    bool m_isWriteInFlight = false;
+    std::optional<election::WriteKind> m_writeInFlight;
     std::function<void()> m_onResigned; // set while resigning
     scheduler::Millis m_resigningSince = 0;
     std::vector<platform::Write> m_finalWrites;
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -171,26 +171,32 @@
 
 } // namespace
 
-Record recordToWrite(Election& election, bool isResigning, Millis now)
+RecordWrite beginWrite(Election& election, bool isResigning, Millis now)
 {
-    Record record;
+    const bool isLeader = election.role == Role::Leader;
+    election.lastAttemptAt = now;
+    RecordWrite write;
+    write.kind = !isLeader ? WriteKind::TakeOver : isResigning ? WriteKind::Resignation : WriteKind::Renewal;
+    write.token = isLeader ? election.token : 0;
+    write.sentAt = now;
+    Record& record = write.record;
     record.leader = election.self;
     record.incarnation = election.incarnation;
     record.peerAddress = election.peerAddress;
     record.sequence = ++election.sequence;
-    record.token = election.role == Role::Leader ? election.token : 0;
-    record.isResigned = isResigning;
-    if (isResigning)
+    record.token = write.token;
+    record.isResigned = write.kind == WriteKind::Resignation;
+    if (record.isResigned)
         record.successor = election.chosenSuccessor.empty() ? preferredSuccessor(election, now).value_or(std::string())
                                                             : election.chosenSuccessor;
     record.members = election.members;
     record.members.insert(election.self);
     record.clockMs = election.hasClock ? termClock(election, now) : 0;
-    if (election.hasClock && election.role == Role::Follower)
+    if (election.hasClock && write.kind == WriteKind::TakeOver)
         record.formerEndMs = std::min(termClock(election, now), formerTermEnd(election));
     record.terms = election.terms;
     record.largestShare = largestKnownShare(election, now);
-    return record;
+    return write;
 }
 
 std::set<std::string> knownMembers(const Election& election, Millis now)
@@ -205,11 +211,17 @@
 
 namespace {
 
+    // Token of the term that a stored record belongs to.
+    std::int64_t tokenOf(const Record& record, std::int64_t revision)
+    {
+        return record.token != 0 ? record.token : revision;
+    }
+
     // Continues the term clock from a record.
     void readClock(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
     {
         const bool isAbsent = !record && revision == 0; // otherwise it does not decode
-        const std::int64_t token = !record ? 0 : record->token != 0 ? record->token : revision;
+        const std::int64_t token = record ? tokenOf(*record, revision) : 0;
         const bool isSameTerm = election.hasClock && token != 0 && token == election.clockToken;
         const auto measured = static_cast<double>(now - election.clockAt);
         const Millis own = election.clockMs + static_cast<Millis>(measured * trueTimeShare);
@@ -267,8 +279,10 @@
     election.isRecordKnown = true;
 }
 
-void observeContact(Election& election, const LeaderState& leader, const std::set<std::string>& members, Millis now)
+bool observeContact(Election& election, const LeaderState& leader, const std::set<std::string>& members, Millis now)
 {
+    if (leader.token != 0 && leader.token < election.clockToken)
+        return false;
     if (leader.lapsedMs <= 0)
         election.leaderActedAt = now;
     election.leaderLapsedAt = leader.lapsedMs > 0 ? now - leader.lapsedMs : 0;
@@ -288,6 +302,7 @@
         if (election.record)
             election.record->isResigned = false; // it leads again
     }
+    return true;
 }
 
 bool isLedBy(const Election& election, const std::string& leader, std::int64_t incarnation)
@@ -311,13 +326,11 @@
     election.isNamed = true;
 }
 
-void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now)
-{
-    if (record.isResigned) {
-        election.lastSuccessor = record.successor;
-        election.resignedAt = now;
-        stepDown(election);
-    } else if (election.role == Role::Follower) {
+namespace {
+
+    // Begins the term of a take-over that the store holds at the revision.
+    void beginTerm(Election& election, const Record& record, std::int64_t revision, Millis now)
+    {
         election.role = Role::Leader;
         election.knowsFormerTerms = election.hasClock;
         if (!election.hasClock) {
@@ -341,38 +354,95 @@
                 election.peers[member].lastMessageAt = now;
         }
     }
-    election.members = knownMembers(election, now);
-    election.record = record;
-    election.revision = revision;
-    election.changedAt = now;
-    election.renewedClockMs = termClock(election, now);
-    election.isRecordKnown = true;
-    election.vacantFrom = 0;
-    election.renewSentAt = sentAt;
-    election.hasLapsed = false;
+
+    // The store holds this daemon's record of its current or just ended term.
+    void applyOwnRecord(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now)
+    {
+        election.members = knownMembers(election, now);
+        election.record = record;
+        election.revision = revision;
+        election.changedAt = now;
+        election.renewedClockMs = termClock(election, now);
+        election.isRecordKnown = true;
+        election.vacantFrom = 0;
+        election.renewSentAt = sentAt;
+        election.hasLapsed = false;
+    }
+
+    // The answer to the write concerns this daemon as it is now: a follower that takes over, or the leader of the term
+    // that is renewed or resigned.
+    bool isCurrent(const Election& election, const RecordWrite& write)
+    {
+        if (write.kind == WriteKind::TakeOver)
+            return election.role == Role::Follower;
+        return election.role == Role::Leader && election.token == write.token;
+    }
+
+} // namespace
+
+WriteEffect applyWritten(Election& election, const RecordWrite& write, std::int64_t revision, Millis now)
+{
+    const bool isNewest = revision > election.revision;
+    if (write.kind == WriteKind::Resignation) {
+        election.lastSuccessor = write.record.successor;
+        election.resignedAt = now;
+    }
+    if (!isCurrent(election, write) || !isNewest) {
+        observe(election, write.record, revision, now);
+        return WriteEffect::Outdated;
+    }
+    if (write.kind == WriteKind::TakeOver)
+        beginTerm(election, write.record, revision, now);
+    else if (write.kind == WriteKind::Resignation)
+        stepDown(election);
+    applyOwnRecord(election, write.record, revision, write.sentAt, now);
+    switch (write.kind) {
+    case WriteKind::TakeOver:
+        return WriteEffect::Elected;
+    case WriteKind::Renewal:
+        return WriteEffect::Renewed;
+    case WriteKind::Resignation:
+        break;
+    }
+    return WriteEffect::Resigned;
 }
 
-// Neither case extends the validity: other daemons measure takeoverMs from the write that is stored, and may have been
-// told by this one, before it knew, that it does not lead.
-WriteConflict applyConflict(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
+namespace {
+
+    // True: the record is this process's take-over, whose answer was lost, and nothing newer is known. It leads now.
+    // Does not extend the validity: other daemons measure takeoverMs from the write that is stored, and may have been
+    // told by this one, before it knew, that it does not lead.
+    bool adoptTakeOver(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
+    {
+        const bool isOwn = record && record->leader == election.self && record->incarnation == election.incarnation;
+        if (election.role != Role::Follower || !isOwn || record->token != 0 || revision <= election.revision)
+            return false;
+        election.lastAttemptAt = 0; // renew at once
+        beginTerm(election, *record, revision, now);
+        applyOwnRecord(election, *record, revision, 0, now);
+        return true;
+    }
+
+} // namespace
+
+WriteConflict applyConflict(Election& election, const RecordWrite& write, const std::optional<Record>& record,
+    std::int64_t revision, Millis now)
 {
-    const bool isOwn = record && record->leader == election.self && record->incarnation == election.incarnation;
-    if (!isOwn || record->isResigned || (election.role == Role::Follower && record->token != 0))
+    if (write.kind == WriteKind::TakeOver)
+        return adoptTakeOver(election, record, revision, now) ? WriteConflict::EarlierTakeOver
+                                                              : WriteConflict::OtherLeader;
+    const bool isOfThisTerm
+        = isCurrent(election, write) && record && !record->isResigned && tokenOf(*record, revision) == election.token;
+    if (!isOfThisTerm)
         return WriteConflict::OtherLeader;
-    election.lastAttemptAt = 0; // renew at once
-    if (election.role == Role::Leader) {
-        election.revision = revision;
-        return WriteConflict::EarlierRenewal;
-    }
-    applyWritten(election, *record, revision, 0, now);
-    return WriteConflict::EarlierTakeOver;
+    election.lastAttemptAt = 0; // renew at once; the stored renewal does not extend the validity
+    election.revision = revision;
+    return WriteConflict::EarlierRenewal;
 }
 
 bool applyRead(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now)
 {
-    const bool isFollower = election.role == Role::Follower && !election.isStopping;
-    if (isFollower && revision > election.revision
-        && applyConflict(election, record, revision, now) == WriteConflict::EarlierTakeOver)
+    if (!election.isStopping && adoptTakeOver(election, record, revision, now))
         return true;
     observe(election, record, revision, now);
     return false;
--- a/src/election/election.h
+++ b/src/election/election.h
@@ -26,6 +26,8 @@
 //   - validityMs + clock rate error < takeoverMs: a former leader has stopped before another one acts.
 //   - Acknowledgements count only when every daemon that this leader or the one before it knew gives one.
 //   - Tokens rise: they are revisions of the store.
+//   - A term begins with the success of a take-over and never resumes: answers to writes of an ended term, and replies
+//     of one, have no effect on a later term.
 //   - The term clock never runs ahead: it advances only by time that a daemon has measured since it read the last
 //   value.
 #pragma once
@@ -88,7 +90,7 @@
 enum class Action {
     None,
     ReadRecord, // read the record and call observe()
-    TakeOver,   // write recordToWrite() on the condition of `revision`
+    TakeOver,   // send beginWrite() on the condition of `revision`
     Renew,      // the same, by the leader
 };
 
@@ -99,6 +101,31 @@
     { Action::Renew, "renew" },
 } };
 
+// What a write of the record is, decided when it is sent.
+enum class WriteKind { TakeOver, Renewal, Resignation };
+
+constexpr base::EnumNames<WriteKind, 3> writeKindNames { {
+    { WriteKind::TakeOver, "takeOver" },
+    { WriteKind::Renewal, "renewal" },
+    { WriteKind::Resignation, "resignation" },
+} };
+
+// A write of the record as it was sent. Its answer may arrive after the term that it belongs to has ended.
+struct RecordWrite {
+    WriteKind kind = WriteKind::TakeOver;
+    std::int64_t token = 0; // of the term that is renewed or resigned; 0 for a take-over
+    Millis sentAt = 0;
+    Record record;
+};
+
+// What the success of a write means when it is answered.
+enum class WriteEffect {
+    Elected,  // the daemon leads a new term
+    Renewed,  // the term goes on
+    Resigned, // the daemon has stopped leading
+    Outdated, // the term of the write had ended; the daemon only learns what the store holds
+};
+
 enum class WriteConflict {
     EarlierRenewal,  // the record is an earlier write of this leader, which renews again at once
     EarlierTakeOver, // the record is this daemon's take-over, whose answer was lost; it acts from its next renewal on
@@ -168,7 +195,8 @@
 
 // Next action. Must not be called while an election call is in flight.
 Action nextAction(const Election& election, Millis now);
-Record recordToWrite(Election& election, bool isResigning, Millis now);
+// The write for a take-over or renewal, or with isResigning for a leader's resignation. Counts as an attempt.
+RecordWrite beginWrite(Election& election, bool isResigning, Millis now);
 
 // A read or write of the record was answered, conflicts included, or has failed.
 void observeStore(Election& election, bool hasAnswered, Millis now);
@@ -184,7 +212,8 @@
     std::int64_t token = 0;             // of its term
 };
 
-void observeContact(Election& election, const LeaderState& leader, const std::set<std::string>& members, Millis now);
+// False: the reply is of an earlier term than the known one, and has no effect.
+bool observeContact(Election& election, const LeaderState& leader, const std::set<std::string>& members, Millis now);
 // Daemons from which the leader received a message within peerTimeoutMs, or that earlier leaders knew; itself included.
 std::set<std::string> knownMembers(const Election& election, Millis now);
 // Cores of the strongest daemon that may succeed this one. Until it has heard from each of them, at least the value of
@@ -197,10 +226,11 @@
 void observeHandOver(Election& election, const std::string& leader, std::int64_t incarnation, Millis now);
 // True while the record names this leader's process.
 bool isLedBy(const Election& election, const std::string& leader, std::int64_t incarnation);
-// This daemon's write of the record, sent at sentAt, succeeded with the revision.
-void applyWritten(Election& election, const Record& record, std::int64_t revision, Millis sentAt, Millis now);
+// This daemon's write of the record succeeded with the revision.
+WriteEffect applyWritten(Election& election, const RecordWrite& write, std::int64_t revision, Millis now);
 // A write has failed on a conflict: the store holds this record (nullopt: none) at the revision.
-WriteConflict applyConflict(Election& election, const std::optional<Record>& record, std::int64_t revision, Millis now);
+WriteConflict applyConflict(Election& election, const RecordWrite& write, const std::optional<Record>& record,
+    std::int64_t revision, Millis now);
 void stepDown(Election& election);
 
 // --- Validity of the leader ---
--- a/tests/election_recovery_test.cpp
+++ b/tests/election_recovery_test.cpp
@@ -25,7 +25,7 @@
 
 struct Call {
     bool isWrite = false;
-    Record record;
+    RecordWrite write;
     std::int64_t condition = 0;
     Millis sentAt = 0;
     Millis executedAt = -1; // -1: not executed
@@ -43,10 +43,12 @@
     Millis nextTickAt = 0;
     Millis nextSyncAt = 0;
     Millis lastReplyAt = 0;
-    Millis cutUntil = 0; // from the store and from other data centres
+    Millis cutUntil = 0;      // from the store and from other data centres
+    Millis storeCutUntil = 0; // the store does not answer it, but may carry out its writes
     Millis frozenUntil = 0;
     Millis electedAt = 0;
-    Millis resigningSince = 0; // 0: not resigning
+    Millis resigningSince = 0;    // 0: not resigning
+    Millis storeFailingSince = 0; // 0: its last call was answered
     std::optional<Call> call;
 };
 
@@ -65,8 +67,10 @@
     Millis storeDownUntil = 0;
     bool isRefusing = true; // the store refuses calls while it is down; otherwise it does not answer
     double lostAnswers = 0.005;
+    double slowAnswers = 0; // share of calls that take up to the time-out
     std::vector<std::pair<Millis, std::string>> elected;
     std::map<std::int64_t, Millis> actedAt; // last time that each term's leader acted, by token
+    int handOvers = 0;
     std::string violation;
 };
 
@@ -105,7 +109,7 @@
     call.executedAt = -1;
     call.isSuccess = !call.isWrite || call.condition == world.revision;
     if (call.isWrite && call.isSuccess) {
-        world.record = call.record;
+        world.record = call.write.record;
         ++world.revision;
     }
     call.read = world.record;
@@ -118,18 +122,21 @@
     call.isWrite = isWrite;
     call.sentAt = world.now;
     if (isWrite) {
-        daemon.election.lastAttemptAt = world.now;
-        call.record = recordToWrite(daemon.election, isResigning, world.now);
+        call.write = beginWrite(daemon.election, isResigning, world.now);
         call.condition = daemon.election.revision;
     } else {
         daemon.election.polledAt = world.now;
     }
-    const Millis latency = 5 + static_cast<Millis>(base::below(world.rng, 60));
+    const bool isSlow = world.slowAnswers > 0 && base::chance(world.rng, world.slowAnswers);
+    const Millis latency = 5 + static_cast<Millis>(base::below(world.rng, isSlow ? callTimeoutMs - 10 : 60));
     call.answeredAt = world.now + latency;
     const bool isCut = world.now < daemon.cutUntil;
     if (!isCut && world.now >= world.storeDownUntil)
         call.executedAt = world.now + latency / 2;
-    call.isLost = isCut || world.now < world.storeDownUntil || base::chance(world.rng, world.lostAnswers);
+    const bool isStoreCut = world.now < daemon.storeCutUntil;
+    if (isStoreCut)
+        call.executedAt = base::chance(world.rng, 0.3) ? world.now + latency / 2 : -1;
+    call.isLost = isCut || isStoreCut || world.now < world.storeDownUntil || base::chance(world.rng, world.lostAnswers);
     if (call.isLost && (isCut || !world.isRefusing || world.now >= world.storeDownUntil))
         call.answeredAt = world.now + callTimeoutMs;
     // A store that does not answer may carry out a write late.
@@ -151,6 +158,10 @@
     const Call call = *daemon.call;
     daemon.call.reset();
     observeStore(election, !call.isLost, world.now);
+    if (!call.isLost)
+        daemon.storeFailingSince = 0;
+    else if (daemon.storeFailingSince == 0)
+        daemon.storeFailingSince = call.sentAt;
     if (call.isLost) {
         if (call.executedAt >= 0)
             world.lateWrites.push_back(call);
@@ -163,12 +174,11 @@
     }
     const bool wasLeader = election.role == Role::Leader;
     if (call.isSuccess) {
-        applyWritten(election, call.record, call.revision, call.sentAt, world.now);
-        if (!wasLeader && election.role == Role::Leader)
+        if (applyWritten(election, call.write, call.revision, world.now) == WriteEffect::Elected)
             beginTerm(world, daemon);
         return;
     }
-    switch (applyConflict(election, call.read, call.revision, world.now)) {
+    switch (applyConflict(election, call.write, call.read, call.revision, world.now)) {
     case WriteConflict::EarlierRenewal:
         break;
     case WriteConflict::EarlierTakeOver:
@@ -222,7 +232,7 @@
     const std::int64_t incarnation = state.record->incarnation;
     Election& other = found->election;
     if (other.role != Role::Leader || other.incarnation != incarnation) {
-        const bool isTakingOver = found->call && found->call->isWrite;
+        const bool isTakingOver = found->call && found->call->isWrite && found->call->write.kind == WriteKind::TakeOver;
         if (!isTakingOver)
             observeLeaderGone(state, leader, incarnation, world.now);
         return;
@@ -234,6 +244,11 @@
         knownMembers(other, world.now), world.now);
     follower.lastReplyAt = world.now;
     state.largestShare = largestKnownShare(other, world.now);
+    if (handOverTarget(other, found->storeFailingSince, world.now) == state.self) {
+        ++world.handOvers;
+        stepDown(other);
+        observeHandOver(state, leader, incarnation, world.now);
+    }
 }
 
 bool isActing(const World& world, const Daemon& daemon)
@@ -373,6 +388,7 @@
 class ElectionRecoveryTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ElectionRecoveryTest);
     CPPUNIT_TEST(neverTwoActingLeadersDespiteLostAnswers);
+    CPPUNIT_TEST(neverTwoActingLeadersWhenTermsAreHandedOver);
     CPPUNIT_TEST(storeOutagesDoNotElectWeakDaemons);
     CPPUNIT_TEST(restartedWeakDaemonsLetStrongOnesFirst);
     CPPUNIT_TEST(weakDaemonsTakeOverWhenTheStrongOnesAreGone);
@@ -405,6 +421,33 @@
         }
     }
 
+    // Guards against a daemon that takes the late success of a renewal, sent in a term that it has handed over since,
+    // for a take-over (review case 1).
+    void neverTwoActingLeadersWhenTermsAreHandedOver()
+    {
+        int handOvers = 0;
+        for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+            World world = makeWorld(seed);
+            world.lostAnswers = 0.02;
+            world.slowAnswers = 0.3;
+            runUntil(world, 5000); // every leader knows all daemons (see KNOWN-RED.txt on new ones)
+            while (world.now < 30000) {
+                step(world);
+                for (Daemon& daemon : world.daemons) {
+                    // Of the leader only, so that others reach the store.
+                    const bool isCut = daemon.election.role == Role::Leader && base::chance(world.rng, 0.002);
+                    if (isCut)
+                        daemon.storeCutUntil = world.now + 900 + static_cast<Millis>(base::below(world.rng, 1500));
+                    if (base::chance(world.rng, 0.00005))
+                        restart(world, daemon);
+                }
+            }
+            handOvers += world.handOvers;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(), world.violation);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(handOvers), handOvers > 300);
+    }
+
     // Guards against a leader on one of the smallest machines because all daemons compete equally once the store
     // answers again.
     void storeOutagesDoNotElectWeakDaemons()
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -39,12 +39,11 @@
 
 void writeRecord(Cell& cell, Election& election, Millis now)
 {
-    election.lastAttemptAt = now;
-    const Record record = recordToWrite(election, false, now);
+    const RecordWrite write = beginWrite(election, false, now);
     if (cell.revision == election.revision) {
-        cell.record = record;
+        cell.record = write.record;
         cell.revision += 1;
-        applyWritten(election, record, cell.revision, now, now);
+        applyWritten(election, write, cell.revision, now);
         return;
     }
     if (election.role == Role::Leader)
@@ -122,6 +121,9 @@
     CPPUNIT_TEST(recordsOfEarlierVersionsAreRead);
     CPPUNIT_TEST(neverTwoActingLeaders);
     CPPUNIT_TEST(lateRepliesOfAFormerLeaderDoNotEndTheNextTerm);
+    CPPUNIT_TEST(lateSuccessOfARenewalBeginsNoTerm);
+    CPPUNIT_TEST(lateSuccessOfATakeOverDoesNotReplaceANewerTerm);
+    CPPUNIT_TEST(repliesOfAnEarlierTermOfTheLeaderAreDropped);
     CPPUNIT_TEST(takeOverWithALostAnswerDoesNotActBeforeItsRenewal);
     CPPUNIT_TEST(readOfTheOwnTakeOverBeginsTheTerm);
     CPPUNIT_TEST(leaderThatLeadsAgainIsNotTakenForResigned);
@@ -277,19 +279,71 @@
         CPPUNIT_ASSERT(nextAction(c.election, 1700) == Action::TakeOver);
     }
 
+    // Guards against a daemon that has handed its term over and is elected by the answer to a renewal of that term, so
+    // that the leases of the former term seem to be over (review case 1).
+    void lateSuccessOfARenewalBeginsNoTerm()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        for (Millis now = 1000; now < 3000; now += 50)
+            act(cell, a, now);
+        const RecordWrite renewal = beginWrite(a.election, false, 3000);
+        CPPUNIT_ASSERT(renewal.kind == WriteKind::Renewal);
+        stepDown(a.election); // hands over
+        cell.record = renewal.record;
+        CPPUNIT_ASSERT(applyWritten(a.election, renewal, ++cell.revision, 3400) == WriteEffect::Outdated);
+        CPPUNIT_ASSERT(a.election.role == Role::Follower);
+        Millis now = 3400;
+        for (; a.election.role != Role::Leader && now < 10000; now += 50)
+            act(cell, a, now);
+        CPPUNIT_ASSERT(now >= 3400 + a.election.limits.takeoverMs);
+        const Millis endedAt = now - (termClock(a.election, now) - a.election.terms.back().formerEndMs);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(endedAt), endedAt >= 3000);
+    }
+
+    // Guards against two leaders, of which one is elected by the answer to a take-over that another daemon has
+    // overwritten since.
+    void lateSuccessOfATakeOverDoesNotReplaceANewerTerm()
+    {
+        Cell cell;
+        Daemon a = makeDaemon("a");
+        Daemon b = makeDaemon("b");
+        observe(a.election, std::nullopt, 0, 1000);
+        const RecordWrite takeOver = beginWrite(a.election, false, 1000);
+        cell.record = takeOver.record;
+        const std::int64_t stored = ++cell.revision;
+        for (Millis now = 1000; b.election.role != Role::Leader && now < 10000; now += 50)
+            act(cell, b, now);
+        CPPUNIT_ASSERT(b.election.role == Role::Leader);
+        observe(a.election, cell.record, cell.revision, 5000);
+        CPPUNIT_ASSERT(applyWritten(a.election, takeOver, stored, 5010) == WriteEffect::Outdated);
+        CPPUNIT_ASSERT(a.election.role == Role::Follower);
+    }
+
+    // Guards against a hand-over of an earlier term that ends the later term of the same process.
+    void repliesOfAnEarlierTermOfTheLeaderAreDropped()
+    {
+        Daemon b = makeDaemon("b");
+        observe(b.election, Record { "a", 1, "127.0.0.1:1", 5, 0, false, "", { "a", "b" } }, 20, 1000);
+        CPPUNIT_ASSERT(!observeContact(b.election, { 12, 0, 500, 10 }, { "a", "b" }, 1100));
+        CPPUNIT_ASSERT_EQUAL(Millis(0), b.election.lastContactAt);
+        CPPUNIT_ASSERT(observeContact(b.election, { 20, 0, 500, 20 }, { "a", "b" }, 1200));
+        CPPUNIT_ASSERT_EQUAL(Millis(1200), b.election.lastContactAt);
+    }
+
     // Guards against two acting leaders: the daemon has told another one, before it knew of its term, that it does not
     // lead.
     void takeOverWithALostAnswerDoesNotActBeforeItsRenewal()
     {
         Daemon a = makeDaemon("a");
         observe(a.election, std::nullopt, 0, 1000);
-        const Record stored = recordToWrite(a.election, false, 1000);
-        recordToWrite(a.election, false, 1500);
-        CPPUNIT_ASSERT(applyConflict(a.election, stored, 1, 1510) == WriteConflict::EarlierTakeOver);
+        const Record stored = beginWrite(a.election, false, 1000).record;
+        const RecordWrite second = beginWrite(a.election, false, 1500);
+        CPPUNIT_ASSERT(applyConflict(a.election, second, stored, 1, 1510) == WriteConflict::EarlierTakeOver);
         CPPUNIT_ASSERT(a.election.role == Role::Leader);
         CPPUNIT_ASSERT(validUntil(a.election, 1510) <= 1510);
         CPPUNIT_ASSERT(nextAction(a.election, 1510) == Action::Renew);
-        applyWritten(a.election, recordToWrite(a.election, false, 1510), 2, 1510, 1520);
+        applyWritten(a.election, beginWrite(a.election, false, 1510), 2, 1520);
         CPPUNIT_ASSERT(validUntil(a.election, 1520) > 1520);
     }
 
@@ -298,7 +352,7 @@
     {
         Daemon a = makeDaemon("a");
         observe(a.election, std::nullopt, 0, 1000);
-        const Record stored = recordToWrite(a.election, false, 1000);
+        const Record stored = beginWrite(a.election, false, 1000).record;
         CPPUNIT_ASSERT(applyRead(a.election, stored, 1, 1510));
         CPPUNIT_ASSERT(a.election.role == Role::Leader);
         CPPUNIT_ASSERT(validUntil(a.election, 1510) <= 1510);
@@ -411,7 +465,7 @@
         observe(weak.election, decodeRecord(encodeRecord(record)), 5, 1000);
         CPPUNIT_ASSERT(nextAction(weak.election, 1000 + weak.election.limits.weakerDelayMs - 1) != Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(weak.election, 1000 + weak.election.limits.weakerDelayMs) == Action::TakeOver);
-        const auto next = recordToWrite(weak.election, false, 1400);
+        const Record next = beginWrite(weak.election, false, 1400).record;
         CPPUNIT_ASSERT_EQUAL(0.5, next.largestShare);
     }
 
@@ -458,7 +512,7 @@
         CPPUNIT_ASSERT(successor == std::optional<std::string>("strong"));
         leader.election.chosenSuccessor = *successor;
         applyPeerMessage(leader.election, "weak", 3700, 3700, 3700);
-        CPPUNIT_ASSERT_EQUAL(std::string("strong"), recordToWrite(leader.election, true, 3800).successor);
+        CPPUNIT_ASSERT_EQUAL(std::string("strong"), beginWrite(leader.election, true, 3800).record.successor);
     }
 
     // Guards against a planned stop that passes the term to a weak daemon because the strong ones were silent for a
@@ -474,7 +528,7 @@
             leader.election.peers[name].processorShare = share;
         }
         applyPeerMessage(leader.election, "weak", 3700, 3700, 3700);
-        const Record record = recordToWrite(leader.election, true, 3800);
+        const Record record = beginWrite(leader.election, true, 3800).record;
         CPPUNIT_ASSERT_EQUAL(std::string(), record.successor);
         Daemon weak = makeDaemon("weak");
         Daemon strong = makeDaemon("strong");
@@ -489,7 +543,7 @@
         CPPUNIT_ASSERT(nextAction(strong.election, 3820) == Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(weak.election, 3810 + weak.election.limits.weakerDelayMs) == Action::TakeOver);
         applyPeerMessage(leader.election, "weak", 40000, 40000, 40000);
-        CPPUNIT_ASSERT_EQUAL(std::string("weak"), recordToWrite(leader.election, true, 40000).successor);
+        CPPUNIT_ASSERT_EQUAL(std::string("weak"), beginWrite(leader.election, true, 40000).record.successor);
     }
 
     // Guards against a leader that resigns every other second for a daemon that is stronger by its settings only and
@@ -505,10 +559,10 @@
         applyPeerMessage(leader.election, "strong", 2900, 2900, 2900);
         leader.election.peers["strong"].processorShare = 0.5;
         CPPUNIT_ASSERT(strongerSuccessor(leader.election, 3000));
-        const Record resignation = recordToWrite(leader.election, true, 3000);
-        CPPUNIT_ASSERT_EQUAL(std::string("strong"), resignation.successor);
-        cell.record = resignation;
-        applyWritten(leader.election, resignation, ++cell.revision, 3000, 3000);
+        const RecordWrite resignation = beginWrite(leader.election, true, 3000);
+        CPPUNIT_ASSERT_EQUAL(std::string("strong"), resignation.record.successor);
+        cell.record = resignation.record;
+        applyWritten(leader.election, resignation, ++cell.revision, 3000);
         Millis now = 3000;
         for (; leader.election.role != Role::Leader && now < 10000; now += 50)
             act(cell, leader, now); // the successor does not take over
@@ -525,16 +579,19 @@
         Cell cell;
         Daemon a = makeDaemon("a");
         act(cell, a, 1000);
+        act(cell, a, 1300);
+        CPPUNIT_ASSERT(a.election.role == Role::Leader);
         for (const char* name : { "b", "c", "d" })
             applyPeerMessage(a.election, name, 1400, 1400, 1400);
         a.election.peers["b"].incarnation = 10;
         a.election.peers["c"].incarnation = 30;
         a.election.peers["d"].incarnation = 40;
         a.election.peers["d"].storeReachedAt = -5000; // does not reach the store
-        const Record record = recordToWrite(a.election, true, 1500);
+        const RecordWrite resignation = beginWrite(a.election, true, 1500);
+        const Record& record = resignation.record;
         CPPUNIT_ASSERT_EQUAL(std::string("c"), record.successor);
         const std::int64_t token = a.election.token;
-        applyWritten(a.election, record, 7, 1500, 1500);
+        applyWritten(a.election, resignation, 7, 1500);
         CPPUNIT_ASSERT(a.election.role == Role::Follower);
         Daemon b = makeDaemon("b");
         Daemon c = makeDaemon("c");
@@ -543,7 +600,7 @@
         CPPUNIT_ASSERT(nextAction(b.election, 1510) != Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(c.election, 1510) == Action::TakeOver);
         CPPUNIT_ASSERT(nextAction(b.election, 1500 + b.election.limits.successorTimeoutMs) == Action::TakeOver);
-        applyWritten(c.election, recordToWrite(c.election, false, 1510), 8, 1510, 1510);
+        applyWritten(c.election, beginWrite(c.election, false, 1510), 8, 1510);
         CPPUNIT_ASSERT_EQUAL(token, c.election.formerToken);
     }
 
@@ -627,7 +684,7 @@
             sync(b, a, now);
         }
         a.storeUnreachableUntil = b.storeUnreachableUntil = 12000;
-        const Record late = recordToWrite(a.election, false, 3000);
+        const Record late = beginWrite(a.election, false, 3000).record;
         for (Millis now = 3000; now < 3500; now += 50) {
             act(cell, b, now);
             sync(b, a, now);
@@ -677,9 +734,9 @@
         Daemon a = makeDaemon("a");
         for (Millis now = 1000; now < 8000; now += 50)
             act(cell, a, now);
-        const Record resigned = recordToWrite(a.election, true, 8000);
-        cell.record = resigned;
-        applyWritten(a.election, resigned, ++cell.revision, 8000, 8000);
+        const RecordWrite resignation = beginWrite(a.election, true, 8000);
+        cell.record = resignation.record;
+        applyWritten(a.election, resignation, ++cell.revision, 8000);
         CPPUNIT_ASSERT(a.election.role == Role::Follower);
         for (Millis now = 8050; now < 14000; now += 50)
             act(cell, a, now);
