Count a gang's failed runs, not the members that failed in them

What callers saw: an accepted job with a gang was shown as failed after its gang had failed once or twice of three times (LOST).

Cause: countedFailures added up the failed runs of all members, on the assumption that one member fails in a run and the others end as broken. Several members on a worker that fails all it starts end as failed in the same run. It is no late answer: the number of the run was there, and was not looked at.

The stored records list failed runs by number, so that the count holds over a change of term, which the test has too.

Fix: the attempts of a gang are the distinct numbers of its failed runs. Members share the number of a run, in the platform's rules and in placeGang, and numbers are unique over terms; late ends of members do not count again.

--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 
 namespace lacewing::scheduler {
 
@@ -48,15 +49,16 @@
         ++progress.done;
     }
 
-    // A gang counts the failures of all its members, because the failure of one member ends all of them.
-    std::size_t countedFailures(const Step& step, const StepProgress& progress, const Task& task)
+    // Failed attempts of a task. The members of a gang share the number of a run: however many of them fail in it, the
+    // gang has failed once.
+    std::size_t failedAttempts(const Step& step, const StepProgress& progress, const Task& task)
     {
         if (!step.isGang)
             return task.failedRuns.size();
-        std::size_t sum = 0;
+        std::set<RunNumber> runs;
         for (const Task& member : progress.tasks)
-            sum += member.failedRuns.size();
-        return sum;
+            runs.insert(member.failedRuns.begin(), member.failedRuns.end());
+        return runs.size();
     }
 
 } // namespace
@@ -313,7 +315,7 @@
         finishIfDone(scheduler, job, now);
         return;
     }
-    const std::size_t failures = countedFailures(*ref.step, *ref.progress, task);
+    const std::size_t failures = failedAttempts(*ref.step, *ref.progress, task);
     const bool isOutOfAttempts
         = !ref.step->isLasting && failures >= static_cast<std::size_t>(std::max(1, job.policy.maxAttempts));
     if (isPlaced(task) && !isOutOfAttempts) // another run is active
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(maxPerWorkerIsKept);
     CPPUNIT_TEST(endOfAnEarlierRunKeepsAnUnknownTaskUnknown);
     CPPUNIT_TEST(failuresAreCountedByRunInAnyOrder);
+    CPPUNIT_TEST(membersThatFailInOneRunAreOneAttemptOfTheirGang);
     CPPUNIT_TEST(lostWorkersAreNotRenewed);
     CPPUNIT_TEST(runningTasksSurviveANewTerm);
     CPPUNIT_TEST(lateStartsAreRefused);
@@ -134,6 +135,38 @@
         CPPUNIT_ASSERT(state.jobs.at("job")->state == JobState::Failed);
     }
 
+    // Guards against a gang that is given up after its first failed run, because each member that failed in it counts as
+    // an attempt (review case 4).
+    void membersThatFailInOneRunAreOneAttemptOfTheirGang()
+    {
+        World world(1, 3);
+        Step gang = plainStep(6, 2000, 60000);
+        gang.isGang = true;
+        world.submit("job", { gang }, 3);
+        for (int attempt = 1; attempt <= 3; ++attempt) {
+            world.run(200, 50);
+            CPPUNIT_ASSERT_EQUAL(6, world.runningTasks());
+            int failing = 4; // the other two are broken, as the worker reports members of a gang that has lost one
+            for (SimWorker& worker : world.workers()) {
+                for (auto& [task, run] : worker.running) {
+                    run.endsAt = world.now();
+                    run.willFail = failing-- > 0;
+                    run.stopsAt = run.willFail ? 0 : world.now();
+                }
+            }
+            const bool isOver = attempt == 3;
+            world.step(50); // ends are reported in the same step
+            if (attempt == 1)
+                world.replaceTerm(); // counts from the stored records
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                std::to_string(attempt), isOver, world.scheduler().jobs.at("job")->state == JobState::Failed);
+        }
+        world.run(200);
+        CPPUNIT_ASSERT(world.committedState("job") == JobState::Failed);
+        CPPUNIT_ASSERT_EQUAL(0, world.runningTasks());
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
     // Guards against a lost worker whose lease never expires because each attempt to reach it requests a longer one
     // (bench day scale-1).
     void lostWorkersAreNotRenewed()
