Place a gang where its members failed when no other room is left

What callers saw: a gang that had failed twice on a worker did not run again although that worker had recovered and all workers were idle.

Cause: a member is not placed on the worker of its last failure. A single task that finds no other room drops that preference; a gang kept it. After two runs so many members kept away from the worker that the others alone could not fill it.

Fix: when a gang finds no room, it is placed in the same plan without the preference, as single tasks are in the next one. The search with the preference still comes first. Tried and dropped: that the whole gang avoids the worker; no test showed that it matters.

--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -407,6 +407,25 @@
         return true;
     }
 
+    // Each member on another worker than that of its last failure, if there is room; a retry there is better than none.
+    void placeGangOnRacks(
+        Planner& planner, Pool& pool, Shape& shape, const Candidate& candidate, const std::vector<std::string>& racks)
+    {
+        const auto place = [&] {
+            return std::any_of(racks.begin(), racks.end(),
+                [&](const std::string& rack) { return placeGang(planner, pool, shape, candidate, rack); });
+        };
+        const std::vector<Task>& members
+            = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)].tasks;
+        const bool hasFailed = std::any_of(
+            members.begin(), members.end(), [](const Task& member) { return !member.failedWorker.empty(); });
+        if (place() || !hasFailed)
+            return;
+        planner.mayRetryOnSameWorker = true;
+        place();
+        planner.mayRetryOnSameWorker = false;
+    }
+
     // Steps with a limit per worker, rack constraints or approvals may fail for reasons that other steps with the same
     // requirements don't have.
     bool hasStepConstraints(const Candidate& candidate, const Step& step)
@@ -451,10 +470,7 @@
         const std::vector<std::string> racks
             = shape.fitting.empty() ? std::vector<std::string> { "" } : racksFor(planner, candidate, step);
         if (step.isGang) {
-            for (const std::string& rack : racks) {
-                if (placeGang(planner, pool, shape, candidate, rack))
-                    return;
-            }
+            placeGangOnRacks(planner, pool, shape, candidate, racks);
             return;
         }
         int started = 0;
@@ -535,7 +551,7 @@
 
 bool mayUse(const Planner& planner, const Worker& worker, const TaskRef& ref)
 {
-    if (!ref.task->failedWorker.empty() && ref.task->failedWorker == worker.entry.id)
+    if (!planner.mayRetryOnSameWorker && !ref.task->failedWorker.empty() && ref.task->failedWorker == worker.entry.id)
         return false;
     if (ref.step->maxPerWorker <= 0)
         return true;
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -151,10 +151,11 @@
     std::int64_t nowUnixMs;
     Orders orders = {};
     std::vector<Candidate> candidates = {};
-    std::vector<Turn> turns = {}; // in the order of the plan
-    std::size_t triedTurns = 0;   // from the first on; the limit of starts ended the plan there
-    bool hasDraining = false;     // at least one worker is draining
-    int roomSearches = 0;         // for a worker to hold room on (restart_room.h)
+    std::vector<Turn> turns = {};      // in the order of the plan
+    std::size_t triedTurns = 0;        // from the first on; the limit of starts ended the plan there
+    bool hasDraining = false;          // at least one worker is draining
+    bool mayRetryOnSameWorker = false; // tasks may be placed where they failed last
+    int roomSearches = 0;              // for a worker to hold room on (restart_room.h)
     double meanSlowness = 1;
     std::unordered_map<const Worker*, int> stepTasksByWorker = {}; // runs of the step being placed
     std::map<std::string, ServiceCpu> serviceCpu = {};             // by service
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -21,6 +21,19 @@
     return report;
 }
 
+// Lets the runs on the worker fail, and with them those of the other members of their gangs.
+void breakGangsAt(World& world, int index)
+{
+    if (world.worker(index).running.empty())
+        return;
+    for (SimWorker& worker : world.workers()) {
+        for (auto& [task, run] : worker.running) {
+            run.willFail = &worker == &world.worker(index);
+            (run.willFail ? run.endsAt : run.stopsAt) = world.now();
+        }
+    }
+}
+
 class SchedulerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(SchedulerTest);
     CPPUNIT_TEST(stepsRunInOrder);
@@ -29,6 +42,7 @@
     CPPUNIT_TEST(endOfAnEarlierRunKeepsAnUnknownTaskUnknown);
     CPPUNIT_TEST(failuresAreCountedByRunInAnyOrder);
     CPPUNIT_TEST(membersThatFailInOneRunAreOneAttemptOfTheirGang);
+    CPPUNIT_TEST(gangsThatNeedAllWorkersRunAgainWhereTheyFailed);
     CPPUNIT_TEST(lostWorkersAreNotRenewed);
     CPPUNIT_TEST(runningTasksSurviveANewTerm);
     CPPUNIT_TEST(lateStartsAreRefused);
@@ -135,8 +149,8 @@
         CPPUNIT_ASSERT(state.jobs.at("job")->state == JobState::Failed);
     }
 
-    // Guards against a gang that is given up after its first failed run, because each member that failed in it counts as
-    // an attempt (review case 4).
+    // Guards against a gang that is given up after its first failed run, because each member that failed in it counts
+    // as an attempt (review case 4).
     void membersThatFailInOneRunAreOneAttemptOfTheirGang()
     {
         World world(1, 3);
@@ -167,6 +181,25 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
     }
 
+    // Guards against a gang that never runs again, because so many members have failed on one worker that the others
+    // alone cannot fill it (review case 4).
+    void gangsThatNeedAllWorkersRunAgainWhereTheyFailed()
+    {
+        World world(1, 2);
+        Step gang = plainStep(6, 2500, 400);
+        gang.isGang = true;
+        world.submit("job", { gang }, 3);
+        for (int failures = 0; failures < 2; ++failures) {
+            for (int i = 0; i < 100 && world.runningTasks() == 0; ++i)
+                world.step(50);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(failures), 6, world.runningTasks());
+            breakGangsAt(world, 0);
+        }
+        world.run(8000);
+        CPPUNIT_ASSERT(world.committedState("job") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
     // Guards against a lost worker whose lease never expires because each attempt to reach it requests a longer one
     // (bench day scale-1).
     void lostWorkersAreNotRenewed()
