Keep clock, leases and ends of a worker's incarnations apart

What callers saw: tasks of a worker that was without power for 0.9 s, back under its id for half a second and then lost did not run again for as long as its former life had lasted, on idle workers (LOST).

Cause: the clock in the answer to a start of the new life was taken for a reading of the former clock, on which a lease end 36,000 ms away had been asked for. The worker's lease then seemed to last until the new clock reached that end.

Evidence: lostWorkersDoNotKeepTasksForTheLeaseOfAFormerIncarnation fails without the check. Ruled out: that calls can name the incarnation they are for.

Fix: clock readings, lease ends and numbers of ends of an incarnation are one struct, replaced as a whole when another one begins. A reading is of a new incarnation when it names another start, or when its clock is further behind than a late answer explains; an answer that fits neither, to a call sent before the present one had answered, is of a former one and is dropped.

The simulated workers' clocks now begin anew with each incarnation and their lease call may be silent meanwhile; without the reset the random schedules fail.

--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -347,6 +347,9 @@
             "lacewing_done_tasks", "Tasks that ended as done in this term.", static_cast<double>(scheduler->doneTasks));
         gauge("lacewing_failed_runs", "Runs that ended as failed in this term.",
             static_cast<double>(scheduler->failedRuns));
+        gauge("lacewing_outdated_worker_answers",
+            "Answers of former incarnations of workers in this term, without effect.",
+            static_cast<double>(scheduler->outdatedAnswers));
         gauge("lacewing_evictions", "Runs that were stopped though their job goes on.",
             static_cast<double>(scheduler->evictions));
         gauge("lacewing_serving_moves", "Serving tasks that were moved, so that filling tasks get their workers.",
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -241,8 +241,11 @@
             m_loadWatch.recordOrderWait(answer.queueWaitMs);
             ++(isLost ? m_loadWatch.counts().startsLost : m_loadWatch.counts().startsAnswered);
             m_loadWatch.counts().startsUnsent += outcome == scheduler::StartOutcome::Unsent ? 1 : 0;
-            if (answer.clockMs > 0 && outcome != scheduler::StartOutcome::OtherIncarnation)
-                scheduler::applyClock(*m_scheduler, order.worker, answer.clockMs, now);
+            const scheduler::ClockReading reading { answer.clockMs, answer.incarnationUnixMs, sentAt };
+            const bool isOfWorker = answer.clockMs > 0 && outcome != scheduler::StartOutcome::OtherIncarnation;
+            // A run that a former incarnation has started is gone; the present one may execute the order as well.
+            if (isOfWorker && !scheduler::applyClock(*m_scheduler, order.worker, reading, now))
+                outcome = scheduler::StartOutcome::Unknown;
             if (outcome == scheduler::StartOutcome::Unknown && attempt < maxStartAttempts) {
                 sendStart(order, number, attempt + 1);
                 return;
--- a/src/scheduler/decision_log.cpp
+++ b/src/scheduler/decision_log.cpp
@@ -11,7 +11,8 @@
 
     constexpr std::size_t maxDecisions = 2000; // that wait to be logged; about 0.5 MB
 
-    constexpr std::array<std::string_view, 12> significantEvents {
+    constexpr std::array<std::string_view, 13> significantEvents {
+        "answerOutdated",
         "jobWaiting",
         "lastingTaskDown",
         "leaseExpired",
--- a/src/scheduler/departure.cpp
+++ b/src/scheduler/departure.cpp
@@ -36,11 +36,11 @@
 void updateWithheldLease(Worker& worker, Millis now)
 {
     const bool isLeaving = worker.drainEndsAt != 0 && now < worker.drainEndsAt + overdueMs;
-    if (!isLeaving || worker.clockReadAt == 0 || worker.confirmedLeaseEndClockMs == 0) {
+    if (!isLeaving || worker.incarnation.clockReadAt == 0 || worker.incarnation.confirmedLeaseEndClockMs == 0) {
         worker.isLeaseWithheld = false;
         return;
     }
-    const std::int64_t leaseLeftMs = worker.confirmedLeaseEndClockMs - latestClock(worker, now);
+    const std::int64_t leaseLeftMs = worker.incarnation.confirmedLeaseEndClockMs - latestClock(worker, now);
     const Millis drainLeftMs = std::max<Millis>(0, worker.drainEndsAt - now);
     // Both times run down alike: a lease that is withheld must not be renewed because it has become shorter.
     const Millis neededMs = worker.isLeaseWithheld ? minWithheldLeaseMs : drainLeftMs + departureMarginMs;
@@ -49,8 +49,9 @@
 
 bool isReportHeldBack(const Scheduler& scheduler, const Worker& worker, Millis now)
 {
-    return worker.drainEndsAt == 0 && !worker.unacknowledged.empty() && now - worker.reportedAt < unstoredEndsWaitMs
-        && scheduler.dirty.count(worker.unacknowledged.back().job) > 0;
+    return worker.drainEndsAt == 0 && !worker.incarnation.unacknowledged.empty()
+        && now - worker.reportedAt < unstoredEndsWaitMs
+        && scheduler.dirty.count(worker.incarnation.unacknowledged.back().job) > 0;
 }
 
 } // namespace lacewing::scheduler
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -263,7 +263,7 @@
         order.checkpoint = task.checkpoint;
         order.ticket = ticketFor(ref, order.worker);
         order.deadlineClockMs = latestClock(worker, planner.now) + scheduler.limits.startDeadlineMs;
-        worker.leaseEndClockMs = std::max(worker.leaseEndClockMs, order.deadlineClockMs);
+        worker.incarnation.leaseEndClockMs = std::max(worker.incarnation.leaseEndClockMs, order.deadlineClockMs);
         worker.renewedAt = planner.now;
         logRunDecision(scheduler, ref,
             { "start", ref.job->request.id, order.task, order.worker, run, "ordered",
--- a/src/scheduler/recovery_report.cpp
+++ b/src/scheduler/recovery_report.cpp
@@ -27,9 +27,9 @@
     if (worker.contact == Contact::Established || worker.isLeaseExpired)
         return 0;
     Millis left = worker.earlierLeaseEndAt + scheduler.limits.leaseSlackMs - now;
-    if (worker.leaseEndClockMs != 0 && worker.clockReadAt > 0) {
-        const std::int64_t clockMs
-            = worker.leaseEndClockMs + scheduler.limits.leaseSlackMs - earliestClock(scheduler, worker, now);
+    if (worker.incarnation.leaseEndClockMs != 0 && worker.incarnation.clockReadAt > 0) {
+        const std::int64_t clockMs = worker.incarnation.leaseEndClockMs + scheduler.limits.leaseSlackMs
+            - earliestClock(scheduler, worker, now);
         left = std::max(left, static_cast<Millis>(static_cast<double>(clockMs) / scheduler.limits.workerClockRate));
     }
     return std::max<Millis>(0, left);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -213,29 +213,39 @@
     std::uint64_t version = 0; // of a job record that contains the end
 };
 
-struct Worker {
-    WorkerEntry entry;
-    bool isListed = true; // currently announced in the store
-    Millis unlistedSince = 0;
-    Contact contact = Contact::New;
-    // --- Lease and clock ---
-    std::int64_t clockMs = 0;         // last reading of the worker's clock
-    Millis clockReadAt = 0;           // time of that reading; 0: none yet
-    std::int64_t leaseEndClockMs = 0; // latest lease end requested so far, on the worker's clock; 0: none
-    Millis earlierLeaseEndAt = 0;     // when leases of earlier terms have expired at the latest; 0: it holds none
+// What is known of the present incarnation of a worker. Its clock, the lease ends on that clock and the numbers of its
+// ends begin anew with each incarnation, so that all of it is replaced together.
+struct WorkerIncarnation {
+    Millis seenAt = 0; // its first answer in this term; 0: none yet
+    // --- Clock and lease ---
+    std::int64_t clockMs = 0;                  // last reading of its clock
+    Millis clockAskedAt = 0;                   // when the call with that reading was sent
+    Millis clockReadAt = 0;                    // when its answer arrived; 0: no reading yet
+    std::int64_t leaseEndClockMs = 0;          // latest lease end requested so far, on its clock; 0: none
     std::int64_t confirmedLeaseEndClockMs = 0; // as leaseEndClockMs, of the last renewal that was answered
     std::int64_t requestedLeaseEndClockMs = 0; // confirmed by the answer to the call in flight
-    bool isLeaseGranted = false;               // the stored lease table grants it a lease of this term
-    bool isLeaseWithheld = false;              // it is about to leave, and its lease lasts until then: not renewed
-    Millis renewedAt = 0;                      // last lease renewal or start order of this term; 0: none
-    Millis reportedAt = 0;                     // last report
-    bool hasReported = false;                  // a report of this term has listed all its runs and ends
-    Millis lostAt = 0;
-    bool isLeaseExpired = false; // not in contact, and its lease has expired even on the slowest clock
     // --- Ends of runs ---
     std::int64_t lastAppliedEnd = 0; // number of the last end that was applied
     std::int64_t lastAcknowledgedEnd = 0;
     std::deque<UnacknowledgedEnd> unacknowledged;
+};
+
+struct Worker {
+    WorkerEntry entry;    // incarnationUnixMs: of the present incarnation; 0: not known
+    bool isListed = true; // currently announced in the store
+    Millis unlistedSince = 0;
+    Contact contact = Contact::New;
+    // --- Incarnation and lease ---
+    WorkerIncarnation incarnation;
+    std::int64_t formerIncarnationUnixMs = 0; // the incarnation before, whose end was seen in this term; 0: none
+    Millis earlierLeaseEndAt = 0; // when leases that are not on the incarnation's clock have ended; 0: there are none
+    bool isLeaseGranted = false;  // the stored lease table grants it a lease of this term
+    bool isLeaseWithheld = false; // it is about to leave, and its lease lasts until then: not renewed
+    Millis renewedAt = 0;         // last lease renewal or start order of this term; 0: none
+    Millis reportedAt = 0;        // last report
+    bool hasReported = false;     // a report of this term has listed all its runs and ends
+    Millis lostAt = 0;
+    bool isLeaseExpired = false; // not in contact, and its lease has expired even on the slowest clock
     // --- Reserved resources, including those of tasks that are being stopped ---
     int cpuUsed = 0; // millicores, without filling tasks
     int memoryUsed = 0;
@@ -371,8 +381,9 @@
     std::uint64_t rejectedStarts = 0;
     std::uint64_t doneTasks = 0;
     std::uint64_t failedRuns = 0;
-    std::uint64_t servingMoves = 0; // serving tasks that were stopped to vacate their worker; part of the evictions
-    std::uint64_t evictions = 0;    // runs that were stopped while their job was not final
+    std::uint64_t outdatedAnswers = 0; // of former incarnations of workers
+    std::uint64_t servingMoves = 0;    // serving tasks that were stopped to vacate their worker; part of the evictions
+    std::uint64_t evictions = 0;       // runs that were stopped while their job was not final
 };
 
 // --- Input from the store ---
@@ -433,7 +444,9 @@
     Millis askedAt, Millis now);
 // Another incarnation of the worker answered: all runs of the former one are lost.
 void applyRestart(Scheduler& scheduler, const std::string& worker, Millis now);
-void applyClock(Scheduler& scheduler, const std::string& worker, std::int64_t clockMs, Millis now);
+// An answer of the worker shows its clock. False: the answer is of an incarnation that has ended, and tells nothing of
+// the present one. A clock that is further behind than a late answer explains is that of a new incarnation.
+bool applyClock(Scheduler& scheduler, const std::string& worker, const ClockReading& reading, Millis now);
 
 // --- Decisions ---
 
--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -97,7 +97,7 @@
         }
     }
     for (const auto& [id, worker] : scheduler.workers) {
-        for (const UnacknowledgedEnd& end : worker.unacknowledged) {
+        for (const UnacknowledgedEnd& end : worker.incarnation.unacknowledged) {
             const auto job = scheduler.jobs.find(end.job);
             if (job != scheduler.jobs.end() && job->second->committedVersion < end.version)
                 result.tasks.push_back({ end.task, id, 0 });
--- a/src/scheduler/types.h
+++ b/src/scheduler/types.h
@@ -120,6 +120,13 @@
 
 // --- Workers ---
 
+// A worker's clock in an answer to a call.
+struct ClockReading {
+    std::int64_t clockMs = 0;           // 0: not in the answer
+    std::int64_t incarnationUnixMs = 0; // 0: not in the answer
+    std::int64_t askedAt = 0;           // when the call was sent, in ms of this daemon's clock; the reading is later
+};
+
 struct Capacity {
     int cpuMillicores = 0;
     int memoryMb = 0;
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -23,6 +23,9 @@
     constexpr double slownessGain = 0.2;     // weight of the newest sample
     // ms after leaving the list until a worker that is out of contact, and whose lease has expired, is removed.
     constexpr Millis unlistedRemovalDelayMs = 2000;
+    // ms that a reading of a clock may be off before it is taken for another incarnation's. An incarnation that is no
+    // older than this makes no difference to the end of a lease.
+    constexpr Millis clockToleranceMs = 500;
 
     // Time from the last renewal of a lease until it is over, for calls in flight and on the slowest clock.
     Millis leaseOverMs(const Limits& limits, Millis lengthMs)
@@ -59,8 +62,9 @@
                     { { "remainingMs", entry.remainingMs },
                         { "surelyLeftMs", entry.isDraining ? std::max<Millis>(0, worker.drainEndsAt - now) : 0 } } });
         // Only a report changes the known incarnation, because it lists the runs of the new one.
-        const std::int64_t incarnation
-            = worker.entry.incarnationUnixMs != 0 ? worker.entry.incarnationUnixMs : entry.incarnationUnixMs;
+        const std::int64_t listed
+            = entry.incarnationUnixMs == worker.formerIncarnationUnixMs ? 0 : entry.incarnationUnixMs;
+        const std::int64_t incarnation = worker.entry.incarnationUnixMs != 0 ? worker.entry.incarnationUnixMs : listed;
         worker.entry = entry;
         worker.entry.incarnationUnixMs = incarnation;
         updateWithheldLease(worker, now);
@@ -142,7 +146,7 @@
         const auto stray = worker.strays.find(end.task);
         if (stray != worker.strays.end() && stray->second.run == end.run)
             worker.strays.erase(stray);
-        worker.unacknowledged.push_back(std::move(pending));
+        worker.incarnation.unacknowledged.push_back(std::move(pending));
     }
 
     // Adopts a run that an earlier term started.
@@ -226,48 +230,113 @@
         }
     }
 
-    // Ends the runs of the worker's former incarnation, except those for which `survives` returns true.
-    template <typename Predicate>
-    void endRunsOfFormerIncarnation(Scheduler& scheduler, Worker& worker, Millis now, Predicate survives)
+    // The worker has a new incarnation: nothing that was read from or promised to the former one concerns it. Calls
+    // that are in flight may still give it a lease of any length, because they name times on the former clock.
+    void beginIncarnation(Scheduler& scheduler, Worker& worker, std::int64_t incarnationUnixMs, Millis now)
     {
         logDecision(scheduler,
             { "workerRestarted", {}, {}, worker.entry.id, 0, "runs are gone",
-                { { "tasks", static_cast<int>(worker.tasks.size()) } } });
+                { { "tasks", static_cast<int>(worker.tasks.size()) }, { "incarnation", incarnationUnixMs },
+                    { "former", worker.entry.incarnationUnixMs }, { "formerClockMs", worker.incarnation.clockMs } } });
+        worker.formerIncarnationUnixMs = worker.entry.incarnationUnixMs;
+        worker.entry.incarnationUnixMs = incarnationUnixMs;
+        worker.incarnation = {};
+        worker.incarnation.seenAt = now;
+        worker.earlierLeaseEndAt
+            = std::max(worker.earlierLeaseEndAt, now + leaseOverMs(scheduler.limits, scheduler.limits.maxLeaseMs));
+        worker.strays.clear();
+        worker.pressure = 0;
+        worker.failureScore = 0;
+    }
+
+    // Ends the runs on the worker, except those for which `survives` returns true.
+    template <typename Predicate>
+    void endRunsOfFormerIncarnation(Scheduler& scheduler, Worker& worker, Millis now, Predicate survives)
+    {
         const std::map<std::string, TaskRef> tasks = worker.tasks;
         for (const auto& [name, ref] : tasks) {
             if (!survives(name, *ref.task))
                 endRun(scheduler, ref, worker.entry.id, EndKind::Lapsed, ref.task->run, now);
         }
-        worker.strays.clear();
-        worker.lastAppliedEnd = worker.lastAcknowledgedEnd = 0;
-        worker.unacknowledged.clear();
-        worker.clockReadAt = 0;
-        worker.pressure = 0;
-        worker.failureScore = 0;
     }
 
     // A new incarnation of the worker reports: ends the runs of the former one. A start order in flight is kept,
     // because the new incarnation may execute it as well.
     void applyRestartReport(Scheduler& scheduler, Worker& worker, const WorkerReport& report, Millis now)
     {
+        beginIncarnation(scheduler, worker, report.incarnationUnixMs, now);
         endRunsOfFormerIncarnation(scheduler, worker, now, [&](const std::string& name, const Task& task) {
             if (!task.isConfirmed && now <= task.startDeadlineAt)
                 return true;
             return std::any_of(report.running.begin(), report.running.end(),
                 [&](const RunningTask& row) { return row.task == name && row.run == task.run; });
         });
-        worker.leaseEndClockMs = worker.confirmedLeaseEndClockMs = worker.requestedLeaseEndClockMs = 0;
+    }
+
+    // Whose answer a reading is in.
+    enum class AnswerOrigin {
+        Present, // of the present incarnation
+        New,     // of one that has begun since
+        Former,  // of one that has ended
+    };
+
+    AnswerOrigin originOf(const Scheduler& scheduler, const Worker& worker, const ClockReading& reading, Millis now)
+    {
+        const WorkerIncarnation& present = worker.incarnation;
+        const std::int64_t known = worker.entry.incarnationUnixMs;
+        // A call that was sent after the present incarnation had answered is not answered by a former one.
+        const bool mayBeFormer = reading.askedAt <= present.seenAt;
+        if (reading.incarnationUnixMs != 0 && reading.incarnationUnixMs == worker.formerIncarnationUnixMs)
+            return mayBeFormer ? AnswerOrigin::Former : AnswerOrigin::New;
+        if (reading.incarnationUnixMs != 0 && known != 0)
+            return reading.incarnationUnixMs == known ? AnswerOrigin::Present
+                : mayBeFormer                         ? AnswerOrigin::Former
+                                                      : AnswerOrigin::New;
+        if (reading.clockMs <= 0 || present.clockReadAt == 0)
+            return AnswerOrigin::Present;
+        const auto passed = static_cast<double>(reading.askedAt - present.clockReadAt);
+        const double rate = passed > 0 ? scheduler.limits.workerClockRate : 1;
+        const std::int64_t earliest = present.clockMs + static_cast<std::int64_t>(passed * rate);
+        const std::int64_t latest = present.clockMs + (now - present.clockAskedAt);
+        const bool isBehind = reading.clockMs < earliest - clockToleranceMs;
+        const bool isAhead = reading.clockMs > latest + clockToleranceMs;
+        if (!isBehind && !isAhead)
+            return AnswerOrigin::Present;
+        if (mayBeFormer)
+            return AnswerOrigin::Former;
+        return isBehind ? AnswerOrigin::New : AnswerOrigin::Present;
+    }
+
+    void takeReading(Worker& worker, const ClockReading& reading, Millis now)
+    {
+        WorkerIncarnation& present = worker.incarnation;
+        if (reading.clockMs <= 0)
+            return;
+        if (present.seenAt == 0)
+            present.seenAt = now;
+        present.clockMs = reading.clockMs;
+        present.clockAskedAt = reading.askedAt;
+        present.clockReadAt = now;
+    }
+
+    void logOutdatedAnswer(Scheduler& scheduler, const Worker& worker, const ClockReading& reading, Millis now)
+    {
+        ++scheduler.outdatedAnswers;
+        logDecision(scheduler,
+            { "answerOutdated", {}, {}, worker.entry.id, 0, "of a former incarnation",
+                { { "clockMs", reading.clockMs }, { "incarnation", reading.incarnationUnixMs },
+                    { "ageMs", now - reading.askedAt } } });
     }
 
     void acknowledgeStoredEnds(const Scheduler& scheduler, Worker& worker)
     {
-        while (!worker.unacknowledged.empty()) {
-            const UnacknowledgedEnd& end = worker.unacknowledged.front();
+        while (!worker.incarnation.unacknowledged.empty()) {
+            const UnacknowledgedEnd& end = worker.incarnation.unacknowledged.front();
             const auto job = scheduler.jobs.find(end.job);
             if (job != scheduler.jobs.end() && job->second->committedVersion < end.version)
                 return;
-            worker.lastAcknowledgedEnd = end.number;
-            worker.unacknowledged.pop_front();
+            worker.incarnation.lastAcknowledgedEnd = end.number;
+            worker.incarnation.unacknowledged.pop_front();
         }
     }
 
@@ -295,11 +364,14 @@
 
 std::int64_t earliestClock(const Scheduler& scheduler, const Worker& worker, Millis now)
 {
-    const auto passed = static_cast<double>(now - worker.clockReadAt);
-    return worker.clockMs + static_cast<std::int64_t>(passed * scheduler.limits.workerClockRate);
+    const auto passed = static_cast<double>(now - worker.incarnation.clockReadAt);
+    return worker.incarnation.clockMs + static_cast<std::int64_t>(passed * scheduler.limits.workerClockRate);
 }
 
-std::int64_t latestClock(const Worker& worker, Millis now) { return worker.clockMs + (now - worker.clockReadAt); }
+std::int64_t latestClock(const Worker& worker, Millis now)
+{
+    return worker.incarnation.clockMs + (now - worker.incarnation.clockReadAt);
+}
 
 void setWorkers(Scheduler& scheduler, const std::vector<WorkerEntry>& entries, Millis requestedAt, Millis now)
 {
@@ -360,15 +432,17 @@
     acknowledgeStoredEnds(scheduler, worker);
     updateWithheldLease(worker, now);
     LeaseRequest request;
-    request.acknowledged = worker.lastAcknowledgedEnd;
+    request.acknowledged = worker.incarnation.lastAcknowledgedEnd;
     // The lease of a lost worker is not renewed: the worker might apply the renewal although its answer is lost, and
     // each attempt would extend the lease that has to expire.
-    if (worker.clockReadAt > 0 && worker.contact != Contact::Lost && worker.isLeaseGranted && !worker.isLeaseWithheld) {
+    if (worker.incarnation.clockReadAt > 0 && worker.contact != Contact::Lost && worker.isLeaseGranted
+        && !worker.isLeaseWithheld) {
         worker.renewedAt = now;
         request.expiresClockMs = latestClock(worker, now) + leaseLengthMs(scheduler.limits);
-        worker.leaseEndClockMs = std::max(worker.leaseEndClockMs, request.expiresClockMs);
+        worker.incarnation.leaseEndClockMs = std::max(worker.incarnation.leaseEndClockMs, request.expiresClockMs);
     }
-    worker.requestedLeaseEndClockMs = std::max(worker.confirmedLeaseEndClockMs, request.expiresClockMs);
+    worker.incarnation.requestedLeaseEndClockMs
+        = std::max(worker.incarnation.confirmedLeaseEndClockMs, request.expiresClockMs);
     return request;
 }
 
@@ -418,13 +492,22 @@
     return granted;
 }
 
-void applyClock(Scheduler& scheduler, const std::string& id, std::int64_t clockMs, Millis now)
+bool applyClock(Scheduler& scheduler, const std::string& id, const ClockReading& reading, Millis now)
 {
     const auto found = scheduler.workers.find(id);
-    if (found == scheduler.workers.end() || clockMs <= 0)
-        return;
-    found->second.clockMs = clockMs;
-    found->second.clockReadAt = now;
+    if (found == scheduler.workers.end())
+        return true;
+    Worker& worker = found->second;
+    const AnswerOrigin origin = originOf(scheduler, worker, reading, now);
+    if (origin == AnswerOrigin::Former) {
+        logOutdatedAnswer(scheduler, worker, reading, now);
+        return false;
+    }
+    // Which runs the new incarnation has is told by its report, or by the end of its lease.
+    if (origin == AnswerOrigin::New)
+        beginIncarnation(scheduler, worker, reading.incarnationUnixMs, now);
+    takeReading(worker, reading, now);
+    return true;
 }
 
 void applyReport(Scheduler& scheduler, const std::string& id, const WorkerReport& report, Millis sentAt, Millis now)
@@ -433,12 +516,17 @@
     if (found == scheduler.workers.end())
         return;
     Worker& worker = found->second;
-    if (report.incarnationUnixMs != 0 && worker.entry.incarnationUnixMs != 0
-        && report.incarnationUnixMs != worker.entry.incarnationUnixMs)
+    const ClockReading reading { report.clockMs, report.incarnationUnixMs, sentAt };
+    const AnswerOrigin origin = originOf(scheduler, worker, reading, now);
+    if (origin == AnswerOrigin::Former) {
+        logOutdatedAnswer(scheduler, worker, reading, now);
+        return;
+    }
+    if (origin == AnswerOrigin::New)
         applyRestartReport(scheduler, worker, report, now);
     if (report.incarnationUnixMs != 0)
         worker.entry.incarnationUnixMs = report.incarnationUnixMs;
-    applyClock(scheduler, id, report.clockMs, now);
+    takeReading(worker, reading, now);
     if (worker.contact != Contact::Established) {
         logDecision(scheduler,
             { "workerContact", {}, {}, id, 0, worker.contact == Contact::Lost ? "regained" : "held",
@@ -448,11 +536,11 @@
     }
     worker.isLeaseExpired = false;
     worker.reportedAt = now;
-    worker.confirmedLeaseEndClockMs = worker.requestedLeaseEndClockMs;
+    worker.incarnation.confirmedLeaseEndClockMs = worker.incarnation.requestedLeaseEndClockMs;
     for (const EndedTask& end : report.ended) {
-        if (end.number <= worker.lastAppliedEnd)
+        if (end.number <= worker.incarnation.lastAppliedEnd)
             continue;
-        worker.lastAppliedEnd = end.number;
+        worker.incarnation.lastAppliedEnd = end.number;
         applyEnd(scheduler, worker, end, now);
     }
     std::vector<RunName> running;
@@ -493,9 +581,9 @@
     if (found == scheduler.workers.end())
         return;
     Worker& worker = found->second;
+    beginIncarnation(scheduler, worker, 0, now);
     endRunsOfFormerIncarnation(scheduler, worker, now, [](const std::string&, const Task&) { return false; });
-    worker.earlierLeaseEndAt = now;
-    worker.leaseEndClockMs = worker.confirmedLeaseEndClockMs = worker.requestedLeaseEndClockMs = 0;
+    worker.earlierLeaseEndAt = now; // the other process refuses calls that name this worker
     worker.contact = Contact::New;
 }
 
@@ -571,9 +659,10 @@
         Worker& worker = it->second;
         updateWithheldLease(worker, now);
         if (worker.contact != Contact::Established && !worker.isLeaseExpired) {
-            const bool isOwnLeaseOver = worker.leaseEndClockMs == 0
-                || (worker.clockReadAt > 0
-                    && earliestClock(scheduler, worker, now) > worker.leaseEndClockMs + scheduler.limits.leaseSlackMs);
+            const bool isOwnLeaseOver = worker.incarnation.leaseEndClockMs == 0
+                || (worker.incarnation.clockReadAt > 0
+                    && earliestClock(scheduler, worker, now)
+                        > worker.incarnation.leaseEndClockMs + scheduler.limits.leaseSlackMs);
             worker.isLeaseExpired = isOwnLeaseOver && now > worker.earlierLeaseEndAt + scheduler.limits.leaseSlackMs;
             if (worker.isLeaseExpired && !worker.tasks.empty()) {
                 logDecision(scheduler,
--- a/tests/departure_test.cpp
+++ b/tests/departure_test.cpp
@@ -177,7 +177,7 @@
         setWorkers(state, { entryOf("a", false, 0) }, 10000, 10000);
         Worker& worker = state.workers.at("a");
         worker.reportedAt = 10000;
-        worker.unacknowledged.push_back({ 1, "job", "job.0.0.0", 1 });
+        worker.incarnation.unacknowledged.push_back({ 1, "job", "job.0.0.0", 1 });
         CPPUNIT_ASSERT(!isReportHeldBack(state, worker, 10100));
         state.dirty.insert("job");
         CPPUNIT_ASSERT(isReportHeldBack(state, worker, 10100));
--- a/tests/platform_worker_link_test.cpp
+++ b/tests/platform_worker_link_test.cpp
@@ -236,6 +236,9 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), start(worker, {}).clockMs);
         worker.answer = R"({"clock_ms":9223372036854775807})";
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), start(worker, {}).clockMs);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), start(worker, {}).incarnationUnixMs);
+        worker.answer = R"({"clock_ms":5,"born":1781000000000})";
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1781000000000), start(worker, {}).incarnationUnixMs);
     }
 
     void refusalsAreDecoded()
--- a/tests/scheduler_runs_test.cpp
+++ b/tests/scheduler_runs_test.cpp
@@ -35,8 +35,18 @@
 }
 
 // Steps of a random schedule; each acts on one worker or on the whole deployment.
-enum class Event { FailRun, RestartWorker, CutWorker, ReplaceTerm, ResignTerm, LoseStore, RegainStore, Wait };
-constexpr int eventKinds = 8;
+enum class Event {
+    FailRun,
+    RestartWorker,
+    RestartWorkerSilently,
+    CutWorker,
+    ReplaceTerm,
+    ResignTerm,
+    LoseStore,
+    RegainStore,
+    Wait
+};
+constexpr int eventKinds = 9;
 
 void apply(World& world, Event event, int worker)
 {
@@ -50,6 +60,9 @@
     case Event::RestartWorker:
         world.restartWorker(worker);
         break;
+    case Event::RestartWorkerSilently:
+        world.restartWorkerSilently(worker);
+        break;
     case Event::CutWorker:
         world.worker(worker).unreachableUntil = world.now() + cutMs;
         break;
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -43,6 +43,9 @@
     CPPUNIT_TEST(failuresAreCountedByRunInAnyOrder);
     CPPUNIT_TEST(membersThatFailInOneRunAreOneAttemptOfTheirGang);
     CPPUNIT_TEST(gangsThatNeedAllWorkersRunAgainWhereTheyFailed);
+    CPPUNIT_TEST(lostWorkersDoNotKeepTasksForTheLeaseOfAFormerIncarnation);
+    CPPUNIT_TEST(leasesGivenByTheFormerClockAreWaitedFor);
+    CPPUNIT_TEST(lateAnswersOfAFormerIncarnationAreDropped);
     CPPUNIT_TEST(lostWorkersAreNotRenewed);
     CPPUNIT_TEST(runningTasksSurviveANewTerm);
     CPPUNIT_TEST(lateStartsAreRefused);
@@ -200,6 +203,76 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
     }
 
+    // Guards against tasks that wait as long as a lost worker's former life has lasted, because a start answered by its
+    // new incarnation was taken for a reading of the former clock (review case 3).
+    void lostWorkersDoNotKeepTasksForTheLeaseOfAFormerIncarnation()
+    {
+        World world(1, 4);
+        world.run(30000);
+        world.restartWorkerSilently(0);
+        world.submit("job", { plainStep(12, 2000, 60000) });
+        world.run(500);
+        std::vector<std::string> tasks;
+        for (const auto& [task, run] : world.worker(0).running)
+            tasks.push_back(task);
+        CPPUNIT_ASSERT(!tasks.empty());
+        world.worker(0).unreachableUntil = world.now() + 60000;
+        world.worker(0).running.clear();
+        world.run(8000);
+        for (const std::string& task : tasks)
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(task, 2, world.starts(task));
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
+    // Guards against a second run of a task on a worker that is back under its id with a clock that begins anew: a
+    // start that names a time on the former clock gives it the longest lease.
+    void leasesGivenByTheFormerClockAreWaitedFor()
+    {
+        for (const bool isReported : { false, true }) {
+            World world(1, 4);
+            world.run(30000);
+            world.restartWorkerSilently(0);
+            world.submit("job", { plainStep(12, 2000, 60000) });
+            world.step();
+            CPPUNIT_ASSERT(!world.worker(0).running.empty());
+            if (isReported) {
+                world.worker(0).reportsLostUntil = 0;
+                world.step();
+            }
+            // Its connections are refused before another lease call is sent.
+            scheduler::applyContactLoss(world.scheduler(), world.worker(0).entry.id, world.now());
+            world.worker(0).unreachableUntil = world.now() + 60000;
+            world.run(20000);
+            CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+        }
+    }
+
+    // Guards against a report or a start's answer of a former incarnation, overtaken by answers of the present one,
+    // that brings back its clock, its runs and the numbers of its ends.
+    void lateAnswersOfAFormerIncarnationAreDropped()
+    {
+        World world(1, 2);
+        world.run(1000);
+        auto& state = world.scheduler();
+        const std::string id = world.worker(0).entry.id;
+        const Millis askedAt = world.now();
+        world.restartWorker(0);
+        world.run(500); // the new incarnation reports
+        const scheduler::Worker& worker = state.workers.at(id);
+        const std::int64_t clock = worker.incarnation.clockMs;
+        CPPUNIT_ASSERT(clock < 1000);
+        CPPUNIT_ASSERT(!scheduler::applyClock(state, id, { 51000, 0, askedAt }, world.now()));
+        scheduler::WorkerReport report = reportOf(51000);
+        report.running.push_back({ "job.0.0.0", 1, {}, 10, 0 });
+        report.ended.push_back({ 40, "job.0.0.1", 1, EndKind::Done, {} });
+        scheduler::applyReport(state, id, report, askedAt, world.now());
+        CPPUNIT_ASSERT_EQUAL(clock, worker.incarnation.clockMs);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), worker.entry.incarnationUnixMs);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), worker.incarnation.lastAppliedEnd);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), state.outdatedAnswers);
+        CPPUNIT_ASSERT(worker.strays.empty());
+    }
+
     // Guards against a lost worker whose lease never expires because each attempt to reach it requests a longer one
     // (bench day scale-1).
     void lostWorkersAreNotRenewed()
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -13,6 +13,7 @@
     constexpr int workerCpu = 8000;
     constexpr int workerMemory = 32000;
     constexpr Millis partitionMs = 5000;
+    constexpr Millis leaseCallTimeoutMs = 1700; // of a lease call, wait included
 
 } // namespace
 
@@ -225,7 +226,7 @@
     run.willFail = base::chance(m_rng, faults.failedRun);
     run.checkpoint = order.checkpoint;
     worker.running[order.task] = run;
-    worker.leaseEndsAt = std::max(worker.leaseEndsAt, order.deadlineClockMs - worker.clockOffset);
+    worker.leaseEndsAt = std::max(worker.leaseEndsAt, leaseEnd(worker, order.deadlineClockMs));
     ++m_starts[order.task];
     return StartOutcome::Started;
 }
@@ -263,6 +264,8 @@
         } else {
             const StartOutcome outcome = start(worker, order, m_scheduler->token);
             const bool isLost = base::chance(m_rng, faults.lostAnswer);
+            if (!isLost)
+                scheduler::applyClock(*m_scheduler, order.worker, { m_now + worker.clockOffset, 0, m_now }, m_now);
             scheduler::applyStart(*m_scheduler, order, isLost ? StartOutcome::Unknown : outcome, m_now);
         }
     }
@@ -314,14 +317,11 @@
             scheduler::applyContactLoss(*m_scheduler, id, m_now);
             continue;
         }
-        if (m_scheduler->token < worker.token)
+        if (m_now < worker.reportsLostUntil || m_scheduler->token < worker.token)
             continue;
         worker.token = m_scheduler->token;
-        if (lease.expiresClockMs > 0) {
-            const std::int64_t limit = m_now + worker.clockOffset + limits.maxLeaseMs;
-            worker.leaseEndsAt
-                = std::max(worker.leaseEndsAt, std::min(lease.expiresClockMs, limit) - worker.clockOffset);
-        }
+        if (lease.expiresClockMs > 0)
+            worker.leaseEndsAt = std::max(worker.leaseEndsAt, leaseEnd(worker, lease.expiresClockMs));
         while (!worker.ended.empty() && worker.ended.front().number <= lease.acknowledged) {
             const scheduler::EndedTask& ended = worker.ended.front();
             if (ended.kind == EndKind::Done)
@@ -368,7 +368,18 @@
     scheduler::applyLeaseTable(*m_scheduler, leases);
 }
 
-void World::restart(SimWorker& worker)
+Millis World::leaseEnd(const SimWorker& worker, std::int64_t endClockMs) const
+{
+    return std::min(endClockMs - worker.clockOffset, m_now + limits.maxLeaseMs);
+}
+
+void World::restartWorkerSilently(int index)
+{
+    restartWorker(index);
+    worker(index).reportsLostUntil = m_now + leaseCallTimeoutMs;
+}
+
+void World::restart(SimWorker& worker) const
 {
     worker.running.clear();
     worker.highestEndedRun.clear();
@@ -377,6 +388,7 @@
     worker.lastNumber = 0;
     worker.token = 0;
     worker.leaseEndsAt = 0;
+    worker.clockOffset = -m_now;
     ++worker.entry.incarnationUnixMs;
 }
 
@@ -385,8 +397,10 @@
     for (SimWorker& worker : m_workers) {
         if (base::chance(m_rng, faults.partitionPerStep))
             worker.unreachableUntil = m_now + static_cast<Millis>(base::below(m_rng, 2 * partitionMs));
-        if (base::chance(m_rng, faults.crashPerStep))
+        if (base::chance(m_rng, faults.crashPerStep)) {
             restart(worker);
+            worker.reportsLostUntil = m_now + static_cast<Millis>(base::below(m_rng, leaseCallTimeoutMs));
+        }
     }
     if (base::chance(m_rng, faults.termPerStep))
         replaceTerm();
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -58,6 +58,7 @@
     std::int64_t lastNumber = 0;
     std::int64_t clockOffset = 0;
     Millis unreachableUntil = 0;
+    Millis reportsLostUntil = 0;           // lease calls get no answer until then; starts over other connections do
     bool isListed = true;                  // announced in the store
     std::map<std::string, Millis> tickets; // end of validity, by ticket
     std::map<std::string, int> readings;   // by task: tail latency of serving tasks, millicores of other tasks
@@ -96,6 +97,8 @@
     void withdraw(const std::string& dataCentre);
     // Starts a new incarnation of the worker, which has lost all runs and ends.
     void restartWorker(int index) { restart(worker(index)); }
+    // The same, and its open lease call is silent until the call times out.
+    void restartWorkerSilently(int index);
 
     // --- Time ---
     Millis now() const { return m_now; }
@@ -141,7 +144,9 @@
     void end(SimWorker& worker, const std::string& task, scheduler::EndKind kind);
     void commit();
     void injectFaults();
-    static void restart(SimWorker& worker);
+    void restart(SimWorker& worker) const;
+    // A lease end named on the worker's clock, on the virtual clock and within the platform's limit.
+    Millis leaseEnd(const SimWorker& worker, std::int64_t endClockMs) const;
     void check(bool holds, const std::string& what);
 
     base::Rng m_rng;
