Model: a success of a term's write that arrives after its hand-over

The rule that only a take-over begins a term was not in the model.

Measured: scripts/test.d/30-model: the protocol holds, 13 variants fail as they must (12 before).

--- a/model/runs.pml
+++ b/model/runs.pml
@@ -259,7 +259,13 @@
             (leader == NONE || resigned || !isTermValid[leader]) -> takeOver(d) }
     :: atomic { leads(d) && isTermValid[d] -> isTermValid[d] = false } /* frozen, partitioned or slow */
     :: atomic { leads(d) && term != ownTerm[d] -> resetDaemon(d) } /* observes a newer term */
-    :: atomic { leads(d) -> resetDaemon(d); if :: leader == d -> isTermValid[d] = false :: else -> skip fi } /* killed */
+    :: atomic { leads(d) -> resetDaemon(d); if :: leader == d -> isTermValid[d] = false :: else -> skip fi } /* killed, or handed over */
+#ifdef NO_WRITE_IDENTITY
+    /* The success of a renewal of the term that this daemon has handed over begins a term: no worker seems to hold a lease
+     * of the former one. */
+    :: atomic { term != 0 && term < MAXTERM && !leads(d) && leader == d && !resigned ->
+        takeOver(d); ACC(d, 0) = true; ACC(d, 1) = true; resolveUnknown(d) }
+#endif
     /* Planned stop: writes the placements, sends no order afterwards, then resigns. */
 #ifndef RUN_ENDS
     :: atomic { leads(d) && isTermValid[d] && leader == d && !isResigning[d] &&
