Acknowledge ends only in an unbroken series of lease calls

What callers saw: tasks that had ended were run again on a worker that was back under its id (TWICE).

Cause: what is left of it is a lease call that reaches the new life before any answer of that life has arrived. It acknowledged ends by numbers of the former life, and the new one forgot its own ends with these numbers.

Evidence: endsOfANewIncarnationAreNotForgotten, in which all answers to starts are lost, failed before ("job.0.0.0 started after its end was acknowledged").

Fix: after a lease call that got no answer, the next one acknowledges nothing. The same life has forgotten those ends or lists them again, and they are skipped by number; a new life keeps its own until its report has shown it.

--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -151,6 +151,7 @@
         return;
     }
     const platform::LinkError error = result.error();
+    scheduler::applyReportLoss(*m_scheduler, id);
     link.nextRenewalAt = now + lostRetryMs;
     if (error == platform::LinkError::OtherIncarnation) {
         scheduler::applyRestart(*m_scheduler, id, now);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -227,6 +227,7 @@
     // --- Ends of runs ---
     std::int64_t lastAppliedEnd = 0; // number of the last end that was applied
     std::int64_t lastAcknowledgedEnd = 0;
+    bool hasLostReport = false; // the last lease call failed: the next one may reach another incarnation
     std::deque<UnacknowledgedEnd> unacknowledged;
 };
 
@@ -442,6 +443,8 @@
 // Applies the answer to a question of a plan; nullopt: no answer.
 void applyApproval(Scheduler& scheduler, const ApprovalQuestion& question, const std::optional<ApprovalAnswer>& answer,
     Millis askedAt, Millis now);
+// A lease call was not answered.
+void applyReportLoss(Scheduler& scheduler, const std::string& worker);
 // Another incarnation of the worker answered: all runs of the former one are lost.
 void applyRestart(Scheduler& scheduler, const std::string& worker, Millis now);
 // An answer of the worker shows its clock. False: the answer is of an incarnation that has ended, and tells nothing of
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -432,7 +432,8 @@
     acknowledgeStoredEnds(scheduler, worker);
     updateWithheldLease(worker, now);
     LeaseRequest request;
-    request.acknowledged = worker.incarnation.lastAcknowledgedEnd;
+    // A new incarnation would forget ends of its own that have the same numbers; the present one has forgotten those.
+    request.acknowledged = worker.incarnation.hasLostReport ? 0 : worker.incarnation.lastAcknowledgedEnd;
     // The lease of a lost worker is not renewed: the worker might apply the renewal although its answer is lost, and
     // each attempt would extend the lease that has to expire.
     if (worker.incarnation.clockReadAt > 0 && worker.contact != Contact::Lost && worker.isLeaseGranted
@@ -536,6 +537,7 @@
     }
     worker.isLeaseExpired = false;
     worker.reportedAt = now;
+    worker.incarnation.hasLostReport = false;
     worker.incarnation.confirmedLeaseEndClockMs = worker.incarnation.requestedLeaseEndClockMs;
     for (const EndedTask& end : report.ended) {
         if (end.number <= worker.incarnation.lastAppliedEnd)
@@ -561,6 +563,12 @@
     endMissingRuns(scheduler, worker, running, sentAt, now);
 }
 
+void applyReportLoss(Scheduler& scheduler, const std::string& id)
+{
+    if (const auto found = scheduler.workers.find(id); found != scheduler.workers.end())
+        found->second.incarnation.hasLostReport = true;
+}
+
 void applyContactLoss(Scheduler& scheduler, const std::string& id, Millis now)
 {
     const auto found = scheduler.workers.find(id);
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(lostWorkersDoNotKeepTasksForTheLeaseOfAFormerIncarnation);
     CPPUNIT_TEST(leasesGivenByTheFormerClockAreWaitedFor);
     CPPUNIT_TEST(lateAnswersOfAFormerIncarnationAreDropped);
+    CPPUNIT_TEST(endsOfANewIncarnationAreNotForgotten);
     CPPUNIT_TEST(lostWorkersAreNotRenewed);
     CPPUNIT_TEST(runningTasksSurviveANewTerm);
     CPPUNIT_TEST(lateStartsAreRefused);
@@ -273,6 +274,28 @@
         CPPUNIT_ASSERT(worker.strays.empty());
     }
 
+    // Guards against tasks that run again after they have ended on a worker that is back under its id: the numbers of
+    // ends acknowledged to its former incarnation made it forget them (review case 2).
+    void endsOfANewIncarnationAreNotForgotten()
+    {
+        World world(1, 2);
+        for (int i = 0; i < 4; ++i) {
+            world.submit("former" + std::to_string(i), { plainStep(8, 1000, 300) });
+            world.run(1000);
+        }
+        CPPUNIT_ASSERT(world.scheduler().workers.at("w0").incarnation.lastAcknowledgedEnd > 4);
+        world.restartWorkerSilently(0);
+        world.faults.lostAnswer = 1; // no answer shows the new incarnation before its report
+        world.submit("job", { plainStep(8, 1000, 300) });
+        world.run(1000);
+        CPPUNIT_ASSERT(!world.worker(0).ended.empty());
+        world.run(5000);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+        CPPUNIT_ASSERT(world.committedState("job") == JobState::Completed);
+        for (int i = 0; i < 8; ++i)
+            CPPUNIT_ASSERT_EQUAL(1, world.starts(scheduler::taskName("job", 0, 0, i)));
+    }
+
     // Guards against a lost worker whose lease never expires because each attempt to reach it requests a longer one
     // (bench day scale-1).
     void lostWorkersAreNotRenewed()
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -314,10 +314,15 @@
             continue;
         const scheduler::LeaseRequest lease = scheduler::leaseRequest(*m_scheduler, id, m_now);
         if (m_now < worker.unreachableUntil) { // the scheduler cannot tell whether the call arrived
+            scheduler::applyReportLoss(*m_scheduler, id);
             scheduler::applyContactLoss(*m_scheduler, id, m_now);
             continue;
         }
-        if (m_now < worker.reportsLostUntil || m_scheduler->token < worker.token)
+        if (m_now < worker.reportsLostUntil) {
+            scheduler::applyReportLoss(*m_scheduler, id);
+            continue;
+        }
+        if (m_scheduler->token < worker.token)
             continue;
         worker.token = m_scheduler->token;
         if (lease.expiresClockMs > 0)
