Log how the end of a worker's incarnation was seen

The line workerRestarted said "runs are gone" for three different events: a report of another start, a clock that began anew, and another process at the address (421). Only the last was left to tell by its series of lines every 400 ms.

--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -230,12 +230,22 @@
         }
     }
 
+    // How an incarnation has been seen to be over.
+    enum class RestartSign { Report, Clock, OtherProcess };
+
+    constexpr base::EnumNames<RestartSign, 3> restartSignNames { {
+        { RestartSign::Report, "report of another start" },
+        { RestartSign::Clock, "clock began anew" },
+        { RestartSign::OtherProcess, "another process answered" },
+    } };
+
     // The worker has a new incarnation: nothing that was read from or promised to the former one concerns it. Calls
     // that are in flight may still give it a lease of any length, because they name times on the former clock.
-    void beginIncarnation(Scheduler& scheduler, Worker& worker, std::int64_t incarnationUnixMs, Millis now)
+    void beginIncarnation(
+        Scheduler& scheduler, Worker& worker, std::int64_t incarnationUnixMs, RestartSign sign, Millis now)
     {
         logDecision(scheduler,
-            { "workerRestarted", {}, {}, worker.entry.id, 0, "runs are gone",
+            { "workerRestarted", {}, {}, worker.entry.id, 0, std::string(nameOf(restartSignNames, sign)),
                 { { "tasks", static_cast<int>(worker.tasks.size()) }, { "incarnation", incarnationUnixMs },
                     { "former", worker.entry.incarnationUnixMs }, { "formerClockMs", worker.incarnation.clockMs } } });
         worker.formerIncarnationUnixMs = worker.entry.incarnationUnixMs;
@@ -264,7 +274,7 @@
     // because the new incarnation may execute it as well.
     void applyRestartReport(Scheduler& scheduler, Worker& worker, const WorkerReport& report, Millis now)
     {
-        beginIncarnation(scheduler, worker, report.incarnationUnixMs, now);
+        beginIncarnation(scheduler, worker, report.incarnationUnixMs, RestartSign::Report, now);
         endRunsOfFormerIncarnation(scheduler, worker, now, [&](const std::string& name, const Task& task) {
             if (!task.isConfirmed && now <= task.startDeadlineAt)
                 return true;
@@ -506,7 +516,8 @@
     }
     // Which runs the new incarnation has is told by its report, or by the end of its lease.
     if (origin == AnswerOrigin::New)
-        beginIncarnation(scheduler, worker, reading.incarnationUnixMs, now);
+        beginIncarnation(scheduler, worker, reading.incarnationUnixMs,
+            reading.incarnationUnixMs != 0 ? RestartSign::Report : RestartSign::Clock, now);
     takeReading(worker, reading, now);
     return true;
 }
@@ -589,7 +600,7 @@
     if (found == scheduler.workers.end())
         return;
     Worker& worker = found->second;
-    beginIncarnation(scheduler, worker, 0, now);
+    beginIncarnation(scheduler, worker, 0, RestartSign::OtherProcess, now);
     endRunsOfFormerIncarnation(scheduler, worker, now, [](const std::string&, const Task&) { return false; });
     worker.earlierLeaseEndAt = now; // the other process refuses calls that name this worker
     worker.contact = Contact::New;
