Name the handling of a stored write, and shorten originOf

From reading the diff: TermService::applySuccess shared its name with the commit budget's function, the help text of lacewing_outdated_answers_total named kinds that it does not have, and originOf had a nested condition.

--- a/src/daemon/term_service.cpp
+++ b/src/daemon/term_service.cpp
@@ -118,9 +118,9 @@
             m_isCallInFlight = false;
             m_writeInFlight.reset();
             election::observeStore(m_election, isAnswer(result), nowMs());
-            isAnswer(result) ? daemon::applySuccess(m_commitBudget) : applyFailure(m_commitBudget);
+            isAnswer(result) ? applySuccess(m_commitBudget) : applyFailure(m_commitBudget);
             if (result.has_value())
-                applySuccess(write, result.value(), includedCommits);
+                applyStored(write, result.value(), includedCommits);
             else if (result.error().code == platform::StoreCode::Conflict)
                 applyConflict(write, result.error().current);
             if (m_onResigned && !isLeader())
@@ -128,7 +128,7 @@
         });
 }
 
-void TermService::applySuccess(const election::RecordWrite& write, std::int64_t revision, std::size_t includedCommits)
+void TermService::applyStored(const election::RecordWrite& write, std::int64_t revision, std::size_t includedCommits)
 {
     switch (election::applyWritten(m_election, write, revision, nowMs())) {
     case election::WriteEffect::Elected:
@@ -152,8 +152,7 @@
                 { "revision", revision }, { "ageMs", nowMs() - write.sentAt } });
         m_runtime.metrics
             .counter("lacewing_outdated_answers_total",
-                "Answers that concern a term or a worker's incarnation which has ended, by kind.",
-                { { "kind", "termRecord" } })
+                "Answers about something that had ended, without effect, by kind.", { { "kind", "termRecord" } })
             .value
             += 1;
         return;
--- a/src/daemon/term_service.h
+++ b/src/daemon/term_service.h
@@ -79,7 +79,7 @@
     void finishResigning();
     void beginTerm(bool isAfterLostAnswer);
     void applyConflict(const election::RecordWrite& write, const std::vector<platform::Item>& current);
-    void applySuccess(const election::RecordWrite& write, std::int64_t revision, std::size_t includedCommits);
+    void applyStored(const election::RecordWrite& write, std::int64_t revision, std::size_t includedCommits);
     // Calls back for the first pending commits, which are stored.
     void finishCommits(std::size_t count);
     void endTerm(const std::string& reason);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -296,12 +296,11 @@
         const std::int64_t known = worker.entry.incarnationUnixMs;
         // A call that was sent after the present incarnation had answered is not answered by a former one.
         const bool mayBeFormer = reading.askedAt <= present.seenAt;
+        const AnswerOrigin other = mayBeFormer ? AnswerOrigin::Former : AnswerOrigin::New;
         if (reading.incarnationUnixMs != 0 && reading.incarnationUnixMs == worker.formerIncarnationUnixMs)
-            return mayBeFormer ? AnswerOrigin::Former : AnswerOrigin::New;
+            return other;
         if (reading.incarnationUnixMs != 0 && known != 0)
-            return reading.incarnationUnixMs == known ? AnswerOrigin::Present
-                : mayBeFormer                         ? AnswerOrigin::Former
-                                                      : AnswerOrigin::New;
+            return reading.incarnationUnixMs == known ? AnswerOrigin::Present : other;
         if (reading.clockMs <= 0 || present.clockReadAt == 0)
             return AnswerOrigin::Present;
         const auto passed = static_cast<double>(reading.askedAt - present.clockReadAt);
