Keep a cancelled id from being accepted by a late write

Cause: a caller that got no answer to its submission cancels it. The store did not know the id, so the cancel left nothing, and the store then carried out the write of the submission, whose condition (no such key) still held.

Fix: a cancel of an unknown id writes a short record of a cancelled job at the key of the accepted one, on the condition that there is none. Any later acceptance fails on its own condition; a job that was accepted in between is cancelled as before. One call to the store, in place of the read. A submission that meets it is refused with 410, where it would have been told that the job is stored. States that only the short record tells are read from it, where "queued" was shown.

--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -27,12 +27,12 @@
     constexpr scheduler::Millis maxStateAgeMs = 1500;
     // ms; an older count of waiting jobs is not returned (platform bound)
     constexpr scheduler::Millis maxPendingAgeMs = 2000;
-    constexpr int retryAfterSeconds = 1; // s; for callers that get 503
+    constexpr int retryAfterSeconds = 1; // s; for callers that get 503 or 429
 
     http::Response refusal(int status, const QByteArray& reason)
     {
         http::Response response = http::jsonResponse(status, "{\"error\":\"" + reason + "\"}");
-        if (status == 503)
+        if (status == 503 || status == 429)
             response.headers.push_back({ "Retry-After", QByteArray::number(retryAfterSeconds) });
         return response;
     }
@@ -195,13 +195,11 @@
     platform::Transaction transaction;
     while (!m_submissions.empty() && batch.size() < submissionsPerCommit) {
         Submission& next = m_submissions.front();
-        const std::string key = storeKeys::acceptedPrefix + next.id;
         const bool isDuplicate
             = std::any_of(batch.begin(), batch.end(), [&](const Submission& other) { return other.id == next.id; });
         if (isDuplicate)
             break; // left for the next commit, whose condition finds the record of the first one
-        transaction.conditions.push_back({ key, 0 });
-        transaction.writes.push_back({ key, next.record });
+        addAcceptance(transaction, next.id, next.record);
         batch.push_back(std::move(next));
         m_submissions.pop_front();
     }
@@ -226,10 +224,12 @@
     if (error.code == platform::StoreCode::Conflict) {
         std::vector<Submission> remaining;
         for (Submission& submission : batch) {
-            const bool isStored = std::any_of(error.current.begin(), error.current.end(),
+            const auto stored = std::find_if(error.current.begin(), error.current.end(),
                 [&](const platform::Item& item) { return item.key == storeKeys::acceptedPrefix + submission.id; });
-            if (isStored)
-                accept(submission, "already stored");
+            if (stored != error.current.end() && isCancelled(*stored))
+                refuseCancelled(submission);
+            else if (stored != error.current.end())
+                accept(submission, "already stored", stateOf(*stored));
             else
                 remaining.push_back(std::move(submission));
         }
@@ -251,10 +251,17 @@
         m_retryTimer.start(retryMs);
 }
 
-void GatewayService::accept(const Submission& submission, const char* outcome)
+void GatewayService::refuseCancelled(const Submission& submission)
+{
+    applyState(*m_table, submission.id, scheduler::JobState::Cancelled, nowMs());
+    recordSlo(submission, base::RequestResult::Answered);
+    respond(submission.responder, refusal(410, "the job has been cancelled"), "submit", submission.id, "cancelled");
+}
+
+void GatewayService::accept(const Submission& submission, const char* outcome, scheduler::JobState state)
 {
     const scheduler::Millis now = nowMs();
-    applyState(*m_table, submission.id, scheduler::JobState::Queued, now);
+    applyState(*m_table, submission.id, state, now);
     m_runtime.metrics.latency("lacewing_accept_seconds", "Time from a job request to its acceptance.")
         .record(base::milliseconds(now - submission.receivedAt));
     recordSlo(submission, base::RequestResult::Answered);
@@ -352,10 +359,7 @@
 {
     const auto known = m_table->jobs.find(id);
     if (known == m_table->jobs.end()) {
-        findJob(id, responder, "state", [this, id, responder] {
-            applyState(*m_table, id, scheduler::JobState::Queued, nowMs());
-            readProgress(id, responder);
-        });
+        readAccepted(id, responder);
         return;
     }
     const bool isFresh = nowMs() - m_table->syncedAt < maxStateAgeMs && m_table->syncedAt > 0;
@@ -368,18 +372,18 @@
 }
 
 // A job missing from the table may have just been accepted by another daemon, so the store is checked.
-void GatewayService::findJob(
-    const std::string& id, const http::Responder& responder, const char* operation, std::function<void()> onFound)
+void GatewayService::readAccepted(const std::string& id, const http::Responder& responder)
 {
     m_runtime.store->read(storeKeys::acceptedPrefix + id,
-        [this, id, responder, operation, onFound = std::move(onFound)](
-            const base::Result<platform::Item, platform::StoreError>& result) {
-            if (result.has_value())
-                onFound();
-            else if (result.error().code == platform::StoreCode::Missing)
-                respond(responder, refusal(410, "no such job"), operation, id, "unknown job");
-            else
-                respond(responder, refusal(503, "the store does not answer"), operation, id, result.error().detail);
+        [this, id, responder](const base::Result<platform::Item, platform::StoreError>& result) {
+            if (result.has_value()) {
+                applyState(*m_table, id, stateOf(result.value()), nowMs());
+                readProgress(id, responder);
+            } else if (result.error().code == platform::StoreCode::Missing) {
+                respond(responder, refusal(410, "no such job"), "state", id, "unknown job");
+            } else {
+                respond(responder, refusal(503, "the store does not answer"), "state", id, result.error().detail);
+            }
         });
 }
 
@@ -416,8 +420,35 @@
 {
     if (m_table->jobs.count(id) > 0)
         storeCancel(id, responder);
+    else if (mayCancelUnknown(m_unknownCancels, nowMs()))
+        storeCancelOfUnknown(id, responder);
     else
-        findJob(id, responder, "cancel", [this, id, responder] { storeCancel(id, responder); });
+        respond(responder, refusal(429, "too many cancels of unknown jobs"), "cancel", id, "too many");
+}
+
+void GatewayService::storeCancelOfUnknown(const std::string& id, const http::Responder& responder)
+{
+    m_runtime.store->commit(cancelUnknown(id, base::wallClockMs()),
+        [this, id, responder](const base::Result<std::int64_t, platform::StoreError>& result) {
+            if (result.has_value()) {
+                respond(responder, refusal(410, "no such job"), "cancel", id, "unknown job, cannot be accepted");
+                return;
+            }
+            const platform::StoreError& error = result.error();
+            if (error.code != platform::StoreCode::Conflict)
+                refuseCancel(id, responder, error);
+            else if (!error.current.empty() && isCancelled(error.current.front()))
+                respond(responder, refusal(410, "no such job"), "cancel", id, "cancelled already");
+            else
+                storeCancel(id, responder);
+        });
+}
+
+void GatewayService::refuseCancel(
+    const std::string& id, const http::Responder& responder, const platform::StoreError& error)
+{
+    const int status = error.code == platform::StoreCode::Unknown ? 504 : 503;
+    respond(responder, refusal(status, "not cancelled"), "cancel", id, error.detail);
 }
 
 void GatewayService::storeCancel(const std::string& id, const http::Responder& responder)
@@ -429,9 +460,7 @@
             if (result.has_value())
                 respond(responder, http::jsonResponse(200, "{}"), "cancel", id, "stored");
             else
-                respond(responder,
-                    refusal(result.error().code == platform::StoreCode::Unknown ? 504 : 503, "not cancelled"), "cancel",
-                    id, result.error().detail);
+                refuseCancel(id, responder, result.error());
         });
 }
 
--- a/src/daemon/gateway_service.h
+++ b/src/daemon/gateway_service.h
@@ -2,9 +2,11 @@
 //
 // Any daemon accepts jobs. A job is accepted once its record is in the store. The record is written on the condition
 // that none exists, which makes submission idempotent. 503 is sent only when nothing was written; 504 when the record
-// may have been written, after which the caller repeats the request with the same id.
+// may have been written, after which the caller repeats the request with the same id. A cancel that was answered, with
+// 410 too, is final: no later write accepts the job.
 #pragma once
 
+#include "daemon/cancellation.h"
 #include "daemon/runtime.h"
 #include "http/server.h"
 
@@ -62,11 +64,14 @@
     void storeSubmissions();
     void applyCommitResult(
         std::vector<Submission> batch, const base::Result<std::int64_t, platform::StoreError>& result);
-    void accept(const Submission& submission, const char* outcome);
+    void accept(
+        const Submission& submission, const char* outcome, scheduler::JobState state = scheduler::JobState::Queued);
+    void refuseCancelled(const Submission& submission);
     void failSubmission(const Submission& submission, const std::string& reason);
     void respondWithState(const std::string& id, const http::Responder& responder);
-    void findJob(
-        const std::string& id, const http::Responder& responder, const char* operation, std::function<void()> onFound);
+    void readAccepted(const std::string& id, const http::Responder& responder);
+    void storeCancelOfUnknown(const std::string& id, const http::Responder& responder);
+    void refuseCancel(const std::string& id, const http::Responder& responder, const platform::StoreError& error);
     void readProgress(const std::string& id, const http::Responder& responder);
     void storeCancel(const std::string& id, const http::Responder& responder);
     void respondWithPending(const scheduler::Queue& queue, const http::Responder& responder);
@@ -80,6 +85,7 @@
     std::deque<Submission> m_submissions; // waiting for their commit
     bool m_isStoring = false;
     QTimer m_retryTimer;
+    UnknownCancels m_unknownCancels;
 };
 
 void registerGatewayService(Runtime& runtime);
