Call a worker that has begun anew without waiting for the former process

Cause: a start's answer showed the new incarnation, but the lease call to the former process was still open, for up to 1.7 s. The worker was lost before the next one, so no call with the higher token reached it, and late calls went on extending its lease behind the cut.

Fix: an answer to a start that shows a new incarnation fails the open lease call, and the next one goes out on a new connection at once. abandonedRequestsFailAtOnce shows the channel's part; it has no counterpart without Channel::abandon.

--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -51,6 +51,7 @@
         std::string address;
         int failures = 0; // renewals without an answer, in a row
         bool isRenewing = false;
+        scheduler::Millis renewalSentAt = 0; // valid while isRenewing
         scheduler::Millis nextRenewalAt = 0;
     };
 
@@ -87,6 +88,8 @@
     // --- Workers ---
     void renewDueLeases();
     void renewLease(const std::string& worker, Link& link);
+    // An answer to a start has shown a new incarnation: a lease call that was sent before is not waited for.
+    void renewAfterRestart(const std::string& id);
     void applyRenewal(const std::string& worker,
         const base::Result<scheduler::WorkerReport, platform::LinkError>& result, scheduler::Millis sentAt,
         bool isReportOnly);
--- a/src/daemon/dispatcher_workers.cpp
+++ b/src/daemon/dispatcher_workers.cpp
@@ -107,6 +107,7 @@
 {
     link.isRenewing = true;
     const scheduler::Millis sentAt = nowMs();
+    link.renewalSentAt = sentAt;
     const scheduler::Worker& worker = m_scheduler->workers.at(id);
     const bool isFirst = worker.contact != scheduler::Contact::Established;
     const scheduler::LeaseRequest lease = scheduler::leaseRequest(*m_scheduler, id, sentAt);
@@ -122,6 +123,21 @@
         });
 }
 
+void DispatcherService::renewAfterRestart(const std::string& id)
+{
+    const auto worker = m_scheduler->workers.find(id);
+    const auto found = m_links.find(id);
+    if (worker == m_scheduler->workers.end() || found == m_links.end())
+        return;
+    Link& link = found->second;
+    if (!link.isRenewing || !scheduler::awaitsFirstReport(worker->second)
+        || link.renewalSentAt >= worker->second.incarnation.seenAt)
+        return;
+    link.failures = 0;
+    link.renewalSentAt = nowMs(); // abandoned once
+    link.client->abandonRenewal();
+}
+
 void DispatcherService::applyRenewal(const std::string& id,
     const base::Result<scheduler::WorkerReport, platform::LinkError>& result, scheduler::Millis sentAt,
     bool isReportOnly)
@@ -248,6 +264,8 @@
             // A run that a former incarnation has started is gone; the present one may execute the order as well.
             if (isOfWorker && !scheduler::applyClock(*m_scheduler, order.worker, reading, now))
                 outcome = scheduler::StartOutcome::Unknown;
+            if (isOfWorker)
+                renewAfterRestart(order.worker);
             if (outcome == scheduler::StartOutcome::Unknown && order.attempts < maxStartAttempts) {
                 scheduler::StartOrder repeated = order;
                 ++repeated.attempts;
--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -312,6 +312,20 @@
 
 Channel::~Channel() = default;
 
+void Channel::abandon()
+{
+    State* state = m_state.get();
+    QMetaObject::invokeMethod(
+        state,
+        [state] {
+            if (state->isBusy)
+                state->fail(Failure::ConnectionLost, "abandoned");
+            else if (!state->queue.empty())
+                state->failConnection("abandoned");
+        },
+        Qt::QueuedConnection);
+}
+
 void Channel::send(ChannelRequest request, ClientCallback callback)
 {
     State* state = m_state.get();
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -58,6 +58,9 @@
     Channel& operator=(const Channel&) = delete;
 
     void send(ChannelRequest request, ClientCallback callback);
+    // The peer's process is known to have ended: closes the connection and fails the request in progress. When there is
+    // none, fails those that wait for a connection.
+    void abandon();
     int pending() const; // requests queued or in progress
 
 private:
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -437,6 +437,8 @@
 };
 
 LeaseRequest leaseRequest(Scheduler& scheduler, const std::string& worker, Millis now);
+// The worker has begun anew and has not answered a lease call since. One sent before that may never be answered.
+bool awaitsFirstReport(const Worker& worker);
 // True when the stored lease table does not grant a lease to a worker that needs one.
 bool hasUngrantedWorkers(const Scheduler& scheduler);
 // True when the stored lease table grants a lease to a worker whose lease is withheld.
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -370,9 +370,9 @@
     void applySeenToken(Scheduler& scheduler, Worker& worker, Millis now)
     {
         WorkerIncarnation& present = worker.incarnation;
-        const bool wasFenced = present.seenToken > present.formerToken;
+        const bool wasFenced = !awaitsFirstReport(worker);
         present.seenToken = std::max(present.seenToken, present.requestedToken);
-        if (wasFenced || present.formerToken == 0 || present.seenToken <= present.formerToken)
+        if (wasFenced || awaitsFirstReport(worker))
             return;
         waitForLongestLease(scheduler, worker, now);
         logDecision(scheduler,
@@ -509,6 +509,11 @@
     return request;
 }
 
+bool awaitsFirstReport(const Worker& worker)
+{
+    return worker.incarnation.formerToken > 0 && worker.incarnation.seenToken <= worker.incarnation.formerToken;
+}
+
 Millis leaseLengthMs(const Limits& limits) { return std::min(limits.maxLeaseMs, limits.grantedLeaseMs); }
 
 bool hasUngrantedWorkers(const Scheduler& scheduler)
--- a/tests/http_channel_test.cpp
+++ b/tests/http_channel_test.cpp
@@ -118,6 +118,7 @@
     CPPUNIT_TEST(requestsShareOneConnection);
     CPPUNIT_TEST(requestIsNotResentAfterLostAnswer);
     CPPUNIT_TEST(unresponsiveConnectionIsReplaced);
+    CPPUNIT_TEST(abandonedRequestsFailAtOnce);
     CPPUNIT_TEST(refusedConnectionSentNothing);
     CPPUNIT_TEST(answersThatArrivedInTimeAreNotTimeouts);
     CPPUNIT_TEST(waitingRequestsFailAtTheirOwnDeadline);
@@ -248,6 +249,29 @@
         CPPUNIT_ASSERT_EQUAL(2, server.connections);
     }
 
+    // Guards against a lease call to a process that has ended, which keeps calls to the next one waiting.
+    void abandonedRequestsFailAtOnce()
+    {
+        RawServer server;
+        server.onData = [&](QTcpSocket* socket) {
+            if (server.connections > 1)
+                socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        };
+        ChannelCounters counters;
+        Channel channel(server.address(), {}, &counters);
+        std::optional<ClientResult> first;
+        std::optional<ClientResult> second;
+        channel.send(post(60000), [&](const ClientResult& result) {
+            first = result;
+            channel.send(post(), [&](const ClientResult& next) { second = next; });
+        });
+        CPPUNIT_ASSERT(waitUntil([&] { return server.connections == 1; }));
+        channel.abandon();
+        CPPUNIT_ASSERT(waitUntil([&] { return second.has_value(); }));
+        CPPUNIT_ASSERT(first && first->failure != Failure::None);
+        CPPUNIT_ASSERT_EQUAL(200, second->status);
+    }
+
     // Guards against reporting that a job may have been stored when the connection was refused and nothing was sent.
     void refusedConnectionSentNothing()
     {
