Take a clock that is ahead for that of a new incarnation

A start answered by the new process was so put down to the former one, and the report of the new process, requested before and listing no such run, ended it as a run of the former.

Evidence: runsOfANewIncarnationAreNotTakenForThoseOfTheFormerOne fails before for a clock that is ahead.

Fix: a reading that the present clock cannot explain, behind or ahead, is another incarnation's. The simulated workers' clocks begin anew behind and ahead by turns.

--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -340,9 +340,7 @@
         const bool isAhead = reading.clockMs > latest + clockToleranceMs;
         if (!isBehind && !isAhead)
             return AnswerOrigin::Present;
-        if (mayBeFormer)
-            return AnswerOrigin::Former;
-        return isBehind ? AnswerOrigin::New : AnswerOrigin::Present;
+        return other;
     }
 
     void takeReading(Worker& worker, const ClockReading& reading, Millis now)
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(lostWorkersDoNotKeepTasksForTheLeaseOfAFormerIncarnation);
     CPPUNIT_TEST(leasesGivenByTheFormerClockAreWaitedFor);
     CPPUNIT_TEST(lateStartsToAFormerIncarnationDoNotRunBesideAnotherRun);
+    CPPUNIT_TEST(runsOfANewIncarnationAreNotTakenForThoseOfTheFormerOne);
     CPPUNIT_TEST(lateAnswersOfAFormerIncarnationAreDropped);
     CPPUNIT_TEST(endsOfANewIncarnationAreNotForgotten);
     CPPUNIT_TEST(lostWorkersAreNotRenewed);
@@ -273,6 +274,32 @@
         }
     }
 
+    // Guards against a run that a new incarnation has started and is started elsewhere too, because a report that was
+    // requested before does not list it. The new clock is behind the former one or ahead of it.
+    void runsOfANewIncarnationAreNotTakenForThoseOfTheFormerOne()
+    {
+        for (const std::int64_t clockAdvance : { -20000, 500000 }) {
+            World world(1, 2);
+            world.run(30000);
+            const Millis sentAt = world.now();
+            const std::int64_t clockOffset = world.worker(0).clockOffset + clockAdvance;
+            world.restartWorkerSilently(0);
+            world.worker(0).clockOffset = clockOffset;
+            world.submit("job", { plainStep(8, 2000, 60000) });
+            world.run(100); // a clock that is ahead refuses the first starts as late
+            CPPUNIT_ASSERT(!world.worker(0).running.empty());
+            const scheduler::Worker& worker = world.scheduler().workers.at(world.worker(0).entry.id);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                std::to_string(clockAdvance), clockAdvance != 0, worker.incarnation.formerToken > 0);
+            scheduler::WorkerReport report = reportOf(world.now() + clockOffset);
+            report.incarnationUnixMs = 2;
+            scheduler::applyReport(world.scheduler(), world.worker(0).entry.id, report, sentAt, world.now());
+            world.run(20000);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(clockAdvance), std::string(), world.violation());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(clockAdvance), 8, world.runningTasks());
+        }
+    }
+
     // Guards against a report or a start's answer of a former incarnation, overtaken by answers of the present one,
     // that brings back its clock, its runs and the numbers of its ends.
     void lateAnswersOfAFormerIncarnationAreDropped()
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -398,8 +398,9 @@
     worker.lastNumber = 0;
     worker.token = 0;
     worker.leaseEndsAt = 0;
-    worker.clockOffset = -m_now;
     ++worker.entry.incarnationUnixMs;
+    // The clock begins anew at any value.
+    worker.clockOffset = worker.entry.incarnationUnixMs % 2 == 0 ? -m_now : worker.clockOffset + 1000000;
 }
 
 // The scheduler cannot keep a new incarnation from carrying out starts before its first call reaches it: see
