Get approvals and room for restarts beside a backlog of short tasks

What callers saw: lasting tasks of a queue with approvals did not run again after their worker was lost, for as long as short tasks waited (LOST).

Cause: a circle. Workers are asked about only where there is room after the turns of a plan; the short tasks take it while there is no ticket; and room was held only where a ticket, which lasts 1.5 s, was valid.

Fix: room is held on workers that approved the step before, also while the ticket is missing; questions name the held worker first, and for restarts also workers that have not been asked about and will have room within the bound on holds.

--- a/src/scheduler/approval.cpp
+++ b/src/scheduler/approval.cpp
@@ -1,6 +1,8 @@
 // Selects the workers of a question and applies the answers.
 #include "scheduler/approval.h"
 
+#include "scheduler/restart_room.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -21,12 +23,25 @@
             + std::to_string(candidate.stepNumber);
     }
 
+    enum class Group {
+        Held,     // room is held there for the step, which was approved before
+        Renewal,  // approved before, with room; only its ticket has expired
+        WithRoom, // not decided
+        Later,    // not decided; a restart can have room there as soon as runs end
+    };
+
     struct Ranked {
         const Worker* worker = nullptr;
+        Group group = Group::WithRoom;
         double score = 0;
-        bool isRenewal = false; // approved before; only its ticket has expired
     };
 
+    bool isHeldFor(const StepProgress& progress, const std::string& worker)
+    {
+        return std::any_of(progress.tasks.begin(), progress.tasks.end(),
+            [&](const Task& task) { return task.phase == TaskPhase::Waiting && task.heldWorker == worker; });
+    }
+
     int firstWaiting(const StepProgress& progress)
     {
         const auto found = std::find_if(progress.tasks.begin(), progress.tasks.end(),
@@ -56,17 +71,27 @@
         if (index < 0)
             return std::nullopt;
         const TaskRef ref = refOf(candidate, index);
+        const Step& step = *ref.step;
         std::vector<Ranked> ranked;
+        std::vector<const Worker*> later;
         for (const auto& [id, worker] : planner.scheduler.workers) {
             const auto known = progress.approvals.find(id);
             const bool isDecided = known != progress.approvals.end();
             if (isDecided && (!known->second.isAllowed || isApproved(ref, id, planner.now)))
                 continue;
-            if (const std::optional<double> score = rank(worker, ref))
-                ranked.push_back({ &worker, *score, isDecided });
+            if (isHeldFor(progress, id))
+                ranked.push_back({ &worker, Group::Held, 0 });
+            else if (const std::optional<double> score = rank(worker, ref))
+                ranked.push_back({ &worker, isDecided ? Group::Renewal : Group::WithRoom, *score });
+            else if (candidate.isRestart && !isDecided && !step.isGang)
+                later.push_back(&worker);
+        }
+        for (const Worker* worker : later) {
+            if (const std::optional<Millis> afterMs = expectedRoomMs(planner, *worker, ref))
+                ranked.push_back({ worker, Group::Later, -static_cast<double>(*afterMs) });
         }
         std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
-            return std::tuple(!a.isRenewal, -a.score) < std::tuple(!b.isRenewal, -b.score);
+            return std::tuple(a.group, -a.score) < std::tuple(b.group, -b.score);
         });
         const auto waiting = static_cast<double>(std::count_if(progress.tasks.begin(), progress.tasks.end(),
             [](const Task& task) { return task.phase == TaskPhase::Waiting; }));
@@ -77,7 +102,8 @@
         for (const Ranked& entry : ranked) {
             if (places >= waiting * spareFactor || question.workers.size() >= workersPerQuestion)
                 break;
-            places += freePlaces(*entry.worker, *ref.step) * (entry.isRenewal ? 1 : share);
+            const bool isApprovedBefore = entry.group == Group::Held || entry.group == Group::Renewal;
+            places += freePlaces(*entry.worker, *ref.step) * (isApprovedBefore ? 1 : share);
             question.workers.push_back(entry.worker->entry.id);
         }
         if (question.workers.empty())
@@ -98,6 +124,14 @@
         && now + startDeliveryMs < found->second.validUntil;
 }
 
+bool wasApproved(const TaskRef& ref, const std::string& worker)
+{
+    if (!ref.job->policy.approval.isNeeded)
+        return true;
+    const auto found = ref.progress->approvals.find(worker);
+    return found != ref.progress->approvals.end() && found->second.isAllowed;
+}
+
 std::string ticketFor(const TaskRef& ref, const std::string& worker)
 {
     const auto found = ref.progress->approvals.find(worker);
--- a/src/scheduler/approval.h
+++ b/src/scheduler/approval.h
@@ -12,6 +12,8 @@
 // True when the queue needs no approval, or the worker has a ticket that stays valid until a start arrives.
 bool isApproved(const TaskRef& ref, const std::string& worker, Millis now);
 // Ticket of an approved worker; empty when there is none.
+// True unless the worker was denied or not asked about; its ticket may have expired.
+bool wasApproved(const TaskRef& ref, const std::string& worker);
 std::string ticketFor(const TaskRef& ref, const std::string& worker);
 // Next question: for the first step in placement order with waiting tasks and workers to ask about.
 // `rank` returns a worker's score for a task; nullopt when the worker cannot take it now.
--- a/src/scheduler/restart_room.cpp
+++ b/src/scheduler/restart_room.cpp
@@ -79,8 +79,7 @@
         const Worker& worker = *planned.worker;
         const Step& step = *ref.step;
         return planned.acceptsTasks && (step.requiredLabel.empty() || hasLabel(worker.entry, step.requiredLabel))
-            && (step.latencyTargetMs == 0 || worker.vacantUntil == 0) && mayUse(planner, worker, ref)
-            && (!ref.job->policy.approval.isNeeded || isApproved(ref, worker.entry.id, planner.now));
+            && (step.latencyTargetMs == 0 || worker.vacantUntil == 0) && mayUse(planner, worker, ref);
     }
 
     bool mayHold(const Pool& pool, const PlannedWorker& planned)
@@ -97,9 +96,9 @@
         Millis bestMs = maxHoldMs + 1;
         const Capacity need = needOf(*ref.step);
         for (PlannedWorker& planned : pool.workers) {
-            if (!isSuitable(planner, planned, ref))
+            if (!isSuitable(planner, planned, ref) || !wasApproved(ref, planned.worker->entry.id))
                 continue;
-            if (fits(planned, *ref.step))
+            if (fits(planned, *ref.step) && isApproved(ref, planned.worker->entry.id, planner.now))
                 return nullptr;
             const std::optional<Millis> after
                 = mayHold(pool, planned) ? roomAfterMs(planner, planned, need) : std::nullopt;
@@ -128,7 +127,7 @@
         const auto found = std::lower_bound(pool.workers.begin(), pool.workers.end(), ref.task->heldWorker,
             [](const PlannedWorker& planned, const std::string& id) { return planned.worker->entry.id < id; });
         const bool isUsable = found != pool.workers.end() && found->worker->entry.id == ref.task->heldWorker
-            && isSuitable(planner, *found, ref) && mayHold(pool, *found);
+            && isSuitable(planner, *found, ref) && wasApproved(ref, ref.task->heldWorker) && mayHold(pool, *found);
         return isUsable ? &*found : nullptr;
     }
 
@@ -160,6 +159,21 @@
     recordChange(pool, planned);
 }
 
+std::optional<Millis> expectedRoomMs(const Planner& planner, const Worker& worker, const TaskRef& ref)
+{
+    for (const Pool& pool : planner.pools) {
+        if (pool.service != ref.job->policy.service)
+            continue;
+        const auto found = std::lower_bound(pool.workers.begin(), pool.workers.end(), worker.entry.id,
+            [](const PlannedWorker& planned, const std::string& id) { return planned.worker->entry.id < id; });
+        if (found == pool.workers.end() || found->worker != &worker || !isSuitable(planner, *found, ref))
+            return std::nullopt;
+        const std::optional<Millis> after = roomAfterMs(planner, *found, needOf(*ref.step));
+        return after && *after <= maxHoldMs ? after : std::nullopt;
+    }
+    return std::nullopt;
+}
+
 void holdRestartRoom(Planner& planner, Pool& pool, const Candidate& candidate)
 {
     const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST_SUITE(SchedulerRestartTest);
     CPPUNIT_TEST(largeRestartsDoNotStarveBehindSmallTasks);
     CPPUNIT_TEST(restartsDoNotStarveBehindTheMemoryOfSmallTasks);
+    CPPUNIT_TEST(restartsThatNeedApprovalDoNotStarveBehindSmallTasks);
     CPPUNIT_TEST(severalRestartsOfOneImageAllGetRoom);
     CPPUNIT_TEST(roomIsHeldOnFewWorkers);
     CPPUNIT_TEST(roomIsNotHeldWhereLastingTasksKeepIt);
@@ -150,6 +151,25 @@
         assertDownTime(world, { "large.0.0.0" });
     }
 
+    // Guards against a lasting task that needs an approval and never runs again: the advice service is asked only about
+    // workers with room, and small tasks take the room before it answers (review case 5).
+    void restartsThatNeedApprovalDoNotStarveBehindSmallTasks()
+    {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            for (const int cpuMillicores : { 1500, 6000 }) {
+                World world(seed, 12);
+                const std::string job = "approved" + std::to_string(seed); // the approved workers depend on it
+                world.submit(job, { lastingStep(2, cpuMillicores, "image") }, 3, 1, { true, 60, 2, 1500 });
+                world.run(2000);
+                submitSmallTasks(world, 1000, 100);
+                world.run(2000);
+                drain(world, hostOf(world, job + ".0.0.0"));
+                world.run(100);
+                assertDownTime(world, { job + ".0.0.0", job + ".0.0.1" });
+            }
+        }
+    }
+
     // Guards against a hold that is passed over because an equal step has found no worker in the same plan.
     void severalRestartsOfOneImageAllGetRoom()
     {
