Tell the scheduling daemon of stored cancels

Cause: the scheduling daemon learns of cancels by its watch of the store alone. The store went down 57 ms after it had stored this one itself, and a start that waited for its record went out 160 ms before the watch caught up.

Ruled out: two leaders.

Fix: a daemon tells the scheduling daemon of the cancels that it has stored, itself before its next plan, another one with its requests until a reply confirms them. The watch stays.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -156,6 +156,20 @@
 
 // --- Jobs ---
 
+void DispatcherService::applyCancel(const std::string& id)
+{
+    if (const auto job = m_scheduler->jobs.find(id); job != m_scheduler->jobs.end())
+        job->second->hasCancelRequest = true;
+    scheduler::cancelJob(*m_scheduler, id, nowMs());
+}
+
+void DispatcherService::applyStoredCancel(const std::string& id, const std::string& daemon)
+{
+    kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "cancelTold", { { "job", id }, { "by", daemon } });
+    applyCancel(id);
+    schedulePlan();
+}
+
 void DispatcherService::applyAccepted(const platform::Item& item, bool isNewInTerm)
 {
     if (item.isDeleted)
@@ -167,9 +181,7 @@
             return;
         kernel::logEvent(
             kernel::LogLevel::Info, "dispatcher", "cancelSeen", { { "job", id }, { "revision", item.revision } });
-        if (const auto job = m_scheduler->jobs.find(id); job != m_scheduler->jobs.end())
-            job->second->hasCancelRequest = true;
-        scheduler::cancelJob(*m_scheduler, id, nowMs());
+        applyCancel(id);
         return;
     }
     if (m_scheduler->jobs.count(id) > 0)
@@ -389,6 +401,9 @@
     m_scheduler->validUntil = m_runtime.isStopping ? 0 : m_term->actsUntil();
     m_scheduler->validUntil = m_configuration->isLoaded() ? m_scheduler->validUntil : 0;
     const scheduler::Millis begun = nowMs();
+    for (const StoredCancel& cancel : m_table->storedCancels)
+        applyStoredCancel(cancel.job, m_runtime.settings.daemon);
+    m_table->storedCancels.clear();
     m_scheduler->isStoreFailing = m_runtime.store->health().failingSince > 0;
     m_scheduler->startLimit = scheduler::availableStarts(m_orderWindow, begun);
     scheduler::Orders orders;
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -35,6 +35,8 @@
     void start();
     // State of the term, or nullptr when this daemon does not schedule or is still loading.
     const scheduler::Scheduler* scheduler() const { return m_isLoaded ? m_scheduler.get() : nullptr; }
+    // A daemon has stored a cancel of the job. The term must be loaded.
+    void applyStoredCancel(const std::string& id, const std::string& daemon);
     // Jobs accepted up to this time are known to the term; 0: none.
     scheduler::Millis jobsKnownUntil() const { return m_jobWatch ? m_jobWatch->askedAt() : 0; }
     // Records to store with a resignation: the next term can then place tasks without waiting for every worker's
@@ -69,6 +71,7 @@
     // --- Store ---
     void watchJobs(std::int64_t revision, scheduler::Millis askedAt);
     void applyAccepted(const platform::Item& item, bool isNewInTerm);
+    void applyCancel(const std::string& id);
     void listWorkers();
     std::optional<std::set<std::string>> namedServices() const;
     void storeProgress();
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -457,10 +457,12 @@
     transaction.writes.push_back({ storeKeys::acceptedPrefix + id + storeKeys::cancelSuffix, "{}" });
     m_runtime.store->commit(
         transaction, [this, id, responder](const base::Result<std::int64_t, platform::StoreError>& result) {
-            if (result.has_value())
-                respond(responder, http::jsonResponse(200, "{}"), "cancel", id, "stored");
-            else
+            if (result.has_error()) {
                 refuseCancel(id, responder, result.error());
+                return;
+            }
+            noteStoredCancel(*m_table, id);
+            respond(responder, http::jsonResponse(200, "{}"), "cancel", id, "stored");
         });
 }
 
--- a/src/daemon/job_table.h
+++ b/src/daemon/job_table.h
@@ -6,6 +6,7 @@
 
 #include "scheduler/scheduler.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -18,13 +19,38 @@
     scheduler::Millis updatedAt = 0;
 };
 
+// A cancel that this daemon has stored. The scheduling daemon is told of it, because its watch of the store may learn
+// of it seconds later, when the store fails in between.
+struct StoredCancel {
+    std::int64_t number = 0; // rises
+    std::string job;
+};
+
 struct JobTable {
     std::unordered_map<std::string, KnownJob> jobs; // by id
     scheduler::Millis syncedAt = 0;                 // last update from the scheduling daemon; 0: never
     std::map<std::string, int> pending;             // by queue
-    scheduler::Millis pendingAsOf = 0; // `pending` counts the jobs accepted up to then; 0: not received yet
+    scheduler::Millis pendingAsOf = 0;      // `pending` counts the jobs accepted up to then; 0: not received yet
+    std::deque<StoredCancel> storedCancels; // that the scheduling daemon has not been told of; ascending
+    std::int64_t lastCancel = 0;            // number of the newest one
 };
 
+constexpr std::size_t maxStoredCancels = 256; // the store's watch tells of those that are dropped
+
+inline void noteStoredCancel(JobTable& table, const std::string& job)
+{
+    table.storedCancels.push_back({ ++table.lastCancel, job });
+    if (table.storedCancels.size() > maxStoredCancels)
+        table.storedCancels.pop_front();
+}
+
+// The scheduling daemon has been told of the cancels up to this number.
+inline void removeToldCancels(JobTable& table, std::int64_t number)
+{
+    while (!table.storedCancels.empty() && table.storedCancels.front().number <= number)
+        table.storedCancels.pop_front();
+}
+
 inline void applyState(JobTable& table, const std::string& id, scheduler::JobState state, scheduler::Millis now)
 {
     const auto [entry, isNew] = table.jobs.try_emplace(id, KnownJob { state, now });
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -23,6 +23,7 @@
     constexpr int requestTimeoutMs = 600; // ms; below the election's takeoverMs
     constexpr scheduler::Millis resignationNoticeMs
         = 600; // ms that a resigned daemon stays to notify others; above two periods of requests
+    constexpr int maxCancelsPerRequest = 32;
     constexpr int failuresUntilRedial = 2; // consecutive requests without a reply until the connection is replaced
     constexpr int shortestSyncMs = 50;     // ms; lower bound of a period that the scheduling daemon asks for
     constexpr scheduler::Millis probeIntervalMs
@@ -132,7 +133,7 @@
     const election::Election& state = m_term->state();
     const scheduler::Millis answeredAt
         = state.isStoreFailing ? state.storeAnsweredAt : m_runtime.store->health().answeredAt;
-    const QJsonObject request { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
+    QJsonObject request { { "daemon", QString::fromStdString(m_runtime.settings.daemon) },
         { "lastReply", static_cast<qint64>(m_lastReplyNumber) }, { "feedTerm", static_cast<qint64>(m_feedTerm) },
         { "feedHave", static_cast<qint64>(m_feedPosition) }, { "feedRevision", static_cast<qint64>(m_feedRevision) },
         { "incarnation", static_cast<qint64>(m_runtime.incarnation) },
@@ -140,10 +141,20 @@
         { "storeAgeMs", static_cast<qint64>(answeredAt > 0 ? now - answeredAt : -1) },
         { "isStopping", m_runtime.isStopping }, { "policyRevision", static_cast<qint64>(m_policy->revision()) },
         { "membersHave", encodeVersion(m_memberCopy.version()) } };
+    QJsonArray cancels;
+    std::int64_t lastCancel = 0;
+    for (const StoredCancel& cancel : m_table->storedCancels) {
+        if (cancels.size() >= maxCancelsPerRequest)
+            break;
+        cancels.append(QString::fromStdString(cancel.job));
+        lastCancel = cancel.number;
+    }
+    if (!cancels.isEmpty())
+        request["cancels"] = cancels;
     m_client->request(QJsonDocument(request).toJson(QJsonDocument::Compact),
         [this,
             sent = SentRequest { now, m_term->state().record->leader, m_term->state().record->incarnation,
-                m_term->state().revision }](const base::Result<QByteArray, peer::PeerError>& result) {
+                m_term->state().revision, lastCancel }](const base::Result<QByteArray, peer::PeerError>& result) {
             m_isRequestInFlight = false;
             if (result.has_value()) {
                 m_failures = 0;
@@ -211,6 +222,8 @@
     m_policy->memberRevisions() = m_memberCopy.revisions();
     for (const auto& [member, revision] : m_memberCopy.revisions())
         m_policy->observePeerRevision(revision);
+    if (reply["hasCancels"].toBool())
+        removeToldCancels(*m_table, sent.lastCancel);
     if (!reply["isLoaded"].toBool())
         return;
     m_feedTerm = reply["token"].toInteger();
@@ -293,6 +306,11 @@
         return encodeReply(reply, members);
     }
     reply["isLoaded"] = m_dispatcher->scheduler() != nullptr;
+    reply["hasCancels"] = m_dispatcher->scheduler() != nullptr;
+    for (const QJsonValue cancel : request["cancels"].toArray()) {
+        if (m_dispatcher->scheduler())
+            m_dispatcher->applyStoredCancel(base::textOf(cancel), daemon);
+    }
     if (!m_dispatcher->scheduler())
         return encodeReply(reply, members);
     const QByteArray changes = encodeNewChanges(reply, request);
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -40,6 +40,7 @@
         std::string leader;           // receiver
         std::int64_t incarnation = 0; // of the receiver's process
         std::int64_t revision = 0;    // of the term record as known then; a reply says nothing of a later take-over
+        std::int64_t lastCancel = 0;  // number of the last stored cancel in it
     };
 
     struct SentReply {
--- a/tests/daemon_cancellation_test.cpp
+++ b/tests/daemon_cancellation_test.cpp
@@ -1,5 +1,6 @@
 // Tests of cancels of jobs that the store does not know.
 #include "daemon/cancellation.h"
+#include "daemon/job_table.h"
 #include "daemon/runtime.h"
 #include "scheduler/record.h"
 
@@ -51,9 +52,27 @@
     CPPUNIT_TEST(lateWritesDoNotAcceptACancelledJob);
     CPPUNIT_TEST(acceptedJobsAreNotTakenForUnknown);
     CPPUNIT_TEST(cancelsOfUnknownJobsAreBounded);
+    CPPUNIT_TEST(storedCancelsAreKeptUntilTheyAreTold);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a cancel that is stored while an answer of the scheduling daemon is under way, and not told to it.
+    void storedCancelsAreKeptUntilTheyAreTold()
+    {
+        JobTable table;
+        noteStoredCancel(table, "first");
+        const std::int64_t told = table.lastCancel;
+        noteStoredCancel(table, "second");
+        removeToldCancels(table, told);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.storedCancels.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), table.storedCancels.front().job);
+        for (std::size_t i = 0; i < 2 * maxStoredCancels; ++i)
+            noteStoredCancel(table, std::to_string(i));
+        CPPUNIT_ASSERT_EQUAL(maxStoredCancels, table.storedCancels.size());
+        removeToldCancels(table, 0); // of a request without cancels
+        CPPUNIT_ASSERT_EQUAL(maxStoredCancels, table.storedCancels.size());
+    }
+
     // Guards against a job that starts after its cancel was answered with 410, because the store carried out the write
     // of its submission later.
     void lateWritesDoNotAcceptACancelledJob()
