--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -207,6 +207,8 @@
         steps.append(stepToJson(step));
     QJsonObject json { { "id", text(job.request.id) }, { "payload", text(job.request.payload) }, { "steps", steps },
         { "policy", policyToJson(job.policy) }, { "acceptedUnixMs", static_cast<qint64>(job.acceptedUnixMs) } };
+    if (!job.request.account.empty())
+        json["account"] = text(job.request.account);
     if (job.request.repeatCount > 0) {
         json["repeatCount"] = job.request.repeatCount;
         json["firstStartUnixMs"] = static_cast<qint64>(job.request.firstStartUnixMs);
@@ -223,6 +225,7 @@
     AcceptedJob job;
     job.request.id = base::textOf((*json)["id"]);
     job.request.payload = base::textOf((*json)["payload"]);
+    job.request.account = base::textOf((*json)["account"]);
     for (const QJsonValue value : (*json)["steps"].toArray()) {
         Step step = stepFromJson(value.toObject());
         const int index = static_cast<int>(job.request.steps.size());
--- a/src/scheduler/types.h
+++ b/src/scheduler/types.h
@@ -6,9 +6,12 @@
 
 #include "base/names.h"
 
+#include <array>
 #include <cstdint>
+#include <cstring>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace lacewing::scheduler {
@@ -19,6 +22,12 @@
 using RunNumber = std::int64_t;
 using base::nameOf; // found by argument-dependent look-up for the tables below
 
+struct Capacity {
+    int cpuMillicores = 0;
+    int memoryMb = 0;
+    int gpus = 0;
+};
+
 // --- Jobs ---
 
 struct Step {
@@ -44,6 +53,7 @@
 
 struct JobRequest {
     std::string id;
+    std::string account; // client account that submitted it; empty: none
     std::string payload; // sent to the worker with each start
     std::vector<Step> steps;
     int repeatCount = 0; // number of occurrences; 0: runs once, immediately
@@ -100,6 +110,7 @@
     std::string host;
     std::string prefix; // of the request path; the longest match wins
     int timeoutMs = 0;
+    bool isPublic = false; // calls need no key even where there are client accounts
     QueuePolicy policy;
 };
 
@@ -108,10 +119,34 @@
     bool rejectsOverload = true; // workers reject a start that exceeds their capacity
 };
 
+struct Account {
+    std::string name;
+    double weight = 1; // share of a full fleet, and jobs a second that it is entitled to
+    Capacity cap;      // of what it has running over all workers; 0: no limit
+};
+
+// SHA-256 of an access key. The keys themselves are not kept.
+using KeyDigest = std::array<unsigned char, 32>;
+
+// The digests are not under the control of callers, so that any of their bytes serve as a hash.
+struct KeyDigestHash {
+    std::size_t operator()(const KeyDigest& digest) const
+    {
+        std::size_t hash = 0;
+        std::memcpy(&hash, digest.data(), sizeof hash);
+        return hash;
+    }
+};
+
 struct Configuration {
     std::int64_t version = 0;
     std::vector<Queue> queues;
     std::map<std::string, Service> services;
+    // --- Client accounts ---
+    bool hasAccounts = false;                // calls need a key, except on public queues
+    std::map<std::string, Account> accounts; // by name
+    std::unordered_map<KeyDigest, std::string, KeyDigestHash> accountByKey;
+    // --- Limits ---
     int maxBodyBytes = 262144;
     int maxHeaderBytes = 16384;
     int headerTimeoutMs = 3000;
@@ -127,12 +162,6 @@
     std::int64_t askedAt = 0;           // when the call was sent, in ms of this daemon's clock; the reading is later
 };
 
-struct Capacity {
-    int cpuMillicores = 0;
-    int memoryMb = 0;
-    int gpus = 0;
-};
-
 // Announcement of a worker in the store, written by the worker.
 struct WorkerEntry {
     std::string id;
