--- a/src/daemon/configuration_service.cpp
+++ b/src/daemon/configuration_service.cpp
@@ -4,6 +4,8 @@
 #include "kernel/log.h"
 #include "platform/documents.h"
 
+#include <algorithm>
+
 namespace lacewing::daemon {
 
 namespace {
@@ -17,6 +19,16 @@
         return times;
     }
 
+    constexpr std::size_t maxFaultLines = 20; // for each version; a faulty document has as many faults as entries
+
+    void logFaults(std::int64_t version, const std::vector<platform::DocumentFault>& faults)
+    {
+        for (std::size_t i = 0; i < std::min(maxFaultLines, faults.size()); ++i)
+            kernel::logEvent(kernel::LogLevel::Error, "configuration", "configurationFault",
+                { { "version", version }, { "position", faults[i].position }, { "detail", faults[i].reason },
+                    { "faults", static_cast<std::int64_t>(faults.size()) } });
+    }
+
     bool startsWith(const std::string& text, const std::string& prefix) { return text.rfind(prefix, 0) == 0; }
 
 } // namespace
@@ -68,7 +80,8 @@
     }
     if (item.key != platform::configurationKey || item.isDeleted)
         return;
-    std::optional<scheduler::Configuration> decoded = platform::decodeConfiguration(item.value);
+    std::vector<platform::DocumentFault> faults;
+    std::optional<scheduler::Configuration> decoded = platform::decodeConfiguration(item.value, &faults);
     if (!decoded) {
         kernel::logEvent(kernel::LogLevel::Error, "configuration", "configurationRefused",
             { { "revision", item.revision }, { "bytes", static_cast<std::int64_t>(item.value.size()) } });
@@ -78,7 +91,10 @@
         return;
     kernel::logEvent(kernel::LogLevel::Notice, "configuration", "configurationInForce",
         { { "version", decoded->version }, { "revision", item.revision },
-            { "queues", static_cast<std::int64_t>(decoded->queues.size()) }, { "ageMs", formerAgeMs } });
+            { "queues", static_cast<std::int64_t>(decoded->queues.size()) }, { "hasAccounts", decoded->hasAccounts },
+            { "accounts", static_cast<std::int64_t>(decoded->accounts.size()) },
+            { "keys", static_cast<std::int64_t>(decoded->accountByKey.size()) }, { "ageMs", formerAgeMs } });
+    logFaults(decoded->version, faults);
     m_current = std::move(decoded);
 }
 
