Serve jobs of client accounts to their own callers

The gateway admits requests by their key before anything else is told of a queue that is not public, and again when the request is handled after a slow answer of the store or a pause. The account of a job is in its accepted record, in the short record once it has ended, in the table of jobs and in the changes for other daemons. The member is left out for jobs without an account, and messages without it are still decoded.

For another account GET and DELETE are answered as for an unknown job (410), and a POST with its id with 409, by the table and by the stored record. Jobs without an account stay open to all callers. A cancel of an unknown id stores the account of its caller. A gang that needs more than the cap of its account gets 400. Refusals are counted and logged with account and cause; deployments without accounts keep their lines.

--- a/src/daemon/cancellation.cpp
+++ b/src/daemon/cancellation.cpp
@@ -13,10 +13,10 @@
     transaction.writes.push_back({ key, record });
 }
 
-platform::Transaction cancelUnknown(const std::string& id, std::int64_t nowUnixMs)
+platform::Transaction cancelUnknown(const std::string& id, const std::string& account, std::int64_t nowUnixMs)
 {
     platform::Transaction transaction;
-    addAcceptance(transaction, id, scheduler::encodeEnded({ id, scheduler::JobState::Cancelled, nowUnixMs }));
+    addAcceptance(transaction, id, scheduler::encodeEnded({ id, scheduler::JobState::Cancelled, nowUnixMs, account }));
     return transaction;
 }
 
@@ -28,6 +28,8 @@
     return ended ? ended->state : scheduler::JobState::Queued;
 }
 
+std::string accountOf(const platform::Item& accepted) { return scheduler::decodeAccount(accepted.value); }
+
 bool mayCancelUnknown(UnknownCancels& cancels, scheduler::Millis now)
 {
     constexpr scheduler::Millis periodMs = 1000;
--- a/src/daemon/cancellation.h
+++ b/src/daemon/cancellation.h
@@ -15,8 +15,8 @@
 // Adds the record of a submitted job to a transaction, which fails if there is one already.
 void addAcceptance(platform::Transaction& transaction, const std::string& id, const QByteArray& record);
 
-// Marks a job as cancelled, which fails if it has been accepted.
-platform::Transaction cancelUnknown(const std::string& id, std::int64_t nowUnixMs);
+// Marks a job as cancelled, which fails if it has been accepted. The record names the account of the caller.
+platform::Transaction cancelUnknown(const std::string& id, const std::string& account, std::int64_t nowUnixMs);
 
 // True for the record of a job that was cancelled before it was accepted, or has ended as cancelled.
 bool isCancelled(const platform::Item& accepted);
@@ -24,6 +24,9 @@
 // State that the record of an accepted job tells without its progress.
 scheduler::JobState stateOf(const platform::Item& accepted);
 
+// Client account that the record names; empty: none.
+std::string accountOf(const platform::Item& accepted);
+
 // Bounds the records that cancels of unknown jobs leave in the store.
 struct UnknownCancels {
     scheduler::Millis periodStartedAt = 0;
--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -69,8 +69,8 @@
     const bool isRestored = scheduler::restoreProgress(job, item.value);
     if (scheduler::isFinal(job.state))
         scheduler::retireJob(*m_scheduler, job);
-    m_feed.append({ found->first, job.committedState }, item.revision);
-    applyState(*m_table, found->first, job.committedState, nowMs());
+    m_feed.append({ found->first, job.committedState, job.request.account }, item.revision);
+    applyState(*m_table, found->first, job.request.account, job.committedState, nowMs());
     return isRestored;
 }
 
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -188,7 +188,7 @@
         return;
     if (const auto ended = scheduler::decodeEnded(item.value); ended && ended->id == id) {
         scheduler::addEndedJob(*m_scheduler, *ended, item.createdRevision);
-        applyState(*m_table, id, ended->state, nowMs());
+        applyState(*m_table, id, ended->account, ended->state, nowMs());
         return;
     }
     std::optional<scheduler::AcceptedJob> job = scheduler::decodeAccepted(item.value);
@@ -196,7 +196,7 @@
         kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "acceptedRefused", { { "job", id } });
         return;
     }
-    applyState(*m_table, id, scheduler::JobState::Queued, nowMs());
+    applyState(*m_table, id, job->request.account, scheduler::JobState::Queued, nowMs());
     scheduler::addJob(*m_scheduler, std::move(job->request), std::move(job->policy), job->acceptedUnixMs,
         item.createdRevision, nowMs());
     if (isNewInTerm)
@@ -258,7 +258,7 @@
     const scheduler::Millis now = nowMs();
     const std::int64_t revision = m_term->state().revision; // of the transaction that stored the states
     for (const scheduler::JobChange& change : m_scheduler->changes) {
-        applyState(*m_table, change.id, change.state, now);
+        applyState(*m_table, change.id, change.account, change.state, now);
         m_feed.append(change, revision);
     }
     m_scheduler->changes.clear();
@@ -299,8 +299,8 @@
     std::vector<platform::Write> writes;
     for (const std::string& id : jobs) {
         const scheduler::Job& job = *m_scheduler->jobs.at(id);
-        writes.push_back(
-            { storeKeys::acceptedPrefix + id, scheduler::encodeEnded({ id, job.committedState, job.endedUnixMs }) });
+        writes.push_back({ storeKeys::acceptedPrefix + id,
+            scheduler::encodeEnded({ id, job.committedState, job.endedUnixMs, job.request.account }) });
     }
     m_isShortening = true;
     m_term->commit(std::move(writes), [this, generation = std::weak_ptr<int>(m_generation)] {
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -77,28 +77,60 @@
 
 bool GatewayService::isIdle() const { return m_server->openRequests() == 0; }
 
-void GatewayService::respond(const http::Responder& responder, const http::Response& response, const char* operation,
-    const std::string& id, const std::string& outcome)
+void GatewayService::respond(const Caller& caller, const http::Response& response, const char* operation,
+    const std::string& id, const std::string& outcome, RefusalCause cause)
 {
     m_runtime.metrics
         .counter("lacewing_job_requests_total", "Job requests by operation and status.",
             { { "operation", operation }, { "status", std::to_string(response.status) } })
         .value++;
-    kernel::logEvent(kernel::LogLevel::Info, "gateway", operation,
-        { { "job", id }, { "status", response.status },
-            { "version", m_configuration->isLoaded() ? m_configuration->current().version : 0 },
-            { "configurationAgeMs", m_configuration->ageMs() },
-            { "feedAgeMs", m_table->syncedAt > 0 ? nowMs() - m_table->syncedAt : -1 }, { "outcome", outcome } });
-    responder.respond(response);
+    const std::int64_t version = m_configuration->isLoaded() ? m_configuration->current().version : 0;
+    const std::int64_t feedAgeMs = m_table->syncedAt > 0 ? nowMs() - m_table->syncedAt : -1;
+    if (m_configuration->isLoaded() && m_configuration->current().hasAccounts) {
+        const RefusalCause counted = cause == RefusalCause::None ? causeOfStatus(response.status) : cause;
+        if (counted != RefusalCause::None && !caller.isOperator)
+            countAccountRefusal(caller.account, counted);
+        kernel::logEvent(kernel::LogLevel::Info, "gateway", operation,
+            { { "job", id }, { "status", response.status }, { "account", caller.account },
+                { "cause", base::nameOf(refusalCauseNames, counted) }, { "version", version },
+                { "configurationAgeMs", m_configuration->ageMs() }, { "feedAgeMs", feedAgeMs },
+                { "outcome", outcome } });
+    } else {
+        kernel::logEvent(kernel::LogLevel::Info, "gateway", operation,
+            { { "job", id }, { "status", response.status }, { "version", version },
+                { "configurationAgeMs", m_configuration->ageMs() }, { "feedAgeMs", feedAgeMs },
+                { "outcome", outcome } });
+    }
+    caller.responder.respond(response);
 }
 
-void GatewayService::handle(const http::Request& request, const http::Responder& responder)
+void GatewayService::countAccountRefusal(const std::string& account, RefusalCause cause)
+{
+    const std::string name = countRefusal(m_refusals, account, cause);
+    m_runtime.metrics
+        .counter("lacewing_account_refusals_total",
+            "Refused job requests by client account and cause; without an account: the key is not known.",
+            { { "account", name }, { "cause", std::string(base::nameOf(refusalCauseNames, cause)) } })
+        .value++;
+}
+
+void GatewayService::handle(const http::Request& request, const http::Responder& responder, bool isRepeated)
 {
     if (!m_configuration->isLoaded()) {
-        respond(responder, refusal(503, "no configuration yet"), "request", {}, "no configuration");
+        respond({ responder, {} }, refusal(503, "no configuration yet"), "request", {}, "no configuration");
         return;
     }
-    m_configuration->confirm([this, request, responder](bool isCurrent) { route(request, responder, isCurrent); });
+    const scheduler::Queue* queue = m_configuration->findQueue(hostOf(request), request.path.toStdString());
+    const bool isKeyed = queue && needsKey(*queue, m_configuration->current());
+    const PlatformBounds& bounds = m_runtime.settings.bounds;
+    const scheduler::Millis maxAgeMs = isKeyed ? keyedMaxAgeMs(bounds) : bounds.configurationMs;
+    m_configuration->confirm(maxAgeMs, [this, request, responder, isKeyed, isRepeated, maxAgeMs](bool isCurrent) {
+        // A slow answer, or a pause of the process, takes part of the age that was allowed when the request arrived.
+        if (isKeyed && isCurrent && !isRepeated && m_configuration->ageMs() > maxAgeMs)
+            handle(request, responder, true);
+        else
+            route(request, responder, isCurrent);
+    });
 }
 
 // By an outdated configuration, what is known of a job is still told and its cancel stored. That a queue does not
@@ -108,55 +140,98 @@
     const std::string path = request.path.toStdString();
     const scheduler::Queue* queue = m_configuration->findQueue(hostOf(request), path);
     if (!queue && !isCurrent) {
-        refuseOutdated("request", {}, responder);
+        refuseOutdated("request", {}, { responder, {} });
         return;
     }
     if (!queue) {
-        respond(responder, refusal(404, "no such queue"), "request", {}, "no queue");
+        respond({ responder, {} }, refusal(404, "no such queue"), "request", {}, "no queue");
         return;
     }
+    const Access access = decideAccess(request.headers, *queue, m_configuration->current(),
+        basisFor(m_configuration->ageMs(), m_runtime.settings.bounds));
+    const Caller caller { responder, access.account };
     const QByteArray rest = request.path.mid(static_cast<qsizetype>(queue->prefix.size()));
     const std::string id = rest.toStdString();
+    if (access.status != 200) {
+        refuseAccess(access, platform::isJobId(rest) ? id : std::string(), caller);
+        return;
+    }
     if (rest.isEmpty() && request.method == "GET" && !isCurrent)
-        refuseOutdated("pending", {}, responder);
+        refuseOutdated("pending", {}, caller);
     else if (rest.isEmpty() && request.method == "GET")
-        respondWithPending(*queue, responder);
+        respondWithPending(*queue, caller);
     else if (!platform::isJobId(rest))
-        respond(responder, refusal(404, "no such job"), "request", {}, "malformed id");
+        respond(caller, refusal(404, "no such job"), "request", {}, "malformed id");
     else if (request.method == "POST" && !isCurrent && m_table->jobs.count(id) == 0)
-        refuseOutdated("submit", id, responder);
+        refuseOutdated("submit", id, caller);
     else if (request.method == "POST")
-        submit(*queue, id, request, responder);
+        submit(*queue, id, request, caller);
     else if (request.method == "GET")
-        respondWithState(id, responder);
+        respondWithState(id, caller);
     else if (request.method == "DELETE")
-        cancelJob(id, responder);
+        cancelJob(id, caller);
     else
-        respond(responder, refusal(405, "method not allowed"), "request", id, "method");
+        respond(caller, refusal(405, "method not allowed"), "request", id, "method");
+}
+
+void GatewayService::refuseAccess(const Access& access, const std::string& id, const Caller& caller)
+{
+    if (access.status == 503) {
+        refuseOutdated("request", id, caller);
+        return;
+    }
+    http::Response response = refusal(access.status, "no valid access key");
+    response.headers.push_back({ "WWW-Authenticate", "Bearer" });
+    respond(caller, response, "request", id, "no valid access key", access.cause);
 }
 
-void GatewayService::refuseOutdated(const char* operation, const std::string& id, const http::Responder& responder)
+void GatewayService::refuseOutdated(const char* operation, const std::string& id, const Caller& caller)
 {
-    respond(responder, refusal(503, "the configuration may be outdated"), operation, id, "configuration outdated");
+    respond(caller, refusal(503, "the configuration may be outdated"), operation, id, "configuration outdated",
+        RefusalCause::ConfigurationOutdated);
+}
+
+void GatewayService::refuseOtherAccount(const char* operation, const std::string& id, const Caller& caller)
+{
+    const bool isSubmission = std::string_view(operation) == "submit";
+    respond(caller, isSubmission ? refusal(409, "the id is in use") : refusal(410, "no such job"), operation, id,
+        "job of another account", RefusalCause::OtherAccount);
+}
+
+bool GatewayService::mayUse(const Caller& caller, const std::string& jobAccount)
+{
+    return caller.isOperator || mayUseJob(caller.account, jobAccount);
 }
 
 // --- Submission ---
 
-void GatewayService::submit(const scheduler::Queue& queue, const std::string& id, const http::Request& request,
-    const http::Responder& responder)
+void GatewayService::submit(
+    const scheduler::Queue& queue, const std::string& id, const http::Request& request, const Caller& caller)
 {
-    if (m_table->jobs.count(id) > 0) {
-        respond(responder, http::jsonResponse(200, "{}"), "submit", id, "known");
+    if (const std::string* owner = accountOf(*m_table, id)) {
+        if (!mayUse(caller, *owner)) {
+            refuseOtherAccount("submit", id, caller);
+            return;
+        }
+        respond(caller, http::jsonResponse(200, "{}"), "submit", id, "known");
         return;
     }
     auto job = platform::decodeJob(id, request.body);
     if (job.has_error()) {
-        respond(responder, refusal(400, QByteArray::fromStdString(job.error())), "submit", id, job.error());
+        respond(caller, refusal(400, QByteArray::fromStdString(job.error())), "submit", id, job.error());
+        return;
+    }
+    const auto& accounts = m_configuration->current().accounts;
+    const auto account = accounts.find(caller.account);
+    const std::string fault = account == accounts.end() ? std::string() : gangOverCap(job.value(), account->second.cap);
+    if (!fault.empty()) {
+        respond(caller, refusal(400, QByteArray::fromStdString(fault)), "submit", id, fault, RefusalCause::OverCap);
         return;
     }
+    job.value().account = caller.account;
     Submission submission;
     submission.responseBody = "{}";
-    submission.responder = responder;
+    submission.caller = caller;
     submission.receivedAt = nowMs();
     submission.deadline = deadlineOf(request, submission.receivedAt);
     enqueue(queue, std::move(job.value()), std::move(submission));
@@ -217,7 +292,7 @@
 {
     if (result.has_value()) {
         for (const Submission& submission : batch)
-            accept(submission, "stored");
+            accept(submission, "stored", submission.caller.account);
         return;
     }
     const platform::StoreError& error = result.error();
@@ -226,10 +301,12 @@
         for (Submission& submission : batch) {
             const auto stored = std::find_if(error.current.begin(), error.current.end(),
                 [&](const platform::Item& item) { return item.key == storeKeys::acceptedPrefix + submission.id; });
-            if (stored != error.current.end() && isCancelled(*stored))
-                refuseCancelled(submission);
+            if (stored != error.current.end() && !mayUse(submission.caller, accountOf(*stored)))
+                refuseOtherJob(submission);
+            else if (stored != error.current.end() && isCancelled(*stored))
+                refuseCancelled(submission, accountOf(*stored));
             else if (stored != error.current.end())
-                accept(submission, "already stored", stateOf(*stored));
+                accept(submission, "already stored", accountOf(*stored), stateOf(*stored));
             else
                 remaining.push_back(std::move(submission));
         }
@@ -251,31 +328,38 @@
         m_retryTimer.start(retryMs);
 }
 
-void GatewayService::refuseCancelled(const Submission& submission)
+void GatewayService::refuseOtherJob(const Submission& submission)
+{
+    recordSlo(submission, base::RequestResult::Answered);
+    refuseOtherAccount("submit", submission.id, submission.caller);
+}
+
+void GatewayService::refuseCancelled(const Submission& submission, const std::string& account)
 {
-    applyState(*m_table, submission.id, scheduler::JobState::Cancelled, nowMs());
+    applyState(*m_table, submission.id, account, scheduler::JobState::Cancelled, nowMs());
     recordSlo(submission, base::RequestResult::Answered);
-    respond(submission.responder, refusal(410, "the job has been cancelled"), "submit", submission.id, "cancelled");
+    respond(submission.caller, refusal(410, "the job has been cancelled"), "submit", submission.id, "cancelled");
 }
 
-void GatewayService::accept(const Submission& submission, const char* outcome, scheduler::JobState state)
+void GatewayService::accept(
+    const Submission& submission, const char* outcome, const std::string& account, scheduler::JobState state)
 {
     const scheduler::Millis now = nowMs();
-    applyState(*m_table, submission.id, state, now);
+    applyState(*m_table, submission.id, account, state, now);
     m_runtime.metrics.latency("lacewing_accept_seconds", "Time from a job request to its acceptance.")
         .record(base::milliseconds(now - submission.receivedAt));
     recordSlo(submission, base::RequestResult::Answered);
-    respond(submission.responder, http::jsonResponse(200, submission.responseBody), "submit", submission.id, outcome);
+    respond(submission.caller, http::jsonResponse(200, submission.responseBody), "submit", submission.id, outcome);
 }
 
 void GatewayService::failSubmission(const Submission& submission, const std::string& reason)
 {
     recordSlo(submission, base::RequestResult::Failed);
     if (submission.isUncertain)
-        respond(submission.responder, refusal(504, "the outcome is unknown, ask again with the same id"), "submit",
+        respond(submission.caller, refusal(504, "the outcome is unknown, ask again with the same id"), "submit",
             submission.id, "unknown: " + reason);
     else
-        respond(submission.responder, refusal(503, "not accepted"), "submit", submission.id, "not stored: " + reason);
+        respond(submission.caller, refusal(503, "not accepted"), "submit", submission.id, "not stored: " + reason);
 }
 
 std::string jobIdOf(const std::string& identity)
@@ -347,7 +431,7 @@
     submission.responseBody
         = QJsonDocument(QJsonObject { { "id", QString::fromStdString(job.id) }, { "state", "queued" } })
               .toJson(QJsonDocument::Compact);
-    submission.responder = responder;
+    submission.caller = { responder, {}, true };
     submission.receivedAt = nowMs();
     submission.deadline = submission.receivedAt + maxSubmissionWaitMs;
     enqueue(*queue, std::move(job), std::move(submission));
@@ -355,114 +439,133 @@
 
 // --- State ---
 
-void GatewayService::respondWithState(const std::string& id, const http::Responder& responder)
+void GatewayService::respondWithState(const std::string& id, const Caller& caller)
 {
     const auto known = m_table->jobs.find(id);
     if (known == m_table->jobs.end()) {
-        readAccepted(id, responder);
+        readAccepted(id, caller);
+        return;
+    }
+    if (!mayUse(caller, known->second.account)) {
+        refuseOtherAccount("state", id, caller);
         return;
     }
     const bool isFresh = nowMs() - m_table->syncedAt < maxStateAgeMs && m_table->syncedAt > 0;
     if (!scheduler::isFinal(known->second.state) && !isFresh && isStoreReachable(m_runtime)) {
-        readProgress(id, responder);
+        readProgress(id, caller);
         return;
     }
-    respond(responder, http::jsonResponse(200, platform::encodeState(known->second.state)), "state", id,
+    respond(caller, http::jsonResponse(200, platform::encodeState(known->second.state)), "state", id,
         std::string(nameOf(scheduler::jobStateNames, known->second.state)));
 }
 
 // A job missing from the table may have just been accepted by another daemon, so the store is checked.
-void GatewayService::readAccepted(const std::string& id, const http::Responder& responder)
+void GatewayService::readAccepted(const std::string& id, const Caller& caller)
 {
     m_runtime.store->read(storeKeys::acceptedPrefix + id,
-        [this, id, responder](const base::Result<platform::Item, platform::StoreError>& result) {
+        [this, id, caller](const base::Result<platform::Item, platform::StoreError>& result) {
             if (result.has_value()) {
-                applyState(*m_table, id, stateOf(result.value()), nowMs());
-                readProgress(id, responder);
+                const std::string account = accountOf(result.value());
+                applyState(*m_table, id, account, stateOf(result.value()), nowMs());
+                if (mayUse(caller, account))
+                    readProgress(id, caller);
+                else
+                    refuseOtherAccount("state", id, caller);
             } else if (result.error().code == platform::StoreCode::Missing) {
-                respond(responder, refusal(410, "no such job"), "state", id, "unknown job");
+                respond(caller, refusal(410, "no such job"), "state", id, "unknown job");
             } else {
-                respond(responder, refusal(503, "the store does not answer"), "state", id, result.error().detail);
+                respond(caller, refusal(503, "the store does not answer"), "state", id, result.error().detail);
             }
         });
 }
 
-void GatewayService::readProgress(const std::string& id, const http::Responder& responder)
+void GatewayService::readProgress(const std::string& id, const Caller& caller)
 {
     m_runtime.store->read(storeKeys::progressPrefix + id,
-        [this, id, responder](const base::Result<platform::Item, platform::StoreError>& result) {
+        [this, id, caller](const base::Result<platform::Item, platform::StoreError>& result) {
             if (result.has_value()) {
+                const std::string* account = accountOf(*m_table, id);
                 if (const auto state = scheduler::decodeState(result.value().value))
-                    applyState(*m_table, id, *state, nowMs());
+                    applyState(*m_table, id, account ? *account : caller.account, *state, nowMs());
             }
             const auto known = m_table->jobs.find(id);
             const scheduler::JobState state
                 = known == m_table->jobs.end() ? scheduler::JobState::Queued : known->second.state;
-            respond(responder, http::jsonResponse(200, platform::encodeState(state)), "state", id,
+            respond(caller, http::jsonResponse(200, platform::encodeState(state)), "state", id,
                 std::string(nameOf(scheduler::jobStateNames, state)) + " (store)");
         });
 }
 
-void GatewayService::respondWithPending(const scheduler::Queue& queue, const http::Responder& responder)
+void GatewayService::respondWithPending(const scheduler::Queue& queue, const Caller& caller)
 {
     if (m_table->pendingAsOf == 0 || nowMs() - m_table->pendingAsOf > maxPendingAgeMs) {
-        respond(responder, refusal(503, "the number is not known at present"), "pending", {}, "number too old");
+        respond(caller, refusal(503, "the number is not known at present"), "pending", {}, "number too old");
         return;
     }
     const auto found = m_table->pending.find(queue.policy.name);
     const int jobs = found == m_table->pending.end() ? 0 : found->second;
-    respond(responder, http::jsonResponse(200, platform::encodePending(jobs)), "pending", {}, std::to_string(jobs));
+    respond(caller, http::jsonResponse(200, platform::encodePending(jobs)), "pending", {}, std::to_string(jobs));
 }
 
 // --- Cancelling ---
 
 void GatewayService::cancelJob(const std::string& id, const http::Responder& responder)
 {
-    if (m_table->jobs.count(id) > 0)
-        storeCancel(id, responder);
-    else if (mayCancelUnknown(m_unknownCancels, nowMs()))
-        storeCancelOfUnknown(id, responder);
+    cancelJob(id, Caller { responder, {}, true });
+}
+
+void GatewayService::cancelJob(const std::string& id, const Caller& caller)
+{
+    const std::string* owner = accountOf(*m_table, id);
+    if (owner && mayUse(caller, *owner))
+        storeCancel(id, caller);
+    else if (!mayCancelUnknown(m_unknownCancels, nowMs()))
+        respond(caller, refusal(429, "too many cancels of unknown jobs"), "cancel", id, "too many");
+    else if (owner)
+        refuseOtherAccount("cancel", id, caller);
     else
-        respond(responder, refusal(429, "too many cancels of unknown jobs"), "cancel", id, "too many");
+        storeCancelOfUnknown(id, caller);
 }
 
-void GatewayService::storeCancelOfUnknown(const std::string& id, const http::Responder& responder)
+void GatewayService::storeCancelOfUnknown(const std::string& id, const Caller& caller)
 {
-    m_runtime.store->commit(cancelUnknown(id, base::wallClockMs()),
-        [this, id, responder](const base::Result<std::int64_t, platform::StoreError>& result) {
+    m_runtime.store->commit(cancelUnknown(id, caller.account, base::wallClockMs()),
+        [this, id, caller](const base::Result<std::int64_t, platform::StoreError>& result) {
             if (result.has_value()) {
-                respond(responder, refusal(410, "no such job"), "cancel", id, "unknown job, cannot be accepted");
+                respond(caller, refusal(410, "no such job"), "cancel", id, "unknown job, cannot be accepted");
                 return;
             }
             const platform::StoreError& error = result.error();
-            if (error.code != platform::StoreCode::Conflict)
-                refuseCancel(id, responder, error);
+            const bool isOwnerUnknown = error.current.empty() && m_configuration->current().hasAccounts;
+            if (error.code != platform::StoreCode::Conflict || (isOwnerUnknown && !caller.isOperator))
+                refuseCancel(id, caller, error);
+            else if (!error.current.empty() && !mayUse(caller, accountOf(error.current.front())))
+                refuseOtherAccount("cancel", id, caller);
             else if (!error.current.empty() && isCancelled(error.current.front()))
-                respond(responder, refusal(410, "no such job"), "cancel", id, "cancelled already");
+                respond(caller, refusal(410, "no such job"), "cancel", id, "cancelled already");
             else
-                storeCancel(id, responder);
+                storeCancel(id, caller);
         });
 }
 
-void GatewayService::refuseCancel(
-    const std::string& id, const http::Responder& responder, const platform::StoreError& error)
+void GatewayService::refuseCancel(const std::string& id, const Caller& caller, const platform::StoreError& error)
 {
     const int status = error.code == platform::StoreCode::Unknown ? 504 : 503;
-    respond(responder, refusal(status, "not cancelled"), "cancel", id, error.detail);
+    respond(caller, refusal(status, "not cancelled"), "cancel", id, error.detail);
 }
 
-void GatewayService::storeCancel(const std::string& id, const http::Responder& responder)
+void GatewayService::storeCancel(const std::string& id, const Caller& caller)
 {
     platform::Transaction transaction;
     transaction.writes.push_back({ storeKeys::acceptedPrefix + id + storeKeys::cancelSuffix, "{}" });
     m_runtime.store->commit(
-        transaction, [this, id, responder](const base::Result<std::int64_t, platform::StoreError>& result) {
+        transaction, [this, id, caller](const base::Result<std::int64_t, platform::StoreError>& result) {
             if (result.has_error()) {
-                refuseCancel(id, responder, result.error());
+                refuseCancel(id, caller, result.error());
                 return;
             }
             noteStoredCancel(*m_table, id);
-            respond(responder, http::jsonResponse(200, "{}"), "cancel", id, "stored");
+            respond(caller, http::jsonResponse(200, "{}"), "cancel", id, "stored");
         });
 }
 
--- a/src/daemon/job_changes.cpp
+++ b/src/daemon/job_changes.cpp
@@ -1,7 +1,8 @@
 // JSON encoding of job state changes. Only ids that need escapes go through Qt's encoder.
 #include "daemon/job_changes.h"
 
-#include <QJsonArray>
+#include "base/json.h"
+
 #include <QJsonDocument>
 #include <algorithm>
 
@@ -33,9 +34,24 @@
         const std::string_view state = nameOf(scheduler::jobStateNames, change.state);
         json.append('[');
         appendText(json, change.id);
-        json.append(",\"").append(state.data(), static_cast<qsizetype>(state.size())).append("\"]");
+        json.append(",\"").append(state.data(), static_cast<qsizetype>(state.size())).append('"');
+        if (!change.account.empty()) {
+            json.append(',');
+            appendText(json, change.account);
+        }
+        json.append(']');
     }
     return json.append(']');
 }
 
+std::vector<scheduler::JobChange> decodeChanges(const QJsonArray& json)
+{
+    std::vector<scheduler::JobChange> changes;
+    for (const QJsonValue change : json) {
+        if (const auto state = base::valueOf(scheduler::jobStateNames, base::textOf(change[1])))
+            changes.push_back({ base::textOf(change[0]), *state, base::textOf(change[2]) });
+    }
+    return changes;
+}
+
 } // namespace lacewing::daemon
--- a/src/daemon/job_table.h
+++ b/src/daemon/job_table.h
@@ -17,6 +17,7 @@
 struct KnownJob {
     scheduler::JobState state = scheduler::JobState::Queued;
     scheduler::Millis updatedAt = 0;
+    std::string account = {}; // that submitted it; empty: none
 };
 
 // A cancel that this daemon has stored. The scheduling daemon is told of it, because its watch of the store may learn
@@ -51,11 +52,25 @@
         table.storedCancels.pop_front();
 }
 
-inline void applyState(JobTable& table, const std::string& id, scheduler::JobState state, scheduler::Millis now)
+// Invariant: a job that has an account keeps it. Messages of an earlier version do not tell it, so that one that is
+// learned later is added.
+inline void applyState(JobTable& table, const std::string& id, const std::string& account, scheduler::JobState state,
+    scheduler::Millis now)
 {
-    const auto [entry, isNew] = table.jobs.try_emplace(id, KnownJob { state, now });
-    if (!isNew && !scheduler::isFinal(entry->second.state))
-        entry->second = { state, now };
+    const auto [entry, isNew] = table.jobs.try_emplace(id, KnownJob { state, now, account });
+    if (entry->second.account.empty())
+        entry->second.account = account;
+    if (isNew || scheduler::isFinal(entry->second.state))
+        return;
+    entry->second.state = state;
+    entry->second.updatedAt = now;
+}
+
+// Account of a job in the table, or nullptr for an unknown job.
+inline const std::string* accountOf(const JobTable& table, const std::string& id)
+{
+    const auto known = table.jobs.find(id);
+    return known == table.jobs.end() ? nullptr : &known->second.account;
 }
 
 // Multiple of the configured retention time for which the state of an ended job is kept, because daemons learn of the
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -229,10 +229,8 @@
     m_feedTerm = reply["token"].toInteger();
     m_feedPosition = reply["next"].toInteger();
     m_feedRevision = std::max<std::int64_t>(m_feedRevision, reply["feedRevision"].toInteger());
-    for (const QJsonValue change : reply["changes"].toArray()) {
-        if (const auto jobState = base::valueOf(scheduler::jobStateNames, base::textOf(change[1])))
-            applyState(*m_table, base::textOf(change[0]), *jobState, now);
-    }
+    for (const scheduler::JobChange& change : decodeChanges(reply["changes"].toArray()))
+        applyState(*m_table, change.id, change.account, change.state, now);
     const QJsonObject pending = reply["pending"].toObject();
     m_table->pending.clear();
     for (auto it = pending.begin(); it != pending.end(); ++it)
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -140,6 +140,7 @@
     slot = std::make_unique<Job>();
     Job& job = *slot;
     job.request.id = ended.id;
+    job.request.account = ended.account;
     job.acceptedRevision = acceptedRevision;
     job.state = job.committedState = ended.state;
     job.endedUnixMs = ended.endedUnixMs;
@@ -367,7 +368,7 @@
         scheduler.awaitedRecords.erase(awaited);
     if (job.committedState != state && !isFinal(job.committedState)) {
         job.committedState = state;
-        scheduler.changes.push_back({ id, state });
+        scheduler.changes.push_back({ id, state, job.request.account });
     }
 }
 
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -247,8 +247,10 @@
 
 QByteArray encodeEnded(const EndedJob& job)
 {
-    const QJsonObject json { { "id", text(job.id) }, { "ended", QLatin1String(nameOf(jobStateNames, job.state)) },
+    QJsonObject json { { "id", text(job.id) }, { "ended", QLatin1String(nameOf(jobStateNames, job.state)) },
         { "endedUnixMs", static_cast<qint64>(job.endedUnixMs) } };
+    if (!job.account.empty())
+        json["account"] = text(job.account);
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
@@ -262,7 +264,14 @@
         = json ? base::valueOf(jobStateNames, base::textOf((*json)["ended"])) : std::nullopt;
     if (!state || !isFinal(*state) || !(*json)["id"].isString())
         return std::nullopt;
-    return EndedJob { base::textOf((*json)["id"]), *state, (*json)["endedUnixMs"].toInteger() };
+    return EndedJob { base::textOf((*json)["id"]), *state, (*json)["endedUnixMs"].toInteger(),
+        base::textOf((*json)["account"]) };
+}
+
+std::string decodeAccount(const QByteArray& bytes)
+{
+    const std::optional<QJsonObject> json = base::parseObject(bytes);
+    return json ? base::textOf((*json)["account"]) : std::string();
 }
 
 QByteArray encodeProgress(const Job& job, std::int64_t runsRecordedSince)
--- a/src/scheduler/record.h
+++ b/src/scheduler/record.h
@@ -26,6 +26,9 @@
 // nullopt: another kind of record, or it does not decode.
 std::optional<EndedJob> decodeEnded(const QByteArray& bytes);
 
+// Client account that an accepted record or the record of an ended job names; empty: none, or it does not decode.
+std::string decodeAccount(const QByteArray& bytes);
+
 // runsRecordedSince: of the scheduler, see run_record.h.
 QByteArray encodeProgress(const Job& job, std::int64_t runsRecordedSince);
 // Restores the progress of a job that was added from its accepted record. Returns false when it does not decode.
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -322,11 +322,13 @@
     std::string id;
     JobState state = JobState::Completed; // final
     std::int64_t endedUnixMs = 0;
+    std::string account = {}; // of the request; empty: none
 };
 
 struct JobChange {
     std::string id;
     JobState state = JobState::Queued;
+    std::string account = {}; // of the request; empty: none
 };
 
 // --- State ---
--- a/tests/daemon_cancellation_test.cpp
+++ b/tests/daemon_cancellation_test.cpp
@@ -80,7 +80,7 @@
         const std::string id = "5c0e7a21d94b36f8";
         Cells store;
         const platform::Transaction late = submissionOf(id);
-        CPPUNIT_ASSERT(store.carryOut(cancelUnknown(id, 1781000000000)));
+        CPPUNIT_ASSERT(store.carryOut(cancelUnknown(id, {}, 1781000000000)));
         CPPUNIT_ASSERT(!store.carryOut(late));
         CPPUNIT_ASSERT(isCancelled(store.item(id)));
         scheduler::Scheduler state;
@@ -97,7 +97,7 @@
         const std::string id = "5c0e7a21d94b36f8";
         Cells store;
         CPPUNIT_ASSERT(store.carryOut(submissionOf(id)));
-        CPPUNIT_ASSERT(!store.carryOut(cancelUnknown(id, 1781000000000)));
+        CPPUNIT_ASSERT(!store.carryOut(cancelUnknown(id, {}, 1781000000000)));
         CPPUNIT_ASSERT(!isCancelled(store.item(id)));
         CPPUNIT_ASSERT(stateOf(store.item(id)) == scheduler::JobState::Queued);
     }
--- a/tests/scheduler_ended_jobs_test.cpp
+++ b/tests/scheduler_ended_jobs_test.cpp
@@ -13,6 +13,7 @@
 class SchedulerEndedJobsTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(SchedulerEndedJobsTest);
     CPPUNIT_TEST(recordsAreToldApart);
+    CPPUNIT_TEST(recordsNameTheAccountOfTheJob);
     CPPUNIT_TEST(jobsAreShortenedOnceTheirEndIsStored);
     CPPUNIT_TEST(endedJobsStayEndedOverTerms);
     CPPUNIT_TEST(runsOfShortenedJobsAreStopped);
@@ -39,6 +40,31 @@
             CPPUNIT_ASSERT(!scheduler::decodeEnded(other).has_value());
     }
 
+    // Guards against a job that other accounts can read once it has ended, or once a new term has loaded it; against
+    // records of ended jobs too long to be told from accepted ones; and against other records without accounts.
+    void recordsNameTheAccountOfTheJob()
+    {
+        const std::string id = "0123456789abcdef";
+        scheduler::AcceptedJob job;
+        job.request.id = id;
+        job.request.steps = { plainStep(2, 1000, 100) };
+        const QByteArray plain = scheduler::encodeAccepted(job);
+        CPPUNIT_ASSERT(!plain.contains("account") && scheduler::decodeAccount(plain).empty());
+        CPPUNIT_ASSERT(!scheduler::encodeEnded({ id, JobState::Completed, 77 }).contains("account"));
+        CPPUNIT_ASSERT(scheduler::decodeAccount("no json").empty());
+        for (const std::string& name : { std::string("a"), std::string(64, '"'), std::string(64, '\\') }) {
+            job.request.account = name;
+            const QByteArray accepted = scheduler::encodeAccepted(job);
+            CPPUNIT_ASSERT_EQUAL(name, scheduler::decodeAccount(accepted));
+            CPPUNIT_ASSERT_EQUAL(name, scheduler::decodeAccepted(accepted)->request.account);
+            const QByteArray ended = scheduler::encodeEnded({ id, JobState::Completed, 1781000000000, name });
+            CPPUNIT_ASSERT_EQUAL(name, scheduler::decodeAccount(ended));
+            scheduler::Scheduler state;
+            scheduler::addEndedJob(state, scheduler::decodeEnded(ended).value(), 5);
+            CPPUNIT_ASSERT_EQUAL(name, state.jobs.at(id)->request.account);
+        }
+    }
+
     // Guards against losing the steps of a job that still needs them.
     void jobsAreShortenedOnceTheirEndIsStored()
     {
