List client accounts for operators

GET /v1/accounts and `lacewingctl accounts` show the weight and cap of each account and what the daemon asked has refused, by cause; on the scheduling daemon also its jobs that run and that wait with nothing started. Accounts that left the configuration stay listed while they have jobs or refusals.

--- a/packaging/lacewingctl.bash
+++ b/packaging/lacewingctl.bash
@@ -36,7 +36,7 @@
     esac
     case ${#words[@]} in
     0)
-        COMPREPLY=($(compgen -W "config job status drain report $global --version" -- "$current"))
+        COMPREPLY=($(compgen -W "config job status accounts drain report $global --version" -- "$current"))
         return
         ;;
     1)
@@ -69,6 +69,7 @@
     "job list") options="--state" ;;
     "job cancel") ;;
     "status") options="--all" ;;
+    "accounts") ;;
     "drain") options="--yes --wait --wait-timeout-s" ;;
     "report batch") ;;
     "report burn") options="--html" ;;
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -19,6 +19,9 @@
 extern const Command jobListCommand;
 extern const Command jobCancelCommand;
 
+// --- account_commands.cpp ---
+extern const Command accountsCommand;
+
 // --- operation_commands.cpp ---
 extern const Command statusCommand;
 extern const Command drainCommand;
--- a/src/ctl/program.cpp
+++ b/src/ctl/program.cpp
@@ -23,6 +23,7 @@
         &jobListCommand,
         &jobCancelCommand,
         &statusCommand,
+        &accountsCommand,
         &drainCommand,
         &reportBatchCommand,
         &reportBurnCommand,
--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -1,6 +1,7 @@
 // HTTP responses for the load balancer, operators and monitoring.
 #include "daemon/admin_service.h"
 
+#include "daemon/account_report.h"
 #include "daemon/configuration_service.h"
 #include "daemon/dispatcher_service.h"
 #include "daemon/gateway_service.h"
@@ -143,6 +144,8 @@
         m_policy->showHistory(responder);
     } else if (request.method == "POST" && request.path == "/v1/config") {
         m_policy->apply(request.body, responder);
+    } else if (request.method == "GET" && request.path == "/v1/accounts") {
+        responder.respond(accounts());
     } else if (request.method == "GET" && request.path == "/v1/slo") {
         responder.respond(slo());
     } else if (request.method == "GET" && request.path == "/healthz") {
@@ -247,6 +250,13 @@
         { "isAccounted", scheduler.isReconciled }, { "open", static_cast<qint64>(scheduler.active.size()) } };
 }
 
+http::Response AdminService::accounts() const
+{
+    if (!m_configuration->isLoaded())
+        return http::ProblemBuilder(503, "notReady").detail("no configuration yet").executedNo().response();
+    return json(accountReport(m_configuration->current(), m_gateway->refusals(), m_dispatcher->scheduler()));
+}
+
 http::Response AdminService::slo() const
 {
     return json(
--- a/src/daemon/admin_service.h
+++ b/src/daemon/admin_service.h
@@ -39,6 +39,7 @@
     http::Response jobList(const http::Request& request) const;
     http::Response jobDetails(const std::string& id) const;
     http::Response metrics() const;
+    http::Response accounts() const;
     http::Response slo() const;
 
     Runtime& m_runtime;
--- a/tests/ctl_program_test.cpp
+++ b/tests/ctl_program_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(drainIsNeverSentToAnotherDaemon);
     CPPUNIT_TEST(statusShowsWhatNeedsAttention);
     CPPUNIT_TEST(statusPutsTheNumbersOfJobsUnderTheirHeadings);
+    CPPUNIT_TEST(accountsShowLimitsAndRefusals);
     CPPUNIT_TEST(reportBatchSumsDaemons);
     CPPUNIT_TEST(colourOnlyWhenEnabled);
     CPPUNIT_TEST(tablesAlignAndHideControlCharacters);
@@ -363,6 +364,27 @@
         CPPUNIT_ASSERT_EQUAL(7, run(daemons, { "status", "--json" }).json()["revision"].toInt());
     }
 
+    // Guards against numbers that the asked daemon does not have being shown as 0.
+    void accountsShowLimitsAndRefusals()
+    {
+        FakeDaemons daemons;
+        daemons.handleOther = [](const ctl::Call&) {
+            const QJsonObject present { { "name", "a\nb" }, { "weight", 2.5 }, { "running", 3 }, { "waiting", 0 },
+                { "cap", QJsonObject { { "cpuMilli", 64000 }, { "memoryMb", 0 } } },
+                { "refusals", QJsonObject { { "overCap", 4 }, { "tooMany", 1 } } } };
+            const QJsonObject removed { { "name", "gone" }, { "isRemoved", true } };
+            return FakeDaemons::json(200,
+                { { "hasAccounts", true }, { "accounts", QJsonArray { present, removed } },
+                    { "refusalsWithoutAccount", QJsonObject { { "unknownKey", 7 } } } });
+        };
+        const Run accounts = run(daemons, { "accounts" });
+        CPPUNIT_ASSERT_EQUAL(std::string("GET /v1/accounts"), daemons.callLog.back().substr(4));
+        CPPUNIT_ASSERT(accounts.has("a?b") && accounts.has("64000") && accounts.has("overCap 4, tooMany 1"));
+        CPPUNIT_ASSERT(accounts.has("gone     removed          -          -     -        -        -  -"));
+        CPPUNIT_ASSERT(accounts.has("refused without an account: unknownKey 7"));
+        CPPUNIT_ASSERT(run(daemons, { "accounts", "--json" }).json()["hasAccounts"].toBool());
+    }
+
     void statusPutsTheNumbersOfJobsUnderTheirHeadings()
     {
         FakeDaemons daemons;
