Keep client accounts within their caps

A configuration may cap what an account runs over all workers. Nothing limited it: one account could fill the fleet.

Each plan computes the usage of the accounts from the tasks placed on workers, strays, and an upper bound for tasks of an earlier term whose worker is not known (the capacity of the workers that are not accounted for). Every start, gang, record wait and held room checks it. Without accounts in the configuration nothing is computed.

--- a/src/scheduler/approval.cpp
+++ b/src/scheduler/approval.cpp
@@ -145,7 +145,8 @@
         return std::nullopt;
     for (const Turn& turn : planner.turns) {
         const Candidate& candidate = *turn.candidate;
-        if (!candidate.job->policy.approval.isNeeded)
+        const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
+        if (!candidate.job->policy.approval.isNeeded || !mayFitCap(candidate.account, step, tasksTogether(step)))
             continue;
         if (auto question = questionFor(planner, candidate, rank))
             return question;
--- a/src/scheduler/colocation.cpp
+++ b/src/scheduler/colocation.cpp
@@ -151,8 +151,9 @@
             const Step& step = candidate.job->request.steps[index];
             if (!step.isFilling)
                 continue;
+            int startable = candidate.startable;
             for (const Task& task : candidate.occurrence->steps[index].tasks) {
-                if (task.phase == TaskPhase::Waiting)
+                if (task.phase == TaskPhase::Waiting && startable-- > 0)
                     add(step);
             }
         }
--- a/src/scheduler/consolidation.cpp
+++ b/src/scheduler/consolidation.cpp
@@ -33,15 +33,17 @@
     }
 
     // The approval of another worker could take longer than a move.
-    bool isMovable(const TaskRef& ref, Millis now)
+    bool isMovable(Planner& planner, const TaskRef& ref)
     {
-        return !ref.job->policy.approval.isNeeded && (ref.task->movedAt == 0 || now - ref.task->movedAt >= minStayMs);
+        const Millis now = planner.now;
+        return mayReturn(usageOf(planner, *ref.job)) && !ref.job->policy.approval.isNeeded
+            && (ref.task->movedAt == 0 || now - ref.task->movedAt >= minStayMs);
     }
 
     // Moves make one task of a step unavailable at a time, and none while another one is down for any reason.
-    bool mayMove(const TaskRef& ref, Millis now)
+    bool mayMove(Planner& planner, const TaskRef& ref)
     {
-        return isMovable(ref, now) && std::all_of(ref.progress->tasks.begin(), ref.progress->tasks.end(), isAtWork);
+        return isMovable(planner, ref) && std::all_of(ref.progress->tasks.begin(), ref.progress->tasks.end(), isAtWork);
     }
 
     bool isMoving(const Task& task, Millis now)
@@ -118,12 +120,14 @@
             const Step& step = candidate.job->request.steps[index];
             const StepProgress& progress = candidate.occurrence->steps[index];
             if (!step.isFilling || candidate.job->policy.service != pool.service
+                || !hasCapRoom(candidate.account, step, tasksTogether(step))
                 || planner.now - progress.readySince < demandWaitMs)
                 continue;
             if (!isHeldUpByServing(planner, pool, refOf(candidate, 0)))
                 continue;
-            const auto waiting = std::count_if(progress.tasks.begin(), progress.tasks.end(),
-                [](const Task& task) { return task.phase == TaskPhase::Waiting; });
+            const auto waiting = std::min<std::ptrdiff_t>(candidate.startable,
+                std::count_if(progress.tasks.begin(), progress.tasks.end(),
+                    [](const Task& task) { return task.phase == TaskPhase::Waiting; }));
             demand.millicores += static_cast<double>(waiting) * step.cpuMillicores;
             demand.hasIdleJob = demand.hasIdleJob || (candidate.idleSince > 0 && progress.placed == 0);
         }
@@ -137,8 +141,11 @@
             return task.phase == TaskPhase::Waiting && planner.now - task.phaseSince < moveMs;
         };
         return std::any_of(planner.candidates.begin(), planner.candidates.end(), [&](const Candidate& candidate) {
-            const StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
-            return candidate.isRestart && candidate.job->policy.service == service
+            const auto index = static_cast<std::size_t>(candidate.stepNumber);
+            const StepProgress& progress = candidate.occurrence->steps[index];
+            const Step& step = candidate.job->request.steps[index];
+            return candidate.isRestart && mayFitCap(candidate.account, step, tasksTogether(step))
+                && candidate.job->policy.service == service
                 && std::any_of(progress.tasks.begin(), progress.tasks.end(), isRecent);
         });
     }
@@ -202,7 +209,7 @@
         for (const TaskRef& ref : servingTasks(worker)) {
             if (pass.moving >= pass.maxMoving)
                 return;
-            if (!mayMove(ref, pass.planner.now) || !takeRoom(pass.rooms, ref))
+            if (!mayMove(pass.planner, ref) || !takeRoom(pass.rooms, ref))
                 continue;
             ++pass.moving;
             ++scheduler.servingMoves;
@@ -247,7 +254,7 @@
         std::vector<Room> left = others;
         const std::vector<TaskRef> tasks = servingTasks(worker);
         if (!std::all_of(tasks.begin(), tasks.end(),
-                [&](const TaskRef& ref) { return isMovable(ref, pass.planner.now) && takeRoom(left, ref); }))
+                [&](const TaskRef& ref) { return isMovable(pass.planner, ref) && takeRoom(left, ref); }))
             return false;
         pass.rooms = std::move(others);
         pass.vacating += worker.entry.capacity.cpuMillicores;
--- a/src/scheduler/decision_log.cpp
+++ b/src/scheduler/decision_log.cpp
@@ -11,7 +11,8 @@
 
     constexpr std::size_t maxDecisions = 2000; // that wait to be logged; about 0.5 MB
 
-    constexpr std::array<std::string_view, 14> significantEvents {
+    constexpr std::array<std::string_view, 15> significantEvents {
+        "accountCap",
         "answerOutdated",
         "formerOrdersFenced",
         "jobWaiting",
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -209,6 +209,7 @@
     void reserveOn(Planner& planner, Pool& pool, PlannedWorker& planned, const TaskRef& ref)
     {
         reserveResources(*planned.worker, ref);
+        adjustUsage(planner, ref, 1);
         recordChange(pool, planned);
         if (ref.step->maxPerWorker > 0)
             ++planner.stepTasksByWorker[planned.worker];
@@ -217,6 +218,7 @@
     void releaseFrom(Planner& planner, Pool& pool, PlannedWorker& planned, const TaskRef& ref)
     {
         releaseResources(ref);
+        adjustUsage(planner, ref, -1);
         recordChange(pool, planned);
         if (ref.step->maxPerWorker > 0)
             --planner.stepTasksByWorker[planned.worker];
@@ -346,6 +348,7 @@
             return;
         recordChoice(planner.scheduler, ref, planned.worker->entry.id, planner.now);
         holdRoom(pool, planned, *ref.step);
+        holdUsage(usageOf(planner, *ref.job), *ref.step, 1);
         if (ref.step->maxPerWorker > 0)
             ++planner.stepTasksByWorker[planned.worker];
     }
@@ -454,14 +457,15 @@
     }
 
     // Places at most maxStarts tasks of the step; a gang as a whole.
-    void placeStep(Planner& planner, const Candidate& candidate, int maxStarts)
+    void placeStep(Planner& planner, const Turn& turn, int maxStarts)
     {
+        const Candidate& candidate = *turn.candidate;
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
         StepProgress& progress = candidate.occurrence->steps[static_cast<std::size_t>(candidate.stepNumber)];
         Pool& pool = poolOf(planner, candidate.job->policy.service);
         const std::size_t image = imageNumber(planner, step.image);
         const bool isPlacedGang = step.isGang && progress.placed > 0; // in an earlier turn of this plan
-        if (isPlacedGang)
+        if (isPlacedGang || !admitToCap(planner, turn))
             return;
         countStepTasks(planner, candidate);
         if (isKnownUnplaceable(pool, step, image, interferenceLimit(planner, progress))) {
@@ -483,6 +487,8 @@
                 return;
             if (ref.task->phase != TaskPhase::Waiting)
                 continue;
+            if (started > 0 && !admitToCap(planner, turn))
+                return;
             if (step.isLasting && !hasEverRun(*ref.task) && !leavesShortReserve(planner, ref))
                 continue;
             const double limit = interferenceLimit(planner, progress);
@@ -646,11 +652,14 @@
         if (isFinal(job.state) && job.endedUnixMs == 0)
             job.endedUnixMs = nowUnixMs;
         reviewJob(planner, job, jobRank++);
+        addUnlocated(planner, job);
         if (isFinal(job.committedState) && !hasRuns(job))
             finished.push_back(id);
     }
-    for (const std::string& id : finished)
+    for (const std::string& id : finished) {
+        keepUnlocated(planner, *scheduler.jobs.at(id));
         retireJob(scheduler, *scheduler.jobs.at(id));
+    }
     stopStrays(planner);
     protectLatencyTargets(scheduler, planner.orders, now);
     if (now >= scheduler.validUntil || !scheduler.hasWorkerList) {
@@ -659,6 +668,7 @@
         return std::move(planner.orders);
     }
     collectWorkers(planner);
+    countUsage(planner);
     updateShortDemand(planner);
     updateFillDemand(planner);
     double sum = 0;
@@ -670,9 +680,9 @@
         if (isStartLimitReached(planner))
             break;
         if (!isFirstRun(turn))
-            placeStep(planner, *turn.candidate, turn.candidate->waiting);
+            placeStep(planner, turn, turn.candidate->waiting);
         else if (!hasRuns(*turn.candidate->job))
-            placeStep(planner, *turn.candidate, 1);
+            placeStep(planner, turn, 1);
         ++planner.triedTurns;
     }
     planner.stepTasksByWorker.clear();
@@ -680,6 +690,7 @@
         planner, [&](const Worker& worker, const TaskRef& ref) { return placementScore(planner, worker, ref); });
     scheduler.isQuestionPending = scheduler.isQuestionPending || planner.orders.question.has_value();
     consolidateServing(planner);
+    reportCaps(planner);
     reportDownTasks(planner);
     reportWaitingJobs(planner);
     return std::move(planner.orders);
--- a/src/scheduler/planner.h
+++ b/src/scheduler/planner.h
@@ -1,6 +1,7 @@
 // State of one planning pass, shared by the review of current runs (review.cpp) and placement (plan.cpp).
 #pragma once
 
+#include "scheduler/account_usage.h"
 #include "scheduler/internal.h"
 
 namespace lacewing::scheduler {
@@ -31,6 +32,10 @@
     int waiting = 0;        // tasks, at least 1
     int priority = 0;       // of the job's queue
     int jobRank = 0;        // position of the job among all open jobs in the order of their ids
+    // --- Client account of the job ---
+    AccountUsage* account = nullptr; // null: none, or the configuration has no accounts
+    bool isBeyondRate = false;       // the account's rate does not admit the job yet (account_share.h)
+    int startable = 0;               // waiting tasks for which the account's cap had room before placement
 };
 
 // Place of a turn among those of one priority.
@@ -54,6 +59,7 @@
 struct Turn {
     const Candidate* candidate = nullptr;
     Order order = Order::InTime;
+    bool isDeferred = false; // other accounts go first, because they are below their share (account_share.h)
 };
 
 // Processor capacity and use of one service, in millicores.
@@ -163,6 +169,7 @@
     std::unordered_map<const Worker*, PlannedWorker*> plannedByWorker = {}; // filled on first use
     std::map<std::string, std::vector<const Worker*>> workersByRack = {};   // all workers; filled on first use
     Images images = {};
+    std::unordered_map<std::string, AccountUsage> accounts = {}; // by name; empty when the configuration has none
     std::unordered_map<const StepProgress*, std::size_t> turnsByProgress
         = {}; // position of the first; filled on first use
 };
--- a/src/scheduler/restart_room.cpp
+++ b/src/scheduler/restart_room.cpp
@@ -149,6 +149,7 @@
         pool.heldWorkers += planned->isHeld ? 0 : 1;
         planned->isHeld = true;
         holdRoom(pool, *planned, *ref.step);
+        holdUsage(usageOf(planner, *ref.job), *ref.step, 1);
     }
 
 } // namespace
@@ -180,6 +181,8 @@
     if (!candidate.isRestart || step.isGang)
         return;
     for (int i = 0; i < step.count; ++i) {
+        if (!hasCapRoom(candidate.account, step, 1))
+            return;
         const TaskRef ref = refOf(candidate, i);
         if (ref.task->phase == TaskPhase::Waiting && hasEverRun(*ref.task))
             hold(planner, pool, ref);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -157,9 +157,10 @@
     std::int64_t acceptedRevision = 0; // store revision at which the job was accepted; tokens are of the same sequence
     JobState state = JobState::Queued;
     std::map<int, Occurrence> occurrences; // by number
-    bool hasStarted = false;      // a worker has acknowledged or reported a run; a start order alone does not count
-    Millis criticalPathMs = -1;   // critical path of the steps, by their estimates; -1: not computed yet
-    Millis waitingReportedAt = 0; // for the reports only: last line `jobWaiting`; 0: none in this term
+    bool hasStarted = false;          // a worker has acknowledged or reported a run; a start order alone does not count
+    Millis criticalPathMs = -1;       // critical path of the steps, by their estimates; -1: not computed yet
+    Millis waitingReportedAt = 0;     // for the reports only: last line `jobWaiting`; 0: none in this term
+    std::int64_t entitledUnixMs = -1; // when its account's rate admits it (account_share.h); -1: not computed yet
     // --- Store ---
     std::uint64_t version = 0;                // incremented by each change that has to be stored
     std::uint64_t committedVersion = 0;       // version in the store; at most `version`
@@ -337,6 +338,14 @@
     double scarcity = 0;   // demand relative to the processors that the image may use
 };
 
+// What a term remembers of a client account between plans.
+struct AccountHistory {
+    std::int64_t entitledUnixMs = 0; // of its latest job; 0: it had none
+    bool isAtCap = false;            // as logged last
+    Millis deniedAt = 0;             // last plan in which a task waited for its cap; 0: none
+    Millis capLoggedAt = 0;          // last line on its cap; 0: none
+};
+
 struct Scheduler {
     Limits limits;
     Configuration configuration;
@@ -389,6 +398,11 @@
     // Millicores of running and waiting short tasks by service, decaying maximum.
     std::map<std::string, double> shortDemand;
     Millis shortDemandAt = 0;
+    // --- Client accounts ---
+    std::map<std::string, AccountHistory> accounts; // by name
+    // Jobs that ended without this term knowing where their runs are, until all workers are accounted for; nullopt: not
+    // collected yet.
+    std::optional<std::vector<std::string>> endedUnlocated;
     // --- Counters ---
     std::uint64_t starts = 0;
     std::uint64_t rejectedStarts = 0;
--- a/src/scheduler/short_reserve.cpp
+++ b/src/scheduler/short_reserve.cpp
@@ -27,7 +27,7 @@
         const Step& step = candidate.job->request.steps[static_cast<std::size_t>(candidate.stepNumber)];
         if (!step.isFilling && !step.isLasting)
             planner.serviceCpu[candidate.job->policy.service].shortWaiting
-                += static_cast<double>(candidate.waiting) * step.cpuMillicores;
+                += static_cast<double>(candidate.startable) * step.cpuMillicores;
     }
     for (const Pool& pool : planner.pools) {
         ServiceCpu& cpu = planner.serviceCpu[pool.service];
--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -24,8 +24,11 @@
     scheduler.runsRecordedSince = token;
     scheduler.hasPlacements = false;
     scheduler.awaitedRecords.clear();
+    scheduler.accounts.clear();
+    scheduler.endedUnlocated.reset();
     for (auto& [id, job] : scheduler.jobs) {
         job->commitsInTerm = 0;
+        job->entitledUnixMs = -1;
         for (auto& [number, occurrence] : job->occurrences) {
             for (StepProgress& progress : occurrence.steps) {
                 for (Task& task : progress.tasks) {
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -70,10 +70,12 @@
     submit(id, std::move(steps), std::move(policy));
 }
 
-void World::submit(const std::string& id, std::vector<scheduler::Step> steps, scheduler::QueuePolicy policy)
+void World::submit(const std::string& id, std::vector<scheduler::Step> steps, scheduler::QueuePolicy policy,
+    const std::string& account)
 {
     scheduler::AcceptedJob job;
     job.request.id = id;
+    job.request.account = account;
     job.request.payload = "payload";
     job.request.steps = std::move(steps);
     job.policy = std::move(policy);
@@ -85,6 +87,16 @@
     scheduler::addJob(*m_scheduler, job.request, job.policy, job.acceptedUnixMs, m_revision, m_now);
 }
 
+void World::setAccounts(const std::vector<scheduler::Account>& accounts)
+{
+    ++m_configuration.version;
+    m_configuration.hasAccounts = !accounts.empty();
+    m_configuration.accounts.clear();
+    for (const scheduler::Account& account : accounts)
+        m_configuration.accounts[account.name] = account;
+    scheduler::setConfiguration(*m_scheduler, m_configuration);
+}
+
 void World::cancel(const std::string& id)
 {
     m_accepted[id].isCancelled = true;
@@ -109,6 +121,7 @@
 {
     m_scheduler = std::make_unique<scheduler::Scheduler>();
     m_scheduler->limits = limits;
+    scheduler::setConfiguration(*m_scheduler, m_configuration);
     const std::int64_t token = ++m_revision;
     for (const auto& [id, accepted] : m_accepted) {
         if (const auto ended = scheduler::decodeEnded(accepted.record)) {
@@ -179,6 +192,38 @@
     }
 }
 
+scheduler::Capacity World::runningOf(const std::string& account) const
+{
+    scheduler::Capacity sum;
+    for (const SimWorker& worker : m_workers) {
+        for (const auto& [task, run] : worker.running) {
+            if (run.account != account)
+                continue;
+            sum.cpuMillicores += run.step.cpuMillicores;
+            sum.memoryMb += run.step.memoryMb;
+            sum.gpus += run.step.gpus;
+        }
+    }
+    return sum;
+}
+
+// The run has just started. One that alone is larger than the cap may run while the account has nothing else running.
+void World::checkCap(const std::string& task, const SimRun& run)
+{
+    const auto account = m_configuration.accounts.find(run.account);
+    if (account == m_configuration.accounts.end())
+        return;
+    const scheduler::Capacity sum = runningOf(run.account);
+    const scheduler::Capacity& cap = account->second.cap;
+    const auto isWithin = [](int used, int limit) { return limit == 0 || used <= limit; };
+    const bool isAlone
+        = sum.cpuMillicores == run.step.cpuMillicores && sum.memoryMb == run.step.memoryMb && sum.gpus == run.step.gpus;
+    check(isAlone
+            || (isWithin(sum.cpuMillicores, cap.cpuMillicores) && isWithin(sum.memoryMb, cap.memoryMb)
+                && isWithin(sum.gpus, cap.gpus)),
+        task + " started beyond the cap of " + run.account);
+}
+
 StartOutcome World::start(SimWorker& worker, const scheduler::StartOrder& order)
 {
     if (order.fencingToken < worker.token)
@@ -222,10 +267,12 @@
     run.run = order.run;
     run.startedAt = m_now;
     run.step = *ref->step;
+    run.account = ref->job->request.account;
     run.endsAt = run.step.isLasting ? 0 : m_now + std::max(1, run.step.estimateMs);
     run.willFail = base::chance(m_rng, faults.failedRun);
     run.checkpoint = order.checkpoint;
     worker.running[order.task] = run;
+    checkCap(order.task, run);
     worker.leaseEndsAt = std::max(worker.leaseEndsAt, leaseEnd(worker, order.deadlineClockMs));
     ++m_starts[order.task];
     return StartOutcome::Started;
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -44,6 +44,7 @@
     Millis startedAt = 0;
     bool willFail = false;
     scheduler::Step step;
+    std::string account;
     int percent = -1; // reported progress; -1: follows from the times
     std::string checkpoint;
     Millis stopsAt = 0; // 0: not being stopped
@@ -92,7 +93,10 @@
     Faults faults;
     void submit(const std::string& id, std::vector<scheduler::Step> steps, int maxAttempts = 3, int priority = 0,
         const scheduler::ApprovalPolicy& approval = {});
-    void submit(const std::string& id, std::vector<scheduler::Step> steps, scheduler::QueuePolicy policy);
+    void submit(const std::string& id, std::vector<scheduler::Step> steps, scheduler::QueuePolicy policy,
+        const std::string& account = {});
+    // The client accounts of the configuration, from now on. World checks their caps at each start.
+    void setAccounts(const std::vector<scheduler::Account>& accounts);
     void cancel(const std::string& id);
     void withdraw(const std::string& dataCentre);
     // Starts a new incarnation of the worker, which has lost all runs and ends.
@@ -118,6 +122,8 @@
     scheduler::JobState committedState(const std::string& id) const;
     int starts(const std::string& task) const;
     int runningTasks() const;
+    // What the workers run for the account.
+    scheduler::Capacity runningOf(const std::string& account) const;
     int rejectedTickets() const { return m_rejectedTickets; }
     const std::string& violation() const { return m_violation; }
     // Those of the last step.
@@ -150,6 +156,7 @@
     // A lease end named on the worker's clock, on the virtual clock and within the platform's limit.
     Millis leaseEnd(const SimWorker& worker, std::int64_t endClockMs) const;
     void check(bool holds, const std::string& what);
+    void checkCap(const std::string& task, const SimRun& run);
 
     base::Rng m_rng;
     Millis m_now = 100000;
@@ -164,6 +171,7 @@
     std::vector<base::TermStart> m_terms;
     Millis m_clockLagMs = 0; // of the term clock behind the virtual clock
     std::set<std::string> m_withdrawn;
+    scheduler::Configuration m_configuration;
     std::vector<DelayedStart> m_delayedStarts;
     std::vector<PendingApproval> m_approvals;
     std::map<std::string, int> m_starts;
