Order jobs by the rates and shares of client accounts

Cause: an account that sends many times its usual number of jobs delays all others, because jobs are placed by deadline only. Change: jobs beyond the rate of their account (token bucket by acceptance time, weight jobs a second, burst of 3 s or 4 jobs) come after the others of their priority and starve only from the time at which the rate admits them. Within equal priority and order, turns of accounts exchange places by weighted dominant share, less what they have waited. Restarts, starved turns and jobs without an account keep their places; without accounts in the configuration the order is that of before.

--- a/src/scheduler/placement_order.cpp
+++ b/src/scheduler/placement_order.cpp
@@ -1,6 +1,8 @@
 // Turns of waiting steps and their order.
 #include "scheduler/placement_order.h"
 
+#include "scheduler/account_share.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -27,8 +29,9 @@
     auto keyOf(const Turn& turn)
     {
         const Candidate& candidate = *turn.candidate;
-        return std::tuple(!candidate.isRestart, candidate.priority, turn.order,
-            isFirstRun(turn) ? candidate.idleSince : candidate.deadlineUnixMs, candidate.jobRank);
+        return std::tuple(!candidate.isRestart, candidate.priority, turn.order != Order::Starved,
+            candidate.isBeyondRate, turn.order, isFirstRun(turn) ? candidate.idleSince : candidate.deadlineUnixMs,
+            candidate.jobRank);
     }
 
 } // namespace
@@ -49,6 +52,7 @@
             turns.push_back({ &candidate, Order::FirstRun });
     }
     std::sort(turns.begin(), turns.end(), [](const Turn& a, const Turn& b) { return keyOf(a) < keyOf(b); });
+    orderByShare(planner, turns);
     return turns;
 }
 
--- a/src/scheduler/placement_order.h
+++ b/src/scheduler/placement_order.h
@@ -6,6 +6,9 @@
 // Ageing: a job with nothing running gets a turn of its own for one task of each ready step, before the jobs that have
 // missed their deadline start further tasks, and before all others once it has had nothing running for long. A job that
 // is late thus goes on as long as workers have room, however many newer ones arrive.
+//
+// Jobs beyond the rate of their client account come after the others of their priority, and accounts below their share
+// before those above it (account_share.h).
 #pragma once
 
 #include "scheduler/planner.h"
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -2,6 +2,7 @@
 //
 // Waiting tasks take their turns in the order of placement_order.h. A task that fits nowhere does not block smaller
 // ones behind it, except for restarts of lasting tasks, for which room is held (restart_room.h).
+#include "scheduler/account_share.h"
 #include "scheduler/approval.h"
 #include "scheduler/colocation.h"
 #include "scheduler/consolidation.h"
@@ -669,6 +670,7 @@
     }
     collectWorkers(planner);
     countUsage(planner);
+    applyRates(planner);
     updateShortDemand(planner);
     updateFillDemand(planner);
     double sum = 0;
