Name client accounts in the causes of waits

Cause: a task that waits for the cap or the rate of its account was reported as passedOver or noRoom, which points operators to the fleet.

--- a/src/scheduler/wait_cause.cpp
+++ b/src/scheduler/wait_cause.cpp
@@ -208,6 +208,40 @@
         cause.texts.emplace_back("trial", nameOf(trialStateNames, trialState(planner, worker, *ref.progress)));
     }
 
+    bool waitsForCap(const AccountUsage* usage, const Step& step)
+    {
+        const int tasks = tasksTogether(step);
+        return !mayFitCap(usage, step, tasks) || (usage && usage->isReserved && !hasCapRoom(usage, step, tasks));
+    }
+
+    WaitCause capCause(const AccountUsage& usage, const TaskRef& ref)
+    {
+        const Capacity& cap = usage.account->cap;
+        return { WaitReason::AccountCap, {},
+            { { "millicores", ref.step->cpuMillicores }, { "memoryMb", ref.step->memoryMb }, { "gpus", ref.step->gpus },
+                { "accountMillicores", usage.placed.cpuMillicores }, { "accountMemoryMb", usage.placed.memoryMb },
+                { "accountGpus", usage.placed.gpus }, { "unlocatedMillicores", usage.unlocated.cpuMillicores },
+                { "heldMillicores", usage.held.cpuMillicores }, { "capMillicores", cap.cpuMillicores },
+                { "capMemoryMb", cap.memoryMb }, { "capGpus", cap.gpus } },
+            { { "account", ref.job->request.account } } };
+    }
+
+    // Whether the turn came after those of other accounts, and the task waits for room.
+    bool isHeldUpByShare(const Turn* turn, WaitReason reason)
+    {
+        const bool isAboveShare = turn && (turn->candidate->isBeyondRate || turn->isDeferred);
+        switch (reason) {
+        case WaitReason::Order:
+        case WaitReason::NoRoom:
+        case WaitReason::NoFillingRoom:
+        case WaitReason::Skipped:
+        case WaitReason::NoGangRoom:
+            return isAboveShare;
+        default:
+            return false;
+        }
+    }
+
     WaitCause waitingCause(Planner& planner, const TaskRef& ref)
     {
         const Scheduler& scheduler = planner.scheduler;
@@ -227,6 +261,9 @@
             planner.pools.begin(), planner.pools.end(), [&](const Pool& entry) { return entry.service == service; });
         if (pool == planner.pools.end() || pool->workers.empty())
             return noUsableWorkerCause(planner, service);
+        AccountUsage* usage = usageOf(planner, *ref.job);
+        if (waitsForCap(usage, step))
+            return capCause(*usage, ref);
         const Turn* turn = turnOf(planner, *ref.progress);
         const auto position = turn ? static_cast<std::size_t>(turn - planner.turns.data()) : 0;
         const bool isTried = !turn || position < planner.triedTurns;
@@ -261,6 +298,12 @@
             { "turns", static_cast<std::int64_t>(planner.turns.size()) }, { "isSkipped", isSkipped ? 1 : 0 } };
         if (survey.leastDisturbed)
             addInterference(planner, survey, ref, cause);
+        if (isHeldUpByShare(turn, cause.reason)) {
+            cause.reason = WaitReason::AccountShare;
+            cause.inputs.emplace_back(
+                "beyondRateMs", std::max<std::int64_t>(0, ref.job->entitledUnixMs - planner.nowUnixMs));
+            cause.texts.emplace_back("account", ref.job->request.account);
+        }
         return cause;
     }
 
--- a/src/scheduler/wait_cause.h
+++ b/src/scheduler/wait_cause.h
@@ -33,6 +33,8 @@
     NoUsableWorker,    // no worker of the service holds a lease, is listed, not draining and not withdrawn
     StartLimit,        // the plan might order no start: as many are in flight as the window allows
     Order,             // the plan reached its limit of starts with tasks before this one in its order
+    AccountCap,        // its client account has no room under its cap, or keeps the room for a task before this one
+    AccountShare,      // its account is beyond its rate or above its share, and other accounts went first
     NoRoom,            // no usable worker has the processors, memory and GPUs
     NoFillingRoom,     // workers have the memory and GPUs of the filling task, but not enough idle processors
     ServingOverTarget, // idle processors only beside serving tasks that are over their latency targets
@@ -48,7 +50,7 @@
     PassedOver,        // workers can take it, and no check above tells why the plan did not place it
 };
 
-constexpr base::EnumNames<WaitReason, 25> waitReasonNames { {
+constexpr base::EnumNames<WaitReason, 27> waitReasonNames { {
     { WaitReason::Unknown, "unknown" },
     { WaitReason::WorkerLost, "workerLost" },
     { WaitReason::StartUnanswered, "startUnanswered" },
@@ -61,6 +63,8 @@
     { WaitReason::NoUsableWorker, "noUsableWorker" },
     { WaitReason::StartLimit, "startLimit" },
     { WaitReason::Order, "order" },
+    { WaitReason::AccountCap, "accountCap" },
+    { WaitReason::AccountShare, "accountShare" },
     { WaitReason::NoRoom, "noRoom" },
     { WaitReason::NoFillingRoom, "noFillingRoom" },
     { WaitReason::ServingOverTarget, "servingOverTarget" },
