Count the usage of accounts by job

Change: the review of the open jobs, which have counts of placed tasks, adds them once for each job.

--- a/src/scheduler/account_usage.cpp
+++ b/src/scheduler/account_usage.cpp
@@ -109,6 +109,29 @@
         }
     }
 
+    void addUnlocated(const Planner& planner, const Job& job, AccountUsage& usage)
+    {
+        for (const auto& [number, occurrence] : job.occurrences) {
+            if (occurrence.dueUnixMs > planner.nowUnixMs + clockDifferenceMs)
+                continue;
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const StepProgress& progress = occurrence.steps[i];
+                const Step& step = job.request.steps[i];
+                const auto tasks = static_cast<int>(std::count_if(progress.tasks.begin(), progress.tasks.end(),
+                    [](const Task& task) { return task.phase == TaskPhase::Unknown; }));
+                if (tasks == 0)
+                    continue;
+                UnlocatedTasks& sum = usage.unlocatedByService[job.policy.service];
+                add(step.isFilling ? sum.filling : sum.plain, step, tasks);
+                if (step.isFilling && step.memoryMb <= 0)
+                    sum.fillCpuWithoutMemory += static_cast<std::int64_t>(tasks) * step.cpuMillicores;
+                else if (step.isFilling)
+                    sum.fillCpuPerMb
+                        = std::max(sum.fillCpuPerMb, static_cast<double>(step.cpuMillicores) / step.memoryMb);
+            }
+        }
+    }
+
     // Jobs that had ended when the term began, or have ended since, with runs that may not be located.
     void addEndedUnlocated(Planner& planner)
     {
@@ -122,8 +145,10 @@
             }
         }
         for (const std::string& id : *scheduler.endedUnlocated) {
-            if (const auto job = scheduler.jobs.find(id); job != scheduler.jobs.end())
-                addUnlocated(planner, *job->second);
+            const auto job = scheduler.jobs.find(id);
+            AccountUsage* usage = job == scheduler.jobs.end() ? nullptr : usageOf(planner, *job->second);
+            if (usage)
+                addUnlocated(planner, *job->second, *usage);
         }
     }
 
@@ -257,29 +282,19 @@
     return &found->second;
 }
 
-void addUnlocated(Planner& planner, const Job& job)
+void addUsage(Planner& planner, const Job& job)
 {
-    AccountUsage* usage = planner.scheduler.isReconciled ? nullptr : usageOf(planner, job);
+    AccountUsage* usage = usageOf(planner, job);
     if (!usage)
         return;
     for (const auto& [number, occurrence] : job.occurrences) {
-        if (occurrence.dueUnixMs > planner.nowUnixMs + clockDifferenceMs)
-            continue;
         for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-            const StepProgress& progress = occurrence.steps[i];
-            const Step& step = job.request.steps[i];
-            const auto tasks = static_cast<int>(std::count_if(progress.tasks.begin(), progress.tasks.end(),
-                [](const Task& task) { return task.phase == TaskPhase::Unknown; }));
-            if (tasks == 0)
-                continue;
-            UnlocatedTasks& sum = usage->unlocatedByService[job.policy.service];
-            add(step.isFilling ? sum.filling : sum.plain, step, tasks);
-            if (step.isFilling && step.memoryMb <= 0)
-                sum.fillCpuWithoutMemory += static_cast<std::int64_t>(tasks) * step.cpuMillicores;
-            else if (step.isFilling)
-                sum.fillCpuPerMb = std::max(sum.fillCpuPerMb, static_cast<double>(step.cpuMillicores) / step.memoryMb);
+            if (occurrence.steps[i].placed > 0)
+                addPlaced(*usage, job.request.steps[i], occurrence.steps[i].placed);
         }
     }
+    if (!planner.scheduler.isReconciled)
+        addUnlocated(planner, job, *usage);
 }
 
 void keepUnlocated(Planner& planner, const Job& job)
@@ -304,8 +319,6 @@
             boundUnlocated(unaccounted, usage);
     }
     for (const auto& [id, worker] : scheduler.workers) {
-        for (const auto& [name, ref] : worker.tasks)
-            adjustUsage(planner, ref, 1);
         if (!worker.isLeaseExpired)
             countStrays(planner, worker);
     }
--- a/src/scheduler/account_usage.h
+++ b/src/scheduler/account_usage.h
@@ -1,9 +1,9 @@
 // What each client account has running, and whether its cap leaves room for another start.
 //
 // Answers loads in which one account would fill the fleet, and terms that begin with starts of an earlier one in
-// flight. The usage is computed once per plan from the tasks that are placed on workers, and kept up to date while the
-// plan orders starts. It is not stored: a placed task keeps its place until it is certain that its run is over, so that
-// the usage has the same certainty.
+// flight. The usage is computed once per plan from the numbers of placed tasks of the open jobs, which the plan visits
+// anyway, and kept up to date while the plan orders starts. It is not stored: a placed task keeps its place until it is
+// certain that its run is over, so that the usage has the same certainty.
 //
 // Tasks of an earlier term whose worker is not known are counted as well. Most of them never ran, so that their sum is
 // bounded by the capacity of the workers that are not accounted for: a run is on one of those.
@@ -52,11 +52,11 @@
 // Usage of the account of the job; null: it has none, or the configuration has no accounts. An account that the
 // configuration lacks has no cap and the weight 1.
 AccountUsage* usageOf(Planner& planner, const Job& job);
-// Called for each open job after its review. Costs nothing once all workers are accounted for.
-void addUnlocated(Planner& planner, const Job& job);
+// Counts the tasks of an open job, after its review. All jobs with placed tasks are open.
+void addUsage(Planner& planner, const Job& job);
 // The job is about to be forgotten although its runs may not be located yet.
 void keepUnlocated(Planner& planner, const Job& job);
-// Computes the usage, and the startable tasks of the candidates. Called once, after the review of all jobs.
+// Completes the usage, and computes the startable tasks of the candidates. Called once, after addUsage for all jobs.
 void countUsage(Planner& planner);
 // A task of the account starts (change 1), or the start is taken back within the plan (-1).
 void adjustUsage(Planner& planner, const TaskRef& ref, int change);
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -653,7 +653,7 @@
         if (isFinal(job.state) && job.endedUnixMs == 0)
             job.endedUnixMs = nowUnixMs;
         reviewJob(planner, job, jobRank++);
-        addUnlocated(planner, job);
+        addUsage(planner, job);
         if (isFinal(job.committedState) && !hasRuns(job))
             finished.push_back(id);
     }
