Tell the next term which workers may hold the platform's longest lease

Cause: a start that names a time on the clock of a worker's former incarnation gives the next one the longest lease. The term knew that, the next one counted the granted 6 s. Change: the lease table lists such workers, and the next term counts the longest lease for them. A worker that has begun anew gets neither lease nor start until a table that says so is stored. Nothing changes where the longest lease is not above the granted one. The random schedules of lasting tasks play limits of 3, 6 and 10 s from now on.

--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -362,7 +362,7 @@
     if (m_isStoringLeases || (!isDue && now - m_leasesStoredAt < leaseReleasePeriodMs))
         return;
     m_leasesStoredAt = now;
-    scheduler::LeaseTable table = scheduler::nextLeaseTable(*m_scheduler, !isStoreFailing);
+    scheduler::LeaseTable table = scheduler::nextLeaseTable(*m_scheduler, !isStoreFailing, now);
     QByteArray record = scheduler::encodeLeaseTable(table);
     if (record == m_storedLeases && !hasUngranted)
         return;
@@ -373,7 +373,7 @@
             return;
         m_isStoringLeases = false;
         m_storedLeases = record;
-        for (const std::string& worker : scheduler::applyLeaseTable(*m_scheduler, table))
+        for (const std::string& worker : scheduler::applyLeaseTable(*m_scheduler, table, nowMs()))
             m_links[worker].nextRenewalAt = nowMs();
         renewDueLeases();
         schedulePlan();
--- a/src/scheduler/lease_table.cpp
+++ b/src/scheduler/lease_table.cpp
@@ -40,8 +40,13 @@
     QJsonObject released;
     for (const auto& [worker, clockMs] : table.released)
         released[QString::fromStdString(worker)] = static_cast<qint64>(clockMs);
-    const QJsonObject json { { "token", static_cast<qint64>(table.token) }, { "granted", granted },
-        { "released", released }, { "runsRecordedSince", static_cast<qint64>(table.runsRecordedSince) } };
+    QJsonObject json { { "token", static_cast<qint64>(table.token) }, { "granted", granted }, { "released", released },
+        { "runsRecordedSince", static_cast<qint64>(table.runsRecordedSince) } };
+    QJsonArray longest;
+    for (const std::string& worker : table.longest)
+        longest.append(QString::fromStdString(worker));
+    if (!longest.isEmpty())
+        json["longest"] = longest;
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
@@ -68,6 +73,10 @@
         table.released[worker.key().toStdString()] = worker.value().toInteger();
     }
     table.runsRecordedSince = (*json)["runsRecordedSince"].toInteger();
+    if (!(*json)["longest"].isUndefined() && !(*json)["longest"].isArray())
+        return std::nullopt;
+    for (const QJsonValue worker : (*json)["longest"].toArray())
+        table.longest.insert(base::textOf(worker));
     return table;
 }
 
--- a/src/scheduler/lease_table.h
+++ b/src/scheduler/lease_table.h
@@ -12,6 +12,7 @@
 #include <QByteArray>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
     std::int64_t token = 0;                      // of the term that stored the table
     std::map<std::string, std::int64_t> granted; // by worker: token of the term that may renew the lease until its end
     std::map<std::string, Millis> released; // by worker: term clock of the last renewal; no term has renewed it since
+    // Granted workers whose lease may have the platform's longest length instead of the granted one, because a call to
+    // their former incarnation, which names a time on another clock, may have extended it.
+    std::set<std::string> longest;
     // Token of the first of an unbroken series of terms, up to this one, that kept to the rules of run_record.h; 0: the
     // term did not.
     std::int64_t runsRecordedSince = 0;
@@ -40,7 +44,8 @@
 // earlier term.
 std::optional<Millis> lastRenewalClock(const LeaseTable& table, const TermHistory& history, const std::string& worker);
 
-// JSON; ids of workers by term, release times by worker, and the series of terms that records runs.
+// JSON; ids of workers by term, release times by worker, ids of workers with longer leases, and the series of terms
+// that records runs.
 QByteArray encodeLeaseTable(const LeaseTable& table);
 std::optional<LeaseTable> decodeLeaseTable(const QByteArray& bytes);
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -17,8 +17,8 @@
 //
 // Invariants
 //   - A worker gets a lease or a start only while the stored lease table grants it one, so that a new term has to wait
-//   only
-//     for the workers in the table.
+//     only for the workers in the table. A worker that has begun anew gets nothing until the table says so: its lease
+//     may be longer than those that the term grants.
 //   - A task has at most one run that a worker may be executing. It is placed again only after the end of that run was
 //     reported, the worker is known to have lost it, or the worker's lease has expired even on the slowest clock.
 //   - A run number is used by one start on one worker, over all terms. An end, a report row or an answer changes the
@@ -445,9 +445,9 @@
 bool hasWithheldWorkers(const Scheduler& scheduler);
 // The lease table to store. With mayRelease, workers that are out of contact or about to leave are released: they get
 // no lease until a later table grants it, so that the table should reach the store soon.
-LeaseTable nextLeaseTable(Scheduler& scheduler, bool mayRelease);
+LeaseTable nextLeaseTable(Scheduler& scheduler, bool mayRelease, Millis now);
 // The table is stored: workers that it grants a lease may get one. Returns those for which this is new.
-std::vector<std::string> applyLeaseTable(Scheduler& scheduler, const LeaseTable& table);
+std::vector<std::string> applyLeaseTable(Scheduler& scheduler, const LeaseTable& table, Millis now);
 // Applies a report that was requested at sentAt. Reports of one worker must be applied in the order of their requests.
 void applyReport(
     Scheduler& scheduler, const std::string& worker, const WorkerReport& report, Millis sentAt, Millis now);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -34,12 +34,21 @@
     }
 
     // The same for leases of earlier terms. Terms of unknown history may have granted the longest lease.
-    Millis longestLeaseMs(const Scheduler& scheduler)
+    Millis formerLeaseMs(const Scheduler& scheduler)
     {
         const Limits& limits = scheduler.limits;
         return leaseOverMs(limits, scheduler.history.isKnown ? leaseLengthMs(limits) : limits.maxLeaseMs);
     }
 
+    // Whether the worker may hold a lease that ends later than a new term would expect from the renewals of this one.
+    bool mayHoldLongestLease(const Scheduler& scheduler, const Worker& worker, Millis now)
+    {
+        const Limits& limits = scheduler.limits;
+        return leaseLengthMs(limits) < limits.maxLeaseMs
+            && (awaitsFirstReport(worker)
+                || worker.earlierLeaseEndAt > now + leaseOverMs(limits, leaseLengthMs(limits)));
+    }
+
     using RunName = std::pair<std::string_view, RunNumber>; // task and run
 
     bool isEnded(const Task& task) { return task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed; }
@@ -283,6 +292,7 @@
         worker.incarnation.formerToken = fencingTokenOf(scheduler, worker);
         raiseToken(scheduler, worker);
         waitForLongestLease(scheduler, worker, now);
+        worker.isLeaseGranted = worker.isLeaseGranted && !mayHoldLongestLease(scheduler, worker, now);
         worker.strays.clear();
         worker.pressure = 0;
         worker.failureScore = 0;
@@ -413,8 +423,10 @@
     const Millis unknownEndAt = unknownLeaseMs > 0 ? scheduler.termStartedAt + unknownLeaseMs : 0;
     if (!renewedAtClock)
         return unknownEndAt;
-    return std::max(
-        unknownEndAt, scheduler.termStartedAt - (history.clockMs - *renewedAtClock) + longestLeaseMs(scheduler));
+    const bool isLongest = scheduler.formerLeases && scheduler.formerLeases->longest.count(worker) > 0;
+    const Millis leaseMs
+        = isLongest ? leaseOverMs(scheduler.limits, scheduler.limits.maxLeaseMs) : formerLeaseMs(scheduler);
+    return std::max(unknownEndAt, scheduler.termStartedAt - (history.clockMs - *renewedAtClock) + leaseMs);
 }
 
 bool isAccounted(const Worker& worker) { return worker.hasReported || worker.isLeaseExpired; }
@@ -529,7 +541,7 @@
         [](const auto& entry) { return entry.second.isLeaseGranted && entry.second.isLeaseWithheld; });
 }
 
-LeaseTable nextLeaseTable(Scheduler& scheduler, bool mayRelease)
+LeaseTable nextLeaseTable(Scheduler& scheduler, bool mayRelease, Millis now)
 {
     LeaseTable table;
     table.token = scheduler.token;
@@ -542,17 +554,22 @@
             table.granted[id] = scheduler.token;
         else if (!worker.isLeaseExpired && (worker.renewedAt > 0 || worker.earlierLeaseEndAt > 0))
             table.released[id]
-                = std::max(worker.renewedAt, worker.earlierLeaseEndAt - longestLeaseMs(scheduler)) + clockOffset;
+                = std::max(worker.renewedAt, worker.earlierLeaseEndAt - formerLeaseMs(scheduler)) + clockOffset;
+        if (table.granted.count(id) > 0 && mayHoldLongestLease(scheduler, worker, now))
+            table.longest.insert(id);
     }
     return table;
 }
 
-std::vector<std::string> applyLeaseTable(Scheduler& scheduler, const LeaseTable& table)
+std::vector<std::string> applyLeaseTable(Scheduler& scheduler, const LeaseTable& table, Millis now)
 {
     std::vector<std::string> granted;
     for (auto& [id, worker] : scheduler.workers) {
         if (worker.contact != Contact::Established || worker.isLeaseGranted || table.granted.count(id) == 0)
             continue;
+        // It has begun anew since the table was written.
+        if (mayHoldLongestLease(scheduler, worker, now) && table.longest.count(id) == 0)
+            continue;
         worker.isLeaseGranted = true;
         granted.push_back(id);
     }
--- a/tests/recovery_report_test.cpp
+++ b/tests/recovery_report_test.cpp
@@ -69,7 +69,7 @@
             report.incarnationUnixMs = 1;
             report.isEndListTruncated = isEndListTruncated;
             scheduler::applyReport(state(), world.worker(index).entry.id, report, world.now(), world.now());
-            scheduler::applyLeaseTable(state(), scheduler::nextLeaseTable(state(), true));
+            scheduler::applyLeaseTable(state(), scheduler::nextLeaseTable(state(), true, world.now()), world.now());
         }
 
         // Plans every 50 ms without any further answer of a worker; returns the starts.
--- a/tests/run_record_test.cpp
+++ b/tests/run_record_test.cpp
@@ -4,6 +4,7 @@
 #include "scheduler_world.h"
 
 #include <algorithm>
+#include <array>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace {
@@ -337,10 +338,14 @@
     // answers, late starts, cut and restarted workers.
     void randomFaultsNeverRunALastingTaskTwice()
     {
+        // Longest leases of the platform below, at and above the length that the scheduler grants.
+        constexpr std::array<Millis, 3> maxLeasesMs { 3000, 6000, 10000 };
         int starts = 0;
         for (std::uint64_t seed = 1; seed <= 150; ++seed) {
             base::Rng rng(seed);
             World world(seed, 5);
+            world.limits.maxLeaseMs = maxLeasesMs[seed % maxLeasesMs.size()];
+            world.replaceTerm();
             world.faults.lostAnswer = 0.1;
             world.faults.delayedStart = 0.1;
             world.faults.lostStop = 0.2;
--- a/tests/scheduler_plan_test.cpp
+++ b/tests/scheduler_plan_test.cpp
@@ -79,7 +79,7 @@
         scheduler::setWorkers(m_state, entries, m_now, m_now);
         for (SimulatedWorker& worker : m_workers)
             report(worker);
-        scheduler::applyLeaseTable(m_state, scheduler::nextLeaseTable(m_state, true));
+        scheduler::applyLeaseTable(m_state, scheduler::nextLeaseTable(m_state, true, m_now), m_now);
         for (int i = 0; i < deployment.lastingJobs; ++i)
             submit({ servingStep() }, 1);
     }
--- a/tests/scheduler_recovery_test.cpp
+++ b/tests/scheduler_recovery_test.cpp
@@ -90,6 +90,8 @@
     CPPUNIT_TEST(workersLostAfterTheirReportDoNotDelayATerm);
     CPPUNIT_TEST(downTimeDoesNotGrowWithTheDeployment);
     CPPUNIT_TEST(longLeasesDoNotKeepTasksOfSilentWorkersDown);
+    CPPUNIT_TEST(longLeasesOfRestartedWorkersAreKeptOverTerms);
+    CPPUNIT_TEST(restartedWorkersGetNothingByATableThatWasWrittenBefore);
     CPPUNIT_TEST(noWorkerGetsALeaseBeforeTheTableGrantsIt);
     CPPUNIT_TEST(releasedWorkersGetNoLeaseUntilTheyAreGrantedAgain);
     CPPUNIT_TEST(leasesOfATermEndWithTheNextOne);
@@ -185,6 +187,53 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
     }
 
+    // Guards against a second run beside one whose lease a call to the worker's former incarnation has extended.
+    void longLeasesOfRestartedWorkersAreKeptOverTerms()
+    {
+        for (const Millis maxLeaseMs : { 3000, 6000, 10000, 30000 }) {
+            for (const int terms : { 1, 2, 3 }) {
+                World world(1, 2);
+                world.limits.maxLeaseMs = maxLeaseMs;
+                world.replaceTerm();
+                world.run(500);
+                world.restartWorker(0);
+                world.worker(0).leaseEndsAt = world.now() + maxLeaseMs; // by a call that names a time on the old clock
+                world.submit("job", { plainStep(8, 1000, 60000) });
+                world.run(500);
+                CPPUNIT_ASSERT_EQUAL(8, world.runningTasks());
+                world.worker(0).unreachableUntil = world.now() + 1000000;
+                for (int term = 0; term < terms; ++term) {
+                    world.replaceTerm();
+                    world.run(300);
+                }
+                world.run(maxLeaseMs + 2000);
+                const std::string load = std::to_string(maxLeaseMs) + " ms, " + std::to_string(terms) + " terms: ";
+                CPPUNIT_ASSERT_EQUAL(load, load + world.violation());
+                CPPUNIT_ASSERT_EQUAL(8, world.runningTasks());
+            }
+        }
+    }
+
+    // Guards against a lease table on its way to the store that is taken to know of a restart after it was written.
+    void restartedWorkersGetNothingByATableThatWasWrittenBefore()
+    {
+        World world(1, 1);
+        world.limits.maxLeaseMs = 10000;
+        world.replaceTerm();
+        world.run(500);
+        scheduler::Scheduler& state = world.scheduler();
+        const scheduler::LeaseTable before = scheduler::nextLeaseTable(state, true, world.now());
+        scheduler::WorkerReport report;
+        report.clockMs = 10;
+        report.incarnationUnixMs = 2;
+        scheduler::applyReport(state, world.worker(0).entry.id, report, world.now(), world.now());
+        CPPUNIT_ASSERT(scheduler::applyLeaseTable(state, before, world.now()).empty());
+        CPPUNIT_ASSERT(scheduler::hasUngrantedWorkers(state));
+        const scheduler::LeaseTable after = scheduler::nextLeaseTable(state, true, world.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), after.longest.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler::applyLeaseTable(state, after, world.now()).size());
+    }
+
     // Guards against a start that a new term does not know to wait for.
     void noWorkerGetsALeaseBeforeTheTableGrantsIt()
     {
@@ -209,17 +258,17 @@
         const std::string id = world.worker(0).entry.id;
         CPPUNIT_ASSERT(scheduler::leaseRequest(state, id, world.now()).expiresClockMs > 0);
         scheduler::applyContactLoss(state, id, world.now());
-        const scheduler::LeaseTable released = scheduler::nextLeaseTable(state, true);
+        const scheduler::LeaseTable released = scheduler::nextLeaseTable(state, true, world.now());
         CPPUNIT_ASSERT(released.granted.empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), released.released.size());
         scheduler::WorkerReport report;
         report.clockMs = world.now() + world.worker(0).clockOffset;
         report.incarnationUnixMs = 1;
         scheduler::applyReport(state, id, report, world.now(), world.now());
-        scheduler::applyLeaseTable(state, released);
+        scheduler::applyLeaseTable(state, released, world.now());
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), scheduler::leaseRequest(state, id, world.now()).expiresClockMs);
         CPPUNIT_ASSERT(scheduler::hasUngrantedWorkers(state));
-        scheduler::applyLeaseTable(state, scheduler::nextLeaseTable(state, true));
+        scheduler::applyLeaseTable(state, scheduler::nextLeaseTable(state, true, world.now()), world.now());
         CPPUNIT_ASSERT(scheduler::leaseRequest(state, id, world.now()).expiresClockMs > 0);
     }
 
@@ -263,7 +312,7 @@
         scheduler::beginTerm(first, 7, 1000, { false, 0, { { 7, 0 } } });
         scheduler::setWorkers(first, { entry }, 1000, 1000);
         scheduler::plan(first, 1500, 0);
-        scheduler::LeaseTable table = scheduler::nextLeaseTable(first, true);
+        scheduler::LeaseTable table = scheduler::nextLeaseTable(first, true, 1500);
 
         scheduler::Scheduler second;
         second.limits.maxLeaseMs = 10000;
@@ -281,7 +330,7 @@
     {
         scheduler::Scheduler former;
         scheduler::beginTerm(former, 3, 1000, { true, 100000, { { 3, 99000 } } });
-        scheduler::LeaseTable table = scheduler::nextLeaseTable(former, true);
+        scheduler::LeaseTable table = scheduler::nextLeaseTable(former, true, 1000);
 
         // The term 5 granted leases without a table, and the term 7 ended before it had stored one.
         scheduler::Scheduler state;
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -531,7 +531,7 @@
         scheduler::setWorkers(state, entries, world.now(), world.now());
         for (const scheduler::WorkerEntry& entry : entries)
             scheduler::applyReport(state, entry.id, reportOf(world.now()), world.now(), world.now());
-        scheduler::applyLeaseTable(state, scheduler::nextLeaseTable(state, true));
+        scheduler::applyLeaseTable(state, scheduler::nextLeaseTable(state, true, world.now()), world.now());
         state.validUntil = world.now() + 10000;
         const scheduler::Orders orders = scheduler::plan(state, world.now(), world.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.starts.size());
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -373,9 +373,9 @@
         m_accepted.at(id).record = scheduler::encodeEnded({ id, job.committedState, job.endedUnixMs });
     }
     m_knownWorkers = scheduler::encodeWorkers(scheduler::knownWorkers(*m_scheduler));
-    const scheduler::LeaseTable leases = scheduler::nextLeaseTable(*m_scheduler, true);
+    const scheduler::LeaseTable leases = scheduler::nextLeaseTable(*m_scheduler, true, m_now);
     m_leases = scheduler::encodeLeaseTable(leases);
-    scheduler::applyLeaseTable(*m_scheduler, leases);
+    scheduler::applyLeaseTable(*m_scheduler, leases, m_now);
 }
 
 Millis World::leaseEnd(const SimWorker& worker, std::int64_t endClockMs) const
