Show the account of a job, and look up queues once without accounts

GET /v1/jobs/ID names the account of the job. The gateway looks the queue up before it confirms the configuration only where there are accounts, so that deployments without them pay for one pass over the queues as before (some 10 us for 370 queues, docs/platform.md).

Suites Daemon (70 tests), Platform (29), Ctl (34) and Scheduler (95) pass.

--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -295,6 +295,8 @@
             .executedNo()
             .response();
     QJsonObject object { { "id", toQString(id) }, { "state", jobStateName(known->second.state) } };
+    if (!known->second.account.empty())
+        object["account"] = toQString(known->second.account);
     const scheduler::Scheduler* scheduler = m_dispatcher->scheduler();
     const auto found = scheduler ? scheduler->jobs.find(id) : decltype(scheduler->jobs.find(id)) {};
     if (scheduler && found != scheduler->jobs.end()) {
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -120,7 +120,9 @@
         respond({ responder, {} }, refusal(503, "no configuration yet"), "request", {}, "no configuration");
         return;
     }
-    const scheduler::Queue* queue = m_configuration->findQueue(hostOf(request), request.path.toStdString());
+    const scheduler::Queue* queue = m_configuration->current().hasAccounts
+        ? m_configuration->findQueue(hostOf(request), request.path.toStdString())
+        : nullptr;
     const bool isKeyed = queue && needsKey(*queue, m_configuration->current());
     const PlatformBounds& bounds = m_runtime.settings.bounds;
     const scheduler::Millis maxAgeMs = isKeyed ? keyedMaxAgeMs(bounds) : bounds.configurationMs;
