Test moves of serving tasks against the caps of accounts

Change: a test that serving tasks stay when their account has no room for their return, and that no worker is vacated for tasks that wait for a cap.

--- a/tests/account_cap_test.cpp
+++ b/tests/account_cap_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(cancelledRunsCountInTheNextTerm);
     CPPUNIT_TEST(strayRunsCount);
     CPPUNIT_TEST(roomIsHeldOnlyWithinTheCap);
+    CPPUNIT_TEST(movesDependOnTheCaps);
     CPPUNIT_TEST(randomSchedulesStayWithinTheCaps);
     CPPUNIT_TEST_SUITE_END();
 
@@ -309,6 +310,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), tasks.size());
     }
 
+    // Guards against serving tasks that are moved although their account, whose cap has been lowered, has no room for
+    // them to return, and against moves for filling tasks that wait for a cap.
+    void movesDependOnTheCaps()
+    {
+        const std::vector<std::pair<Account, bool>> cases { { { "f", 1, {} }, true },
+            { { "a", 1, { 6000, 0, 0 } }, false }, { { "f", 1, { 4000, 0, 0 } }, false } };
+        for (const auto& [account, hasMoves] : cases) {
+            World world(1, 8);
+            for (int i = 0; i < 8; ++i) { // one task on each worker
+                world.submit("kept" + std::to_string(i), { lastingStep(1, 1500, "serving") }, policyOf(), "a");
+                world.submit("ended" + std::to_string(i), { lastingStep(1, 6500, "serving") }, policyOf());
+                world.run(200);
+            }
+            world.run(1000);
+            for (int i = 0; i < 8; ++i)
+                world.cancel("ended" + std::to_string(i));
+            world.run(2000);
+            world.submit("plain", { plainStep(1, 4000, 60000) }, policyOf(), "f");
+            world.run(200);
+            world.setAccounts({ account });
+            world.submit("fill", { fillingStep(60, 4000, 1000) }, policyOf(), "f");
+            const int vacated = linesOf(world, "workerVacated", "vacating", 8000);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(account.name, hasMoves, vacated > 0);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(account.name, hasMoves, world.scheduler().servingMoves > 0);
+        }
+    }
+
     // Guards against starts beyond a cap with lost answers, partitions, crashes and changes of term.
     void randomSchedulesStayWithinTheCaps()
     {
--- a/tests/account_share_test.cpp
+++ b/tests/account_share_test.cpp
@@ -211,9 +211,9 @@
     void theRateAdmitsABurstAndThenTheWeight()
     {
         scheduler::RateState state;
-        std::vector<std::int64_t> waits;
-        for (int i = 0; i < 12; ++i)
-            waits.push_back(scheduler::entitledAt(state, 1000000, 2) - 1000000);
+        std::vector<std::int64_t> waits(12);
+        for (std::int64_t& wait : waits)
+            wait = scheduler::entitledAt(state, 1000000, 2) - 1000000;
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), waits[6]); // 3 s at 2 a second, and one
         CPPUNIT_ASSERT_EQUAL(std::int64_t(500), waits[7]);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(2500), waits[11]);
