Measure candidates for filling tasks on busy fleets

Cause: with 350 workers, nearly all with serving tasks, filling tasks wait beside idle processors with cause `interference`, and serving tasks are over their targets at the same time. LACEWING_COLOCATION takes the numbers of serving and filling images, which the course needs.

--- a/tests/scheduler_colocation_test.cpp
+++ b/tests/scheduler_colocation_test.cpp
@@ -52,6 +52,10 @@
             options.workers = std::stoi(value);
         } else if (name == "stepMs") {
             options.stepMs = std::stoll(value);
+        } else if (name == "servingImages") {
+            options.servingImages = std::stoi(value);
+        } else if (name == "fillingImages") {
+            options.fillingImages = std::stoi(value);
         } else if (name == "servingJobs") {
             options.servingJobs = std::stod(value);
         } else if (name == "servingRate") {
