Count runs of ended jobs over several terms, reserve only for placeable tasks

A job was cancelled, its run went on behind a cut, the next term replaced its record by the short one without an account, and the term after that did not count the run. A task without a worker also kept room under the cap of its account. Change: with accounts, the record of an ended job is shortened only when all workers are accounted for and no stray run of it is left. Room is kept only for tasks that a worker could run.

--- a/src/scheduler/account_usage.cpp
+++ b/src/scheduler/account_usage.cpp
@@ -216,6 +216,21 @@
         return hasRoom(later, step, tasks, false);
     }
 
+    // Whether a worker could run a task of the step when it is empty.
+    bool hasPossibleWorker(const Planner& planner, const Candidate& candidate, const Step& step)
+    {
+        const auto isPossible = [&](const PlannedWorker& planned) {
+            const WorkerEntry& entry = planned.worker->entry;
+            return entry.capacity.cpuMillicores >= step.cpuMillicores && entry.capacity.memoryMb >= step.memoryMb
+                && entry.capacity.gpus >= step.gpus
+                && (step.requiredLabel.empty() || hasLabel(entry, step.requiredLabel));
+        };
+        return std::any_of(planner.pools.begin(), planner.pools.end(), [&](const Pool& pool) {
+            return pool.service == candidate.job->policy.service
+                && std::any_of(pool.workers.begin(), pool.workers.end(), isPossible);
+        });
+    }
+
     bool hasCap(const Capacity& cap) { return cap.cpuMillicores > 0 || cap.memoryMb > 0 || cap.gpus > 0; }
 
     // Tasks for which the account has room, at most `wanted`, beside those of `usage`.
@@ -376,7 +391,8 @@
     AccountUsage& usage = *candidate.account;
     ++usage.denied;
     const bool isUrgent = candidate.isRestart || turn.order == Order::Starved;
-    if (isUrgent && !usage.isReserved && planner.scheduler.isReconciled && canEverFit(usage, step, tasks)) {
+    if (isUrgent && !usage.isReserved && planner.scheduler.isReconciled && canEverFit(usage, step, tasks)
+        && hasPossibleWorker(planner, candidate, step)) {
         usage.isReserved = true;
         holdUsage(&usage, step, tasks);
     }
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -378,16 +378,40 @@
         scheduler.retired.push_back(job.request.id);
 }
 
+namespace {
+
+    // Jobs with a run that no task needs and whose stop has not been confirmed.
+    std::set<std::string_view> jobsWithStrays(const Scheduler& scheduler)
+    {
+        std::set<std::string_view> ids;
+        for (const auto& [id, worker] : scheduler.workers) {
+            if (worker.isLeaseExpired)
+                continue;
+            for (const auto& [name, stray] : worker.strays)
+                ids.insert(std::string_view(name).substr(0, name.find('.')));
+        }
+        return ids;
+    }
+
+} // namespace
+
 std::vector<std::string> jobsToShorten(Scheduler& scheduler, std::size_t limit)
 {
     std::vector<std::string> ids;
+    if (scheduler.retired.empty())
+        return ids;
+    const std::set<std::string_view> withStrays
+        = scheduler.configuration.accounts.empty() ? std::set<std::string_view> {} : jobsWithStrays(scheduler);
     for (std::size_t left = scheduler.retired.size(); left > 0 && ids.size() < limit; --left) {
         std::string id = std::move(scheduler.retired.front());
         scheduler.retired.pop_front();
         const auto job = scheduler.jobs.find(id);
         if (job == scheduler.jobs.end()) // removed meanwhile
             continue;
-        if (scheduler.dirty.count(id) > 0) { // a late end changed its record
+        // The short record has no account: a run that is left would not count against its cap in the next term.
+        const bool mayHaveRuns = !scheduler.configuration.accounts.empty() && !job->second->request.account.empty()
+            && (!scheduler.isReconciled || withStrays.count(id) > 0);
+        if (mayHaveRuns || scheduler.dirty.count(id) > 0) { // dirty: a late end changed its record
             scheduler.retired.push_back(std::move(id));
             continue;
         }
--- a/tests/account_cap_test.cpp
+++ b/tests/account_cap_test.cpp
@@ -78,6 +78,8 @@
     CPPUNIT_TEST(aNewTermCountsStartsInFlight);
     CPPUNIT_TEST(aNewTermStartsWhereEnoughIsAccountedFor);
     CPPUNIT_TEST(cancelledRunsCountInTheNextTerm);
+    CPPUNIT_TEST(cancelledRunsCountOverSeveralTerms);
+    CPPUNIT_TEST(noRoomIsKeptForATaskWithoutAWorker);
     CPPUNIT_TEST(strayRunsCount);
     CPPUNIT_TEST(roomIsHeldOnlyWithinTheCap);
     CPPUNIT_TEST(movesDependOnTheCaps);
@@ -267,6 +269,39 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
     }
 
+    // Guards against a second change of term for which the record of the ended job no longer names its account.
+    void cancelledRunsCountOverSeveralTerms()
+    {
+        World world(3, 2);
+        world.setAccounts({ { "a", 1, { 6000, 0, 0 } } });
+        world.submit("old", { plainStep(6, 1000, 60000) }, policyOf(), "a");
+        world.run(200);
+        world.cancel("old");
+        world.worker(0).unreachableUntil = world.now() + 6000;
+        world.step();
+        for (int i = 0; i < 3; ++i) {
+            world.replaceTerm();
+            world.run(300);
+        }
+        world.submit("new", { plainStep(6, 1000, 60000) }, policyOf(), "a");
+        CPPUNIT_ASSERT_EQUAL(6000, highestCpu(world, "a", 15000));
+    }
+
+    // Guards against room under the cap that is kept for a task that has no worker.
+    void noRoomIsKeptForATaskWithoutAWorker()
+    {
+        World world(1, 4);
+        world.setAccounts({ { "a", 100, { 8000, 0, 0 } } });
+        world.submit("running", { plainStep(4, 1000, 60000) }, policyOf(), "a");
+        Step wide = plainStep(1, 6000, 1000);
+        wide.requiredLabel = "missing";
+        world.submit("wide", { wide }, policyOf(), "a");
+        world.run(3000);
+        world.submit("small", { plainStep(4, 1000, 60000) }, policyOf(), "a");
+        world.run(200);
+        CPPUNIT_ASSERT_EQUAL(8000, cpuOf(world, "a"));
+    }
+
     // Guards against runs that no task needs and that are left out until their stop arrives.
     void strayRunsCount()
     {
@@ -277,7 +312,10 @@
         world.faults.lostStop = 1;
         world.cancel("old");
         world.step();
-        world.replaceTerm();
+        for (int i = 0; i < 3; ++i) { // the later terms must not have forgotten the account of the ended job
+            world.replaceTerm();
+            world.run(300);
+        }
         world.submit("new", { plainStep(6, 1000, 1000) }, policyOf(), "a");
         CPPUNIT_ASSERT_EQUAL(6000, highestCpu(world, "a", 8000));
         CPPUNIT_ASSERT(world.committedState("new") == scheduler::JobState::Completed);
