Bound what clients make a daemon hold by one budget

Cause: each connection is bounded, but their number times their bodies is not. 1,000 clients with unfinished bodies of 0.94 MB made a daemon hold 866 MB, 1,000 pipelining ones that read nothing 1,922 MB. Bodies were kept up to three times (parser socket, QHttpServer, request), and each pipelined response let in another read buffer.

Change: src/http/budget.h has the accounting and the choice of the holder to close. All servers of the daemon share a budget from limits.memoryMb, limits.clientShare and limits.descriptors. The largest and slowest request that is still arriving is refused (503 overBudget, Retry-After, executed: no); idle connections and unread responses are closed (closedForBudget); a request with the handler is never chosen. QHttpServer parses heads only. The body limit of 8 MiB for /svc/ on the admin and readiness listeners is gone; they have no such path.

Not run: all other suites, sanitizers, quickstart, soak, fuzz.

--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -91,8 +91,10 @@
     m_term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
     m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
     m_gateway = kernel::find<GatewayService>(m_runtime.kernel, serviceNames::gateway);
+    const http::ServerLimits limits = clientServerLimits(*m_runtime.clientBudget);
     m_readinessServer = std::make_unique<http::Server>(
-        http::ServerLimits {}, [this](const http::Request&, const http::Responder& responder) {
+        limits,
+        [this](const http::Request&, const http::Responder& responder) {
             const bool ready = isReady();
             if (ready != m_wasReady)
                 kernel::logEvent(kernel::LogLevel::Notice, "admin", "readiness",
@@ -100,23 +102,33 @@
                         { "isStoreReachable", isStoreReachable(m_runtime) }, { "isStopping", m_runtime.isStopping } });
             m_wasReady = ready;
             responder.respond(http::jsonResponse(ready ? 200 : 503, "{}"));
-        });
+        },
+        m_runtime.clientBudget);
+    m_budgetWatch.start(m_runtime, [this] { return servers(); });
     if (const auto port = m_readinessServer->listen(toQString(m_runtime.settings.readinessAddress)); port.has_error())
         return port.error().detail;
     if (m_runtime.settings.adminAddress.empty())
         return {};
-    m_adminServer = std::make_unique<http::Server>(http::ServerLimits {},
-        [this](const http::Request& request, const http::Responder& responder) { handle(request, responder); });
+    m_adminServer = std::make_unique<http::Server>(
+        limits, [this](const http::Request& request, const http::Responder& responder) { handle(request, responder); },
+        m_runtime.clientBudget);
     const auto port = m_adminServer->listen(toQString(m_runtime.settings.adminAddress));
     return port.has_error() ? port.error().detail : std::string();
 }
 
 void AdminService::stop()
 {
+    m_budgetWatch.stop();
     m_readinessServer.reset();
     m_adminServer.reset();
 }
 
+ListenerServers AdminService::servers() const
+{
+    return { { "callers", m_gateway->server() }, { "readiness", m_readinessServer.get() },
+        { "admin", m_adminServer.get() } };
+}
+
 // A daemon that cannot reach the store cannot accept jobs, so the load balancer sends callers to another one.
 bool AdminService::isReady() const
 {
@@ -357,6 +369,7 @@
         gauge("lacewing_rejected_starts", "Starts refused for want of room.",
             static_cast<double>(scheduler->rejectedStarts));
     }
+    exportClientBudget(registry, *m_runtime.clientBudget, servers());
     http::Response response = http::textResponse(200, QByteArray::fromStdString(registry.prometheusText()));
     return response;
 }
--- a/src/daemon/admin_service.h
+++ b/src/daemon/admin_service.h
@@ -1,6 +1,7 @@
 // Readiness probe of the load balancer and HTTP interface for operators: status, jobs, policy, metrics (docs/http.md).
 #pragma once
 
+#include "daemon/client_budget.h"
 #include "daemon/runtime.h"
 #include "http/server.h"
 #include "scheduler/scheduler.h"
@@ -30,6 +31,7 @@
 
 private:
     bool isReady() const;
+    ListenerServers servers() const;
     void handle(const http::Request& request, const http::Responder& responder);
     http::Response status() const;
     QJsonArray members() const;
@@ -51,6 +53,7 @@
     JobTable* m_table = nullptr;
     std::unique_ptr<http::Server> m_readinessServer;
     std::unique_ptr<http::Server> m_adminServer;
+    ClientBudgetWatch m_budgetWatch;
     const base::TimePoint m_startedAt = base::monotonicNow();
     bool m_wasReady = false;
 };
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -3,6 +3,7 @@
 
 #include "base/hash.h"
 #include "base/json.h"
+#include "daemon/client_budget.h"
 #include "daemon/configuration_service.h"
 #include "daemon/job_table.h"
 #include "http/problem.h"
@@ -65,10 +66,10 @@
 {
     m_configuration = kernel::find<ConfigurationService>(m_runtime.kernel, serviceNames::configuration);
     m_table = kernel::find<JobTable>(m_runtime.kernel, serviceNames::jobTable);
-    http::ServerLimits limits;
-    limits.pathBodyLimits.clear();
     m_server = std::make_unique<http::Server>(
-        limits, [this](const http::Request& request, const http::Responder& responder) { handle(request, responder); });
+        clientServerLimits(*m_runtime.clientBudget),
+        [this](const http::Request& request, const http::Responder& responder) { handle(request, responder); },
+        m_runtime.clientBudget);
     const auto port = m_server->listen(QString::fromStdString(m_runtime.settings.callerAddress));
     return port.has_error() ? port.error().detail : std::string();
 }
--- a/src/daemon/gateway_service.h
+++ b/src/daemon/gateway_service.h
@@ -33,6 +33,7 @@
     void beginStop();
     bool isIdle() const;
     void stop() { m_server.reset(); }
+    const http::Server* server() const { return m_server.get(); }
     // Serves callers and the operators' interface.
     void cancelJob(const std::string& id, const http::Responder& responder);
     // Submits a job of one task described by an operator; the response contains its id.
--- a/src/daemon/runtime.cpp
+++ b/src/daemon/runtime.cpp
@@ -1,6 +1,8 @@
 // Creation of the shared state, and the reachability of the store.
 #include "daemon/runtime.h"
 
+#include "daemon/client_budget.h"
+#include "http/budget.h"
 #include "kernel/log.h"
 
 namespace lacewing::daemon {
@@ -25,6 +27,7 @@
 Runtime::Runtime(Settings values)
     : settings(std::move(values))
     , incarnation(base::wallClockMs())
+    , clientBudget(makeClientBudget(settings.limits))
     , store(std::make_unique<platform::Store>(toStoreSettings(settings)))
 {
     storeReachability = store->onReachability([](bool isReachable, const std::string& detail) {
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -13,6 +13,10 @@
 #include <memory>
 #include <optional>
 
+namespace lacewing::http {
+struct Budget;
+}
+
 namespace lacewing::daemon {
 
 struct Runtime {
@@ -22,6 +26,7 @@
     const std::int64_t incarnation; // ms since the Unix epoch at start; increases with each start under the same name
     base::Metrics metrics;
     kernel::Kernel kernel;
+    std::shared_ptr<http::Budget> clientBudget; // of all HTTP servers
     std::unique_ptr<platform::Store> store;
     platform::Store::Subscription storeReachability; // logs its changes
     http::ChannelCounters peerTraffic;               // answers to other daemons; bytes only
--- a/src/http/framing.cpp
+++ b/src/http/framing.cpp
@@ -180,11 +180,13 @@
     case Refusal::EncodingUnknown:
         return 501;
     case Refusal::TooManyConnections:
+    case Refusal::OverBudget:
         return 503;
     case Refusal::VersionUnsupported:
         return 505;
     case Refusal::IdleTimeout:
     case Refusal::WriteTimeout:
+    case Refusal::ClosedForBudget:
         return 0;
     }
     return 0;
--- a/src/http/guard.cpp
+++ b/src/http/guard.cpp
@@ -14,8 +14,19 @@
 namespace {
 
     // Received bytes that the socket buffers before they are processed. Bounds the memory that a pipelining caller can
-    // use.
-    constexpr qint64 readBufferBytes = 64LL * 1024;
+    // use; most requests fit into it.
+    constexpr qint64 readBufferBytes = 16LL * 1024;
+    // The same while a body arrives, for fewer reads.
+    constexpr qint64 bodyReadBufferBytes = 64LL * 1024;
+    // Memory that the kernel may use for each of the two buffers of a connection.
+    constexpr qint64 kernelBytes = 2LL * kernelBufferBytes;
+    // Memory of a parsed head in relation to its bytes: each field is an allocation of its own.
+    constexpr qint64 headCopies = 2;
+    // Unused bytes in the buffer of an incomplete request that are kept for its next bytes.
+    constexpr qint64 slackBytes = 1024;
+    // A connection is closed in favour of a new one only if it has kept its place for this long without a request: a
+    // caller sends its request right after connecting.
+    constexpr base::Duration slowAfter = base::seconds(1);
     // Connections over the limit that are being sent a 503 response; further ones are closed without a response.
     constexpr int maxRefusedConnections = 64;
     // QTcpServer stops accepting permanently after an error such as EMFILE; accepting is resumed after this delay.
@@ -62,17 +73,18 @@
         return bytes;
     }
 
-    // The request as passed to QHttpServer: validated headers, one Content-Length, no hop-by-hop headers.
-    QByteArray encodeForParser(const RequestHead& head, const QByteArray& body)
+    // The request as passed to QHttpServer: validated headers, no hop-by-hop headers. Without the body, of which
+    // QHttpServer would keep a copy until the next request.
+    QByteArray encodeForParser(const RequestHead& head)
     {
         QByteArray bytes;
-        bytes.reserve(256 + body.size());
+        bytes.reserve(256);
         bytes += head.method + ' ' + head.target + " HTTP/1.1\r\n";
         for (const Header& header : head.headers) {
             if (!isHopByHop(header.name) && header.name.compare("Content-Length", Qt::CaseInsensitive) != 0)
                 bytes += header.name + ": " + header.value + "\r\n";
         }
-        bytes += "Content-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+        bytes += "Content-Length: 0\r\n\r\n";
         return bytes;
     }
 
@@ -133,9 +145,19 @@
 
 void Listener::incomingConnection(qintptr descriptor)
 {
+    Budget& budget = *m_context.budget;
+    const auto isFull
+        = [&] { return openConnections(budget) >= budget.limits.connections || isOver(budget, connectionBytes); };
+    if (isFull()) {
+        // Memory is freed by the largest holder at once, a place by one that is slow.
+        const base::Duration minimumAge = isOver(budget, connectionBytes) ? base::Duration(0) : slowAfter;
+        if (Holding* next = nextToClose(budget, base::monotonicNow(), minimumAge))
+            static_cast<ConnectionHolding*>(next)->owner->closeForBudget();
+    }
     const auto open = static_cast<int>(m_context.connections.size()) - m_context.refusedConnections;
-    const bool isRefused = open >= m_context.limits.connections;
-    if (isRefused && m_context.refusedConnections >= maxRefusedConnections) {
+    const bool isRefused = open >= m_context.limits.connections || isFull();
+    if (isRefused
+        && (m_context.refusedConnections >= maxRefusedConnections || budget.closing >= budget.limits.closing)) {
         ++m_context.counters->refusals[static_cast<std::size_t>(Refusal::TooManyConnections)];
         ::close(static_cast<int>(descriptor));
         return;
@@ -159,6 +181,10 @@
     , m_isRefused(isRefused)
 {
     m_context.connections.insert(this);
+    m_holding.owner = this;
+    m_holding.bytes = connectionBytes;
+    m_holding.since = base::monotonicNow();
+    addHolding(*m_context.budget, m_holding);
     m_socket->setParent(this);
     m_socket->setReadBufferSize(readBufferBytes);
     m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
@@ -170,9 +196,10 @@
         m_counters->bytesWritten += static_cast<std::uint64_t>(count);
         if (m_state == State::Writing && m_socket->bytesToWrite() == 0)
             responseWritten();
-        else if (m_state == State::Writing)
+        else if (m_state == State::Writing) {
+            m_holding.since = base::monotonicNow();
             m_timer.start(m_context.limits.writeTimeoutMs);
-        else if (m_state == State::Lingering && m_socket->bytesToWrite() == 0)
+        } else if (m_state == State::Lingering && m_socket->bytesToWrite() == 0)
             ::shutdown(static_cast<int>(m_socket->socketDescriptor()), SHUT_WR);
     });
     if (m_isRefused) {
@@ -189,7 +216,10 @@
     m_socket->disconnect(this);
     delete m_parserSocket;
     // After onDisconnected() the server, and m_context with it, may already be destroyed.
-    if (!m_isClosed && m_context.connections.erase(this) > 0 && m_isRefused)
+    if (m_isClosed)
+        return;
+    removeHolding(*m_context.budget, m_holding);
+    if (m_context.connections.erase(this) > 0 && m_isRefused)
         --m_context.refusedConnections;
 }
 
@@ -209,6 +239,7 @@
     switch (m_state) {
     case State::Handling:
     case State::Writing:
+        updateHolding();
         return; // a pipelined request stays in the socket's buffer
     case State::Lingering:
         m_socket->readAll();
@@ -218,10 +249,30 @@
     case State::Body:
         break;
     }
-    const QByteArray bytes = m_socket->readAll();
-    m_counters->bytesRead += static_cast<std::uint64_t>(bytes.size());
-    m_input += bytes;
-    process();
+    do {
+        // Pipelined requests are processed before more are read: otherwise each response would let in another buffer.
+        const bool hasRequests
+            = m_state == State::Idle && m_input.size() >= readBufferBytes && !m_input.startsWith('\r');
+        if (!hasRequests) {
+            // Not readAll(), which allocates 16 KB for a few bytes.
+            const QByteArray bytes = m_socket->read(m_socket->bytesAvailable());
+            m_counters->bytesRead += static_cast<std::uint64_t>(bytes.size());
+            m_input += bytes;
+        }
+        process();
+    } while (!m_isClosed && (m_state == State::Head || m_state == State::Body) && m_socket->bytesAvailable() > 0);
+    if (m_isClosed || m_state == State::Lingering)
+        return;
+    if (m_state == State::Body && !m_isReadingFast) {
+        m_isReadingFast = true;
+        m_socket->setReadBufferSize(bodyReadBufferBytes);
+    }
+    if (m_input.isEmpty())
+        m_input = QByteArray();
+    else if (m_input.capacity() > 2 * m_input.size() + slackBytes)
+        m_input.squeeze();
+    updateHolding();
+    makeRoom(0);
 }
 
 void Connection::process()
@@ -235,6 +286,7 @@
         if (m_input.isEmpty() || m_input == "\r")
             return;
         m_state = State::Head;
+        m_holding.since = base::monotonicNow();
         m_scanned = 0;
         m_timer.start(m_context.limits.headerTimeoutMs);
     }
@@ -266,6 +318,7 @@
         return false;
     }
     m_head = std::move(head.value());
+    m_headBytes = headCopies * end;
     m_input.remove(0, end + 4);
     m_state = State::Body;
     m_decoder = {};
@@ -315,13 +368,23 @@
 // Passes the complete request to QHttpServer, which calls handle() before readyRead() returns.
 void Connection::dispatch()
 {
+    if (m_isReadingFast) {
+        m_isReadingFast = false;
+        m_socket->setReadBufferSize(readBufferBytes);
+    }
+    updateHolding();
+    if (!makeRoom(m_context.responseReserve))
+        return;
     m_timer.stop();
     m_state = State::Handling;
     m_closeAfter = m_head.closeAfter;
     m_wasHandled = false;
     createParserSocket();
-    m_parserSocket->setRequest(encodeForParser(m_head, m_body));
-    m_body = QByteArray();
+    const QByteArray bytes = encodeForParser(m_head);
+    m_parserBytes = headCopies * bytes.size();
+    m_bodyBytes = m_body.capacity();
+    updateHolding();
+    m_parserSocket->setRequest(bytes);
     m_context.parsingConnection = this;
     Q_EMIT m_parserSocket->readyRead();
     m_context.parsingConnection = nullptr;
@@ -345,7 +408,8 @@
         if (name.compare("Content-Length", Qt::CaseInsensitive) != 0)
             request.headers.push_back({ name, value });
     }
-    request.body = parsed.body();
+    request.body = std::move(m_body);
+    m_body = QByteArray();
     request.peerAddress = m_socket->peerAddress().toString();
     request.peerPort = m_socket->peerPort();
 
@@ -364,8 +428,17 @@
     m_state = State::Writing;
     m_request.reset();
     m_timer.start(m_context.limits.writeTimeoutMs);
-    m_socket->write(encodeResponse(response, m_head.method == "HEAD", m_closeAfter, m_head.minorVersion));
+    const QByteArray bytes = encodeResponse(response, m_head.method == "HEAD", m_closeAfter, m_head.minorVersion);
+    m_bodyBytes = 0;
+    m_responseBytes = bytes.size();
+    // Falls slowly, so that one large response does not keep others from being handled for long.
+    constexpr qint64 reserveDecay = 16;
+    m_context.responseReserve
+        = std::max(m_responseBytes, m_context.responseReserve * (reserveDecay - 1) / reserveDecay);
+    m_holding.since = base::monotonicNow();
+    m_socket->write(bytes);
     m_socket->flush();
+    updateHolding();
     return true;
 }
 
@@ -381,6 +454,11 @@
         return;
     }
     m_state = State::Idle;
+    m_head = RequestHead();
+    m_headBytes = 0;
+    m_responseBytes = 0;
+    m_holding.since = base::monotonicNow();
+    updateHolding();
     m_timer.start(m_context.limits.idleTimeoutMs);
     if (hasMore) {
         // Queued, because this function can run inside a handler.
@@ -414,6 +492,19 @@
 {
     m_state = State::Lingering;
     m_input = QByteArray();
+    m_body = QByteArray();
+    m_decoder = {};
+    m_head = RequestHead();
+    m_headBytes = 0;
+    m_bodyBytes = 0;
+    m_responseBytes = 0;
+    if (m_context.budget->closing >= m_context.budget->limits.closing) {
+        m_socket->abort();
+        if (!m_isClosed)
+            onDisconnected();
+        return;
+    }
+    updateHolding();
     m_timer.start(m_context.limits.lingerMs);
     m_socket->readAll();
     if (m_socket->bytesToWrite() == 0)
@@ -425,6 +516,7 @@
     if (m_isClosed)
         return;
     m_isClosed = true;
+    removeHolding(*m_context.budget, m_holding);
     m_timer.stop();
     if (m_state == State::Handling || m_state == State::Writing)
         ++m_counters->callersDisconnected;
@@ -472,6 +564,64 @@
     }
 }
 
+void Connection::updateHolding()
+{
+    if (m_isClosed)
+        return;
+    qint64 bytes = connectionBytes + m_headBytes + m_parserBytes;
+    Holding::State state = Holding::State::Waiting;
+    switch (m_state) {
+    case State::Idle:
+    case State::Head:
+    case State::Body:
+        bytes += m_input.capacity() + m_decoder.body.capacity() + m_body.capacity();
+        break;
+    case State::Handling:
+    case State::Writing:
+        state = m_state == State::Handling ? Holding::State::Answering : Holding::State::Sending;
+        bytes += m_input.capacity() + m_bodyBytes;
+        // The kernel's buffers fill up while the connection waits with its own full.
+        if (m_socket->bytesAvailable() > 0)
+            bytes += kernelBytes;
+        if (m_socket->bytesToWrite() > 0)
+            bytes += m_responseBytes + kernelBytes;
+        break;
+    case State::Lingering:
+        state = Holding::State::Closing;
+        break;
+    }
+    setHolding(*m_context.budget, m_holding, state, bytes);
+}
+
+bool Connection::makeRoom(qint64 further)
+{
+    const std::shared_ptr<Budget> budget = m_context.budget; // the last connection may be closed here
+    if (!isOver(*budget, further))
+        return true;
+    const base::TimePoint now = base::monotonicNow();
+    // Each pass turns one holding into one that is being closed, or removes it.
+    while (isOver(*budget, further)) {
+        Holding* next = nextToClose(*budget, now, base::Duration(0));
+        if (next == nullptr)
+            break;
+        static_cast<ConnectionHolding*>(next)->owner->closeForBudget();
+    }
+    return !m_isClosed && m_state != State::Lingering;
+}
+
+void Connection::closeForBudget()
+{
+    const bool isReceiving = m_state == State::Head || m_state == State::Body;
+    if (isReceiving && m_context.budget->closing < m_context.budget->limits.closing) {
+        refuse(Refusal::OverBudget, "too many clients");
+        return;
+    }
+    count(Refusal::ClosedForBudget);
+    m_socket->abort();
+    if (!m_isClosed)
+        onDisconnected();
+}
+
 void Connection::drain()
 {
     createParserSocket(); // QTcpServer warns when a pending connection is added after the listener was closed
--- a/src/http/guard.h
+++ b/src/http/guard.h
@@ -21,6 +21,14 @@
 class ParserSocket;
 class Listener;
 
+// Size of the kernel's receive and of its send buffer of a connection of a server with a shared budget. The kernel
+// uses twice the value.
+constexpr int kernelBufferBytes = 16 * 1024;
+
+struct ConnectionHolding : Holding {
+    Connection* owner = nullptr;
+};
+
 // State of one request, shared by its connection and its Responder handles; owned by the handles.
 struct RequestState {
     ~RequestState();
@@ -38,7 +46,10 @@
     Handler handler;
     std::shared_ptr<ServerCounters> counters = std::make_shared<ServerCounters>();
     QHttpServer parser;
-    Listener* listener = nullptr; // owned by parser
+    Listener* listener = nullptr;   // owned by parser
+    std::shared_ptr<Budget> budget; // all its holdings are of the type ConnectionHolding
+    bool hasSharedBudget = false;
+    qint64 responseReserve = 0; // bytes; the largest of the recent responses, expected for the next one
     std::unordered_set<Connection*> connections;
     int refusedConnections = 0;              // entries of connections that are being refused; not counted as open
     Connection* parsingConnection = nullptr; // connection whose request QHttpServer is parsing
@@ -68,6 +79,9 @@
     void drain();
     // Detaches the request in progress without calling its onDisconnect callback.
     void detach();
+    // Refuses the request that is being received, or closes the connection without a response when there is none or
+    // its response is not read.
+    void closeForBudget();
 
 private:
     void readAvailable();
@@ -82,6 +96,9 @@
     void onDisconnected();
     void onTimeout();
     void count(Refusal refusal);
+    void updateHolding();
+    // Closes holders until `further` bytes fit into the budget; false when this connection was one of them.
+    bool makeRoom(qint64 further);
 
     // --- Owned ---
     ServerContext& m_context;
@@ -98,6 +115,14 @@
     ChunkDecoder m_decoder;
     QByteArray m_body;
 
+    // --- Use of the budget ---
+    ConnectionHolding m_holding;
+    qint64 m_headBytes = 0;       // parsed head
+    qint64 m_bodyBytes = 0;       // body of the request that the handler works on
+    qint64 m_parserBytes = 0;     // head that QHttpServer keeps until the next request
+    qint64 m_responseBytes = 0;   // response being written
+    bool m_isReadingFast = false; // the read buffer has the size for bodies
+
     // --- Request being handled ---
     std::weak_ptr<RequestState> m_request;
     bool m_wasHandled = false; // QHttpServer has called handle() for the request
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,7 @@
 #include "http/problem.h"
 
 #include <QHostAddress>
+#include <sys/socket.h>
 #include <vector>
 
 namespace lacewing::http {
@@ -51,9 +52,11 @@
 
 struct Server::Context : ServerContext { };
 
-Server::Server(ServerLimits limits, Handler handler)
+Server::Server(ServerLimits limits, Handler handler, std::shared_ptr<Budget> budget)
     : m_context(std::make_unique<Context>())
 {
+    m_context->hasSharedBudget = budget != nullptr;
+    m_context->budget = budget ? std::move(budget) : std::make_shared<Budget>();
     m_context->limits = std::move(limits);
     m_context->handler = std::move(handler);
     m_context->listener = new Listener(*m_context);
@@ -79,6 +82,12 @@
         const std::string detail = m_context->listener->errorString().toStdString();
         return ServerError { ServerErrorCode::ListenFailed, detail };
     }
+    if (m_context->hasSharedBudget) {
+        // Accepted sockets inherit the sizes. Without them the kernel keeps up to 6 MB for a connection.
+        const auto descriptor = static_cast<int>(m_context->listener->socketDescriptor());
+        ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kernelBufferBytes, sizeof kernelBufferBytes);
+        ::setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &kernelBufferBytes, sizeof kernelBufferBytes);
+    }
     m_context->parser.bind(m_context->listener); // takes ownership; warns when the server does not listen yet
     return m_context->listener->serverPort();
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,6 +10,7 @@
 
 #include "base/names.h"
 #include "base/result.h"
+#include "http/budget.h"
 #include "http/message.h"
 
 #include <array>
@@ -66,9 +67,11 @@
     ExpectationFailed,
     TooManyConnections,
     EncodingUnknown,
+    OverBudget,      // refused with a response to free memory or descriptors for others
+    ClosedForBudget, // the same for a connection without a request or with an unread response: closed without one
 };
 
-constexpr base::EnumNames<Refusal, 15> refusalNames { {
+constexpr base::EnumNames<Refusal, 17> refusalNames { {
     { Refusal::BadRequest, "badRequest" },
     { Refusal::BadLength, "badLength" },
     { Refusal::LengthRequired, "lengthRequired" },
@@ -84,6 +87,8 @@
     { Refusal::ExpectationFailed, "expectationFailed" },
     { Refusal::TooManyConnections, "tooManyConnections" },
     { Refusal::EncodingUnknown, "encodingUnknown" },
+    { Refusal::OverBudget, "overBudget" },
+    { Refusal::ClosedForBudget, "closedForBudget" },
 } };
 
 struct ServerCounters {
@@ -137,7 +142,8 @@
 
 class Server {
 public:
-    Server(ServerLimits limits, Handler handler);
+    // budget: shared with the other servers of the process; without one, only the limits apply.
+    Server(ServerLimits limits, Handler handler, std::shared_ptr<Budget> budget = nullptr);
     ~Server(); // closes every connection at once; use beginDrain() first for a graceful stop
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
