--- a/src/daemon/gateway_service.h
+++ b/src/daemon/gateway_service.h
@@ -37,6 +37,7 @@
     void beginStop();
     bool isIdle() const;
     void stop() { m_server.reset(); }
+    const http::Server* server() const { return m_server.get(); }
     // For the operators' interface, which may cancel the jobs of all accounts.
     void cancelJob(const std::string& id, const http::Responder& responder);
     // Submits a job of one task described by an operator; the response contains its id.
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -24,6 +24,13 @@
     int revocationMs = 0; // 0: not enforced
 };
 
+// What the platform lets this process use, and the part of it for clients.
+struct ProcessLimits {
+    int memoryMb = 256;
+    int descriptors = 4096;
+    double clientShare = 0.25;
+};
+
 struct Settings {
     // --- Identity ---
     std::string daemon;
@@ -41,6 +48,7 @@
 
     // --- Behaviour ---
     PlatformBounds bounds;
+    ProcessLimits limits;
     int renewMs = 500;
     int commitGapMs = 50;
     int syncMs = 200;
