Limit requests on the peers' listener to 64 KiB

Cause: nng allocates a message when its length arrives and keeps an unfinished one without a time limit; the limit was that of replies, 2 MiB. 160 connections with unfinished frames made a daemon hold 186 MB.

Change: the server accepts requests of at most 64 KiB; the longest that daemons send have 3 KB. Clients refuse longer ones before they send them. The number of connections is still not bounded (docs/design/client-budget.md).

--- a/src/peer/peer.cpp
+++ b/src/peer/peer.cpp
@@ -6,6 +6,7 @@
 #include <QObject>
 #include <QPointer>
 #include <QTimer>
+#include <algorithm>
 #include <condition_variable>
 #include <cstring>
 #include <deque>
@@ -60,6 +61,11 @@
         return message;
     }
 
+    std::size_t requestLimit(const PeerLimits& limits)
+    {
+        return std::min(limits.maxRequestBytes, limits.maxMessageBytes);
+    }
+
     std::string toUrl(const std::string& address) { return "tcp://" + address; }
 
     // Calls the function on the thread of context. Not after the application has ended: nng's threads still run then.
@@ -244,7 +250,7 @@
     if (const int error = nng_rep0_open(&state->socket); error != 0)
         return toPeerError(error);
     state->isOpen = true;
-    nng_socket_set_size(state->socket, NNG_OPT_RECVMAXSZ, limits.maxMessageBytes);
+    nng_socket_set_size(state->socket, NNG_OPT_RECVMAXSZ, requestLimit(limits));
     auto server = std::unique_ptr<Server>(new Server(std::move(state)));
     State& open = *server->m_state;
     for (int index = 0; index < limits.serverContexts; ++index) {
@@ -400,8 +406,8 @@
         fail(PeerError { PeerCode::Busy, "too many requests in progress to this peer" });
         return;
     }
-    if (static_cast<std::size_t>(message.size()) > state.limits.maxMessageBytes) {
-        fail(PeerError { PeerCode::TooLarge, "message is longer than maxMessageBytes" });
+    if (static_cast<std::size_t>(message.size()) > requestLimit(state.limits)) {
+        fail(PeerError { PeerCode::TooLarge, "request is longer than the limit" });
         return;
     }
     if (const int error = nng_ctx_open(&call->ctx, state.socket); error != 0) {
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -43,10 +43,13 @@
 // --- Limits ---
 
 struct PeerLimits {
-    std::size_t maxMessageBytes = 2097152; // bytes (2 MiB); nng has no receive limit by default
-    int requestTimeoutMs = 1000;           // ms; from send to reply
-    int serverContexts = 8;                // requests that one daemon handles at the same time
-    int clientRequests = 32;               // requests in flight to one peer; more are refused with Busy
+    std::size_t maxMessageBytes = 2097152; // bytes (2 MiB) of any message; nng has no receive limit by default
+    // Bytes of a request. nng allocates a message when its length arrives, and keeps unfinished ones without a time
+    // limit. Requests between daemons have up to 3 KB (32 cancels and a name).
+    std::size_t maxRequestBytes = 65536;
+    int requestTimeoutMs = 1000; // ms; from send to reply
+    int serverContexts = 8;      // requests that one daemon handles at the same time
+    int clientRequests = 32;     // requests in flight to one peer; more are refused with Busy
 };
 
 // --- Traffic ---
