Name releases for the granted length also in terms with unknown history

Cause: found by review. A term with unknown history counted the longest lease when it stored when a released worker's lease had been renewed, and the next term adds the granted length, so that it waited up to the difference of the two too short. Entries of `longest` that are no text were taken for an empty id. Change: the stored time always counts the granted length; such a table is refused. Measured: SchedulerRecoveryTest passes (16 tests).

--- a/src/scheduler/lease_table.cpp
+++ b/src/scheduler/lease_table.cpp
@@ -75,8 +75,11 @@
     table.runsRecordedSince = (*json)["runsRecordedSince"].toInteger();
     if (!(*json)["longest"].isUndefined() && !(*json)["longest"].isArray())
         return std::nullopt;
-    for (const QJsonValue worker : (*json)["longest"].toArray())
+    for (const QJsonValue worker : (*json)["longest"].toArray()) {
+        if (!worker.isString())
+            return std::nullopt;
         table.longest.insert(base::textOf(worker));
+    }
     return table;
 }
 
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -553,8 +553,11 @@
         if (needsLease || worker.isLeaseGranted)
             table.granted[id] = scheduler.token;
         else if (!worker.isLeaseExpired && (worker.renewedAt > 0 || worker.earlierLeaseEndAt > 0))
+            // A term that uses the table knows its history, and adds the granted length to this time.
             table.released[id]
-                = std::max(worker.renewedAt, worker.earlierLeaseEndAt - formerLeaseMs(scheduler)) + clockOffset;
+                = std::max(worker.renewedAt,
+                      worker.earlierLeaseEndAt - leaseOverMs(scheduler.limits, leaseLengthMs(scheduler.limits)))
+                + clockOffset;
         if (table.granted.count(id) > 0 && mayHoldLongestLease(scheduler, worker, now))
             table.longest.insert(id);
     }
--- a/tests/scheduler_recovery_test.cpp
+++ b/tests/scheduler_recovery_test.cpp
@@ -99,6 +99,7 @@
     CPPUNIT_TEST(longLeasesOfUnknownTermsAreKeptOverTermsInARow);
     CPPUNIT_TEST(tablesOfOtherTermsThanTheRecentOnesAreIgnored);
     CPPUNIT_TEST(lostTermRecordsDoNotHideFormerWorkers);
+    CPPUNIT_TEST(releasesOfTermsWithUnknownHistoryNameTheLongestLease);
     CPPUNIT_TEST(malformedLeaseTablesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -367,13 +368,35 @@
         }
     }
 
+    // Guards against a released worker of a term with unknown history whose lease is taken for one of the granted
+    // length.
+    void releasesOfTermsWithUnknownHistoryNameTheLongestLease()
+    {
+        scheduler::WorkerEntry entry;
+        entry.id = "w";
+        scheduler::Scheduler first;
+        first.limits.maxLeaseMs = 10000;
+        scheduler::beginTerm(first, 7, 1000, { false, 0, { { 7, 0 } } });
+        scheduler::setWorkers(first, { entry }, 1000, 1000);
+        const Millis leaseEndAt = first.workers.at("w").earlierLeaseEndAt;
+        const scheduler::LeaseTable table = scheduler::nextLeaseTable(first, true, 1500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.released.count("w"));
+
+        scheduler::Scheduler second;
+        second.limits.maxLeaseMs = 10000;
+        scheduler::beginTerm(second, 8, 12000, { true, 11000, { { 7, 0 }, { 8, 10900 } } });
+        scheduler::setFormerLeases(second, table, 12000);
+        CPPUNIT_ASSERT(second.workers.at("w").earlierLeaseEndAt >= leaseEndAt);
+    }
+
     // Guards against a damaged lease table that is taken for an empty one.
     void malformedLeaseTablesAreRejected()
     {
         for (const char* text : { "", "[]", "{}", "{\"granted\":{},\"released\":{}}",
                  "{\"token\":1,\"granted\":[],\"released\":{}}", "{\"token\":1,\"granted\":{\"x\":[]},\"released\":{}}",
                  "{\"token\":1,\"granted\":{\"1\":7},\"released\":{}}",
-                 "{\"token\":1,\"granted\":{},\"released\":{\"w\":\"1\"}}" })
+                 "{\"token\":1,\"granted\":{},\"released\":{\"w\":\"1\"}}",
+                 "{\"token\":1,\"granted\":{},\"released\":{},\"longest\":[1]}" })
             CPPUNIT_ASSERT(!scheduler::decodeLeaseTable(text));
         scheduler::LeaseTable table;
         table.granted = { { "a", 1 }, { "b", 2 }, { "c", 1 } };
