Do not stop an account for a wide task beside a long one

Cause: found by review. Room under the cap that is kept for a starved wide task stayed kept until the account's long run ended, so that its small jobs waited although it used little of its cap. Change: below half of the cap, the room is kept in turns of 1.5 s.

--- a/src/scheduler/account_usage.cpp
+++ b/src/scheduler/account_usage.cpp
@@ -18,7 +18,10 @@
     // ms without a wait for the cap until the account counts as below it: tasks end and start many times a second
     constexpr Millis belowCapMs = 2000;
     constexpr Millis capLinePeriodMs = 5000; // ms between lines of one account
-    constexpr int capLinesPerPlan = 4;       // bounds the lines of many accounts; the others follow in later plans
+    // ms for which room is kept while the account uses less than half of its cap, and then given back, in turns: half
+    // of the 3000 ms after which the platform counts a job of such an account as lost
+    constexpr Millis keepRoomMs = 1500;
+    constexpr int capLinesPerPlan = 4; // bounds the lines of many accounts; the others follow in later plans
 
     const Account unknownAccount; // no cap, weight 1
 
@@ -216,6 +219,19 @@
         return hasRoom(later, step, tasks, false);
     }
 
+    // Whether room under the cap may be kept for the step now. A long run beside a wide task would otherwise keep all
+    // other tasks of an account waiting that uses little of its cap.
+    bool mayKeepRoom(const AccountUsage& usage, const Step& step, Millis now)
+    {
+        const Resources total = totalOf(usage, false);
+        const Capacity& cap = usage.account->cap;
+        const auto isHalfUsed
+            = [](std::int64_t used, int need, int limit) { return need > 0 && limit > 0 && 2 * used >= limit; };
+        return isHalfUsed(total.cpuMillicores, step.cpuMillicores, cap.cpuMillicores)
+            || isHalfUsed(total.memoryMb, step.memoryMb, cap.memoryMb) || isHalfUsed(total.gpus, step.gpus, cap.gpus)
+            || now / keepRoomMs % 2 == 0;
+    }
+
     // Whether a worker could run a task of the step when it is empty.
     bool hasPossibleWorker(const Planner& planner, const Candidate& candidate, const Step& step)
     {
@@ -393,7 +409,7 @@
     ++usage.denied;
     const bool isUrgent = candidate.isRestart || turn.order == Order::Starved;
     if (isUrgent && !usage.isReserved && planner.scheduler.isReconciled && canEverFit(usage, step, tasks)
-        && hasPossibleWorker(planner, candidate, step)) {
+        && mayKeepRoom(usage, step, planner.now) && hasPossibleWorker(planner, candidate, step)) {
         usage.isReserved = true;
         holdUsage(&usage, step, tasks);
     }
--- a/tests/account_cap_test.cpp
+++ b/tests/account_cap_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(aLoweredCapStopsNothing);
     CPPUNIT_TEST(lastingTasksReturnWithinTheCap);
     CPPUNIT_TEST(aWideTaskIsNotStarved);
+    CPPUNIT_TEST(aWideTaskBesideALongOneDoesNotStopItsAccount);
     CPPUNIT_TEST(aNewTermCountsStartsInFlight);
     CPPUNIT_TEST(aNewTermStartsWhereEnoughIsAccountedFor);
     CPPUNIT_TEST(cancelledRunsCountInTheNextTerm);
@@ -209,6 +210,24 @@
         CPPUNIT_ASSERT(world.now() < 100000 + 2200 + 6000);
     }
 
+    // Guards against room that is kept for a wide task until a long one ends, although the account uses little of its
+    // cap: its small jobs must not wait for the 3000 ms after which they count as lost.
+    void aWideTaskBesideALongOneDoesNotStopItsAccount()
+    {
+        World world(1, 10);
+        world.setAccounts({ { "a", 100, { 8000, 0, 0 } } });
+        world.submit("long", { plainStep(1, 1000, 600000) }, policyOf(), "a");
+        world.run(500);
+        world.submit("wide", { plainStep(1, 7500, 700) }, policyOf(), "a");
+        world.run(3000);
+        for (int i = 0; i < 10; ++i) {
+            const std::string id = "small" + std::to_string(i);
+            world.submit(id, { plainStep(1, 500, 300) }, policyOf(), "a");
+            world.run(2900);
+            CPPUNIT_ASSERT_MESSAGE(id, world.starts(id + ".0.0.0") > 0);
+        }
+    }
+
     // Guards against a term that begins with starts in flight and forgets them: the worker that executed them cannot be
     // reached, so that only its lease ends them.
     void aNewTermCountsStartsInFlight()
