--- a/tests/http_budget_test.cpp
+++ b/tests/http_budget_test.cpp
@@ -120,7 +120,7 @@
     {
         for (const int memoryMb : { 1, 160, 256, 512 }) {
             const BudgetLimits limits = budgetLimits(memoryMb, 0.25, 4100);
-            CPPUNIT_ASSERT(limits.bytes >= 2 * ServerLimits {}.bodyBytes + 100 * (connectionBytes + 8 * 1024));
+            CPPUNIT_ASSERT(limits.bytes >= 2 * ServerLimits {}.bodyBytes + 100 * (connectionBytes + 8LL * 1024));
             CPPUNIT_ASSERT(limits.bytes <= std::max<qint64>(8, memoryMb / 4) * mb);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(2050), budgetLimits(160, 0.25, 4100).connections);
@@ -219,10 +219,12 @@
     {
         auto budget = makeBudget(100 * mb, 4);
         EchoServer echo(budget);
+        constexpr int places = 4;
         std::vector<std::unique_ptr<RawCaller>> idle;
-        for (int index = 0; index < 4; ++index)
+        idle.reserve(places);
+        for (int index = 0; index < places; ++index)
             idle.push_back(std::make_unique<RawCaller>(echo.port));
-        CPPUNIT_ASSERT(waitUntil([&] { return echo.server.openConnections() == 4; }));
+        CPPUNIT_ASSERT(waitUntil([&] { return echo.server.openConnections() == places; }));
         RawCaller early(echo.port); // all others are new, too
         CPPUNIT_ASSERT(early.receive("tooManyConnections"));
         runFor(1100);
