Review case 8: room of cancelled tasks counts as free in a new term

Cause: a new term takes the runs of ended jobs for strays, which are stopped but reserve nothing.

Change: review/8; the stand-ins take ports below the ephemeral ones. Nothing is fixed.

--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -31,15 +32,23 @@
     return time.monotonic() * 1000
 
 
+used_ports = set()
+
+
 def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind((HOST, 0))
-        sockets.append(s)
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Ports below those that the system gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(14000, 32000)
+        if port in used_ports:
+            continue
+        with socket.socket() as s:
+            try:
+                s.bind((HOST, port))
+            except OSError:
+                continue
+        used_ports.add(port)
+        ports.append(port)
     return ports
 
 
