--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,11 +5,12 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-2"))
-from world import CannotRun, configuration, main, spec_of, step
+from world import BOUNDS, CannotRun, configuration, main, spec_of, step
 
-CUT_S = 10          # of data centre dc1
+CUT_S = 6.5            # of data centre dc1
 RESTART_DELAY_S = 0.6  # of a process that has ended
 TASK_MS = 60000
+BOUNDS["stop_timeout_ms"] = 200  # versos-quito
 
 
 async def restart(world, daemon):
@@ -45,10 +46,10 @@
     await restart(world, b1)
     await asyncio.sleep(0.3)
     if has_trouble:
-        world.cut_zone("dc1")
+        world.cut_zone("dc1", is_reset=True)
     await asyncio.sleep(RESTART_DELAY_S - 0.3)
     await b1.start()
-    await asyncio.sleep(CUT_S)
+    await asyncio.sleep(CUT_S - (RESTART_DELAY_S - 0.3))
     if has_trouble:
         world.heal_zone("dc1")
     await asyncio.sleep(3)
--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -92,18 +92,24 @@
 
 class Link:
     """The way between two parties. While it is cut, bytes are neither read nor delivered, without a reset; connections
-    that were open during a cut stay silent for good."""
+    that were open during a cut stay silent for good. With `is_reset`, open connections are reset at the begin of the
+    cut, and new ones as soon as they are made."""
 
     def __init__(self):
         self.is_cut = False
+        self.is_reset = False
         self.generation = 0
+        self.transports = set()  # of open connections
 
-    def cut(self):
-        self.is_cut = True
+    def cut(self, is_reset=False):
+        self.is_cut, self.is_reset = True, is_reset
         self.generation += 1
+        if is_reset:
+            for transport in list(self.transports):
+                transport.abort()
 
     def heal(self):
-        self.is_cut = False
+        self.is_cut = self.is_reset = False
 
 
 class HttpServer:
@@ -126,7 +132,11 @@
 
     async def serve(self, reader, writer):
         generation = self.link.generation
+        if self.link.is_reset:
+            writer.transport.abort()
+            return
         self.writers.add(writer)
+        self.link.transports.add(writer.transport)
         try:
             while True:
                 message = await read_message(reader)
@@ -146,6 +156,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.link.transports.discard(writer.transport)
             writer.transport.abort()
 
     @staticmethod
@@ -288,6 +299,8 @@
         self.is_up = False
         self.service = "pool"
         self.drains_until = 0  # ms; 0: it does not leave
+        self.is_late = lambda body: False  # start orders that get no answer and are carried out late
+        self.late_orders = []  # (ms at which it was sent, daemon, body)
         self.tasks = []
         self.seen_beat = 0
 
@@ -313,6 +326,19 @@
             self.servers.append(server)
         self.tasks = [asyncio.ensure_future(self.beats()), asyncio.ensure_future(self.work())]
 
+    async def carry_out_late_orders(self):
+        """Orders that were held up on their way arrive, whichever incarnation is there now."""
+        orders, self.late_orders = self.late_orders, []
+        for sent_at, daemon, body in orders:
+            if body.get("fencing_token", 0) < self.token:
+                answer = 409, {"reason": "fence"}
+            else:
+                self.token = body.get("fencing_token", 0)
+                answer = await self.run_start(daemon, body)
+            self.world.record.line("start of %s run %d on %s, sent %.1f s before, is carried out: %d %s" % (
+                body["task"], body["run_id"], self.name, (now_ms() - sent_at) / 1000, answer[0],
+                answer[1].get("reason", "")))
+
     def crash(self):
         """Ends without notice; its entry is removed after three heartbeats."""
         self.is_up = False
@@ -399,6 +425,10 @@
         self.token = token
         if target == "/hold":
             return await self.hold(body)
+        if target == "/run-start" and self.is_late(body):
+            self.late_orders.append((now_ms(), daemon, body))
+            self.world.record.line("start of %s run %d on %s is held up" % (body["task"], body["run_id"], self.name))
+            return None
         if target == "/run-start":
             return await self.run_start(daemon, body)
         if target == "/run-stop":
@@ -535,6 +565,10 @@
 
     async def serve(self, reader, writer):
         generation = self.link.generation
+        if self.link.is_reset:
+            writer.transport.abort()
+            return
+        self.link.transports.add(writer.transport)
         try:
             other_reader, other_writer = await asyncio.open_connection(HOST, self.target)
         except OSError:
@@ -557,6 +591,7 @@
             sink.transport.abort()
 
         await asyncio.gather(copy(reader, other_writer), copy(other_reader, writer))
+        self.link.transports.discard(writer.transport)
 
 
 # --- World ---
@@ -646,9 +681,9 @@
         return [self.link(a, b) for a in inside for b in outside] \
             + [e.store_link for e in self.executors.values() if e.zone == zone]
 
-    def cut_zone(self, zone):
+    def cut_zone(self, zone, is_reset=False):
         for link in self.zone_links(zone):
-            link.cut()
+            link.cut(is_reset)
         self.record.line("zone %s is cut off from the other zones and from the store" % zone)
 
     def heal_zone(self, zone):
