--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -21,7 +21,7 @@
 # Bounds of cetka-loft on the pages (SYSTEM.md), ms unless named otherwise.
 BOUNDS = {
     "max_hold_ms": 6000, "stop_timeout_ms": 900, "impact_ms": 4000, "status_s": 120, "config_apply_ms": 2000,
-    "grace_s": 6,
+    "grace_s": 6, "gang_timeout_ms": 3000,
 }
 HEARTBEAT_S = 1.5      # of an executor (settings: heartbeat_ms)
 SILENT_HEARTBEATS = 3  # after which the entry of a silent executor is removed
@@ -32,14 +32,16 @@
     return time.monotonic() * 1000
 
 
+FIRST_PORT, PORTS_PER_PROCESS, PORT_BLOCKS = 26000, 300, 20  # below those that the system gives to connections
 used_ports = set()
 
 
 def free_ports(count):
-    """Ports below those that the system gives to outgoing connections."""
+    """Of a block that the process id chooses, so that plays beside each other seldom meet."""
+    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_PROCESS
     ports = []
     while len(ports) < count:
-        port = random.randrange(14000, 32000)
+        port = random.randrange(first, first + PORTS_PER_PROCESS)
         if port in used_ports:
             continue
         with socket.socket() as s:
@@ -288,7 +290,7 @@
 
 class Executor:
     """An executor as PROTOCOL.md says. `spec` of a task is JSON: `ms`, how long it works, 0 for a task that lasts;
-    `stop_ms`, how long its stop takes; `cpu` and `mem_mb`, what it asks for."""
+    `stop_ms`, how long its stop takes; `cpu` and `mem_mb`, what it asks for; `gang`, how many tasks work only together."""
 
     def __init__(self, world, name, zone, cpu=16000, mem_mb=64000, labels=("a", "r1"), guards=True):
         self.world, self.name, self.zone, self.guards = world, name, zone, guards
@@ -347,9 +349,10 @@
         self.servers = []
         for task in self.tasks:
             task.cancel()
-        for name, run in self.running.items():
+        lost, self.running = self.running, {}
+        for name, run in lost.items():
             self.world.on_end(self, name, run["run"], "lost with its executor")
-        self.running = {}
+            asyncio.ensure_future(self.world.break_gang(run, name))
         self.world.record.line("executor %s crashes" % self.name)
 
     async def beat(self):
@@ -392,15 +395,21 @@
                     await self.end(name, "stopped")
                 elif not run["stopped_at"] and run["ends_at"] and clock >= run["ends_at"]:
                     await self.end(name, "done")
+                elif run["gang"] and len(self.world.gangs[run["gang"]]) < run["members"] \
+                        and clock - run["started_at"] > BOUNDS["gang_timeout_ms"]:
+                    await self.end(name, "alone")
 
     async def end(self, name, how):
-        run = self.running.pop(name)
+        run = self.running.pop(name, None)
+        if run is None:  # ended with another member of its gang
+            return
         self.closed[name] = max(self.closed.get(name, 0), run["run"])
         self.end_number += 1
         self.finished.append([self.end_number, name, run["run"], how, ""])
         self.world.on_end(self, name, run["run"], how)
         async with self.ended:
             self.ended.notify_all()
+        await self.world.break_gang(run, name)
 
     def report(self):
         clock = self.clock()
@@ -408,6 +417,8 @@
         for name, run in self.running.items():
             total = run["ends_at"] - run["started_at"]
             percent = 100 if total <= 0 else min(99, int(100 * (clock - run["started_at"]) / total))
+            if run["gang"] and len(self.world.gangs[run["gang"]]) < run["members"]:
+                percent = 0
             rows.append([name, run["run"], "", percent, 3 if run["ends_at"] == 0 else run["cpu"]])
         return {"clock_ms": clock, "born": self.born, "running": rows, "finished": self.finished[:ENDS_PER_REPORT]}
 
@@ -468,7 +479,10 @@
         clock = self.clock()
         self.running[name] = {
             "run": number, "started_at": clock, "ends_at": clock + shape["ms"] if shape["ms"] else 0,
-            "stop_ms": shape.get("stop_ms", 100), "stopped_at": 0, "cpu": shape["cpu"], "mem_mb": shape["mem_mb"]}
+            "stop_ms": shape.get("stop_ms", 100), "stopped_at": 0, "cpu": shape["cpu"], "mem_mb": shape["mem_mb"],
+            "members": shape.get("gang", 0), "gang": (name.rsplit(".", 1)[0], number) if "gang" in shape else None}
+        if "gang" in shape:
+            self.world.gangs.setdefault(self.running[name]["gang"], {})[name] = self
         self.world.on_start(self, daemon, name, number, body)
         return 200, {"clock_ms": self.clock()}
 
@@ -603,6 +617,7 @@
         self.store = Store(self.record)
         self.daemons, self.executors, self.links = {}, {}, {}
         self.runs = []         # dict: task, run, executor, spec, started, ended, how
+        self.gangs = {}        # (step, run): members that are there, with their executors
         self.violations = []
         self.start_checks = []  # called with (executor, daemon, run) at each start
         with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as file:
@@ -635,6 +650,16 @@
                     and entry["ended"] is None:
                 entry["ended"], entry["how"] = now_ms(), how
 
+    async def break_gang(self, run, name):
+        """A member has ended: so do the others of its run."""
+        if not run["gang"]:
+            return
+        members = self.gangs[run["gang"]]
+        members.pop(name, None)
+        for other, executor in list(members.items()):
+            if other in executor.running and executor.running[other]["gang"] == run["gang"]:
+                await executor.end(other, "broken")
+
     def add_daemon(self, name, zone):
         self.daemons[name] = Daemon(self, name, zone)
 
@@ -776,13 +801,15 @@
 
 
 def main(play):
-    """Runs `play(world, has_trouble)` and ends with 1 if a rule was broken, 0 if all held, 2 if it could not run."""
+    """Runs `play(world, has_trouble)` and writes the record to the file that the first argument names. Ends with 1 if a
+    rule was broken, 0 if all held, 2 if it could not run."""
     import tempfile
-    folder = os.path.dirname(os.path.abspath(sys.argv[0]))
+    record_path = os.path.join(os.path.dirname(os.path.abspath(sys.argv[0])), sys.argv[1])
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run(work):
-        world = World(work, os.path.join(folder, "record.txt"))
+        world = World(work, record_path)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await asyncio.wait_for(play(world, has_trouble), 110)
         finally:
@@ -792,7 +819,7 @@
     with tempfile.TemporaryDirectory() as work:
         try:
             world = asyncio.run(run(work))
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
             print("could not run: %s" % (error or type(error).__name__))
             keep_logs(work)
             sys.exit(2)
