--- a/review/standin-3/platform3.py
+++ b/review/standin-3/platform3.py
@@ -19,6 +19,8 @@
 BOUNDS = {"maxHoldMs": 6000, "stopTimeoutMs": 900, "impactMs": 4000, "statusSeconds": 120, "configurationMs": 2000,
           "graceSeconds": 6}
 
+SETTINGS_EXTRA = {}  # further settings of the daemons, as `advice`
+
 
 def now_ms():
     return time.monotonic() * 1000
@@ -347,7 +349,7 @@
                     "listen": {"callers": self.front, "readiness": self.ready, "admin": self.control,
                                "peers": f"127.0.0.1:{peers}"},
                     "store": {"address": store.http.address}, "bounds": BOUNDS,
-                    "limits": {"memoryMb": memory_mb, "descriptors": 4100, "clientShare": 0.25}}
+                    "limits": {"memoryMb": memory_mb, "descriptors": 4100, "clientShare": 0.25}, **SETTINGS_EXTRA}
         with open(self.file, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         self.process = None
