Tell the next term the open starts of a term that was lost

Cause: open starts (open_start.h) lived in the memory of the term. Only a resignation hands them over; to any other next term one report of a worker was the end of its former runs, which is true of the incarnation that reported and not of the one after it.

Now a term stores a table of the starts that have had no answer for 150 ms, or were given up (lacewing/openStarts), with the next transaction; the next term holds the tasks of the table to their worker until the calls are over, on the term clock. All other tasks are free, as before. A planned stop whose placements are not known, or too long, stores the table too. Terms in a row pass the entries on.

--- a/src/daemon/dispatcher_load.cpp
+++ b/src/daemon/dispatcher_load.cpp
@@ -9,12 +9,6 @@
 
 namespace lacewing::daemon {
 
-namespace {
-
-    constexpr qsizetype maxRecordBytes = 700000; // the store's limit of a value less its text encoding
-
-} // namespace
-
 void DispatcherService::load()
 {
     m_placements.reset();
@@ -44,6 +38,12 @@
     case LoadStep::Placements:
         m_placements = scheduler::decodePlacements(item.value);
         return m_placements.has_value();
+    case LoadStep::OpenStarts:
+        if (auto table = scheduler::decodeOpenStarts(item.value)) {
+            m_storedOpenStarts = std::move(*table);
+            return true;
+        }
+        return false;
     case LoadStep::Accepted:
         // Jobs that were accepted before this term may have runs from an earlier one. Others, and requests to cancel,
         // are applied once the term has begun.
@@ -74,6 +74,16 @@
     return isRestored;
 }
 
+std::vector<platform::Write> DispatcherService::openStartRecords()
+{
+    if (!m_isLoaded)
+        return {};
+    QByteArray record = scheduler::encodeOpenStarts(scheduler::collectOpenStarts(*m_scheduler, nowMs()));
+    if (record.size() > maxRecordBytes)
+        return {};
+    return { { storeKeys::openStarts, std::move(record) } };
+}
+
 std::vector<platform::Write> DispatcherService::resignationRecords() const
 {
     const auto placements = m_isLoaded ? scheduler::collectPlacements(*m_scheduler, nowMs()) : std::nullopt;
@@ -101,6 +111,7 @@
     scheduler::addFormerWorkers(*m_scheduler, m_formerWorkers, now);
     if (m_placements && m_placements->token == m_term->state().formerToken)
         scheduler::applyPlacements(*m_scheduler, *m_placements, now);
+    scheduler::applyOpenStarts(*m_scheduler, m_storedOpenStarts, now);
     scheduler::applyRunRecords(*m_scheduler);
     for (const platform::Item& item : m_newItems)
         applyAccepted(item, true);
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -28,6 +28,9 @@
     constexpr WatchTimes jobWatchTimes { .waitMs = 500, .overdueMs = 150, .gapMs = 40 };
     // ms between writes of the lease table that only release workers; a term loses at most this much of their age
     constexpr scheduler::Millis leaseReleasePeriodMs = 1000;
+    // ms between writes of the table of open starts that only remove some; it may name them up to this long after they
+    // have been answered
+    constexpr scheduler::Millis openStartRemovalPeriodMs = 1000;
     constexpr scheduler::Millis dropsPeriodMs = 1000; // ms between lines on dropped decisions
     constexpr std::size_t recordsPerCommit = 28; // below the store's limit of a transaction less the term's entries
 
@@ -71,6 +74,7 @@
         resignToStrongerDaemon();
         renewDueLeases();
         storeLeases();
+        storeOpenStarts();
         const scheduler::Millis now = nowMs();
         const scheduler::Millis usualMs = m_runtime.settings.workerListMs;
         if (isWorkerListDue(m_workerListCalls, scheduler::workerListPeriodMs(*m_scheduler, usualMs, now), usualMs, now))
@@ -116,6 +120,8 @@
     m_storedWorkers.clear();
     m_storedLeases.clear();
     m_isStoringLeases = false;
+    m_storedOpenStarts = {};
+    m_isStoringOpenStarts = false;
     recordTermEnded(m_runtime.metrics);
     m_scheduler.reset();
 }
@@ -380,6 +386,37 @@
     });
 }
 
+void DispatcherService::storeOpenStarts()
+{
+    if (m_isStoringOpenStarts)
+        return;
+    const scheduler::Millis now = nowMs();
+    scheduler::OpenStartTable table = scheduler::collectOpenStarts(*m_scheduler, now);
+    const bool lacksStarts = scheduler::lacksOpenStarts(m_storedOpenStarts, table);
+    const bool hasRemovals = m_storedOpenStarts.starts.size() > table.starts.size();
+    if (!lacksStarts && !(hasRemovals && now - m_openStartsStoredAt >= openStartRemovalPeriodMs))
+        return;
+    QByteArray record = scheduler::encodeOpenStarts(table);
+    if (record.size() > maxRecordBytes) {
+        kernel::logEvent(kernel::LogLevel::Error, "dispatcher", "openStartsTooLong",
+            { { "starts", static_cast<std::int64_t>(table.starts.size()) },
+                { "bytes", static_cast<std::int64_t>(record.size()) } });
+        return;
+    }
+    m_openStartsStoredAt = now;
+    m_isStoringOpenStarts = true;
+    m_term->commit({ { storeKeys::openStarts, std::move(record) } },
+        [this, generation = std::weak_ptr<int>(m_generation), table = std::move(table), lacksStarts, now]() mutable {
+            if (generation.expired())
+                return;
+            m_isStoringOpenStarts = false;
+            if (lacksStarts)
+                kernel::logEvent(kernel::LogLevel::Info, "dispatcher", "openStartsStored",
+                    { { "starts", static_cast<std::int64_t>(table.starts.size()) }, { "tookMs", nowMs() - now } });
+            m_storedOpenStarts = std::move(table);
+        });
+}
+
 // --- Plan ---
 
 void DispatcherService::schedulePlan()
--- a/src/daemon/dispatcher_service.h
+++ b/src/daemon/dispatcher_service.h
@@ -11,6 +11,7 @@
 #include "daemon/worker_list.h"
 #include "platform/advice_link.h"
 #include "platform/worker_link.h"
+#include "scheduler/open_start.h"
 #include "scheduler/order_window.h"
 #include "scheduler/scheduler.h"
 
@@ -43,6 +44,8 @@
     // report. Empty when not all placements are known or their record is too large for the store. No order may be sent
     // afterwards.
     std::vector<platform::Write> resignationRecords() const;
+    // The table of open starts, to store with a resignation that has no such records. Empty before the term is loaded.
+    std::vector<platform::Write> openStartRecords();
     const JobFeed& feed() const { return m_feed; }
     // Over all terms of this process.
     base::EventDrops droppedDecisions() const { return m_droppedDecisions; }
@@ -78,6 +81,8 @@
     void storeWorkers();
     // Stores the lease table when a worker waits for its first lease, and otherwise once in a period when it changes.
     void storeLeases();
+    // Stores the table of open starts at once when it lacks one, and otherwise once in a period when it changes.
+    void storeOpenStarts();
     void storeInterference();
     // Replaces the accepted records of ended jobs by short ones, which later terms read faster.
     void shortenEnded();
@@ -121,6 +126,9 @@
     std::vector<platform::Item> m_newItems; // only while loading: jobs accepted in this term, and requests to cancel
     std::optional<scheduler::Placements> m_placements;   // only while loading
     std::optional<scheduler::LeaseTable> m_formerLeases; // only while loading
+    scheduler::OpenStartTable m_storedOpenStarts;        // the table in the store
+    bool m_isStoringOpenStarts = false;
+    scheduler::Millis m_openStartsStoredAt = 0;
     std::vector<scheduler::WorkerEntry> m_formerWorkers; // only while loading
     std::unique_ptr<StoreWatch> m_jobWatch;              // accepted jobs and requests to cancel them
     std::map<std::string, Link> m_links;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -67,8 +67,11 @@
         m_deadline = nowMs() + m_runtime.settings.bounds.graceMs - stopMarginMs;
         auto* term = kernel::find<TermService>(m_runtime.kernel, serviceNames::term);
         term->state().isStopping = true;
-        const auto* dispatcher = kernel::find<DispatcherService>(m_runtime.kernel, serviceNames::dispatcher);
-        term->resign("planned stop", dispatcher->resignationRecords(), [this] { m_hasResigned = true; });
+        auto* dispatcher = kernel::find<DispatcherService>(m_runtime.kernel, serviceNames::dispatcher);
+        std::vector<platform::Write> records = dispatcher->resignationRecords();
+        if (records.empty())
+            records = dispatcher->openStartRecords();
+        term->resign("planned stop", std::move(records), [this] { m_hasResigned = true; });
         kernel::beginStopAll(m_runtime.kernel);
         m_timer.start(idleCheckMs);
     }
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -53,12 +53,16 @@
     inline const std::string admin = "admin";
 } // namespace serviceNames
 
+// Longest record that is written: the store's limit of a value less its text encoding.
+constexpr qsizetype maxRecordBytes = 700000;
+
 // Keys of the project in the store.
 namespace storeKeys {
     inline const std::string term = "lacewing/term";
     inline const std::string workers = "lacewing/workers";               // workers known to the term, for the next one
     inline const std::string leases = "lacewing/leases";                 // lease table (scheduler/lease_table.h)
     inline const std::string placements = "lacewing/placements";         // of a term that ended by resignation
+    inline const std::string openStarts = "lacewing/openStarts";         // unanswered starts (scheduler/open_start.h)
     inline const std::string root = "lacewing/";                         // prefix of the keys declared in src/config
     inline const std::string policy = "lacewing/config/current";         // the policy
     inline const std::string policyHistory = "lacewing/config/history/"; // one entry for each revision
--- a/src/daemon/term_loader.cpp
+++ b/src/daemon/term_loader.cpp
@@ -23,6 +23,8 @@
             return storeKeys::workers;
         case LoadStep::Placements:
             return storeKeys::placements;
+        case LoadStep::OpenStarts:
+            return storeKeys::openStarts;
         case LoadStep::Accepted:
             return storeKeys::acceptedPrefix;
         case LoadStep::Progress:
--- a/src/daemon/term_loader.h
+++ b/src/daemon/term_loader.h
@@ -31,15 +31,17 @@
     Leases,
     Workers,
     Placements,
+    OpenStarts,
     Accepted, // accepted jobs and cancel requests
     Progress,
     Done,
 };
 
-constexpr base::EnumNames<LoadStep, 6> loadStepNames { {
+constexpr base::EnumNames<LoadStep, 7> loadStepNames { {
     { LoadStep::Leases, "leases" },
     { LoadStep::Workers, "workers" },
     { LoadStep::Placements, "placements" },
+    { LoadStep::OpenStarts, "openStarts" },
     { LoadStep::Accepted, "accepted" },
     { LoadStep::Progress, "progress" },
     { LoadStep::Done, "done" },
--- a/src/scheduler/open_start.h
+++ b/src/scheduler/open_start.h
@@ -6,11 +6,17 @@
 // number; if the worker restarts, that run ends with its incarnation. A worker that leaves starts unanswered again and
 // again gets no more of the task; another one may have it when the calls are over, or the worker's lease is.
 //
+// A term that is resigned hands its open starts over with its placements. One that ends otherwise cannot: it keeps a
+// table of them in the store, with the starts that have had no answer for unansweredStartMs, and the next term holds
+// their tasks to their workers as it would have done itself. Tasks that are not in the table are free.
+//
 // Invariant: all open calls with starts of one task go to one worker.
 #pragma once
 
 #include "scheduler/scheduler.h"
 
+#include <QByteArray>
+
 namespace lacewing::scheduler {
 
 // End of the time in which an order that is sent now, and repeated until its deadline, may be carried out.
@@ -31,4 +37,33 @@
 // Whether these calls, and runs that they have started, allow a start on the worker.
 bool allowsStart(const TaskRef& ref, const Worker& worker, Millis now);
 
+// --- Over terms ---
+
+// Age from which a start without an answer is in the table: above the time of an ordinary answer, below the time-out of
+// a call (Limits::callDelayMs).
+constexpr Millis unansweredStartMs = 150;
+
+struct OpenStart {
+    std::string worker;
+    RunNumber run = 0;
+    Millis untilClockMs = 0; // on the term clock (election/election.h)
+};
+
+struct OpenStartTable {
+    std::int64_t token = 0;                  // of the term that stored the table
+    std::map<std::string, OpenStart> starts; // by task
+};
+
+OpenStartTable collectOpenStarts(Scheduler& scheduler, Millis now);
+// True when the stored table lacks an open start, or names an earlier end of one.
+bool lacksOpenStarts(const OpenStartTable& stored, const OpenStartTable& current);
+// The table that earlier terms stored. Called once, after the placements have been applied: these are complete.
+void applyOpenStarts(Scheduler& scheduler, const OpenStartTable& table, Millis now);
+// Drops the open starts of workers that are neither listed nor may hold a lease of an earlier term.
+void dropOpenStartsOfGoneWorkers(Scheduler& scheduler, Millis now);
+
+// JSON; rows of task, worker, run and end.
+QByteArray encodeOpenStarts(const OpenStartTable& table);
+std::optional<OpenStartTable> decodeOpenStarts(const QByteArray& bytes);
+
 } // namespace lacewing::scheduler
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -265,6 +265,7 @@
         if (!hasOpenStart(task, planner.now))
             settleOpenStarts(task); // those before are over
         task.openStartUntil = openStartEnd(scheduler.limits, planner.now);
+        scheduler.unansweredStarts.insert(nameOf(ref));
         task.startToken = fencingTokenOf(scheduler, worker);
         StartOrder order;
         order.worker = worker.entry.id;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -364,6 +364,7 @@
     std::set<std::string> active; // jobs that have not ended, whose final state is not stored, or that still have runs
     std::deque<std::string> retired; // jobs that left `active`, until their accepted records are shortened
     std::set<std::string> openTasks; // names; tasks that have had open starts (open_start.h), until these are over
+    std::set<std::string> unansweredStarts; // names; tasks whose current run had an unanswered call when last looked at
     Interference interference;
     std::set<std::string> dirty; // jobs with changes that are not stored yet
     std::string commitCursor; // last job id of the last commit batch; the next batch continues after it (round robin)
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -801,6 +801,7 @@
         it = isGone ? scheduler.workers.erase(it) : std::next(it);
     }
     scheduler.isReconciled = scheduler.isReconciled || isReconciled;
+    dropOpenStartsOfGoneWorkers(scheduler, now);
 }
 
 } // namespace lacewing::scheduler
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -1,5 +1,6 @@
 // Tests of restarts of lasting tasks on a virtual clock: tasks that need more room than any worker has free, beside
 // shorter tasks that take whatever becomes free.
+#include "scheduler/open_start.h"
 #include "scheduler_world.h"
 
 #include <algorithm>
@@ -31,6 +32,12 @@
     CPPUNIT_TEST(restartsKeepTheirPlaceOverAResignationWithoutTheStore);
     CPPUNIT_TEST(unansweredStartsStayOnTheirWorkerUntilTheyAreOver);
     CPPUNIT_TEST(startsThatWereGivenUpDoNotRunBesideTheNextRun);
+    CPPUNIT_TEST(openStartsOfALostTermDoNotRunBesideTheNextRun);
+    CPPUNIT_TEST(startsSentRightBeforeATermIsLostDoNotRunBesideTheNextRun);
+    CPPUNIT_TEST(openStartsOfOneTaskDoNotRunBesideEachOther);
+    CPPUNIT_TEST(answeredStartsDoNotHoldTasksToTheirWorkerOverTerms);
+    CPPUNIT_TEST(openStartsOfGoneWorkersDoNotHoldTasks);
+    CPPUNIT_TEST(malformedTablesOfOpenStartsAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     static bool isRunning(World& world, const std::string& task)
@@ -155,6 +162,170 @@
         }
     }
 
+private:
+    static int indexOf(World& world, const std::string& id)
+    {
+        const auto found = std::find_if(world.workers().begin(), world.workers().end(),
+            [&](const SimWorker& worker) { return worker.entry.id == id; });
+        return static_cast<int>(found - world.workers().begin());
+    }
+
+    // The only task of a job is started by a call without an answer. Some time after it, the term is lost; others may
+    // be lost in a row. The worker's next incarnations carry the call out before any call with a higher token.
+    static void loseTermAfterUnansweredStart(World& world, const Step& step, Millis lostAfterMs, int terms)
+    {
+        world.run(500);
+        world.submit("other", { plainStep(2, 3000, 120) }); // the third worker is the best one for the job, until then
+        world.run(100);
+        world.faults.delayedStart = 1;
+        world.submit("job", { step });
+        const std::vector<std::string> workers = startsOf(world, "job.0.0.0", 50);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), workers.size());
+        world.faults = {};
+        world.run(lostAfterMs);
+        for (int i = 0; i < terms; ++i) {
+            world.replaceTerm();
+            world.run(300);
+        }
+        for (int i = 0; i < 250; ++i) {
+            world.restartWorker(indexOf(world, workers[0]));
+            world.step();
+        }
+    }
+
+public:
+    // Guards against a start of a term that was killed, which a worker carries out after a restart beside the run that
+    // the next term has started elsewhere (review case 14).
+    void openStartsOfALostTermDoNotRunBesideTheNextRun()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            for (const Millis lostAfterMs : { 200, 800, 2500 }) {
+                for (const int terms : { 1, 2 }) {
+                    for (const bool isLasting : { false, true }) {
+                        World world(seed, 3);
+                        loseTermAfterUnansweredStart(world,
+                            isLasting ? lastingStep(1, 3000, "image") : plainStep(1, 3000, 20000), lostAfterMs, terms);
+                        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + ", lost after "
+                                + std::to_string(lostAfterMs) + " ms, " + std::to_string(terms) + " terms",
+                            std::string(), world.violation());
+                        world.run(30000, 100);
+                        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+                        if (isLasting)
+                            CPPUNIT_ASSERT_EQUAL(1, world.runningTasks());
+                        else
+                            CPPUNIT_ASSERT(world.committedState("job") == scheduler::JobState::Completed);
+                    }
+                }
+            }
+        }
+    }
+
+    // Guards against the same where the term is lost before the stored table has the start; the worker drains at first.
+    void startsSentRightBeforeATermIsLostDoNotRunBesideTheNextRun()
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            World world(seed, 3);
+            world.leavesOutKnownRed = false;
+            world.run(500);
+            world.faults.delayedStart = 1;
+            world.submit("job", { plainStep(1, 3000, 20000) });
+            const std::vector<std::string> workers = startsOf(world, "job.0.0.0", 50);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), workers.size());
+            world.faults = {};
+            world.replaceTerm();
+            SimWorker& first = world.worker(indexOf(world, workers[0]));
+            first.entry.isDraining = true;
+            first.entry.remainingMs = 2000;
+            world.run(150);
+            first.entry.isDraining = false;
+            for (int i = 0; i < 250; ++i) {
+                world.restartWorker(indexOf(world, workers[0]));
+                world.step();
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(), world.violation());
+        }
+    }
+
+    // Guards against two open starts of a task on one worker, whose next incarnation carries both out, the lower run
+    // first.
+    void openStartsOfOneTaskDoNotRunBesideEachOther()
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            World world(seed, 1);
+            world.leavesOutKnownRed = false;
+            world.run(500);
+            world.faults.delayedStart = 1;
+            world.submit("job", { plainStep(1, 3000, 20000) });
+            world.run(4000);
+            world.faults = {};
+            world.restartWorkerSilently(0);
+            world.worker(0).reportsLostUntil = world.now() + 9000;
+            world.run(9000);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(), world.violation());
+        }
+    }
+
+    // Guards against tasks that wait after a lost term although no call for them is open: on one worker after another,
+    // a run ends while its task could start again elsewhere only.
+    void answeredStartsDoNotHoldTasksToTheirWorkerOverTerms()
+    {
+        World world(1, 4);
+        world.run(500);
+        world.submit("job", { plainStep(8, 2000, 30000) });
+        world.run(1000);
+        CPPUNIT_ASSERT_EQUAL(8, world.runningTasks());
+        world.replaceTerm();
+        world.run(1000);
+        CPPUNIT_ASSERT(world.scheduler().openTasks.empty());
+        SimWorker& lost = world.worker(0);
+        const std::size_t tasks = lost.running.size();
+        CPPUNIT_ASSERT(tasks > 0);
+        world.restartWorker(0);
+        world.worker(0).entry.isDraining = true;
+        world.worker(0).entry.remainingMs = 1000;
+        world.run(1000);
+        CPPUNIT_ASSERT_EQUAL(8, world.runningTasks());
+        CPPUNIT_ASSERT(world.worker(0).running.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violation());
+    }
+
+    // Guards against a task that waits for a worker which has left for good between the terms.
+    void openStartsOfGoneWorkersDoNotHoldTasks()
+    {
+        World world(1, 3);
+        world.run(500);
+        world.submit("job", { plainStep(1, 1000, 2000) });
+        world.faults.isLeaderless = true;
+        scheduler::OpenStartTable table;
+        table.token = world.scheduler().token;
+        table.starts["job.0.0.0"] = { "gone", 1, 1000000 };
+        scheduler::Scheduler& state = world.scheduler();
+        scheduler::applyOpenStarts(state, table, world.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), state.openTasks.size());
+        world.faults.isLeaderless = false;
+        world.run(500);
+        CPPUNIT_ASSERT_EQUAL(1, world.runningTasks());
+    }
+
+    // Guards against a damaged table that is taken for one without open starts.
+    void malformedTablesOfOpenStartsAreRejected()
+    {
+        scheduler::OpenStartTable table;
+        table.token = 7;
+        table.starts["a.0.0.1"] = { "w1", 65537, 123456 };
+        const QByteArray bytes = scheduler::encodeOpenStarts(table);
+        const auto copy = scheduler::decodeOpenStarts(bytes);
+        CPPUNIT_ASSERT(copy.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(7), copy->token);
+        CPPUNIT_ASSERT_EQUAL(std::string("w1"), copy->starts.at("a.0.0.1").worker);
+        CPPUNIT_ASSERT_EQUAL(scheduler::RunNumber(65537), copy->starts.at("a.0.0.1").run);
+        CPPUNIT_ASSERT_EQUAL(Millis(123456), copy->starts.at("a.0.0.1").untilClockMs);
+        for (const char* text : { "", "[]", R"({"token":7})", R"({"starts":[]})", R"({"token":7,"starts":[["a"]]})",
+                 R"({"token":7,"starts":[["a",1,2,3]]})", R"({"token":7,"starts":[["a","w","r",3]]})" })
+            CPPUNIT_ASSERT_MESSAGE(text, !scheduler::decodeOpenStarts(text).has_value());
+        CPPUNIT_ASSERT(!scheduler::decodeOpenStarts(bytes.left(bytes.size() - 4)).has_value());
+    }
+
     // Guards against a lasting task that needs most of a worker and never runs again, because small tasks take each
     // processor that becomes free.
     void largeRestartsDoNotStarveBehindSmallTasks()
