Keep state for open occurrences only, and bound the accepted work

Cause: addJob made a Task of 552 bytes for each task of each occurrence when a job was accepted; records and plans went over all of them. isStorable bounds one job, nothing bounded the sum.

Now an occurrence has state while it is open (scheduler/occurrences.h): it is due and has not ended, or a worker, a placement or a record tells of its tasks. Ended ones are ranges of numbers, also in the record. The sum over all accepted jobs is bounded by limits.workShare of the memory of the smallest daemon: beyond it a submission is refused at once, with 503 and a Retry-After from the rate at which work ends, or 400 where the job alone is too large; the store is asked before, so that an accepted job is never refused. Due occurrences beyond the budget wait; nothing accepted is dropped. Ended jobs drop payload and state.

Records of the version before are read; those of jobs with up to 64 occurrences keep their form, so that a daemon of that version can take over.

--- a/src/daemon/access.h
+++ b/src/daemon/access.h
@@ -29,13 +29,15 @@
     ConfigurationOutdated,
     OtherAccount, // the job is of another account
     OverCap,      // a gang that needs more than the cap of its account
+    WorkTooLarge, // a job that needs more memory than all accepted jobs may take
+    WorkFull,     // a job for which the accepted ones leave no memory
     Malformed,
     TooMany,
     Unavailable,
     UnknownOutcome,
 };
 
-constexpr base::EnumNames<RefusalCause, 13> refusalCauseNames { {
+constexpr base::EnumNames<RefusalCause, 15> refusalCauseNames { {
     { RefusalCause::None, "none" },
     { RefusalCause::NoKey, "noKey" },
     { RefusalCause::SeveralHeaders, "severalHeaders" },
@@ -45,6 +47,8 @@
     { RefusalCause::ConfigurationOutdated, "configurationOutdated" },
     { RefusalCause::OtherAccount, "otherAccount" },
     { RefusalCause::OverCap, "overCap" },
+    { RefusalCause::WorkTooLarge, "workTooLarge" },
+    { RefusalCause::WorkFull, "workFull" },
     { RefusalCause::Malformed, "malformed" },
     { RefusalCause::TooMany, "tooMany" },
     { RefusalCause::Unavailable, "unavailable" },
--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -363,9 +363,19 @@
         static_cast<double>(decisions.significant));
     gauge("lacewing_processor_seconds", "Processor time of this process.", processorSeconds());
     gauge("lacewing_resident_bytes", "Resident memory of this process.", residentBytes());
+    const char* workHelp = "Memory that accepted jobs take on the scheduling daemon, as this daemon knows it, and its "
+                           "limit.";
+    const auto workGauge = [&](const char* kind, std::int64_t bytes) {
+        registry.gauge("lacewing_work_bytes", workHelp, { { "kind", kind } }).value = static_cast<double>(bytes);
+    };
+    workGauge("used", usedWork(m_runtime.work));
+    workGauge("limit", workLimit(m_runtime.work));
     gauge("lacewing_is_leader", "1 when this daemon schedules.", m_term->isLeader() ? 1 : 0);
     if (const scheduler::Scheduler* scheduler = m_dispatcher->scheduler()) {
         gauge("lacewing_open_jobs", "Jobs that have not ended.", static_cast<double>(scheduler->active.size()));
+        gauge("lacewing_state_bytes", "Part of the memory of accepted jobs that their open occurrences take.",
+            static_cast<double>(scheduler->stateBytes));
+        gauge("lacewing_deferred_jobs", "Jobs with a due occurrence that waits for memory.", scheduler->deferredJobs);
         gauge("lacewing_starts", "Starts ordered in this term.", static_cast<double>(scheduler->starts));
         gauge(
             "lacewing_done_tasks", "Tasks that ended as done in this term.", static_cast<double>(scheduler->doneTasks));
--- a/src/daemon/dispatcher_service.cpp
+++ b/src/daemon/dispatcher_service.cpp
@@ -7,6 +7,7 @@
 #include "kernel/log.h"
 #include "platform/documents.h"
 #include "scheduler/departure.h"
+#include "scheduler/occurrences.h"
 #include "scheduler/record.h"
 
 namespace lacewing::daemon {
@@ -89,6 +90,8 @@
 {
     m_scheduler = std::make_unique<scheduler::Scheduler>();
     m_scheduler->limits = toLimits(m_runtime.settings);
+    m_scheduler->limits.stateBytes = workLimit(m_runtime.work);
+    m_runtime.work.rateMeasuredAt = 0;
     m_nextPlanAt = 0;
     m_strongerCheckedAt = nowMs();
     m_orderWindow = {};
@@ -279,6 +282,9 @@
     m_table->syncedAt = now;
     m_table->pendingAsOf = jobsKnownUntil();
     m_table->pending = scheduler::pendingJobs(*m_scheduler);
+    measureWork(
+        m_runtime.work, scheduler::acceptedWorkBytes(*m_scheduler), m_scheduler->endedWorkBytes, jobsKnownUntil(), now);
+    m_scheduler->limits.stateBytes = workLimit(m_runtime.work);
 }
 
 // Lets the next term start with the interference that this one has observed.
--- a/src/daemon/gateway_service.cpp
+++ b/src/daemon/gateway_service.cpp
@@ -9,6 +9,7 @@
 #include "http/problem.h"
 #include "kernel/log.h"
 #include "platform/documents.h"
+#include "scheduler/occurrences.h"
 #include "scheduler/record.h"
 
 #include <QJsonDocument>
@@ -245,14 +246,78 @@
     submission.id = job.id;
     submission.sloKey = { queue.policy.service, queue.policy.name };
     if (!isStoreReachable(m_runtime)) {
-        failSubmission(submission, "store unreachable");
+        failSubmission(submission, "store unreachable"); // its workBytes are not counted yet
         return;
     }
+    const std::int64_t workBytes = scheduler::workBytes(job);
+    const WorkVerdict verdict = decideWork(m_runtime.work, workBytes, queue.policy.priority);
+    if (verdict != WorkVerdict::Admitted) {
+        refuseForWork({ verdict, workBytes, queue.policy.priority }, std::move(submission));
+        return;
+    }
+    submission.workBytes = workBytes;
     submission.record = scheduler::encodeAccepted({ std::move(job), queue.policy, base::wallClockMs() });
+    beginSubmission(m_runtime.work, submission.workBytes);
     m_submissions.push_back(std::move(submission));
     storeSubmissions();
 }
 
+// The job may have been accepted by a request whose answer was lost.
+void GatewayService::refuseForWork(const WorkRefusal& refused, Submission submission)
+{
+    const std::string key = storeKeys::acceptedPrefix + submission.id;
+    m_runtime.store->read(key,
+        [this, refused, submission = std::move(submission)](
+            const base::Result<platform::Item, platform::StoreError>& result) {
+            if (result.has_error()) {
+                respondWithWorkRefusal(refused, submission, result.error().code == platform::StoreCode::Missing);
+                return;
+            }
+            const platform::Item& item = result.value();
+            const std::string account = accountOf(item);
+            if (!mayUse(submission.caller, account))
+                refuseOtherJob(submission);
+            else if (isCancelled(item))
+                refuseCancelled(submission, account);
+            else
+                accept(submission, "already stored", account, stateOf(item));
+        });
+}
+
+void GatewayService::respondWithWorkRefusal(
+    const WorkRefusal& refused, const Submission& submission, bool isKnownAbsent)
+{
+    const WorkBudget& work = m_runtime.work;
+    const bool isTooLarge = refused.verdict == WorkVerdict::TooLarge;
+    const RefusalCause cause = isTooLarge ? RefusalCause::WorkTooLarge : RefusalCause::WorkFull;
+    const int retrySeconds = workRetrySeconds(work, refused.bytes, refused.priority, submission.id);
+    http::Response response = isTooLarge
+        ? refusal(400, "the job needs more memory than all accepted jobs may take (limits.workShare)")
+        : isKnownAbsent ? refusal(503, "not accepted: the accepted jobs leave no memory for it")
+                        : refusal(503, "the accepted jobs leave no memory for it, ask again with the same id");
+    if (!isTooLarge)
+        http::setHeader(response.headers, "Retry-After", QByteArray::number(retrySeconds));
+    m_runtime.metrics
+        .counter("lacewing_work_refusals_total", "Jobs refused for the memory of accepted work, by cause.",
+            { { "cause", std::string(base::nameOf(refusalCauseNames, cause)) } })
+        .value
+        += 1;
+    kernel::logEvent(kernel::LogLevel::Info, "gateway", "workRefused",
+        { { "job", submission.id }, { "bytes", refused.bytes }, { "usedBytes", usedWork(work) },
+            { "limitBytes", workLimit(work) }, { "priority", refused.priority },
+            { "endedPerSecond", work.load.endedPerSecond }, { "retrySeconds", isTooLarge ? 0 : retrySeconds },
+            { "ageMs", work.load.asOf > 0 ? nowMs() - work.load.asOf : -1 },
+            { "outcome", std::string(base::nameOf(refusalCauseNames, cause)) } });
+    recordSlo(submission, isTooLarge ? base::RequestResult::Answered : base::RequestResult::Failed);
+    respond(submission.caller, response, "submit", submission.id,
+        isTooLarge ? "larger than the budget for accepted work" : "no memory for accepted work", cause);
+}
+
+void GatewayService::finishSubmission(const Submission& submission, bool isAccepted)
+{
+    endSubmission(m_runtime.work, submission.workBytes, isAccepted, nowMs());
+}
+
 void GatewayService::recordSlo(const Submission& submission, base::RequestResult result)
 {
     m_runtime.metrics.recordRequest(submission.sloKey, base::milliseconds(nowMs() - submission.receivedAt), result,
@@ -333,12 +398,14 @@
 
 void GatewayService::refuseOtherJob(const Submission& submission)
 {
+    finishSubmission(submission, false);
     recordSlo(submission, base::RequestResult::Answered);
     refuseOtherAccount("submit", submission.id, submission.caller);
 }
 
 void GatewayService::refuseCancelled(const Submission& submission, const std::string& account)
 {
+    finishSubmission(submission, false);
     applyState(*m_table, submission.id, account, scheduler::JobState::Cancelled, nowMs());
     recordSlo(submission, base::RequestResult::Answered);
     respond(submission.caller, refusal(410, "the job has been cancelled"), "submit", submission.id, "cancelled");
@@ -348,6 +415,7 @@
     const Submission& submission, const char* outcome, const std::string& account, scheduler::JobState state)
 {
     const scheduler::Millis now = nowMs();
+    finishSubmission(submission, true);
     applyState(*m_table, submission.id, account, state, now);
     m_runtime.metrics.latency("lacewing_accept_seconds", "Time from a job request to its acceptance.")
         .record(base::milliseconds(now - submission.receivedAt));
@@ -357,6 +425,7 @@
 
 void GatewayService::failSubmission(const Submission& submission, const std::string& reason)
 {
+    finishSubmission(submission, submission.isUncertain);
     recordSlo(submission, base::RequestResult::Failed);
     if (submission.isUncertain)
         respond(submission.caller, refusal(504, "the outcome is unknown, ask again with the same id"), "submit",
--- a/src/daemon/gateway_service.h
+++ b/src/daemon/gateway_service.h
@@ -62,7 +62,14 @@
         Caller caller;
         scheduler::Millis receivedAt = 0;
         scheduler::Millis deadline = 0;
-        bool isUncertain = false; // a write had no answer: it may have been or may yet be applied
+        std::int64_t workBytes = 0; // that the budget for accepted work counts; 0: none
+        bool isUncertain = false;   // a write had no answer: it may have been or may yet be applied
+    };
+
+    struct WorkRefusal {
+        WorkVerdict verdict = WorkVerdict::Full;
+        std::int64_t bytes = 0; // of the job
+        int priority = 0;
     };
 
     // `isRepeated`: the configuration has been confirmed once and was too old again when the store had answered.
@@ -78,6 +85,10 @@
         const scheduler::Queue& queue, const std::string& id, const http::Request& request, const Caller& caller);
     void cancelJob(const std::string& id, const Caller& caller);
     void enqueue(const scheduler::Queue& queue, scheduler::JobRequest job, Submission submission);
+    // Refuses a job for which the accepted ones leave no memory, unless it is one of them.
+    void refuseForWork(const WorkRefusal& refused, Submission submission);
+    void respondWithWorkRefusal(const WorkRefusal& refused, const Submission& submission, bool isKnownAbsent);
+    void finishSubmission(const Submission& submission, bool isAccepted);
     // Counts an answered or failed job request against the service-level objectives of its service.
     void recordSlo(const Submission& submission, base::RequestResult result);
     void storeSubmissions();
--- a/src/daemon/runtime.cpp
+++ b/src/daemon/runtime.cpp
@@ -30,6 +30,7 @@
     , clientBudget(makeClientBudget(settings.limits))
     , store(std::make_unique<platform::Store>(toStoreSettings(settings)))
 {
+    work.ownLimitBytes = workLimitBytes(settings.limits.memoryMb, settings.limits.workShare);
     storeReachability = store->onReachability([](bool isReachable, const std::string& detail) {
         kernel::logEvent(isReachable ? kernel::LogLevel::Notice : kernel::LogLevel::Warning, "store",
             isReachable ? "dependencyRegained" : "dependencyLost", { { "dependency", "store" }, { "detail", detail } });
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -5,6 +5,7 @@
 #include "base/metrics.h"
 #include "base/time.h"
 #include "daemon/settings.h"
+#include "daemon/work_budget.h"
 #include "kernel/kernel.h"
 #include "platform/store.h"
 #include "scheduler/types.h"
@@ -27,6 +28,7 @@
     base::Metrics metrics;
     kernel::Kernel kernel;
     std::shared_ptr<http::Budget> clientBudget; // of all HTTP servers
+    WorkBudget work;                            // of accepted jobs
     std::unique_ptr<platform::Store> store;
     platform::Store::Subscription storeReachability; // logs its changes
     http::ChannelCounters peerTraffic;               // answers to other daemons; bytes only
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -164,6 +164,14 @@
             .defaultJson = "0.25",
             .unit = "share",
             .doc = "part of the memory that clients may make this process hold, 8 MB at least" },
+        { .key = "workShare",
+            .type = FieldType::Number,
+            .minimum = 0.05,
+            .maximum = 0.8,
+            .defaultJson = "0.3",
+            .unit = "share",
+            .doc
+            = "part of the memory that accepted jobs may take on the scheduling daemon; the smallest daemon counts" },
     };
 
     constexpr Field schedulerFields[] = {
@@ -307,6 +315,7 @@
         settings.limits.memoryMb = object["limits"]["memoryMb"].toInt();
         settings.limits.descriptors = object["limits"]["descriptors"].toInt();
         settings.limits.clientShare = object["limits"]["clientShare"].toDouble();
+        settings.limits.workShare = object["limits"]["workShare"].toDouble();
         const QJsonValue scheduler = object["scheduler"];
         settings.renewMs = scheduler["renewMs"].toInt();
         settings.commitGapMs = scheduler["commitGapMs"].toInt();
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -24,11 +24,12 @@
     int revocationMs = 0; // 0: not enforced
 };
 
-// What the platform lets this process use, and the part of it for clients.
+// What the platform lets this process use, and the parts of the memory for clients and for accepted jobs.
 struct ProcessLimits {
     int memoryMb = 256;
     int descriptors = 4096;
     double clientShare = 0.25;
+    double workShare = 0.3;
 };
 
 struct Settings {
--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -38,6 +38,19 @@
         return limits;
     }
 
+    QJsonObject encodeWorkLoad(const WorkLoad& load, scheduler::Millis now)
+    {
+        return { { "used", static_cast<qint64>(load.usedBytes) }, { "limit", static_cast<qint64>(load.limitBytes) },
+            { "endedPerSecond", static_cast<qint64>(load.endedPerSecond) },
+            { "ageMs", static_cast<qint64>(now - load.asOf) } };
+    }
+
+    WorkLoad decodeWorkLoad(const QJsonObject& json, scheduler::Millis sentAt)
+    {
+        return { json["used"].toInteger(), json["limit"].toInteger(), json["endedPerSecond"].toInteger(),
+            sentAt - json["ageMs"].toInteger() };
+    }
+
     // Appends members that are already encoded to a JSON object.
     QByteArray encodeReply(const QJsonObject& reply, const QByteArray& members)
     {
@@ -140,7 +153,8 @@
         { "processorShare", m_term->state().processorShare },
         { "storeAgeMs", static_cast<qint64>(answeredAt > 0 ? now - answeredAt : -1) },
         { "isStopping", m_runtime.isStopping }, { "policyRevision", static_cast<qint64>(m_policy->revision()) },
-        { "membersHave", encodeVersion(m_memberCopy.version()) } };
+        { "membersHave", encodeVersion(m_memberCopy.version()) },
+        { "workLimit", static_cast<qint64>(m_runtime.work.ownLimitBytes) } };
     QJsonArray cancels;
     std::int64_t lastCancel = 0;
     for (const StoredCancel& cancel : m_table->storedCancels) {
@@ -239,6 +253,8 @@
     if (!reply["hasMoreChanges"].toBool()) // otherwise states are looked up in the store
         m_table->syncedAt = sent.sentAt;
     m_table->pendingAsOf = sent.sentAt - reply["pendingAgeMs"].toInteger();
+    if (const QJsonObject work = reply["work"].toObject(); !work.isEmpty()) // absent in replies of earlier versions
+        applyWorkLoad(m_runtime.work, decodeWorkLoad(work, sent.sentAt));
 }
 
 void SyncService::probeStore()
@@ -312,6 +328,7 @@
         return encodeReply(reply, members);
     const QByteArray changes = encodeNewChanges(reply, request);
     updatePending(now);
+    reply["work"] = encodeWorkLoad(m_runtime.work.load, now);
     reply["pendingAgeMs"] = static_cast<qint64>(now - std::min(m_pendingCountedAt, m_dispatcher->jobsKnownUntil()));
     return encodeReply(reply, members + ",\"changes\":" + changes + ',' + m_pendingJson);
 }
@@ -324,6 +341,10 @@
     revisions[m_runtime.settings.daemon] = m_policy->revision();
     const std::set<std::string> known = election::knownMembers(state, now);
     std::erase_if(revisions, [&known](const auto& entry) { return known.count(entry.first) == 0; });
+    if (const std::int64_t limit = request["workLimit"].toInteger();
+        limit > 0) // absent in requests of earlier versions
+        m_runtime.work.memberLimits[daemon] = limit;
+    std::erase_if(m_runtime.work.memberLimits, [&known](const auto& entry) { return known.count(entry.first) == 0; });
     for (const std::string& member : known)
         revisions.try_emplace(member, 0); // not reported yet
     m_memberList.update(m_runtime.incarnation, state.token, revisions);
--- a/src/scheduler/account_usage.cpp
+++ b/src/scheduler/account_usage.cpp
@@ -1,6 +1,7 @@
 // Usage of client accounts and the check of their caps.
 #include "scheduler/account_usage.h"
 
+#include "scheduler/occurrences.h"
 #include "scheduler/planner.h"
 
 #include <algorithm>
@@ -10,9 +11,6 @@
 
 namespace {
 
-    // ms; an occurrence that is due later than this cannot have been started by an earlier term, whose wall clock may
-    // have been ahead by less
-    constexpr std::int64_t clockDifferenceMs = 5000;
     // ms after the end of a job until its runs are over: leases are shorter, and stops are repeated (platform limits)
     constexpr std::int64_t endedRunsMs = 60000;
     // ms without a wait for the cap until the account counts as below it: tasks end and start many times a second
@@ -159,10 +157,15 @@
     void countStrays(Planner& planner, const Worker& worker)
     {
         for (const auto& [name, stray] : worker.strays) {
-            const std::optional<TaskRef> ref = findTask(planner.scheduler, name);
-            AccountUsage* usage = ref ? usageOf(planner, *ref->job) : nullptr;
-            if (usage)
-                addPlaced(*usage, *ref->step, 1);
+            const std::optional<TaskName> task = parseTaskName(name);
+            const auto found
+                = task ? planner.scheduler.jobs.find(std::string(task->job)) : planner.scheduler.jobs.end();
+            if (found == planner.scheduler.jobs.end())
+                continue;
+            const std::vector<Step>& steps = found->second->request.steps;
+            AccountUsage* usage = usageOf(planner, *found->second);
+            if (usage && task->step < static_cast<int>(steps.size()))
+                addPlaced(*usage, steps[static_cast<std::size_t>(task->step)], 1);
         }
     }
 
--- a/src/scheduler/internal.h
+++ b/src/scheduler/internal.h
@@ -44,6 +44,9 @@
 void logDecision(Scheduler& scheduler, Decision decision);
 // Logs a decision on a run of the task.
 void logRunDecision(Scheduler& scheduler, const TaskRef& ref, Decision decision);
+// ms; an occurrence that is due later than this cannot have been started by an earlier term, whose wall clock may have
+// been ahead by less
+constexpr std::int64_t clockDifferenceMs = 5000;
 // Image share of a worker without serving tasks: it ranks between workers with the same image and with other images.
 constexpr double emptyWorkerShare = 0.5;
 
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -1,47 +1,30 @@
 // Jobs and their tasks: creation, ends of runs, final states, and the selection of records to store.
 #include "scheduler/internal.h"
+#include "scheduler/occurrences.h"
 #include "scheduler/open_start.h"
 #include "scheduler/run_record.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 
 namespace lacewing::scheduler {
 
 namespace {
 
-    Occurrence makeOccurrence(const JobRequest& request, int number)
-    {
-        Occurrence occurrence;
-        occurrence.dueUnixMs = request.repeatCount > 0 ? request.firstStartUnixMs + number * request.intervalMs : 0;
-        for (const Step& step : request.steps) {
-            StepProgress progress;
-            progress.tasks.resize(static_cast<std::size_t>(step.count));
-            occurrence.steps.push_back(std::move(progress));
-        }
-        return occurrence;
-    }
-
     void finishIfDone(Scheduler& scheduler, Job& job, Millis now)
     {
-        for (auto& [number, occurrence] : job.occurrences)
-            occurrence.isDone = isOccurrenceDone(job.request, occurrence);
-        const bool isAllDone = std::all_of(
-            job.occurrences.begin(), job.occurrences.end(), [](const auto& entry) { return entry.second.isDone; });
-        if (isAllDone)
+        int ended = job.endedOccurrences.count;
+        for (auto& [number, occurrence] : job.occurrences) {
+            if (!occurrence.isDone && isOccurrenceDone(job.request, occurrence)) {
+                occurrence.isDone = true;
+                occurrence.endVersion = job.version;
+            }
+            ended += occurrence.isDone ? 1 : 0;
+        }
+        if (ended == occurrenceCount(job.request))
             setState(scheduler, job, JobState::Completed, now);
     }
 
-    std::optional<int> parseNumber(std::string_view text)
-    {
-        int value = 0;
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-        if (error != std::errc() || end != text.data() + text.size() || value < 0)
-            return std::nullopt;
-        return value;
-    }
-
     void completeTask(StepProgress& progress, Task& task)
     {
         if (task.phase == TaskPhase::Done)
@@ -105,12 +88,9 @@
 
 bool isStorable(const JobRequest& request)
 {
-    std::int64_t tasks = 0; // of one occurrence
-    for (const Step& step : request.steps)
-        tasks += step.count;
-    const std::int64_t occurrences = std::max(1, request.repeatCount);
+    const std::int64_t occurrences = occurrenceCount(request);
     const auto steps = static_cast<std::int64_t>(request.steps.size());
-    return tasks * occurrences <= maxTasksPerJob && steps * occurrences <= maxStepsPerJob;
+    return taskCount(request) * occurrences <= maxTasksPerJob && steps * occurrences <= maxStepsPerJob;
 }
 
 Job& addJob(Scheduler& scheduler, JobRequest request, QueuePolicy policy, std::int64_t acceptedUnixMs,
@@ -124,10 +104,14 @@
     job.acceptedAt = now;
     job.acceptedUnixMs = acceptedUnixMs;
     job.acceptedRevision = acceptedRevision;
-    const int occurrences = std::max(1, request.repeatCount);
-    for (int number = 0; number < occurrences; ++number)
-        job.occurrences.emplace(number, makeOccurrence(request, number));
     job.request = std::move(request);
+    job.occurrenceBytes = occurrenceBytes(job.request);
+    job.workBytes = workBytes(job.request);
+    const bool hasRoom = scheduler.stateBytes + job.occurrenceBytes <= scheduler.limits.stateBytes;
+    if (job.request.repeatCount <= 0 && hasRoom) { // otherwise a plan opens its occurrences
+        openOccurrence(job, 0);
+        scheduler.stateBytes += job.occurrenceBytes;
+    }
     job.policy = std::move(policy); // of the version by which the job was accepted
     applyPolicyInForce(scheduler, job);
     scheduler.active.insert(job.request.id);
@@ -164,37 +148,25 @@
 
 std::optional<TaskRef> findTask(Scheduler& scheduler, const std::string& name)
 {
-    const std::size_t third = name.rfind('.');
-    const std::size_t second
-        = third == std::string::npos || third == 0 ? std::string::npos : name.rfind('.', third - 1);
-    const std::size_t first
-        = second == std::string::npos || second == 0 ? std::string::npos : name.rfind('.', second - 1);
-    if (first == std::string::npos)
-        return std::nullopt;
-    const std::string_view view(name);
-    const auto occurrence = parseNumber(view.substr(first + 1, second - first - 1));
-    const auto step = parseNumber(view.substr(second + 1, third - second - 1));
-    const auto index = parseNumber(view.substr(third + 1));
-    if (!occurrence || !step || !index)
-        return std::nullopt;
-    const auto found = scheduler.jobs.find(name.substr(0, first));
+    const std::optional<TaskName> parsed = parseTaskName(name);
+    const auto found = parsed ? scheduler.jobs.find(std::string(parsed->job)) : scheduler.jobs.end();
     if (found == scheduler.jobs.end())
         return std::nullopt;
     Job& job = *found->second;
-    const auto entry = job.occurrences.find(*occurrence);
-    if (entry == job.occurrences.end() || *step >= static_cast<int>(job.request.steps.size()))
+    const auto entry = job.occurrences.find(parsed->occurrence);
+    if (entry == job.occurrences.end() || parsed->step >= static_cast<int>(job.request.steps.size()))
         return std::nullopt;
     TaskRef ref;
     ref.job = &job;
     ref.occurrence = &entry->second;
-    ref.occurrenceNumber = *occurrence;
-    ref.stepNumber = *step;
-    ref.index = *index;
-    ref.step = &job.request.steps[static_cast<std::size_t>(*step)];
-    ref.progress = &entry->second.steps[static_cast<std::size_t>(*step)];
-    if (*index >= static_cast<int>(ref.progress->tasks.size()))
+    ref.occurrenceNumber = parsed->occurrence;
+    ref.stepNumber = parsed->step;
+    ref.index = parsed->index;
+    ref.step = &job.request.steps[static_cast<std::size_t>(parsed->step)];
+    ref.progress = &entry->second.steps[static_cast<std::size_t>(parsed->step)];
+    if (parsed->index >= static_cast<int>(ref.progress->tasks.size()))
         return std::nullopt;
-    ref.task = &ref.progress->tasks[static_cast<std::size_t>(*index)];
+    ref.task = &ref.progress->tasks[static_cast<std::size_t>(parsed->index)];
     return ref;
 }
 
@@ -375,9 +347,10 @@
     }
 }
 
-void retireJob(Scheduler& scheduler, const Job& job)
+void retireJob(Scheduler& scheduler, Job& job)
 {
     scheduler.active.erase(job.request.id);
+    dropWork(scheduler, job);
     if (!job.isRecordShort)
         scheduler.retired.push_back(job.request.id);
 }
--- a/src/scheduler/open_start.cpp
+++ b/src/scheduler/open_start.cpp
@@ -3,6 +3,7 @@
 
 #include "base/json.h"
 #include "scheduler/internal.h"
+#include "scheduler/occurrences.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -114,7 +115,7 @@
     const Millis longestMs = openStartEnd(scheduler.limits, now) - now;
     int kept = 0;
     for (const auto& [name, start] : table.starts) {
-        const std::optional<TaskRef> ref = findTask(scheduler, name);
+        const std::optional<TaskRef> ref = findReportedTask(scheduler, name, start.run, now);
         // Where the history is not known, the end is on another clock.
         const Millis leftMs = scheduler.history.isKnown
             ? std::min(start.untilClockMs - termClock(scheduler, now), longestMs)
--- a/src/scheduler/plan.cpp
+++ b/src/scheduler/plan.cpp
@@ -6,6 +6,7 @@
 #include "scheduler/approval.h"
 #include "scheduler/colocation.h"
 #include "scheduler/consolidation.h"
+#include "scheduler/occurrences.h"
 #include "scheduler/open_start.h"
 #include "scheduler/placement_order.h"
 #include "scheduler/planner.h"
@@ -709,6 +710,7 @@
     Planner planner { scheduler, now, nowUnixMs };
     reconcileWorkers(scheduler, now);
     reportAccounting(scheduler, now);
+    updateOccurrences(scheduler, now, nowUnixMs);
     planner.hasDraining = std::any_of(scheduler.workers.begin(), scheduler.workers.end(),
         [](const auto& entry) { return entry.second.drainEndsAt != 0; });
     std::vector<std::string> finished;
--- a/src/scheduler/record.cpp
+++ b/src/scheduler/record.cpp
@@ -3,6 +3,7 @@
 
 #include "base/json.h"
 #include "scheduler/internal.h"
+#include "scheduler/occurrences.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -22,6 +23,10 @@
     constexpr char failedMark = 'f';
     constexpr char openMark = '.';
 
+    // The record of a job with at most this many occurrences lists all of them, so that a daemon of a version that
+    // knows no other form can read it.
+    constexpr int maxListedOccurrences = 64;
+
     QString text(const std::string& value) { return QString::fromStdString(value); }
     QJsonObject stepToJson(const Step& step)
     {
@@ -161,6 +166,80 @@
         return json;
     }
 
+    bool hasProgress(const Task& task)
+    {
+        return task.phase == TaskPhase::Done || task.phase == TaskPhase::Failed || task.endedRun > 0
+            || !task.failedRuns.empty() || !task.checkpoint.empty() || !task.recordedWorker.empty()
+            || !task.storedWorker.empty();
+    }
+
+    bool hasProgress(const Occurrence& occurrence)
+    {
+        return std::any_of(occurrence.steps.begin(), occurrence.steps.end(), [](const StepProgress& progress) {
+            return std::any_of(
+                progress.tasks.begin(), progress.tasks.end(), [](const Task& t) { return hasProgress(t); });
+        });
+    }
+
+    QJsonArray stepsToJson(const Occurrence& occurrence)
+    {
+        QJsonArray steps;
+        for (const StepProgress& progress : occurrence.steps)
+            steps.append(progressToJson(progress));
+        return steps;
+    }
+
+    // Of an occurrence that is not open: all tasks have the mark.
+    QJsonArray stepsToJson(const JobRequest& request, char mark)
+    {
+        QJsonArray steps;
+        for (const Step& step : request.steps)
+            steps.append(QJsonObject { { "tasks", QString(step.count, QLatin1Char(mark)) } });
+        return steps;
+    }
+
+    QJsonObject allOccurrencesToJson(const Job& job)
+    {
+        QJsonObject occurrences;
+        for (int number = 0; number < occurrenceCount(job.request); ++number) {
+            const auto open = job.occurrences.find(number);
+            occurrences[QString::number(number)] = open != job.occurrences.end()
+                ? stepsToJson(open->second)
+                : stepsToJson(job.request, contains(job.endedOccurrences, number) ? doneMark : openMark);
+        }
+        return occurrences;
+    }
+
+    // Only open occurrences with progress are listed, and those that have ended as ranges.
+    void addProgress(QJsonObject& json, const Job& job)
+    {
+        NumberSet ended = job.endedOccurrences;
+        QJsonObject occurrences;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            if (occurrence.isDone)
+                insert(ended, number);
+            else if (hasProgress(occurrence))
+                occurrences[QString::number(number)] = stepsToJson(occurrence);
+        }
+        QJsonArray ranges;
+        for (const auto& [first, last] : ended.ranges)
+            ranges.append(QJsonArray { first, last });
+        json["ended"] = ranges;
+        json["occurrences"] = occurrences;
+    }
+
+    bool restoreEnded(Job& job, const QJsonArray& ranges)
+    {
+        for (const QJsonValue range : ranges) {
+            const int first = range[0].toInt(-1);
+            const int last = range[1].toInt(-1);
+            if (first < 0 || last < first || last >= occurrenceCount(job.request))
+                return false;
+            insertRange(job.endedOccurrences, first, last);
+        }
+        return true;
+    }
+
     bool restoreStep(StepProgress& progress, const QJsonObject& json)
     {
         const QString marks = json["tasks"].toString();
@@ -284,14 +363,10 @@
     if (hasLasting && !isFinal(job.state))
         json["runsRecordedSince"] = static_cast<qint64>(runsRecordedSince);
     if (!isFinal(job.state)) { // a final job starts no tasks, so its tasks are not stored
-        QJsonObject occurrences;
-        for (const auto& [number, occurrence] : job.occurrences) {
-            QJsonArray steps;
-            for (const StepProgress& progress : occurrence.steps)
-                steps.append(progressToJson(progress));
-            occurrences[QString::number(number)] = steps;
-        }
-        json["occurrences"] = occurrences;
+        if (occurrenceCount(job.request) <= maxListedOccurrences)
+            json["occurrences"] = allOccurrencesToJson(job);
+        else
+            addProgress(json, job);
     }
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
@@ -320,15 +395,28 @@
     if (isFinal(*state))
         return true;
     const QJsonObject occurrences = (*json)["occurrences"].toObject();
-    for (auto& [number, occurrence] : job.occurrences) {
-        const QJsonArray steps = occurrences[QString::number(number)].toArray();
-        if (steps.size() != static_cast<qsizetype>(occurrence.steps.size()))
+    const QJsonValue ended = (*json)["ended"]; // absent in records that list all occurrences
+    const int count = occurrenceCount(job.request);
+    if (ended.isUndefined() ? occurrences.size() != count : !restoreEnded(job, ended.toArray()))
+        return false;
+    for (auto entry = occurrences.begin(); entry != occurrences.end(); ++entry) {
+        bool isNumber = false;
+        const int number = entry.key().toInt(&isNumber);
+        const QJsonArray steps = entry.value().toArray();
+        if (!isNumber || number < 0 || number >= count
+            || steps.size() != static_cast<qsizetype>(job.request.steps.size()))
             return false;
+        Occurrence& occurrence = openOccurrence(job, number);
         for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
             if (!restoreStep(occurrence.steps[i], steps[static_cast<qsizetype>(i)].toObject()))
                 return false;
         }
         occurrence.isDone = isOccurrenceDone(job.request, occurrence);
+        if (job.request.repeatCount <= 0 || (!occurrence.isDone && hasProgress(occurrence)))
+            continue;
+        if (occurrence.isDone)
+            insert(job.endedOccurrences, number);
+        job.occurrences.erase(number); // opened when it is due
     }
     job.storedRunsRecordedSince = (*json)["runsRecordedSince"].toInteger();
     return true;
--- a/src/scheduler/review.cpp
+++ b/src/scheduler/review.cpp
@@ -1,4 +1,5 @@
 // Review of open jobs before placement: stops runs that must not go on, and collects the steps with tasks to place.
+#include "scheduler/occurrences.h"
 #include "scheduler/planner.h"
 
 #include <algorithm>
@@ -226,7 +227,7 @@
             continue;
         for (auto& [name, stray] : worker.strays) {
             const std::optional<TaskRef> ref = findTask(planner.scheduler, name);
-            if ((!ref && !planner.scheduler.isReconciled)
+            if ((!ref && !planner.scheduler.isReconciled && !isOfEndedOccurrence(planner.scheduler, name))
                 || (stray.lastStopAt > 0 && planner.now - stray.lastStopAt < stopRetryMs))
                 continue;
             stray.lastStopAt = planner.now;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -32,6 +32,7 @@
 #include "scheduler/down_report.h"
 #include "scheduler/interference.h"
 #include "scheduler/lease_table.h"
+#include "scheduler/number_set.h"
 #include "scheduler/recovery_report.h"
 #include "scheduler/types.h"
 #include "scheduler/waiting_report.h"
@@ -63,6 +64,7 @@
     Millis startDeadlineMs = 1500; // the worker refuses a start that arrives later
     Millis leaseSlackMs = 150;     // safety margin added to computed lease ends
     Millis lateOrderMs = 12000;    // longest time after which an unanswered order is carried out (platform limit)
+    std::int64_t stateBytes = std::numeric_limits<std::int64_t>::max(); // of open occurrences (occurrences.h)
     Millis impactMs = 4000; // longest time that filling tasks may keep a serving task over its target (platform limit)
 };
 
@@ -151,6 +153,7 @@
     std::int64_t dueUnixMs = 0; // 0: immediately
     std::vector<StepProgress> steps;
     bool isDone = false;
+    std::uint64_t endVersion = 0; // job records of this version and later ones say that it is done
 };
 
 struct Job {
@@ -160,7 +163,13 @@
     std::int64_t acceptedUnixMs = 0;
     std::int64_t acceptedRevision = 0; // store revision at which the job was accepted; tokens are of the same sequence
     JobState state = JobState::Queued;
-    std::map<int, Occurrence> occurrences; // by number
+    // --- Occurrences (occurrences.h) ---
+    std::map<int, Occurrence> occurrences; // the open ones, by number
+    NumberSet endedOccurrences;
+    int nextOccurrence = 0;           // all below it are open or ended
+    std::int64_t occurrenceBytes = 0; // of one open occurrence
+    std::int64_t workBytes = 0;       // of the request with one open occurrence
+    // --- State ---
     bool hasStarted = false;          // a worker has acknowledged or reported a run; a start order alone does not count
     Millis criticalPathMs = -1;       // critical path of the steps, by their estimates; -1: not computed yet
     Millis waitingReportedAt = 0;     // for the reports only: last line `jobWaiting`; 0: none in this term
@@ -363,6 +372,10 @@
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
     std::set<std::string> active; // jobs that have not ended, whose final state is not stored, or that still have runs
     std::deque<std::string> retired; // jobs that left `active`, until their accepted records are shortened
+    std::int64_t stateBytes = 0;     // of the open occurrences, in the last plan
+    std::int64_t endedWorkBytes = 0; // of all jobs that have left `active`; rises
+    int deferredJobs = 0;            // with a due occurrence that waits for memory, in the last plan
+    Millis deferralLoggedAt = 0;     // last line on them; 0: none
     std::set<std::string> openTasks; // names; tasks that have had open starts (open_start.h), until these are over
     std::set<std::string> unansweredStarts; // names; tasks whose current run had an unanswered call when last looked at
     Interference interference;
@@ -504,7 +517,7 @@
 void applyCommit(Scheduler& scheduler, const std::string& id, std::uint64_t version, JobState state);
 
 // The job has ended, its final state is stored, and it has no runs.
-void retireJob(Scheduler& scheduler, const Job& job);
+void retireJob(Scheduler& scheduler, Job& job);
 // At most `limit` retired jobs whose accepted record may be replaced by a short one; each is returned once.
 std::vector<std::string> jobsToShorten(Scheduler& scheduler, std::size_t limit);
 // At most `limit` jobs that ended at least keepMs ago, with their final state stored: their records may be removed.
@@ -527,6 +540,7 @@
 
 // Length of the leases that this term grants.
 Millis leaseLengthMs(const Limits& limits);
+// nullopt: unknown, or its occurrence is not open.
 std::optional<TaskRef> findTask(Scheduler& scheduler, const std::string& name);
 bool hasLabel(const WorkerEntry& entry, const std::string& label);
 // Number of accepted jobs without a started task, by queue; queues without such jobs are left out.
--- a/src/scheduler/term.cpp
+++ b/src/scheduler/term.cpp
@@ -1,6 +1,7 @@
 // Start of a term and its planned end: which tasks may still run on a worker, and the placements that a resigning term
 // hands over to the next one.
 #include "scheduler/internal.h"
+#include "scheduler/occurrences.h"
 #include "scheduler/open_start.h"
 
 #include <algorithm>
@@ -117,9 +118,8 @@
 
 void applyPlacements(Scheduler& scheduler, const Placements& placements, Millis now)
 {
-    scheduler.hasPlacements = true;
     for (const Placement& placement : placements.tasks) {
-        const std::optional<TaskRef> ref = findTask(scheduler, placement.task);
+        const std::optional<TaskRef> ref = findReportedTask(scheduler, placement.task, placement.run, now);
         if (!ref || ref->task->phase != TaskPhase::Unknown)
             continue;
         Task& task = *ref->task;
@@ -133,6 +133,7 @@
             scheduler.openTasks.insert(placement.task);
         }
     }
+    scheduler.hasPlacements = true; // occurrences that are opened from now on have no runs of earlier terms
     int free = 0;
     for (const std::string& id : scheduler.active) {
         Job& job = *scheduler.jobs.at(id);
--- a/src/scheduler/types.h
+++ b/src/scheduler/types.h
@@ -61,9 +61,9 @@
     std::int64_t intervalMs = 0;
 };
 
-// Largest job over all its occurrences. A scheduling daemon keeps the state of each task in memory from the start of
-// its term on, and the progress of a job in one value of the store, whose limit is 700,000 bytes without the text
-// encoding: about 30 bytes for each step of each occurrence, one for each task and some 30 for its checkpoint.
+// Largest job over all its occurrences. The progress of a job is one value of the store, whose limit is 700,000 bytes
+// without the text encoding: about 30 bytes for each step of each open occurrence, one for each task and some 30 for
+// its checkpoint. Memory is bounded by the sum over all jobs (occurrences.h).
 constexpr std::int64_t maxTasksPerJob = 100'000;
 constexpr std::int64_t maxStepsPerJob = 10'000;
 
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -1,6 +1,7 @@
 // Workers: announcements, leases, reports of running and ended runs, answers to start orders.
 #include "scheduler/departure.h"
 #include "scheduler/internal.h"
+#include "scheduler/occurrences.h"
 #include "scheduler/open_start.h"
 #include "scheduler/run_number.h"
 #include "scheduler/run_record.h"
@@ -134,7 +135,7 @@
     {
         UnacknowledgedEnd pending;
         pending.number = end.number;
-        const std::optional<TaskRef> ref = findTask(scheduler, end.task);
+        const std::optional<TaskRef> ref = findReportedTask(scheduler, end.task, end.run, now);
         if (ref && isPossibleRun(scheduler, *ref, worker, end.run)) {
             Task& task = *ref->task;
             const bool isTracked = isCurrentRun(task, worker.entry.id, end.run);
@@ -182,7 +183,7 @@
 
     void applyRunning(Scheduler& scheduler, Worker& worker, const RunningTask& row, Millis now)
     {
-        const std::optional<TaskRef> ref = findTask(scheduler, row.task);
+        const std::optional<TaskRef> ref = findReportedTask(scheduler, row.task, row.run, now);
         const auto markStray = [&] {
             StrayRun& stray = worker.strays[row.task];
             if (stray.run != row.run)
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -1,6 +1,7 @@
 // Workers, store and fault injection of the simulated deployment.
 #include "scheduler_world.h"
 
+#include "scheduler/occurrences.h"
 #include "scheduler/open_start.h"
 
 #include <algorithm>
@@ -78,9 +79,29 @@
     scheduler::AcceptedJob job;
     job.request.id = id;
     job.request.account = account;
-    job.request.payload = "payload";
     job.request.steps = std::move(steps);
     job.policy = std::move(policy);
+    accept(std::move(job));
+}
+
+void World::submitRepeated(const std::string& id, std::vector<scheduler::Step> steps, int repeatCount,
+    std::int64_t firstStartUnixMs, std::int64_t intervalMs, int maxAttempts)
+{
+    scheduler::AcceptedJob job;
+    job.request.id = id;
+    job.request.steps = std::move(steps);
+    job.request.repeatCount = repeatCount;
+    job.request.firstStartUnixMs = firstStartUnixMs;
+    job.request.intervalMs = intervalMs;
+    job.policy.name = "queue";
+    job.policy.maxAttempts = maxAttempts;
+    accept(std::move(job));
+}
+
+void World::accept(scheduler::AcceptedJob job)
+{
+    const std::string id = job.request.id;
+    job.request.payload = "payload";
     job.policy.service = "pool";
     job.acceptedUnixMs = m_now;
     m_maxAttempts[id] = job.policy.maxAttempts;
@@ -242,28 +263,34 @@
         return StartOutcome::Outdated;
     if (m_now + worker.clockOffset > order.deadlineClockMs)
         return StartOutcome::Late;
-    const auto ref = scheduler::findTask(*m_scheduler, order.task);
-    if (ref && ref->job->policy.approval.isNeeded) {
+    const auto name = scheduler::parseTaskName(order.task); // its occurrence may not be open in this term
+    const auto known = name ? m_scheduler->jobs.find(std::string(name->job)) : m_scheduler->jobs.end();
+    const bool isKnown = known != m_scheduler->jobs.end()
+        && name->occurrence < scheduler::occurrenceCount(known->second->request)
+        && name->step < static_cast<int>(known->second->request.steps.size())
+        && name->index < known->second->request.steps[static_cast<std::size_t>(name->step)].count;
+    check(isKnown, order.task + " was started but is not a known task");
+    if (!isKnown)
+        return StartOutcome::Refused;
+    const scheduler::Job& requested = *known->second;
+    const scheduler::Step& step = requested.request.steps[static_cast<std::size_t>(name->step)];
+    if (requested.policy.approval.isNeeded) {
         const auto ticket = worker.tickets.find(order.ticket);
         if (ticket == worker.tickets.end() || m_now > ticket->second) {
             ++m_rejectedTickets;
             return StartOutcome::NoTicket;
         }
     }
-    check(ref.has_value(), order.task + " was started but is not a known task");
-    if (!ref)
-        return StartOutcome::Refused;
-    const std::string job = ref->job->request.id;
+    const std::string job = requested.request.id;
     check(m_acknowledgedDone.count(order.task) == 0, order.task + " started after its end was acknowledged");
-    check(static_cast<int>(m_acknowledgedFailures[order.task].size()) < m_maxAttempts[job] || ref->step->isLasting,
+    check(static_cast<int>(m_acknowledgedFailures[order.task].size()) < m_maxAttempts[job] || step.isLasting,
         order.task + " started after its attempts were used up");
     for (const SimWorker& other : m_workers)
         check(other.running.count(order.task) == 0, order.task + " runs twice");
-    int cpu = ref->step->cpuMillicores;
+    int cpu = step.cpuMillicores;
     for (const auto& [task, run] : worker.running)
         cpu += run.step.isFilling ? 0 : run.step.cpuMillicores;
-    check(
-        ref->step->isFilling || cpu <= worker.entry.capacity.cpuMillicores, worker.entry.id + " is over its capacity");
+    check(step.isFilling || cpu <= worker.entry.capacity.cpuMillicores, worker.entry.id + " is over its capacity");
     const Accepted& accepted = m_accepted[job];
     check(!accepted.isCancelled || m_now - accepted.cancelledAt < 3000, order.task + " started after it was cancelled");
     const auto [holder, isNew] = m_runWorkers[order.task].try_emplace(order.run, worker.entry.id);
@@ -272,8 +299,8 @@
     SimRun run;
     run.run = order.run;
     run.startedAt = m_now;
-    run.step = *ref->step;
-    run.account = ref->job->request.account;
+    run.step = step;
+    run.account = requested.request.account;
     run.endsAt = run.step.isLasting ? 0 : m_now + std::max(1, run.step.estimateMs);
     run.willFail = base::chance(m_rng, faults.failedRun);
     run.checkpoint = order.checkpoint;
@@ -467,7 +494,8 @@
     if (worker.token != 0 || delayed.incarnationUnixMs == worker.entry.incarnationUnixMs)
         return false;
     const auto ref = scheduler::findTask(*m_scheduler, delayed.order.task);
-    const bool hasEnded = !ref || scheduler::isFinal(ref->job->state) || ref->task->phase == scheduler::TaskPhase::Done;
+    const bool hasEnded = scheduler::isOfEndedOccurrence(*m_scheduler, delayed.order.task)
+        || (ref && ref->task->phase == scheduler::TaskPhase::Done);
     const auto known = m_scheduler->workers.find(worker.entry.id);
     const bool isGivenUp = known == m_scheduler->workers.end() || known->second.isLeaseExpired;
     return hasEnded || isGivenUp || m_now < worker.unreachableUntil || (delayed.isUnrecorded && leavesOutKnownRed);
@@ -536,7 +564,7 @@
     answerQuestions();
     m_scheduler->validUntil = m_now + 1000;
     m_scheduler->isStoreFailing = faults.isStoreUnavailable;
-    executeOrders(scheduler::plan(*m_scheduler, m_now, m_now));
+    executeOrders(scheduler::plan(*m_scheduler, m_now, m_now + wallClockOffsetMs));
     commit();
     m_decisions = scheduler::takeDecisions(*m_scheduler);
     m_scheduler->changes.clear();
--- a/tests/scheduler_world.h
+++ b/tests/scheduler_world.h
@@ -98,6 +98,9 @@
         const scheduler::ApprovalPolicy& approval = {});
     void submit(const std::string& id, std::vector<scheduler::Step> steps, scheduler::QueuePolicy policy,
         const std::string& account = {});
+    // A job that runs repeatCount times.
+    void submitRepeated(const std::string& id, std::vector<scheduler::Step> steps, int repeatCount,
+        std::int64_t firstStartUnixMs, std::int64_t intervalMs, int maxAttempts = 3);
     // The client accounts of the configuration, from now on. World checks their caps at each start.
     void setAccounts(const std::vector<scheduler::Account>& accounts);
     void cancel(const std::string& id);
@@ -108,6 +111,7 @@
     void restartWorkerSilently(int index);
 
     // --- Time ---
+    Millis wallClockOffsetMs = 0; // of the scheduling daemon's wall clock, ahead of the virtual clock
     Millis now() const { return m_now; }
     void step(Millis length = 50);
     void run(Millis length, Millis stepLength = 50);
@@ -147,6 +151,7 @@
         Millis cancelledAt = 0;
     };
 
+    void accept(scheduler::AcceptedJob job);
     void endRuns();
     void exchangeReports();
     void ask(const scheduler::ApprovalQuestion& question);
