--- a/src/daemon/sync_service.cpp
+++ b/src/daemon/sync_service.cpp
@@ -25,7 +25,9 @@
         = 600; // ms that a resigned daemon stays to notify others; above two periods of requests
     constexpr int maxCancelsPerRequest = 32;
     constexpr int failuresUntilRedial = 2; // consecutive requests without a reply until the connection is replaced
-    constexpr int shortestSyncMs = 50;     // ms; lower bound of a period that the scheduling daemon asks for
+    // ms between messages with the accepted work, which daemons know within a second
+    constexpr scheduler::Millis workPeriodMs = 400;
+    constexpr int shortestSyncMs = 50; // ms; lower bound of a period that the scheduling daemon asks for
     constexpr scheduler::Millis probeIntervalMs
         = 400; // ms between a follower's reads of the store while the leader cannot reach it
     constexpr scheduler::Millis pendingCountIntervalMs
@@ -38,17 +40,16 @@
         return limits;
     }
 
-    QJsonObject encodeWorkLoad(const WorkLoad& load, scheduler::Millis now)
+    // Used bytes, limit in bytes, bytes ended in a second, age in ms.
+    QJsonArray encodeWorkLoad(const WorkLoad& load, scheduler::Millis now)
     {
-        return { { "used", static_cast<qint64>(load.usedBytes) }, { "limit", static_cast<qint64>(load.limitBytes) },
-            { "endedPerSecond", static_cast<qint64>(load.endedPerSecond) },
-            { "ageMs", static_cast<qint64>(now - load.asOf) } };
+        return { static_cast<qint64>(load.usedBytes), static_cast<qint64>(load.limitBytes),
+            static_cast<qint64>(load.endedPerSecond), static_cast<qint64>(now - load.asOf) };
     }
 
-    WorkLoad decodeWorkLoad(const QJsonObject& json, scheduler::Millis sentAt)
+    WorkLoad decodeWorkLoad(const QJsonArray& json, scheduler::Millis sentAt)
     {
-        return { json["used"].toInteger(), json["limit"].toInteger(), json["endedPerSecond"].toInteger(),
-            sentAt - json["ageMs"].toInteger() };
+        return { json[0].toInteger(), json[1].toInteger(), json[2].toInteger(), sentAt - json[3].toInteger() };
     }
 
     // Appends members that are already encoded to a JSON object.
@@ -153,8 +154,11 @@
         { "processorShare", m_term->state().processorShare },
         { "storeAgeMs", static_cast<qint64>(answeredAt > 0 ? now - answeredAt : -1) },
         { "isStopping", m_runtime.isStopping }, { "policyRevision", static_cast<qint64>(m_policy->revision()) },
-        { "membersHave", encodeVersion(m_memberCopy.version()) },
-        { "workLimit", static_cast<qint64>(m_runtime.work.ownLimitBytes) } };
+        { "membersHave", encodeVersion(m_memberCopy.version()) } };
+    if (now - m_workLimitSentAt >= workPeriodMs) {
+        m_workLimitSentAt = now;
+        request["workLimit"] = static_cast<qint64>(m_runtime.work.ownLimitBytes);
+    }
     QJsonArray cancels;
     std::int64_t lastCancel = 0;
     for (const StoredCancel& cancel : m_table->storedCancels) {
@@ -253,7 +257,8 @@
     if (!reply["hasMoreChanges"].toBool()) // otherwise states are looked up in the store
         m_table->syncedAt = sent.sentAt;
     m_table->pendingAsOf = sent.sentAt - reply["pendingAgeMs"].toInteger();
-    if (const QJsonObject work = reply["work"].toObject(); !work.isEmpty()) // absent in replies of earlier versions
+    constexpr qsizetype workFields = 4;
+    if (const QJsonArray work = reply["work"].toArray(); work.size() == workFields) // not in each reply
         applyWorkLoad(m_runtime.work, decodeWorkLoad(work, sent.sentAt));
 }
 
@@ -297,7 +302,8 @@
     applyMessage(state, daemon, isLastReceived ? last.sentAt : 0, storeAge < 0 ? 0 : now - storeAge, now);
     state.peers[daemon].incarnation = request["incarnation"].toInteger();
     state.peers[daemon].processorShare = request["processorShare"].toDouble();
-    last = { ++m_replyCount, now, state.token };
+    const scheduler::Millis workSentAt = last.token == state.token ? last.workSentAt : 0;
+    last = { ++m_replyCount, now, state.token, workSentAt };
     reply["number"] = static_cast<qint64>(last.number);
     reply["revision"] = static_cast<qint64>(state.revision);
     reply["token"] = static_cast<qint64>(state.token);
@@ -328,7 +334,10 @@
         return encodeReply(reply, members);
     const QByteArray changes = encodeNewChanges(reply, request);
     updatePending(now);
-    reply["work"] = encodeWorkLoad(m_runtime.work.load, now);
+    if (now - last.workSentAt >= workPeriodMs) {
+        last.workSentAt = now;
+        reply["work"] = encodeWorkLoad(m_runtime.work.load, now);
+    }
     reply["pendingAgeMs"] = static_cast<qint64>(now - std::min(m_pendingCountedAt, m_dispatcher->jobsKnownUntil()));
     return encodeReply(reply, members + ",\"changes\":" + changes + ',' + m_pendingJson);
 }
@@ -342,7 +351,7 @@
     const std::set<std::string> known = election::knownMembers(state, now);
     std::erase_if(revisions, [&known](const auto& entry) { return known.count(entry.first) == 0; });
     if (const std::int64_t limit = request["workLimit"].toInteger();
-        limit > 0) // absent in requests of earlier versions
+        limit > 0) // not in each request, absent in those of earlier versions
         m_runtime.work.memberLimits[daemon] = limit;
     std::erase_if(m_runtime.work.memberLimits, [&known](const auto& entry) { return known.count(entry.first) == 0; });
     for (const std::string& member : known)
--- a/src/daemon/sync_service.h
+++ b/src/daemon/sync_service.h
@@ -46,7 +46,8 @@
     struct SentReply {
         std::int64_t number = 0; // which the follower's next request acknowledges
         scheduler::Millis sentAt = 0;
-        std::int64_t token = 0; // of the term that sent it
+        std::int64_t token = 0;           // of the term that sent it
+        scheduler::Millis workSentAt = 0; // last reply with the accepted work
     };
 
     void tick();
@@ -85,6 +86,7 @@
     // --- As the scheduling daemon ---
     std::int64_t m_replyCount = 0;
     std::map<std::string, SentReply> m_sentReplies; // last reply by daemon
+    scheduler::Millis m_workLimitSentAt = 0;        // last request with this daemon's limit of accepted work
     std::set<std::string> m_notifiedOfResignation;  // names of daemons
     MemberList m_memberList;
     QByteArray m_pendingJson; // numbers of waiting jobs by queue, encoded as a member of the reply
