--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -488,7 +488,8 @@
 {
     const auto running = worker.running.find(delayed.order.task);
     const bool isSecond = running != worker.running.end() && running->second.isOfFormerIncarnation
-        && delayed.incarnationUnixMs != worker.entry.incarnationUnixMs && delayed.order.run != running->second.run;
+        && delayed.incarnationUnixMs != worker.entry.incarnationUnixMs && delayed.order.run != running->second.run
+        && delayed.order.fencingToken > worker.token; // of a later term; those of one term are checked
     if (isSecond && leavesOutKnownRed)
         return true;
     if (worker.token != 0 || delayed.incarnationUnixMs == worker.entry.incarnationUnixMs)
